Interfaces first: ids, time, ports to engines, platform and peers, schemas, build

Cause: the folders are to be built in parallel, so what stands between them has to be fixed before. The programs are empty so far: each main() returns 2.

--- /dev/null
+++ b/apps/ferry_platform.cpp
@@ -0,0 +1,3 @@
+int main() {
+    return 2;
+}
--- /dev/null
+++ b/src/ferryroad/http/client.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// HTTP/1.1 client (Beast inside) with a pool of connections for each address. A connection
+/// goes back to the pool only after its answer was read whole, so that no answer can reach
+/// another request.
+#pragma once
+
+#include "ferryroad/base/endpoint.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/http/errors.hpp"
+#include "ferryroad/http/message.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ferryroad::http {
+
+template <typename T>
+using result = runtime::result<T, error>;
+
+/// A streamed answer's body, read line by line. Destroying it early closes the connection.
+class response_stream {
+  public:
+    virtual ~response_stream() = default;
+    virtual unsigned status() const = 0;
+    virtual const header_list& headers() const = 0;
+    /// @return the next line without its line end; nothing at the body's proper end. A body
+    /// that ends without its final chunk is `connection_lost`; a half line is never returned.
+    /// @param limit for this line to come; over it: `timed_out`.
+    virtual runtime::task<result<std::optional<std::string>>> next_line(base::duration limit) = 0;
+    /// @return all of the rest of the body, for answers that are no stream (error bodies).
+    virtual runtime::task<result<std::string>> read_rest(base::duration limit) = 0;
+};
+
+struct client_limits {
+    base::duration connect = std::chrono::seconds(1);
+    std::size_t body_bytes = 64U * 1024U * 1024U;
+    std::size_t line_bytes = 1024U * 1024U;
+    std::size_t idle_connections_per_address = 32;
+    base::duration idle = std::chrono::seconds(20);  ///< Below servers' own limit.
+};
+
+/// A request on a pooled connection that proves dead before any byte of an answer is sent
+/// again on a fresh connection only if `idempotent` says so; else it is `connection_lost`.
+enum class resend { allowed, forbidden };
+
+/// Used from the event loop's thread; outlives its streams.
+class client {
+  public:
+    client(runtime::scheduler& scheduler, client_limits limits);
+    ~client();
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    /// @param limit for the whole exchange.
+    runtime::task<result<response>> send(const base::endpoint& address, request message,
+                                         base::duration limit, resend again);
+    /// @param limit until the answer's headers have come.
+    runtime::task<result<std::unique_ptr<response_stream>>> open(const base::endpoint& address,
+                                                                 request message,
+                                                                 base::duration limit,
+                                                                 resend again);
+
+  private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/message.hpp
@@ -0,0 +1,49 @@
+/// @file
+/// HTTP messages apart from Beast, so that only this folder's sources include Beast.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ferryroad::http {
+
+struct header {
+    std::string name;
+    std::string value;
+};
+
+/// Headers in order of arrival; names compare without case.
+class header_list {
+  public:
+    header_list() = default;
+    header_list(std::initializer_list<header> initial) : entries_(initial) {}
+    void add(std::string name, std::string value);
+    /// @return the first value of that name.
+    std::optional<std::string_view> find(std::string_view name) const;
+    const std::vector<header>& entries() const { return entries_; }
+
+  private:
+    std::vector<header> entries_;
+};
+
+struct request {
+    std::string method = "GET";
+    std::string target = "/";  ///< Path with query, as sent.
+    header_list headers;
+    std::string body;
+
+    /// @return the target up to the query.
+    std::string_view path() const;
+    /// @return the decoded value of a query parameter.
+    std::optional<std::string> query(std::string_view name) const;
+};
+
+struct response {
+    unsigned status = 200;
+    header_list headers;
+    std::string body;
+};
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/server.hpp
@@ -0,0 +1,72 @@
+/// @file
+/// HTTP/1.1 server (Beast inside): keep-alive, whole answers and chunked streams, limits,
+/// planned stop.
+#pragma once
+
+#include "ferryroad/base/endpoint.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/http/errors.hpp"
+#include "ferryroad/http/message.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace ferryroad::http {
+
+/// Answers one request: either `send` once, or `begin_stream`, `write` any number of times,
+/// and `end_stream`. A stream dropped before `end_stream` closes the connection without the
+/// final chunk, so that the other side sees a broken body. Valid until the handler returns.
+class response_writer {
+  public:
+    virtual ~response_writer() = default;
+    virtual runtime::task<runtime::result<void, error>> send(response answer) = 0;
+    virtual runtime::task<runtime::result<void, error>> begin_stream(unsigned status,
+                                                                     header_list headers) = 0;
+    virtual runtime::task<runtime::result<void, error>> write(std::string chunk) = 0;
+    virtual runtime::task<runtime::result<void, error>> end_stream() = 0;
+    /// Completes when the other side closes its connection while the handler is at work. Meant
+    /// for `handler_work || writer.wait_closed()` (Asio's awaitable operators).
+    virtual runtime::task<void> wait_closed() = 0;
+    /// Closes the connection abruptly: for emulators' cut faults.
+    virtual void abort() = 0;
+};
+
+struct server_limits {
+    std::size_t header_bytes = 16U * 1024U;
+    std::size_t body_bytes = 8U * 1024U * 1024U;
+    std::size_t connections = 4096;
+    base::duration idle = std::chrono::seconds(60);          ///< Between requests.
+    base::duration request_read = std::chrono::seconds(30);  ///< For one whole request.
+    base::duration write = std::chrono::seconds(30);         ///< For one write to progress.
+};
+
+/// One listening address. All on the event loop's thread; owned by the composition root,
+/// which keeps it until the loop has ended.
+class server {
+  public:
+    using handler = std::function<runtime::task<void>(request, response_writer&)>;
+
+    server(runtime::scheduler& scheduler, server_limits limits, handler handle);
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    /// Listens and accepts. Port 0 takes a free port.
+    /// @return the address listened on. @throws boost::system::system_error where it can't.
+    base::endpoint listen(const base::endpoint& address);
+
+    /// Planned stop: accepts no connection, closes idle ones, answers requests at work with
+    /// `Connection: close`. @return once the last connection is closed.
+    runtime::task<void> drain();
+
+    /// @return requests now being handled.
+    std::size_t active_requests() const;
+
+  private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/runtime/log.cpp
@@ -0,0 +1,80 @@
+#include "ferryroad/runtime/log.hpp"
+
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+#include <log4cxx/basicconfigurator.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
+
+#include <memory>
+#include <vector>
+
+namespace ferryroad::runtime {
+
+namespace {
+
+std::string& process_name_storage() {
+    static std::string name = "ferryroad";
+    return name;
+}
+
+log4cxx::LevelPtr level_of(log_level level) {
+    switch (level) {
+        case log_level::debug:
+            return log4cxx::Level::getDebug();
+        case log_level::info:
+            return log4cxx::Level::getInfo();
+        case log_level::warning:
+            return log4cxx::Level::getWarn();
+        case log_level::error:
+            break;
+    }
+    return log4cxx::Level::getError();
+}
+
+}  // namespace
+
+void start_logging(std::string_view process_name, log_level lowest) {
+    process_name_storage() = process_name;
+    auto layout = std::make_shared<log4cxx::JSONLayout>();
+    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    log4cxx::BasicConfigurator::configure(appender);
+    log4cxx::Logger::getRootLogger()->setLevel(level_of(lowest));
+}
+
+void log(log_level level, std::string_view component, std::string_view message,
+         std::initializer_list<log_field> fields) {
+    const auto logger = log4cxx::Logger::getLogger(std::string(component));
+    const auto native_level = level_of(level);
+    if (!logger->isEnabledFor(native_level)) {
+        return;
+    }
+    std::vector<std::unique_ptr<log4cxx::MDC>> context;
+    context.reserve(fields.size() + 1);
+    context.push_back(std::make_unique<log4cxx::MDC>("process", process_name_storage()));
+    for (const log_field& field : fields) {
+        context.push_back(std::make_unique<log4cxx::MDC>(std::string(field.name), field.value));
+    }
+    logger->log(native_level, std::string(message), log4cxx::spi::LocationInfo("", "", "", 0));
+}
+
+void log_exception(std::string_view component, const std::exception_ptr& failure) {
+    try {
+        std::rethrow_exception(failure);
+    } catch (const boost::system::system_error& error) {
+        if (error.code() == boost::asio::error::operation_aborted) {
+            return;
+        }
+        log(log_level::error, component, "coroutine ended by a system error",
+            {{"error", error.what()}});
+    } catch (const std::exception& error) {
+        log(log_level::error, component, "coroutine ended by an exception",
+            {{"error", error.what()}});
+    }
+}
+
+}  // namespace ferryroad::runtime
--- /dev/null
+++ b/src/ferryroad/runtime/log.hpp
@@ -0,0 +1,34 @@
+/// @file
+/// Structured logs: one JSON object a line on standard error (log4cxx's JSONLayout). Fields
+/// of an entry stand under `context_map`. log4cxx stays behind this header.
+#pragma once
+
+#include <exception>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace ferryroad::runtime {
+
+enum class log_level { debug, info, warning, error };
+
+/// One named value of a log entry, such as `{"request_id", id.value}`.
+struct log_field {
+    std::string_view name;
+    std::string value;
+};
+
+/// Sets up the process's logger. Call once, before any thread starts.
+/// @param process_name written into every entry as `process`.
+void start_logging(std::string_view process_name, log_level lowest);
+
+/// Writes one entry. Thread-safe.
+/// @param component the folder that speaks, such as "router.request".
+void log(log_level level, std::string_view component, std::string_view message,
+         std::initializer_list<log_field> fields = {});
+
+/// Writes an error entry for an exception that ended a coroutine. Cancellation
+/// (operation_aborted) is not an error and is left out.
+void log_exception(std::string_view component, const std::exception_ptr& failure);
+
+}  // namespace ferryroad::runtime
