--- a/cmake/ferryroad_dependencies.cmake
+++ b/cmake/ferryroad_dependencies.cmake
@@ -1,7 +1,7 @@
 # The libraries ferryroad is built on, each behind one target of ours, so that a
 # folder names what it uses and nothing else reaches it.
 find_package(Threads REQUIRED)
-find_package(Boost 1.81 REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
 find_package(OpenSSL REQUIRED)
 find_package(CLI11 CONFIG REQUIRED)
 find_package(Protobuf REQUIRED)
--- a/src/ferryroad/http/json.hpp
+++ b/src/ferryroad/http/json.hpp
@@ -1,6 +1,5 @@
 /// @file
-/// Reading JSON bodies field by field with an error that names the field. Boost.JSON inside;
-/// its header-only sources are compiled once, in json.cpp.
+/// Reading JSON bodies field by field with an error that names the field. Boost.JSON inside.
 #pragma once
 
 #include "ferryroad/http/errors.hpp"
