Settings test: keep the compared text alive

Ruled out: the schema itself (the messages printed right after are the expected ones). Change: the text is bound to a local first, in both tests that did so. No expectation changed. Conclusion: a fault of the test, not of the settings.

--- a/test/base/endpoint_test.cpp
+++ b/test/base/endpoint_test.cpp
@@ -39,6 +39,7 @@
     const auto parsed = ferryroad::base::endpoint::parse(expected.text);
     cr_assert_eq(parsed.has_value(), expected.accepted, "%s", expected.text);
     if (parsed) {
-        cr_assert_str_eq(parsed->to_string().c_str(), expected.printed);
+        const std::string printed = parsed->to_string();
+        cr_assert_str_eq(printed.c_str(), expected.printed);
     }
 }
--- a/test/settings/schema_test.cpp
+++ b/test/settings/schema_test.cpp
@@ -76,7 +76,8 @@
     const auto values = boost::json::parse(refusals[*index].file).get_object();
     const auto refused = schema.apply("f", values);
     cr_assert(refused.has_value());
-    cr_assert_str_eq(refused->to_string().c_str(), refusals[*index].message);
+    const std::string message = refused->to_string();
+    cr_assert_str_eq(message.c_str(), refusals[*index].message);
 }
 
 Test(schema, file_and_flags_fill_the_struct) {
