--- /dev/null
+++ b/src/ferryroad/engine/http_client.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// The port to engines over HTTP with JSON (docs/reference/engine-protocol.md).
+#pragma once
+
+#include "ferryroad/engine/client.hpp"
+#include "ferryroad/engine/tunables.hpp"
+#include "ferryroad/http/client.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <memory>
+#include <string>
+
+namespace ferryroad::engine {
+
+/// Used from the event loop's thread; outlives its streams.
+class http_client final : public client {
+  public:
+    /// @param scheduler and `connections` are borrowed and outlive this.
+    http_client(runtime::scheduler& scheduler, http::client& connections, tunables limits = {});
+
+    runtime::task<result<std::unique_ptr<generation_stream>>> generate(
+        const engine_target& target, generation_request request) override;
+    runtime::task<result<std::unique_ptr<generation_stream>>> resume(
+        const engine_target& target, base::attempt_id attempt, std::uint32_t first_token) override;
+    runtime::task<result<void>> cancel(const engine_target& target,
+                                       base::attempt_id attempt) override;
+    runtime::task<result<application_answer>> call_application(
+        const engine_target& target, application_request request) override;
+    runtime::task<result<load_report>> read_load(const base::endpoint& address) override;
+    runtime::task<result<cache_event_batch>> read_events(const engine_target& target,
+                                                         std::uint64_t from_sequence,
+                                                         base::duration wait) override;
+    runtime::task<result<import_answer>> import_state(const engine_target& target,
+                                                      import_request request) override;
+    runtime::task<result<void>> order(const engine_target& target, base::fencing_token token,
+                                      engine_order order) override;
+
+  private:
+    /// What a stream's events are checked against.
+    struct stream_expectation {
+        base::attempt_id attempt;
+        base::incarnation process;
+        std::uint32_t first_token = 0;
+        base::monotonic_time deadline{};
+    };
+    class http_stream;
+
+    runtime::task<result<std::unique_ptr<generation_stream>>> open_stream(
+        base::endpoint address, http::request message, base::duration limit, http::resend again,
+        stream_expectation expected);
+    /// One exchange that may be repeated. @return the body of an answer with status 200.
+    runtime::task<result<std::string>> exchange(base::endpoint address, http::request message,
+                                                base::duration limit);
+
+    runtime::scheduler& scheduler_;
+    http::client& connections_;
+    tunables limits_;
+};
+
+}  // namespace ferryroad::engine
