--- a/bench/simulation/virtual_time.hpp
+++ b/bench/simulation/virtual_time.hpp
@@ -69,7 +69,10 @@
     struct event_key {
         base::monotonic_time when;
         std::uint64_t sequence = 0;
-        friend auto operator<=>(const event_key&, const event_key&) = default;
+        friend bool operator<(const event_key& left, const event_key& right) {
+            return left.when != right.when ? left.when < right.when
+                                           : left.sequence < right.sequence;
+        }
     };
     struct event {
         process_id process;  ///< 0: outside any process.
