Routing policies: cost by estimated first token, and the baselines

Cause: a router must choose an engine by queue, cached pieces and import cost, and be measured against round robin, least loaded, plain and bounded rendezvous, and index only.

Change: core/routing with one policy a file behind policy.hpp and a factory by name. cost weighs holders, rendezvous choices at depths 1, 2, 4, ... pieces and two random engines by queue wait + prefill or import + price of avoidable prefill; ideal is the same over all candidates. Each decision carries the figures of what it weighed.

--- /dev/null
+++ b/src/ferryroad/core/routing/cost_policy.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// The product's policy: least estimated time to first token, with a price on recomputation.
+#pragma once
+
+#include "ferryroad/core/routing/policy.hpp"
+#include "ferryroad/core/routing/tunables.hpp"
+
+#include <vector>
+
+namespace ferryroad::core::routing {
+
+/// Which candidates are weighed.
+enum class candidate_scope {
+    /// Holders of pieces, rendezvous choices at several depths and a few random ones: what a
+    /// router that follows a subset of a large pool can know.
+    selected,
+    all
+};
+
+/// Weighs queue wait + prefill of missing pieces (or import of them, where that is cheaper)
+/// + price x avoidable recomputation. Avoidable are pieces that some candidate holds and
+/// this one would compute again.
+class cost_policy final : public policy {
+  public:
+    /// @param reported_name what `name()` says.
+    cost_policy(std::string_view reported_name, candidate_scope scope,
+                routing_tunables tunables = default_routing_tunables);
+
+    std::string_view name() const override { return name_; }
+    std::optional<decision> choose(const routing_query& query,
+                                   base::random_source& random) override;
+
+  private:
+    /// @return which candidates stand in the rendezvous order at some depth of the prompt.
+    std::vector<bool> rendezvous_choices(const routing_query& query) const;
+    std::vector<bool> weighed_candidates(const routing_query& query,
+                                         const std::vector<bool>& rendezvous,
+                                         base::random_source& random) const;
+
+    std::string_view name_;
+    candidate_scope scope_;
+    routing_tunables tunables_;
+};
+
+}  // namespace ferryroad::core::routing
--- /dev/null
+++ b/src/ferryroad/core/routing/least_loaded.hpp
@@ -0,0 +1,18 @@
+/// @file
+/// Baseline: the engine with the shortest queue.
+#pragma once
+
+#include "ferryroad/core/routing/policy.hpp"
+
+namespace ferryroad::core::routing {
+
+/// Takes the least estimated wait, then the fewest requests, then any of these.
+class least_loaded final : public policy {
+  public:
+    static constexpr std::string_view policy_name = "least_loaded";
+    std::string_view name() const override { return policy_name; }
+    std::optional<decision> choose(const routing_query& query,
+                                   base::random_source& random) override;
+};
+
+}  // namespace ferryroad::core::routing
