--- a/emulator/engine/batch_scheduler.cpp
+++ b/emulator/engine/batch_scheduler.cpp
@@ -88,6 +88,16 @@
     }
 }
 
+void batch_scheduler::thaw(base::monotonic_time now) {
+    if (frozen_until_ <= now) {
+        return;
+    }
+    if (step_) {
+        step_->ends_at -= frozen_until_ - now;
+    }
+    frozen_until_ = now;
+}
+
 void batch_scheduler::begin_step(base::monotonic_time now) {
     running_step planned;
     plan_prefill(planned, now);
--- a/emulator/engine/batch_scheduler.hpp
+++ b/emulator/engine/batch_scheduler.hpp
@@ -63,6 +63,8 @@
     void set_slow_factor(double factor) { slow_factor_ = factor; }
     /// Nothing happens until then.
     void freeze(base::monotonic_time now, base::monotonic_time until);
+    /// Ends a freeze early.
+    void thaw(base::monotonic_time now);
 
     bool idle() const { return sequences_.empty(); }
     const scheduler_figures& figures() const { return figures_; }
--- a/emulator/engine/engine_model.hpp
+++ b/emulator/engine/engine_model.hpp
@@ -53,6 +53,9 @@
     /// @return when the next cache event is published, if one is on its way.
     std::optional<base::monotonic_time> next_event_publication(base::monotonic_time now) const;
 
+    /// @return how many leading pieces are held now.
+    std::uint32_t held_pieces(const core::prefix::cache_namespace& scope,
+                              const core::prefix::piece_chain& pieces, base::monotonic_time now);
     /// @return the leading pieces held, or `not_found`.
     outcome<exported_state> export_state(const core::prefix::cache_namespace& scope,
                                          const core::prefix::piece_chain& pieces,
@@ -76,12 +79,15 @@
     void set_refuse_overloaded(bool refuse) { refuse_overloaded_ = refuse; }
     void set_slow_factor(double factor) { scheduler_.set_slow_factor(factor); }
     void freeze(base::monotonic_time now, base::duration length);
+    /// Ends a freeze early.
+    void thaw(base::monotonic_time now);
     void lose_events(std::uint32_t count) { journal_.lose_next(count); }
 
     const std::vector<execution_record>& executions() const { return executions_; }
     const execution_record& execution(attempt_handle attempt) const;
     base::incarnation process() const { return process_; }
     bool is_down() const { return down_; }
+    bool leaving() const { return leaving_; }
     /// @return true where no attempt is queued or running.
     bool idle() const { return scheduler_.idle(); }
     const engine_model_settings& settings() const { return settings_; }
--- a/emulator/engine/engine_model_state.cpp
+++ b/emulator/engine/engine_model_state.cpp
@@ -149,6 +149,13 @@
     return {};
 }
 
+std::uint32_t engine_model::held_pieces(const core::prefix::cache_namespace& scope,
+                                        const core::prefix::piece_chain& pieces,
+                                        base::monotonic_time now) {
+    run(now);
+    return cache_.match(scope, pieces);
+}
+
 outcome<exported_state> engine_model::export_state(const core::prefix::cache_namespace& scope,
                                                    const core::prefix::piece_chain& pieces,
                                                    base::monotonic_time now) {
@@ -199,6 +206,11 @@
     scheduler_.freeze(now, now + length);
 }
 
+void engine_model::thaw(base::monotonic_time now) {
+    run(now);
+    scheduler_.thaw(now);
+}
+
 void engine_model::crash(base::monotonic_time now) {
     run(now);
     down_ = true;
--- /dev/null
+++ b/emulator/engine/state_codec.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// Exported state as JSON, between two emulated engines.
+#pragma once
+
+#include "emulator/engine/model_types.hpp"
+#include "ferryroad/engine/protocol/fields.hpp"
+
+#include <string>
+#include <string_view>
+
+namespace ferryroad::emulator {
+
+std::string encode(const exported_state& state);
+engine::protocol::decoded<exported_state> decode_state(std::string_view body);
+
+}  // namespace ferryroad::emulator
