--- /dev/null
+++ b/src/ferryroad/core/admission/retry_budget.cpp
@@ -0,0 +1,22 @@
+#include "ferryroad/core/admission/retry_budget.hpp"
+
+#include <algorithm>
+
+namespace ferryroad::core::admission {
+
+retry_budget::retry_budget(double share, double reserve)
+    : share_(share), reserve_(reserve), balance_(reserve) {}
+
+void retry_budget::record_success() {
+    balance_ = std::min(reserve_, balance_ + share_);
+}
+
+bool retry_budget::try_retry() {
+    if (balance_ < 1) {
+        return false;
+    }
+    balance_ -= 1;
+    return true;
+}
+
+}  // namespace ferryroad::core::admission
--- /dev/null
+++ b/src/ferryroad/core/admission/retry_budget.hpp
@@ -0,0 +1,28 @@
+/// @file
+/// Retries as a share of successes, so that they can't multiply an overload.
+#pragma once
+
+#include "ferryroad/core/admission/tunables.hpp"
+
+namespace ferryroad::core::admission {
+
+/// Each success saves up a share of a retry; each retry spends one. Retries never outnumber
+/// the reserve plus the shares saved.
+class retry_budget {
+  public:
+    /// @param share retries allowed for each success, 0 or more.
+    explicit retry_budget(double share, double reserve = default_admission_tunables.retry_reserve);
+
+    void record_success();
+    /// @return true where a retry may be made; it is then spent.
+    bool try_retry();
+    /// The share in force from now on.
+    void change_share(double share) { share_ = share; }
+
+  private:
+    double share_;
+    double reserve_;
+    double balance_;
+};
+
+}  // namespace ferryroad::core::admission
