HTTP server and client on Asio with Beast's parsers

Cause: the folder had interfaces only; the daemon, the emulators and the platform adapters wait for them.

Change: codec (Beast's parsers and serializers, no I/O), connection (socket, bytes not yet parsed, one time limit), session and its writer, server, pool, exchange, line stream, JSON reader. Reads wait for readiness and then take what is there without suspending, so that a cancelled coroutine loses no byte. Additive: encode_component and decode_component in message.hpp, error_answer.hpp.

--- /dev/null
+++ b/src/ferryroad/http/client.cpp
@@ -0,0 +1,30 @@
+#include "ferryroad/http/client.hpp"
+
+#include "ferryroad/http/client_exchange.hpp"
+
+namespace ferryroad::http {
+
+struct client::state {
+    std::shared_ptr<connection_pool> pool;
+};
+
+client::client(runtime::scheduler& scheduler, client_limits limits)
+    : state_(std::make_shared<state>()) {
+    state_->pool = std::make_shared<connection_pool>(scheduler, limits);
+}
+
+client::~client() = default;
+
+runtime::task<result<response>> client::send(const base::endpoint& address, request message,
+                                             base::duration limit, resend again) {
+    return send_request(state_->pool, {address, std::move(message), limit, again});
+}
+
+runtime::task<result<std::unique_ptr<response_stream>>> client::open(const base::endpoint& address,
+                                                                     request message,
+                                                                     base::duration limit,
+                                                                     resend again) {
+    return open_stream(state_->pool, {address, std::move(message), limit, again});
+}
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/codec.cpp
@@ -0,0 +1,266 @@
+#include "ferryroad/http/codec.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+#include <stdexcept>
+
+namespace ferryroad::http {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr unsigned http_1_0_version = 10;
+constexpr unsigned http_1_1_version = 11;
+
+decode_state state_of(const boost::beast::error_code& failure) {
+    if (failure == beast_http::error::header_limit) {
+        return decode_state::headers_too_large;
+    }
+    if (failure == beast_http::error::body_limit) {
+        return decode_state::body_too_large;
+    }
+    return decode_state::malformed;
+}
+
+/// Feeds a Beast parser. @return bytes consumed.
+template <typename Parser>
+std::size_t feed_parser(Parser& parser, std::string_view bytes, decode_state& state) {
+    if (state != decode_state::need_more || bytes.empty()) {
+        return 0;
+    }
+    boost::beast::error_code failure;
+    const auto buffer = boost::asio::buffer(bytes.data(), bytes.size());
+    const std::size_t consumed = parser.put(buffer, failure);
+    if (failure && failure != beast_http::error::need_more) {
+        state = state_of(failure);
+    } else if (parser.is_done()) {
+        state = decode_state::complete;
+    }
+    return consumed;
+}
+
+template <typename Message>
+header_list headers_of(const Message& message) {
+    header_list headers;
+    for (const auto& field : message) {
+        headers.add(std::string(field.name_string()), std::string(field.value()));
+    }
+    return headers;
+}
+
+/// Headers that say how this one connection frames and ends messages.
+bool is_framing_header(std::string_view name) {
+    constexpr std::array<std::string_view, 6> names = {
+        "Connection", "Content-Length", "Transfer-Encoding", "Keep-Alive", "Upgrade", "Trailer"};
+    return std::any_of(names.begin(), names.end(), [name](std::string_view framing_name) {
+        return boost::algorithm::iequals(name, framing_name);
+    });
+}
+
+void check_header(const header& entry) {
+    constexpr std::string_view forbidden("\r\n\0", 3);
+    const bool bad_name =
+        entry.name.empty() || entry.name.find_first_of(": \t\r\n") != std::string::npos;
+    if (bad_name || entry.value.find_first_of(forbidden) != std::string::npos) {
+        throw std::invalid_argument("header \"" + entry.name + "\" can't be sent");
+    }
+}
+
+template <typename Message>
+void add_headers(Message& message, const header_list& headers) {
+    for (const header& entry : headers.entries()) {
+        check_header(entry);
+        if (!is_framing_header(entry.name)) {
+            message.insert(entry.name, entry.value);
+        }
+    }
+}
+
+template <typename Message>
+std::string head_text(const Message& message) {
+    std::ostringstream text;
+    text << message.base();
+    return text.str();
+}
+
+bool has_body_by_method(std::string_view method) {
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+}  // namespace
+
+struct request_decoder::parser {
+    beast_http::request_parser<beast_http::string_body> native;
+};
+
+request_decoder::request_decoder(std::size_t header_bytes, std::size_t body_bytes)
+    : parser_(std::make_unique<parser>()) {
+    parser_->native.eager(true);
+    parser_->native.header_limit(static_cast<std::uint32_t>(header_bytes));
+    parser_->native.body_limit(body_bytes);
+}
+
+request_decoder::~request_decoder() = default;
+
+std::size_t request_decoder::feed(std::string_view bytes) {
+    return feed_parser(parser_->native, bytes, state_);
+}
+
+decode_state request_decoder::state() const {
+    return state_;
+}
+
+bool request_decoder::expects_continue() const {
+    if (!parser_->native.is_header_done() || state_ != decode_state::need_more) {
+        return false;
+    }
+    const auto& message = parser_->native.get();
+    return boost::algorithm::iequals(std::string_view(message[beast_http::field::expect].data(),
+                                                      message[beast_http::field::expect].size()),
+                                     "100-continue");
+}
+
+bool request_decoder::keep_alive() const {
+    return parser_->native.keep_alive();
+}
+
+bool request_decoder::accepts_chunks() const {
+    return parser_->native.get().version() >= http_1_1_version;
+}
+
+request request_decoder::take() {
+    auto& native = parser_->native.get();
+    request message;
+    message.method = std::string(native.method_string());
+    message.target = std::string(native.target());
+    message.headers = headers_of(native);
+    message.body = std::move(native.body());
+    return message;
+}
+
+struct response_decoder::parser {
+    beast_http::response_parser<beast_http::string_body> native;
+};
+
+response_decoder::response_decoder(limits limit, bool answers_head)
+    : limit_(limit), answers_head_(answers_head) {
+    restart();
+}
+
+response_decoder::~response_decoder() = default;
+
+void response_decoder::restart() {
+    parser_ = std::make_unique<parser>();
+    parser_->native.eager(true);
+    parser_->native.header_limit(static_cast<std::uint32_t>(limit_.header_bytes));
+    if (limit_.body_bytes) {
+        parser_->native.body_limit(*limit_.body_bytes);
+    } else {
+        parser_->native.body_limit(boost::none);
+    }
+    parser_->native.skip(answers_head_);
+    state_ = decode_state::need_more;
+}
+
+std::size_t response_decoder::feed(std::string_view bytes) {
+    started_ = started_ || !bytes.empty();
+    std::size_t consumed = 0;
+    for (;;) {
+        consumed += feed_parser(parser_->native, bytes.substr(consumed), state_);
+        const bool is_interim = state_ == decode_state::complete && status() < 200;
+        if (!is_interim) {
+            return consumed;
+        }
+        restart();
+    }
+}
+
+decode_state response_decoder::state() const {
+    return state_;
+}
+
+bool response_decoder::started() const {
+    return started_;
+}
+
+bool response_decoder::headers_complete() const {
+    return parser_->native.is_header_done() && status() >= 200;
+}
+
+unsigned response_decoder::status() const {
+    return parser_->native.get().result_int();
+}
+
+header_list response_decoder::headers() const {
+    return headers_of(parser_->native.get());
+}
+
+std::string response_decoder::take_body() {
+    std::string bytes;
+    bytes.swap(parser_->native.get().body());
+    return bytes;
+}
+
+bool response_decoder::keep_alive() const {
+    return parser_->native.keep_alive();
+}
+
+bool response_decoder::is_unbounded() const {
+    return parser_->native.need_eof();
+}
+
+bool is_bodiless(unsigned status) {
+    constexpr unsigned no_content = 204;
+    constexpr unsigned not_modified = 304;
+    return status < 200 || status == no_content || status == not_modified;
+}
+
+std::string encode_head(const answer_head& head) {
+    beast_http::response<beast_http::empty_body> native;
+    native.version(head.http_1_0 ? http_1_0_version : http_1_1_version);
+    native.result(head.status);
+    add_headers(native, *head.headers);
+    if (head.body_framing == framing::chunks) {
+        native.chunked(true);
+    } else if (head.body_framing == framing::length && !is_bodiless(head.status)) {
+        native.content_length(head.body_bytes);
+    }
+    native.keep_alive(head.keep_alive);
+    return head_text(native);
+}
+
+std::string encode_head(const request& message, const std::string& host) {
+    beast_http::request<beast_http::empty_body> native;
+    if (message.target.empty() ||
+        message.target.find_first_of(std::string_view(" \r\n\0", 4)) != std::string::npos) {
+        throw std::invalid_argument("target \"" + message.target + "\" can't be sent");
+    }
+    native.version(http_1_1_version);
+    native.method_string(message.method);
+    native.target(message.target);
+    if (!message.headers.find("Host")) {
+        native.set(beast_http::field::host, host);
+    }
+    add_headers(native, message.headers);
+    if (!message.body.empty() || has_body_by_method(message.method)) {
+        native.content_length(message.body.size());
+    }
+    return head_text(native);
+}
+
+std::string encode_chunk(std::string_view bytes) {
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/connection.cpp
@@ -0,0 +1,138 @@
+#include "ferryroad/http/connection.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+
+namespace ferryroad::http {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::size_t read_block_bytes = 16U * 1024U;
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+}  // namespace
+
+connection::connection(socket_type socket)
+    : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+
+runtime::task<boost::system::error_code> connection::connect(base::endpoint address) {
+    boost::system::error_code failure;
+    const auto number = asio::ip::make_address(address.address, failure);
+    if (failure) {
+        co_return failure;
+    }
+    const asio::ip::tcp::endpoint target(number, address.port);
+    const auto [connect_failure] = co_await socket_.async_connect(target, as_result);
+    if (!connect_failure) {
+        boost::system::error_code ignored;
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    }
+    co_return connect_failure;
+}
+
+runtime::task<boost::system::error_code> connection::read_more() {
+    for (;;) {
+        const auto [wait_failure] = co_await socket_.async_wait(socket_type::wait_read, as_result);
+        if (wait_failure) {
+            co_return wait_failure;
+        }
+        const boost::system::error_code failure = read_available();
+        if (failure != asio::error::would_block) {
+            co_return failure;
+        }
+    }
+}
+
+boost::system::error_code connection::read_available() {
+    std::array<char, read_block_bytes> block;
+    boost::system::error_code failure;
+    socket_.non_blocking(true, failure);
+    const std::size_t count = socket_.read_some(asio::buffer(block), failure);
+    received_.append(block.data(), count);
+    return failure;
+}
+
+runtime::task<boost::system::error_code> connection::write(std::string head, std::string body,
+                                                           base::duration progress) {
+    const std::size_t total = head.size() + body.size();
+    std::size_t written = 0;
+    while (written < total) {
+        if (progress > base::duration::zero()) {
+            set_limit(progress);
+        }
+        const std::size_t head_offset = std::min(written, head.size());
+        const std::size_t body_offset = written - head_offset;
+        const std::array<asio::const_buffer, 2> rest = {asio::buffer(head) + head_offset,
+                                                        asio::buffer(body) + body_offset};
+        const auto [failure, count] = co_await socket_.async_write_some(rest, as_result);
+        if (failure) {
+            co_return failure;
+        }
+        written += count;
+    }
+    if (progress > base::duration::zero()) {
+        lift_limit();
+    }
+    co_return boost::system::error_code{};
+}
+
+void connection::set_limit(base::duration delay) {
+    const std::uint64_t generation = ++limit_generation_;
+    const auto steady_delay =
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay);
+    timer_.expires_after(steady_delay);
+    timer_.async_wait([weak = weak_from_this(), generation](boost::system::error_code failure) {
+        const auto self = weak.lock();
+        if (failure || !self || self->limit_generation_ != generation) {
+            return;
+        }
+        self->expired_ = true;
+        self->close();
+    });
+}
+
+void connection::lift_limit() {
+    ++limit_generation_;
+    timer_.cancel();
+}
+
+bool connection::is_quiet() {
+    if (!received_.empty() || !socket_.is_open()) {
+        return false;
+    }
+    std::array<char, 1> byte{};
+    boost::system::error_code failure;
+    socket_.non_blocking(true, failure);
+    socket_.receive(asio::buffer(byte), asio::socket_base::message_peek, failure);
+    return failure == asio::error::would_block;
+}
+
+bool connection::has_input() {
+    boost::system::error_code failure;
+    return !received_.empty() || (socket_.is_open() && socket_.available(failure) > 0);
+}
+
+void connection::shutdown_send() {
+    boost::system::error_code ignored;
+    socket_.shutdown(socket_type::shutdown_send, ignored);
+}
+
+void connection::close() {
+    lift_limit();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void connection::reset() {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/connection_pool.cpp
@@ -0,0 +1,73 @@
+#include "ferryroad/http/connection_pool.hpp"
+
+namespace ferryroad::http {
+
+connection_pool::connection_pool(runtime::scheduler& scheduler, client_limits limits)
+    : scheduler_(scheduler), limits_(limits), sweep_timer_(scheduler.executor()) {}
+
+std::shared_ptr<connection> connection_pool::take(const base::endpoint& address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return nullptr;
+    }
+    idle_list& list = found->second;
+    const base::monotonic_time now = scheduler_.now();
+    while (!list.empty()) {
+        const idle_connection newest = std::move(list.back());
+        list.pop_back();
+        if (newest.until > now && newest.link->is_quiet()) {
+            return newest.link;
+        }
+        newest.link->close();
+    }
+    return nullptr;
+}
+
+std::shared_ptr<connection> connection_pool::make() {
+    return std::make_shared<connection>(connection::socket_type(scheduler_.executor()));
+}
+
+void connection_pool::put_back(const base::endpoint& address, std::shared_ptr<connection> link) {
+    if (!link->is_quiet() || limits_.idle_connections_per_address == 0) {
+        link->close();
+        return;
+    }
+    idle_list& list = idle_[address];
+    list.push_back({std::move(link), scheduler_.now() + limits_.idle});
+    if (list.size() > limits_.idle_connections_per_address) {
+        list.front().link->close();
+        list.pop_front();
+    }
+    start_sweeping();
+}
+
+void connection_pool::start_sweeping() {
+    if (sweeping_) {
+        return;
+    }
+    sweeping_ = true;
+    sweep_timer_.expires_after(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(limits_.idle));
+    sweep_timer_.async_wait([weak = weak_from_this()](boost::system::error_code) {
+        if (const auto self = weak.lock()) {
+            self->sweeping_ = false;
+            self->close_expired();
+        }
+    });
+}
+
+void connection_pool::close_expired() {
+    const base::monotonic_time now = scheduler_.now();
+    for (auto& [address, list] : idle_) {
+        while (!list.empty() && list.front().until <= now) {
+            list.front().link->close();
+            list.pop_front();
+        }
+    }
+    std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
+    if (!idle_.empty()) {
+        start_sweeping();
+    }
+}
+
+}  // namespace ferryroad::http
--- a/src/ferryroad/http/message.hpp
+++ b/src/ferryroad/http/message.hpp
@@ -46,4 +46,10 @@
     std::string body;
 };
 
+/// @return `text` with every byte but letters, digits and `-._~` percent-encoded, for one
+/// path segment or one query value.
+std::string encode_component(std::string_view text);
+/// @return `text` with its percent-encoded bytes decoded; a broken escape stays as it is.
+std::string decode_component(std::string_view text);
+
 }  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/server.cpp
@@ -0,0 +1,157 @@
+#include "ferryroad/http/server.hpp"
+
+#include "ferryroad/http/session.hpp"
+#include "ferryroad/runtime/log.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <unordered_set>
+
+namespace ferryroad::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+constexpr base::duration accept_retry_delay = std::chrono::milliseconds(100);
+constexpr std::string_view log_component = "http.server";
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+}  // namespace
+
+struct server::state : std::enable_shared_from_this<server::state> {
+    state(runtime::scheduler& scheduler_in, server_limits limits, handler handle)
+        : scheduler(scheduler_in),
+          acceptor(scheduler_in.executor()),
+          emptied(scheduler_in.executor()),
+          shared(std::make_shared<server_shared>()) {
+        shared->limits = limits;
+        shared->handle = std::move(handle);
+    }
+
+    base::endpoint listen(const base::endpoint& address);
+    runtime::task<void> accept_connections(std::shared_ptr<state> self);
+    void start_session(tcp::socket socket);
+    runtime::task<void> run_session(std::shared_ptr<state> self, std::shared_ptr<session> one,
+                                    bool over_limit);
+    void accept_waiting();
+    runtime::task<void> drain(std::shared_ptr<state> self);
+    void close();
+
+    runtime::scheduler& scheduler;
+    tcp::acceptor acceptor;
+    asio::steady_timer emptied;  ///< Cancelled when the last session ends.
+    std::shared_ptr<server_shared> shared;
+    std::unordered_set<session*> sessions;
+};
+
+base::endpoint server::state::listen(const base::endpoint& address) {
+    const tcp::endpoint native(asio::ip::make_address(address.address), address.port);
+    acceptor.open(native.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(native);
+    acceptor.listen();
+    const tcp::endpoint bound = acceptor.local_endpoint();
+    scheduler.spawn(log_component, accept_connections(shared_from_this()));
+    return base::endpoint{bound.address().to_string(), bound.port()};
+}
+
+runtime::task<void> server::state::accept_connections(
+    [[maybe_unused]] std::shared_ptr<state> self) {
+    while (acceptor.is_open()) {
+        auto [failure, socket] = co_await acceptor.async_accept(as_result);
+        if (!failure) {
+            start_session(std::move(socket));
+            continue;
+        }
+        if (failure == asio::error::operation_aborted) {
+            co_return;
+        }
+        runtime::log(runtime::log_level::warning, log_component, "a connection wasn't accepted",
+                     {{"error", failure.message()}});
+        co_await scheduler.sleep_for(accept_retry_delay);
+    }
+}
+
+void server::state::start_session(tcp::socket socket) {
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    const bool over_limit = sessions.size() >= shared->limits.connections;
+    auto link = std::make_shared<connection>(std::move(socket));
+    auto one = std::make_shared<session>(std::move(link), shared);
+    sessions.insert(one.get());
+    scheduler.spawn(log_component, run_session(shared_from_this(), one, over_limit));
+}
+
+runtime::task<void> server::state::run_session([[maybe_unused]] std::shared_ptr<state> self,
+                                               std::shared_ptr<session> one, bool over_limit) {
+    if (over_limit) {
+        co_await one->refuse();
+    } else {
+        co_await one->run();
+    }
+    sessions.erase(one.get());
+    if (sessions.empty()) {
+        emptied.cancel();
+    }
+}
+
+void server::state::accept_waiting() {
+    boost::system::error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        tcp::socket socket = acceptor.accept(failure);
+        if (!failure) {
+            start_session(std::move(socket));
+        }
+    }
+}
+
+runtime::task<void> server::state::drain([[maybe_unused]] std::shared_ptr<state> self) {
+    shared->draining = true;
+    if (acceptor.is_open()) {
+        accept_waiting();
+        acceptor.close();
+    }
+    const std::unordered_set<session*> open = sessions;
+    for (session* one : open) {
+        one->drain();
+    }
+    while (!sessions.empty()) {
+        emptied.expires_at(asio::steady_timer::time_point::max());
+        co_await emptied.async_wait(as_result);
+    }
+}
+
+void server::state::close() {
+    boost::system::error_code ignored;
+    acceptor.close(ignored);
+    for (session* one : sessions) {
+        one->close();
+    }
+}
+
+server::server(runtime::scheduler& scheduler, server_limits limits, handler handle)
+    : state_(std::make_shared<state>(scheduler, limits, std::move(handle))) {}
+
+server::~server() {
+    state_->close();
+}
+
+base::endpoint server::listen(const base::endpoint& address) {
+    return state_->listen(address);
+}
+
+runtime::task<void> server::drain() {
+    return state_->drain(state_);
+}
+
+std::size_t server::active_requests() const {
+    return state_->shared->active_requests;
+}
+
+}  // namespace ferryroad::http
--- /dev/null
+++ b/src/ferryroad/http/session.cpp
@@ -0,0 +1,174 @@
+#include "ferryroad/http/session.hpp"
+
+#include "ferryroad/http/error_answer.hpp"
+#include "ferryroad/http/session_writer.hpp"
+#include "ferryroad/runtime/log.hpp"
+
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+
+namespace ferryroad::http {
+
+namespace {
+
+/// Time for the other side to read a refusal and to close.
+constexpr base::duration linger_limit = std::chrono::seconds(2);
+/// Time for the first request of a connection that was accepted just before a planned stop.
+constexpr base::duration fresh_drain_limit = std::chrono::seconds(1);
+constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view log_component = "http.server";
+
+/// Counts a request as active while it lives.
+class active_count {
+  public:
+    explicit active_count(std::size_t& count) : count_(count) { ++count_; }
+    ~active_count() { --count_; }
+    active_count(const active_count&) = delete;
+    active_count& operator=(const active_count&) = delete;
+
+  private:
+    std::size_t& count_;
+};
+
+}  // namespace
+
+session::session(std::shared_ptr<connection> link, std::shared_ptr<server_shared> shared)
+    : link_(std::move(link)), shared_(std::move(shared)) {}
+
+void session::drain() {
+    if (phase_ == phase::fresh) {
+        link_->set_limit(fresh_drain_limit);
+    } else if (phase_ == phase::idle && !link_->has_input()) {
+        link_->close();
+    }
+}
+
+runtime::task<void> session::run() {
+    bool keep = true;
+    while (keep) {
+        request_decoder decoder(shared_->limits.header_bytes, shared_->limits.body_bytes);
+        const bool complete = co_await read_request(decoder);
+        keep = complete && co_await handle_request(decoder);
+        phase_ = phase::idle;
+    }
+    link_->close();
+}
+
+runtime::task<bool> session::wait_for_input() {
+    const bool last_chance = shared_->draining && !link_->has_input();
+    if (last_chance && phase_ == phase::idle) {
+        co_return false;
+    }
+    link_->set_limit(last_chance ? fresh_drain_limit : shared_->limits.idle);
+    const boost::system::error_code failure = co_await link_->read_more();
+    co_return !failure;
+}
+
+runtime::task<bool> session::read_request(request_decoder& decoder) {
+    if (link_->received().empty()) {
+        const bool came = co_await wait_for_input();
+        if (!came) {
+            co_return false;
+        }
+    }
+    phase_ = phase::reading;
+    link_->set_limit(shared_->limits.request_read);
+    bool continue_sent = false;
+    for (;;) {
+        link_->consume(decoder.feed(link_->received()));
+        if (decoder.state() == decode_state::complete) {
+            link_->lift_limit();
+            co_return true;
+        }
+        if (decoder.state() != decode_state::need_more) {
+            co_await refuse_input(decoder.state());
+            co_return false;
+        }
+        if (decoder.expects_continue() && !continue_sent) {
+            continue_sent = true;
+            std::string text(continue_answer);
+            co_await link_->write(std::move(text), std::string(), base::duration::zero());
+        }
+        const boost::system::error_code failure = co_await link_->read_more();
+        if (failure) {
+            co_return false;
+        }
+    }
+}
+
+runtime::task<bool> session::handle_request(request_decoder& decoder) {
+    phase_ = phase::handling;
+    const active_count active(shared_->active_requests);
+    const bool keep_alive = decoder.keep_alive();
+    const bool accepts_chunks = decoder.accepts_chunks();
+    request message = decoder.take();
+    session_writer writer(link_, shared_, {keep_alive, accepts_chunks, message.method == "HEAD"});
+    bool failed = false;
+    try {
+        co_await shared_->handle(std::move(message), writer);
+    } catch (const std::exception&) {
+        runtime::log_exception(log_component, std::current_exception());
+        failed = true;
+    }
+    if (!writer.has_begun() && link_->is_open()) {
+        const error_text text{
+            "server_error", "internal_error",
+            failed ? "the request's handler failed" : "the request's handler gave no answer"};
+        response answer = error_answer(500, text);
+        co_await writer.send(std::move(answer));
+    }
+    co_return writer.may_keep_alive();
+}
+
+runtime::task<void> session::refuse() {
+    co_await write_refusal(503, "too_many_connections", "too many connections");
+}
+
+runtime::task<void> session::refuse_input(decode_state state) {
+    if (state == decode_state::headers_too_large) {
+        co_await write_refusal(431, "request_headers_too_large",
+                               "the request's headers are over the limit of " +
+                                   std::to_string(shared_->limits.header_bytes) + " bytes");
+    } else if (state == decode_state::body_too_large) {
+        co_await write_refusal(413, "request_body_too_large",
+                               "the request's body is over the limit of " +
+                                   std::to_string(shared_->limits.body_bytes) + " bytes");
+    } else {
+        co_await write_refusal(400, "malformed_request", "the request is not HTTP/1.1");
+    }
+}
+
+runtime::task<void> session::write_refusal(unsigned status, std::string_view code,
+                                           std::string_view message) {
+    const std::string_view type = status == 503 ? "server_error" : "invalid_request_error";
+    response answer = error_answer(status, {type, code, message});
+    if (status == 503) {
+        answer.headers.add("Retry-After", "1");
+    }
+    answer_head head;
+    head.status = status;
+    head.headers = &answer.headers;
+    head.body_bytes = answer.body.size();
+    head.keep_alive = false;
+    std::string text = encode_head(head);
+    const boost::system::error_code failure =
+        co_await link_->write(std::move(text), std::move(answer.body), shared_->limits.write);
+    if (!failure) {
+        co_await linger();
+    }
+    link_->close();
+}
+
+runtime::task<void> session::linger() {
+    link_->shutdown_send();
+    link_->set_limit(linger_limit);
+    for (;;) {
+        const boost::system::error_code failure = co_await link_->read_more();
+        if (failure) {
+            co_return;
+        }
+        link_->consume(link_->received().size());
+    }
+}
+
+}  // namespace ferryroad::http
