Peer codec: typed messages to and from schema/wire.fbs, hostile bytes refused

Cause: routers exchange FlatBuffers; the rest of the code must speak typed messages, and bytes from the network may be anything.

Change: peer/messages.hpp, peer/codec with datagrams and calls apart. Decoding verifies the buffer's structure, then each field's range: unions without a table, unknown enum values, names, addresses, list lengths, numbers that are not finite. Datagrams and joins are the membership library's own messages.

--- /dev/null
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -0,0 +1,320 @@
+#include "ferryroad/peer/codec_fields.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace ferryroad::peer {
+
+namespace {
+
+namespace membership = coordination::membership;
+using core::prefix::cache_namespace;
+
+/// A union on the wire: its type and its table.
+struct wire_body {
+    wire::CallBody type = wire::CallBody::NONE;
+    offset<void> table;
+};
+
+std::uint32_t wire_milliseconds(base::duration period) {
+    const std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(base::to_milliseconds(period), 0, most));
+}
+
+/// Writes one body; the overloads are found by the variant's visit.
+struct body_writer {
+    buffer_builder& builder;
+
+    offset<wire::Namespace> scope(const cache_namespace& scope) const {
+        const auto tenant = write_shared(builder, scope.tenant.value);
+        const auto model = write_shared(builder, scope.model.value);
+        const auto version = write_shared(builder, scope.version.value);
+        const auto adapter = write_shared(builder, scope.adapter.value);
+        return wire::CreateNamespace(builder, tenant, model, version, adapter);
+    }
+    offset<flatbuffers::Vector<std::uint64_t>> pieces(
+        const std::vector<base::piece_hash>& pieces) const {
+        std::vector<std::uint64_t> values;
+        values.reserve(pieces.size());
+        for (const base::piece_hash& piece : pieces) {
+            values.push_back(piece.value);
+        }
+        return builder.CreateVector(values);
+    }
+    offset<offset_vector<wire::MemberUpdate>> members(
+        const std::vector<membership::member_update>& members) const {
+        return write_list<wire::MemberUpdate>(
+            builder, members, [&](const auto& member) { return write_member(builder, member); });
+    }
+    offset<offset_vector<wire::ResourceChange>> resources(
+        const std::vector<resource_change>& resources) const {
+        return write_list<wire::ResourceChange>(
+            builder, resources, [&](const resource_change& resource) {
+                const auto key = write_text(builder, resource.key);
+                const auto value = write_text(builder, resource.value);
+                return wire::CreateResourceChange(builder, key, value, resource.removed);
+            });
+    }
+    offset<wire::ConfigurationChange> change(const configuration_change& change) const {
+        const auto operation = write_text(builder, change.operation);
+        const auto author = write_text(builder, change.author);
+        const auto changed = resources(change.resources);
+        return wire::CreateConfigurationChange(builder, change.revision.value, operation, author,
+                                               changed);
+    }
+
+    wire_body operator()(const join_request& body) const {
+        const auto member = write_member(builder, body.member);
+        return {wire::CallBody::JoinRequest, wire::CreateJoinRequest(builder, member).Union()};
+    }
+    wire_body operator()(const join_answer& body) const {
+        const auto list = members(body.members);
+        return {wire::CallBody::JoinAnswer, wire::CreateJoinAnswer(builder, list).Union()};
+    }
+    wire_body operator()(const configuration_pull& body) const {
+        return {wire::CallBody::ConfigurationPull,
+                wire::CreateConfigurationPull(builder, body.from.value).Union()};
+    }
+    wire_body operator()(const configuration_answer& body) const {
+        const auto snapshot = resources(body.snapshot);
+        const auto changes = write_list<wire::ConfigurationChange>(
+            builder, body.changes,
+            [&](const configuration_change& entry) { return change(entry); });
+        return {
+            wire::CallBody::ConfigurationAnswer,
+            wire::CreateConfigurationAnswer(builder, body.head.value, body.snapshot_revision.value,
+                                            snapshot, changes, body.confirmed)
+                .Union()};
+    }
+    wire_body operator()(const configuration_push& body) const {
+        const auto pushed = change(body.change);
+        return {wire::CallBody::ConfigurationPush,
+                wire::CreateConfigurationPush(builder, pushed).Union()};
+    }
+    wire_body operator()(const prefix_lookup& body) const {
+        const auto within = scope(body.scope);
+        const auto wanted = pieces(body.pieces);
+        return {wire::CallBody::PrefixLookup,
+                wire::CreatePrefixLookup(builder, within, wanted).Union()};
+    }
+    wire_body operator()(const prefix_answer& body) const {
+        const auto holders =
+            write_list<wire::PrefixHolder>(builder, body.holders, [&](const prefix_holder& holder) {
+                const auto engine = write_text(builder, holder.engine.value);
+                return wire::CreatePrefixHolder(builder, engine, holder.incarnation.value,
+                                                holder.depth, wire_milliseconds(holder.age));
+            });
+        return {wire::CallBody::PrefixAnswer,
+                wire::CreatePrefixAnswer(builder, holders, body.request_rate).Union()};
+    }
+    wire_body operator()(const prefix_reports& body) const {
+        const auto reports =
+            write_list<wire::PrefixReport>(builder, body.reports, [&](const prefix_report& report) {
+                const auto within = scope(report.scope);
+                const auto held = pieces(report.pieces);
+                const auto engine = write_shared(builder, report.engine.value);
+                return wire::CreatePrefixReport(builder, within, held, engine,
+                                                report.incarnation.value, report.evicted,
+                                                report.depth);
+            });
+        return {wire::CallBody::PrefixReports, wire::CreatePrefixReports(builder, reports).Union()};
+    }
+    wire_body operator()(const quota_request& body) const {
+        const auto tenant = write_text(builder, body.tenant.value);
+        return {wire::CallBody::QuotaRequest,
+                wire::CreateQuotaRequest(builder, tenant, body.wanted, body.spent, body.in_flight,
+                                         body.revision.value)
+                    .Union()};
+    }
+    wire_body operator()(const quota_grant& body) const {
+        return {wire::CallBody::QuotaGrant,
+                wire::CreateQuotaGrant(builder, body.granted, wire_milliseconds(body.valid),
+                                       body.concurrent)
+                    .Union()};
+    }
+    wire_body operator()(const empty& /*body*/) const {
+        return {wire::CallBody::Empty, wire::CreateEmpty(builder).Union()};
+    }
+};
+
+/// Reads one body; every optional table is checked before use.
+struct body_reader {
+    field_reader& fields;
+
+    cache_namespace scope(const wire::Namespace* field) const {
+        cache_namespace scope;
+        fields.require(field != nullptr, "a namespace");
+        if (field != nullptr) {
+            scope.tenant = fields.name<base::tenant_name>(field->tenant());
+            scope.model = fields.name<base::model_name>(field->model());
+            scope.version = fields.optional_name<base::weights_version>(field->version());
+            scope.adapter = fields.optional_name<base::adapter_name>(field->adapter());
+        }
+        return scope;
+    }
+    std::vector<base::piece_hash> pieces(const flatbuffers::Vector<std::uint64_t>* field) const {
+        std::vector<base::piece_hash> pieces;
+        const std::size_t size = field == nullptr ? 0 : field->size();
+        fields.require(size <= codec_limits::pieces, "fewer pieces");
+        if (size > 0 && size <= codec_limits::pieces) {
+            pieces.reserve(size);
+            for (const std::uint64_t piece : *field) {
+                pieces.emplace_back(piece);
+            }
+        }
+        return pieces;
+    }
+    std::vector<resource_change> resources(const offset_vector<wire::ResourceChange>* field) const {
+        return fields.list(
+            field, codec_limits::resources, [&](const wire::ResourceChange& resource) {
+                resource_change change{fields.value(resource.key()), fields.value(resource.value()),
+                                       resource.removed()};
+                fields.require(!change.key.empty(), "a resource's key");
+                return change;
+            });
+    }
+    configuration_change change(const wire::ConfigurationChange* field) const {
+        configuration_change change;
+        fields.require(field != nullptr, "a change");
+        if (field != nullptr) {
+            change.revision = base::revision(field->revision());
+            change.operation = fields.value(field->operation());
+            change.author = fields.value(field->author());
+            change.resources = resources(field->resources());
+        }
+        return change;
+    }
+
+    call_body read(const wire::JoinRequest& body) const {
+        return join_request{fields.member(body.member())};
+    }
+    call_body read(const wire::JoinAnswer& body) const {
+        return join_answer{
+            fields.list(body.members(), codec_limits::members,
+                        [&](const wire::MemberUpdate& entry) { return fields.member(&entry); })};
+    }
+    call_body read(const wire::ConfigurationPull& body) const {
+        return configuration_pull{base::revision(body.from_revision())};
+    }
+    call_body read(const wire::ConfigurationAnswer& body) const {
+        configuration_answer answer;
+        answer.head = base::revision(body.head_revision());
+        answer.snapshot_revision = base::revision(body.snapshot_revision());
+        answer.snapshot = resources(body.snapshot());
+        answer.changes =
+            fields.list(body.changes(), codec_limits::changes,
+                        [&](const wire::ConfigurationChange& entry) { return change(&entry); });
+        answer.confirmed = body.confirmed();
+        return answer;
+    }
+    call_body read(const wire::ConfigurationPush& body) const {
+        return configuration_push{change(body.change())};
+    }
+    call_body read(const wire::PrefixLookup& body) const {
+        return prefix_lookup{scope(body.scope()), pieces(body.pieces())};
+    }
+    call_body read(const wire::PrefixAnswer& body) const {
+        prefix_answer answer;
+        answer.holders = fields.list(
+            body.holders(), codec_limits::holders, [&](const wire::PrefixHolder& holder) {
+                return prefix_holder{fields.name<base::engine_name>(holder.engine()),
+                                     base::incarnation(holder.incarnation()), holder.depth(),
+                                     std::chrono::milliseconds(holder.age_milliseconds())};
+            });
+        answer.request_rate = static_cast<float>(fields.amount(body.request_rate()));
+        return answer;
+    }
+    call_body read(const wire::PrefixReports& body) const {
+        return prefix_reports{fields.list(
+            body.reports(), codec_limits::reports, [&](const wire::PrefixReport& report) {
+                return prefix_report{scope(report.scope()),
+                                     pieces(report.pieces()),
+                                     fields.name<base::engine_name>(report.engine()),
+                                     base::incarnation(report.incarnation()),
+                                     report.evicted(),
+                                     report.depth()};
+            })};
+    }
+    call_body read(const wire::QuotaRequest& body) const {
+        return quota_request{fields.name<base::tenant_name>(body.tenant()),
+                             fields.amount(body.wanted()), fields.amount(body.spent()),
+                             body.in_flight(), base::revision(body.configuration_revision())};
+    }
+    call_body read(const wire::QuotaGrant& body) const {
+        return quota_grant{fields.amount(body.granted()),
+                           std::chrono::milliseconds(body.valid_milliseconds()), body.concurrent()};
+    }
+    call_body read(const wire::Empty& /*body*/) const { return empty{}; }
+
+    template <typename Wire>
+    call_body read_as(const wire::Call& message) const {
+        return read(*static_cast<const Wire*>(message.body()));
+    }
+    call_body body(const wire::Call& message) const;
+};
+
+call_body body_reader::body(const wire::Call& message) const {
+    fields.require(message.body() != nullptr, "a body");
+    if (message.body() == nullptr) {
+        return empty{};
+    }
+    switch (message.body_type()) {
+        case wire::CallBody::NONE:
+            break;
+        case wire::CallBody::JoinRequest:
+            return read_as<wire::JoinRequest>(message);
+        case wire::CallBody::JoinAnswer:
+            return read_as<wire::JoinAnswer>(message);
+        case wire::CallBody::ConfigurationPull:
+            return read_as<wire::ConfigurationPull>(message);
+        case wire::CallBody::ConfigurationAnswer:
+            return read_as<wire::ConfigurationAnswer>(message);
+        case wire::CallBody::ConfigurationPush:
+            return read_as<wire::ConfigurationPush>(message);
+        case wire::CallBody::PrefixLookup:
+            return read_as<wire::PrefixLookup>(message);
+        case wire::CallBody::PrefixAnswer:
+            return read_as<wire::PrefixAnswer>(message);
+        case wire::CallBody::PrefixReports:
+            return read_as<wire::PrefixReports>(message);
+        case wire::CallBody::QuotaRequest:
+            return read_as<wire::QuotaRequest>(message);
+        case wire::CallBody::QuotaGrant:
+            return read_as<wire::QuotaGrant>(message);
+        case wire::CallBody::Empty:
+            return empty{};
+    }
+    fields.require(false, "a known body");
+    return empty{};
+}
+
+}  // namespace
+
+message_bytes encode(const call& message) {
+    buffer_builder builder;
+    const wire_body body = std::visit(body_writer{builder}, message.body);
+    const auto sender = write_text(builder, message.sender.value);
+    return finish(builder, wire::CreateCall(builder, sender, message.sender_incarnation.value,
+                                            body.type, body.table));
+}
+
+result<call> decode_call(std::string_view bytes) {
+    const aligned_bytes aligned(bytes);
+    const auto* root = verified_root<wire::Call>(aligned.view());
+    if (root == nullptr) {
+        return malformed("not a call");
+    }
+    field_reader reader;
+    call message;
+    message.sender = reader.name<base::router_name>(root->sender());
+    message.sender_incarnation = base::incarnation(root->sender_incarnation());
+    message.body = body_reader{reader}.body(*root);
+    if (reader.fault() != nullptr) {
+        return malformed(std::string("call: expected ") + reader.fault());
+    }
+    return message;
+}
+
+}  // namespace ferryroad::peer
--- a/src/ferryroad/peer/transport.hpp
+++ b/src/ferryroad/peer/transport.hpp
@@ -24,7 +24,7 @@
 /// Largest datagram sent: fits an Ethernet frame.
 inline constexpr std::size_t largest_datagram = 1400;
 /// Largest call or answer: a snapshot of the configuration fits.
-inline constexpr std::size_t largest_call = 16U * 1024U * 1024U;
+inline constexpr std::size_t largest_call = std::size_t{16} * 1024 * 1024;
 
 /// Bytes counted for the control budget (letter 1: 4 KB a second a node).
 struct transport_counters {
--- /dev/null
+++ b/test/peer/sample_messages.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// One datagram and one call of each kind, every field set.
+#pragma once
+
+#include "ferryroad/peer/messages.hpp"
+
+#include <chrono>
+#include <vector>
+
+namespace ferryroad::peer::test {
+
+inline coordination::membership::member_update sample_member(const std::string& name) {
+    return {base::router_name(name),   base::endpoint{"10.0.0.7", 7000},
+            base::zone_name("zone-a"), base::region_name("valle-central"),
+            base::incarnation(17),     coordination::membership::member_state::suspect};
+}
+
+inline datagram sample_datagram(coordination::membership::probe probe) {
+    datagram message;
+    message.sender = base::router_name("router-1");
+    message.sender_incarnation = base::incarnation(99);
+    message.revision = 12;
+    message.members_digest = 0x1234567890abcdefULL;
+    message.probe = std::move(probe);
+    message.members = {sample_member("router-2"), sample_member("router-3")};
+    message.notices = {{"engine-4", 5, true}, {"engine-5", 1, false}};
+    return message;
+}
+
+inline std::vector<datagram> sample_datagrams() {
+    namespace membership = coordination::membership;
+    return {sample_datagram(std::monostate{}), sample_datagram(membership::ping{7}),
+            sample_datagram(membership::ack{8}),
+            sample_datagram(membership::ping_request{9, base::router_name("router-2")})};
+}
+
+inline std::vector<call> sample_calls() {
+    const core::prefix::cache_namespace scope{
+        base::tenant_name("tenant-a"), base::model_name("model-a"), base::weights_version("v1"),
+        base::adapter_name("adapter-a")};
+    const std::vector<base::piece_hash> pieces{base::piece_hash(1), base::piece_hash(2)};
+    const configuration_change change{
+        base::revision(8), "operation-1", "operator-1", {{"route/a", "{}", false}}};
+    const std::vector<call_body> bodies{
+        join_request{sample_member("router-2")},
+        join_answer{{sample_member("router-2"), sample_member("router-3")}},
+        configuration_pull{base::revision(4)},
+        configuration_answer{base::revision(9),
+                             base::revision(7),
+                             {{"tenant/a", "{\"x\":1}", false}, {"tenant/b", "", true}},
+                             {change, change},
+                             true},
+        configuration_push{change},
+        prefix_lookup{scope, pieces},
+        prefix_answer{{{base::engine_name("engine-1"), base::incarnation(3), 2,
+                        std::chrono::milliseconds(40)}},
+                      1.5F},
+        prefix_reports{
+            {{scope, pieces, base::engine_name("engine-1"), base::incarnation(3), true, 2}}},
+        quota_request{base::tenant_name("tenant-a"), 12.5, 3.0, 4, base::revision(9)},
+        quota_grant{7.25, std::chrono::milliseconds(900), 6},
+        empty{}};
+    std::vector<call> calls;
+    for (const call_body& body : bodies) {
+        calls.push_back({base::router_name("router-1"), base::incarnation(99), body});
+    }
+    return calls;
+}
+
+}  // namespace ferryroad::peer::test
