--- /dev/null
+++ b/src/ferryroad/operator/service/errors.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// Errors of the operators' server.
+#pragma once
+
+#include <string>
+
+namespace ferryroad::operators {
+
+enum class error_code { listen_failed };
+
+struct error {
+    error_code code{};
+    std::string message;
+};
+
+}  // namespace ferryroad::operators
--- /dev/null
+++ b/src/ferryroad/router/configuration/change.cpp
@@ -0,0 +1,203 @@
+/// Operators' changes: from a command to a committed revision.
+#include "ferryroad/router/configuration/catalog_builder.hpp"
+#include "ferryroad/router/configuration/configuration_service.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace ferryroad::router {
+
+namespace {
+
+namespace configuration = coordination::configuration;
+namespace leaf = boost::leaf;
+
+configuration_error conflict(base::revision head) {
+    return {configuration_error_code::revision_conflict,
+            "another change came first: revision " + std::to_string(head.value) + " is in force",
+            {},
+            head};
+}
+
+configuration_error failed(const platform::error& failure, bool may_have_changed) {
+    const auto code = may_have_changed ? configuration_error_code::outcome_unknown
+                                       : configuration_error_code::unavailable;
+    return {code, "the platform's table: " + failure.message, {}, {}};
+}
+
+/// Sets or clears one engine in a pool's drained list.
+void set_drained(catalog::pool& pool, const base::engine_name& engine, bool drained) {
+    const auto found = std::find(pool.drained.begin(), pool.drained.end(), engine);
+    if (drained && found == pool.drained.end()) {
+        pool.drained.push_back(engine);
+    } else if (!drained && found != pool.drained.end()) {
+        pool.drained.erase(found);
+    }
+}
+
+std::vector<configuration::resource_change> drain_change(const configuration::resources& content,
+                                                         const drain_command& command) {
+    const catalog::resource_key key =
+        catalog::make_key(catalog::resource_kind::pool, command.pool.value);
+    const configuration::resource_key stored_key(key.value);
+    const auto stored = content.find(stored_key);
+    if (stored == content.end()) {
+        return {};
+    }
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<std::vector<configuration::resource_change>> {
+            catalog::catalog one;
+            BOOST_LEAF_CHECK(catalog::put_resource(one, key, stored->second));
+            catalog::pool& pool = one.pools.at(command.pool);
+            set_drained(pool, command.engine, !command.undo);
+            return std::vector<configuration::resource_change>{{stored_key, catalog::encode(pool)}};
+        },
+        []() { return std::vector<configuration::resource_change>(); });
+}
+
+bool is_end(const configuration::commit_step& step) {
+    return std::holds_alternative<configuration::committed>(step) ||
+           std::holds_alternative<configuration::already_committed>(step) ||
+           std::holds_alternative<configuration::unchanged>(step) ||
+           std::holds_alternative<configuration::revision_conflict>(step);
+}
+
+}  // namespace
+
+runtime::task<configuration_result<change_outcome>> configuration_service::apply(
+    apply_command command) {
+    auto planned = plan(command.desired);
+    if (!planned) {
+        co_return planned.error();
+    }
+    configuration::commit_request request{command.operation, command.author, command.expected};
+    auto desired = std::make_shared<const catalog::catalog>(std::move(command.desired));
+    configuration::change_function make_change =
+        [desired](const configuration::resources& content) {
+            return changes_towards(content, *desired);
+        };
+    co_return co_await change(std::move(request), std::move(make_change));
+}
+
+runtime::task<configuration_result<change_outcome>> configuration_service::drain(
+    drain_command command) {
+    if (!current_->pools.contains(command.pool)) {
+        co_return configuration_error{
+            configuration_error_code::not_found, "no pool is named " + command.pool.value, {}, {}};
+    }
+    configuration::commit_request request{command.operation, command.author, std::nullopt};
+    configuration::change_function make_change =
+        [command](const configuration::resources& content) {
+            return drain_change(content, command);
+        };
+    co_return co_await change(std::move(request), std::move(make_change));
+}
+
+runtime::task<configuration_result<change_outcome>> configuration_service::change(
+    configuration::commit_request request, configuration::change_function make_change) {
+    const base::monotonic_time give_up_at = ports_.scheduler.now() + tunables_.commit_limit;
+    configuration::commit_process process(std::move(request), std::move(make_change),
+                                          tunables_.log);
+    configuration::commit_step step = process.start();
+    bool answer_lost = false;
+    while (!is_end(step)) {
+        const configuration::commit_step current = step;
+        auto next = co_await take_step(process, current);
+        if (next) {
+            step = std::move(*next);
+            continue;
+        }
+        answer_lost = answer_lost || next.error().code == platform::error_code::answer_lost;
+        const base::duration wanted =
+            next.error().retry_after.value_or(tunables_.commit_retry_pause);
+        const base::duration pause = jittered(wanted);
+        if (ports_.scheduler.now() + pause >= give_up_at) {
+            co_return failed(next.error(), answer_lost);
+        }
+        co_await ports_.scheduler.sleep_for(pause);
+        step = process.on_answer_lost();
+    }
+    if (auto* done = std::get_if<configuration::committed>(&step)) {
+        co_return finish_committed(std::move(done->added));
+    }
+    if (const auto* before = std::get_if<configuration::already_committed>(&step)) {
+        const base::revision revision = before->revision;
+        co_return co_await finish_repeated(revision);
+    }
+    if (const auto* same = std::get_if<configuration::unchanged>(&step)) {
+        co_return change_outcome{same->revision, {}, false};
+    }
+    co_return conflict(std::get<configuration::revision_conflict>(step).head);
+}
+
+runtime::task<platform::result<configuration::commit_step>> configuration_service::take_step(
+    configuration::commit_process& process, configuration::commit_step step) {
+    if (std::holds_alternative<configuration::read_head>(step)) {
+        auto head = co_await journal_.read_head();
+        if (!head) {
+            co_return head.error();
+        }
+        co_return process.on_head(*head, replica_.held());
+    }
+    if (std::holds_alternative<configuration::catch_up>(step)) {
+        auto pulled = co_await pull_from_table();
+        if (!pulled) {
+            co_return pulled.error();
+        }
+        co_return process.on_caught_up(replica_.held());
+    }
+    configuration::commit_transaction transaction =
+        std::move(std::get<configuration::submit>(step).transaction);
+    co_return co_await take_submit(process, std::move(transaction));
+}
+
+runtime::task<platform::result<configuration::commit_step>> configuration_service::take_submit(
+    configuration::commit_process& process, configuration::commit_transaction transaction) {
+    auto outcome = co_await journal_.write(std::move(transaction));
+    if (!outcome) {
+        co_return outcome.error();
+    }
+    if (const auto* other = std::get_if<overtaken>(&*outcome)) {
+        co_return process.on_conflict(other->head, replica_.held());
+    }
+    co_return process.on_committed();
+}
+
+change_outcome configuration_service::finish_committed(configuration::change added) {
+    const base::revision revision = added.revision;
+    std::vector<configuration::applied_change> steps = replica_.on_change(added);
+    change_outcome outcome{revision, {}, false};
+    for (const configuration::applied_change& step : steps) {
+        if (step.revision == revision) {
+            outcome.differences = to_catalog_differences(step.differences);
+        }
+    }
+    take(std::move(steps));
+    ports_.peers.push(added);
+    if (!writing_objects_) {
+        writing_objects_ = true;
+        ports_.scheduler.spawn("configuration.objects", write_objects());
+    }
+    return outcome;
+}
+
+runtime::task<configuration_result<change_outcome>> configuration_service::finish_repeated(
+    base::revision revision) {
+    if (replica_.revision() < revision) {
+        auto pulled = co_await pull_from_table();
+        if (!pulled) {
+            observe_revision(revision);
+        }
+    }
+    change_outcome outcome{revision, {}, true};
+    const base::revision before(revision.value - 1);
+    if (const auto steps = replica_.steps_after(before)) {
+        outcome.differences = to_catalog_differences(steps->front().differences);
+    }
+    co_return outcome;
+}
+
+}  // namespace ferryroad::router
--- /dev/null
+++ b/src/ferryroad/router/configuration/synchronization.cpp
@@ -0,0 +1,153 @@
+/// Following the configuration: the coroutines that load it and keep it up to date.
+#include "ferryroad/router/configuration/configuration_service.hpp"
+#include "ferryroad/router/configuration/row_codec.hpp"
+#include "ferryroad/runtime/log.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace ferryroad::router {
+
+namespace {
+
+namespace configuration = coordination::configuration;
+namespace leaf = boost::leaf;
+
+constexpr const char* snapshot_object = "configuration-snapshot";
+
+std::optional<configuration::snapshot> read_snapshot(std::string_view text) {
+    using outcome = std::optional<configuration::snapshot>;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<outcome> {
+            BOOST_LEAF_AUTO(whole, decode_snapshot(text));
+            return outcome(std::move(whole));
+        },
+        []() { return outcome(); });
+}
+
+void log_platform(std::string_view message, const platform::error& failure) {
+    runtime::log(runtime::log_level::warning, "router.configuration", message,
+                 {{"error", failure.message}});
+}
+
+}  // namespace
+
+runtime::task<void> configuration_service::follow_peers() {
+    while (!stopped_) {
+        peer_confirmed_last_ = co_await pull_from_peer();
+        const base::duration pause = jittered(tunables_.peer_pull_period);
+        co_await ports_.scheduler.sleep_for(pause);
+    }
+}
+
+runtime::task<bool> configuration_service::pull_from_peer() {
+    const base::monotonic_time asked_at = ports_.scheduler.now();
+    const base::revision from = replica_.revision();
+    auto answer = co_await ports_.peers.pull(from);
+    if (!answer) {
+        co_return false;
+    }
+    const bool confirmed_there = answer->confirmed;
+    const base::revision head = answer->head;
+    take(replica_.on_pull_answer(std::move(*answer)));
+    if (confirmed_there) {
+        note_head(head, asked_at);
+    }
+    co_return confirmed_there;
+}
+
+runtime::task<platform::result<void>> configuration_service::pull_from_table() {
+    const base::monotonic_time asked_at = ports_.scheduler.now();
+    auto head = co_await journal_.read_head();
+    if (!head) {
+        co_return head.error();
+    }
+    note_head(head->head.revision, asked_at);
+    const auto plan = configuration::plan_read(replica_.revision(), head->head, tunables_.log);
+    if (plan) {
+        auto answer = co_await journal_.read(*plan);
+        if (!answer) {
+            co_return answer.error();
+        }
+        take(replica_.on_pull_answer(std::move(*answer)));
+    }
+    co_return platform::result<void>();
+}
+
+runtime::task<void> configuration_service::follow_table() {
+    base::duration back_off = tunables_.first_table_read;
+    const double first = ports_.scheduler.random().unit();
+    const base::duration first_pause = base::from_seconds(first * base::to_seconds(back_off));
+    co_await ports_.scheduler.sleep_for(first_pause);
+    while (!stopped_) {
+        const bool confirmed_by_peers = confirmed() && peer_confirmed_last_;
+        base::duration pause = jittered(tunables_.table_poll_period);
+        if (!confirmed_by_peers) {
+            auto pulled = co_await pull_from_table();
+            pause = jittered(tunables_.lonely_table_poll_period);
+            if (pulled) {
+                back_off = tunables_.first_table_read;
+            } else {
+                log_platform("the table didn't give the configuration", pulled.error());
+                back_off = std::min(2 * back_off, tunables_.longest_back_off);
+                const base::duration wanted = pulled.error().retry_after.value_or(back_off);
+                pause = jittered(std::max(wanted, back_off));
+            }
+        }
+        co_await ports_.scheduler.sleep_for(pause);
+    }
+}
+
+runtime::task<void> configuration_service::load_object() {
+    const base::duration pause = jittered(tunables_.first_object_read);
+    co_await ports_.scheduler.sleep_for(pause);
+    if (stopped_ || replica_.revision().value > 0) {
+        co_return;
+    }
+    auto bytes = co_await ports_.objects.get(snapshot_object);
+    if (!bytes) {
+        co_return;
+    }
+    if (auto whole = read_snapshot(*bytes)) {
+        take(replica_.on_snapshot(std::move(*whole)));
+    }
+}
+
+runtime::task<void> configuration_service::catch_up() {
+    for (unsigned attempt = 0; !stopped_ && attempt < tunables_.peer_pull_attempts; ++attempt) {
+        const base::duration pause = jittered(tunables_.pull_delay);
+        co_await ports_.scheduler.sleep_for(pause);
+        if (!replica_.needs_pull()) {
+            break;
+        }
+        co_await pull_from_peer();
+    }
+    if (!stopped_ && replica_.needs_pull()) {
+        auto pulled = co_await pull_from_table();
+        if (!pulled) {
+            log_platform("behind, and neither a peer nor the table helped", pulled.error());
+        }
+    }
+    catching_up_ = false;
+}
+
+runtime::task<void> configuration_service::write_objects() {
+    base::revision stored;
+    while (!stopped_ && stored < replica_.revision()) {
+        stored = replica_.revision();
+        std::string bytes = encode_snapshot(replica_.held());
+        auto put = co_await ports_.objects.put(snapshot_object, std::move(bytes));
+        if (!put) {
+            log_platform("the object store didn't take the snapshot", put.error());
+            stored = base::revision();
+        }
+        const base::duration pause = jittered(tunables_.object_write_period);
+        co_await ports_.scheduler.sleep_for(pause);
+    }
+    writing_objects_ = false;
+}
+
+}  // namespace ferryroad::router
