Request service, first path: resolve, admit, claim, choose, dispatch, follow

Cause: the daemon needs one path from a caller's request to an engine's answer. Conclusion: ready for the composition root.

--- /dev/null
+++ b/src/ferryroad/router/request/admission.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// Admission: whether and when a request may start, by tenant limits and shares.
+#pragma once
+
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/catalog/types.hpp"
+#include "ferryroad/router/request_types.hpp"
+#include "ferryroad/runtime/task.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace ferryroad::router {
+
+/// What admission weighs of a request.
+struct admission_query {
+    base::request_id request;
+    base::tenant_name tenant;
+    catalog::tenant_limits limits;
+    double weight = 1.0;
+    base::route_name route;
+    base::pool_name pool;
+    catalog::request_priority priority = catalog::request_priority::normal;
+    std::uint64_t prompt_tokens = 0;  ///< 0 for application calls.
+    std::uint32_t max_tokens = 0;     ///< 0 for application calls.
+    base::monotonic_time deadline{};
+};
+
+/// Held while the request is at work; destroying it frees its place.
+class admission_ticket {
+  public:
+    virtual ~admission_ticket() = default;
+};
+using admission_grant = std::unique_ptr<admission_ticket>;
+
+/// Used from the event loop's thread; outlives its grants.
+class admission_control {
+  public:
+    virtual ~admission_control() = default;
+    /// May wait for a turn, at most until the query's deadline. Cancelling the coroutine
+    /// gives the turn up.
+    /// @return a grant, or the refusal for the caller (`over_limit`, `overloaded`).
+    virtual runtime::task<runtime::result<admission_grant, refusal>> admit(
+        admission_query query) = 0;
+};
+
+}  // namespace ferryroad::router
--- /dev/null
+++ b/src/ferryroad/router/request/generation_driver.cpp
@@ -0,0 +1,113 @@
+#include "ferryroad/router/request/generation_driver.hpp"
+
+#include "ferryroad/router/request/recorded_generation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::router {
+
+namespace execution = core::execution;
+
+generation_driver::generation_driver(const request_collaborators& with, driver_start start,
+                                     std::shared_ptr<const std::string> prompt,
+                                     std::optional<base::idempotency_key> key, token_sink& sink)
+    : execution_driver(with, std::move(start)),
+      prompt_(std::move(prompt)),
+      key_(std::move(key)),
+      sink_(sink) {
+    summary_.prompt_tokens = this->start().resolved.prompt_tokens;
+}
+
+runtime::task<void> generation_driver::open_exchange(execution::dispatch_attempt wanted,
+                                                     engine::engine_target target) {
+    stream_.reset();
+    engine::generation_request request = request_for(wanted);
+    auto opened = co_await with().engines.generate(target, std::move(request));
+    take_stream(std::move(opened), wanted.exchange);
+}
+
+runtime::task<void> generation_driver::resume_exchange(execution::resume_attempt wanted,
+                                                       engine::engine_target target) {
+    stream_.reset();
+    const base::attempt_id attempt = attempt_id_of(wanted.attempt);
+    auto opened = co_await with().engines.resume(target, attempt, wanted.first_token);
+    take_stream(std::move(opened), wanted.exchange);
+}
+
+void generation_driver::take_stream(opened_stream opened, execution::exchange_number exchange) {
+    if (opened.has_error()) {
+        feed_failure(exchange, opened.error());
+        return;
+    }
+    stream_ = std::move(*opened);
+    exchange_ = exchange;
+}
+
+runtime::task<void> generation_driver::continue_exchange() {
+    auto next = co_await stream_->next();
+    if (next.has_error()) {
+        stream_.reset();
+        feed_failure(exchange_, next.error());
+        co_return;
+    }
+    std::visit([this](auto& received) { take(std::move(received)); }, *next);
+}
+
+void generation_driver::take(const engine::stream_started& started) {
+    if (execution().emitted_tokens() == 0) {
+        const std::uint32_t cached = started.cached_pieces * start().query.piece_tokens;
+        summary_.cached_tokens = std::min(cached, summary_.prompt_tokens);
+    }
+    note_started(started);
+    feed(execution::exchange_started{exchange_});
+}
+
+void generation_driver::take(engine::stream_token token) {
+    received_ = std::move(token);
+    feed(execution::token_received{exchange_, received_.index});
+}
+
+void generation_driver::take(const engine::stream_end& end) {
+    stream_.reset();
+    note_load(end.load);
+    if (end.reason == engine::finish_reason::cancelled) {
+        feed(execution::exchange_failed{exchange_, execution::failure_kind::attempt_gone,
+                                        execution::failure_proof::unknown, std::nullopt});
+        return;
+    }
+    summary_.reason = end.reason;
+    summary_.tokens = end.tokens;
+    feed(execution::exchange_ended{exchange_, end.tokens});
+}
+
+runtime::task<bool> generation_driver::emit() {
+    engine::stream_token token = std::move(received_);
+    if (start().claim) {
+        kept_tokens_.push_back(token.text);
+    }
+    const bool accepted = co_await sink_.accept(std::move(token));
+    co_return accepted;
+}
+
+recorded_outcome generation_driver::whole_outcome() const {
+    return record_generation(summary_, kept_tokens_, start().limits.recorded_body_bytes);
+}
+
+engine::generation_request generation_driver::request_for(
+    const execution::dispatch_attempt& wanted) const {
+    engine::generation_request request;
+    request.request = start().request;
+    request.attempt = attempt_id_of(wanted.attempt);
+    request.key = key_;
+    request.scope = start().query.scope;
+    request.expected_incarnation = wanted.engine.incarnation;
+    request.urgency = urgency();
+    request.prompt = prompt_;
+    request.max_tokens = start().resolved.max_tokens;
+    request.first_token = wanted.first_token;
+    request.time_left = time_left();
+    return request;
+}
+
+}  // namespace ferryroad::router
--- /dev/null
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -0,0 +1,22 @@
+/// @file
+/// Limits of serving requests, in one place.
+#pragma once
+
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/core/execution/tunables.hpp"
+
+#include <cstddef>
+
+namespace ferryroad::router {
+
+struct request_tunables {
+    core::execution::tunables execution;
+    /// When a caller should come back to a router that isn't ready.
+    base::duration not_ready_retry = std::chrono::seconds(2);
+    /// Longest wait for warm state from another engine before computing it anew.
+    base::duration import_wait = std::chrono::seconds(2);
+    /// Longest answer kept for callers that repeat a key.
+    std::size_t recorded_body_bytes = 256U * 1024U;
+};
+
+}  // namespace ferryroad::router
