--- /dev/null
+++ b/src/ferryroad/caller/generation_sinks.cpp
@@ -0,0 +1,76 @@
+#include "ferryroad/caller/generation_sinks.hpp"
+
+#include "ferryroad/caller/refusal_answer.hpp"
+
+#include <utility>
+
+namespace ferryroad::caller {
+
+namespace {
+
+constexpr unsigned ok_status = 200;
+
+}  // namespace
+
+bool timed_sink::note_token() {
+    const bool first = !first_token_at_.has_value();
+    if (first) {
+        first_token_at_ = clock_.now();
+    }
+    return first;
+}
+
+runtime::task<bool> collecting_sink::accept(engine::stream_token token) {
+    note_token();
+    text_ += token.text;
+    co_return true;
+}
+
+streaming_sink::streaming_sink(const base::clock& clock, const generation_answer& answer,
+                               http::response_writer& writer, http::header_list headers)
+    : timed_sink(clock), answer_(answer), writer_(writer), headers_(std::move(headers)) {}
+
+runtime::task<bool> streaming_sink::accept(engine::stream_token token) {
+    const bool first = note_token();
+    const bool open = co_await begin();
+    if (!open) {
+        co_return false;
+    }
+    std::string chunk = answer_.chunk(token.text, first);
+    const bool written = co_await write(std::move(chunk));
+    co_return written;
+}
+
+runtime::task<void> streaming_sink::finish(router::generation_summary summary) {
+    const bool open = co_await begin();
+    if (!open) {
+        co_return;
+    }
+    std::string last = answer_.end(summary);
+    const bool written = co_await write(std::move(last));
+    if (written) {
+        co_await writer_.end_stream();
+    }
+}
+
+runtime::task<void> streaming_sink::fail(router::refusal refused) {
+    std::string last = refusal_event(refused);
+    co_await write(std::move(last));
+}
+
+runtime::task<bool> streaming_sink::begin() {
+    if (begun_) {
+        co_return true;
+    }
+    begun_ = true;
+    http::header_list headers = headers_;
+    const auto sent = co_await writer_.begin_stream(ok_status, std::move(headers));
+    co_return !sent.has_error();
+}
+
+runtime::task<bool> streaming_sink::write(std::string chunk) {
+    const auto written = co_await writer_.write(std::move(chunk));
+    co_return !written.has_error();
+}
+
+}  // namespace ferryroad::caller
