--- a/bench/commands/commands.hpp
+++ b/bench/commands/commands.hpp
@@ -20,5 +20,7 @@
 
 // Each adds one subcommand whose callback runs it. `result` outlives the parsing.
 void add_workload(CLI::App& program, outcome& result);
+void add_load(CLI::App& program, outcome& result);
+void add_audit(CLI::App& program, outcome& result);
 
 }  // namespace ferryroad::bench::commands
--- a/bench/workload/generator.cpp
+++ b/bench/workload/generator.cpp
@@ -31,7 +31,11 @@
 }
 
 std::string request_label(const specification& source, std::uint64_t number) {
-    return source.name + "-" + std::to_string(source.seed) + "-" + std::to_string(number);
+    std::string label = source.name + "-" + std::to_string(source.seed);
+    if (!source.run.empty()) {
+        label += "-" + source.run;
+    }
+    return label + "-" + std::to_string(number);
 }
 
 }  // namespace
--- a/bench/workload/specification.hpp
+++ b/bench/workload/specification.hpp
@@ -84,6 +84,9 @@
 
 struct specification {
     std::string name;
+    /// Tells one run from another on the same system: stands in keys and prompts, behind the
+    /// shared prefixes. Not part of the file.
+    std::string run;
     std::uint64_t seed = 1;
     std::uint64_t requests = 1;
     std::size_t piece_bytes = core::prefix::default_piece_bytes;
