--- a/src/ferryroad/operator/service/operator_service.cpp
+++ b/src/ferryroad/operator/service/operator_service.cpp
@@ -60,8 +60,21 @@
     return std::nullopt;
 }
 
-runtime::task<void> run_apply(operator_ports ports, grpc::ServerUnaryReactor* reactor,
-                              const v1::ApplyRequest* request, v1::ApplyAnswer* answer) {
+/// Tells the operator's tool that the failed call changed nothing.
+constexpr const char* unchanged_key = "ferryroad-unchanged";
+
+/// Ends a change that failed.
+void refuse(grpc::CallbackServerContext* context, grpc::ServerUnaryReactor* reactor,
+            const router::configuration_error& failure) {
+    if (failure.code != router::configuration_error_code::outcome_unknown) {
+        context->AddTrailingMetadata(unchanged_key, "true");
+    }
+    reactor->Finish(to_status(failure));
+}
+
+runtime::task<void> run_apply(operator_ports ports, grpc::CallbackServerContext* context,
+                              grpc::ServerUnaryReactor* reactor, const v1::ApplyRequest* request,
+                              v1::ApplyAnswer* answer) {
     if (const auto refused = check_operation(request->operation_id(), request->author())) {
         reactor->Finish(*refused);
         co_return;
@@ -80,7 +93,7 @@
     command.author = router::author_name(request->author());
     auto outcome = co_await ports.control.apply(std::move(command));
     if (!outcome) {
-        reactor->Finish(to_status(outcome.error()));
+        refuse(context, reactor, outcome.error());
         co_return;
     }
     answer->set_revision(outcome->revision.value);
@@ -105,8 +118,9 @@
     return std::nullopt;
 }
 
-runtime::task<void> run_drain(operator_ports ports, grpc::ServerUnaryReactor* reactor,
-                              const v1::DrainRequest* request, v1::DrainAnswer* answer) {
+runtime::task<void> run_drain(operator_ports ports, grpc::CallbackServerContext* context,
+                              grpc::ServerUnaryReactor* reactor, const v1::DrainRequest* request,
+                              v1::DrainAnswer* answer) {
     if (const auto refused = check_operation(request->operation_id(), request->author())) {
         reactor->Finish(*refused);
         co_return;
@@ -122,7 +136,7 @@
                                   router::author_name(request->author())};
     auto outcome = co_await ports.control.drain(std::move(command));
     if (!outcome) {
-        reactor->Finish(to_status(outcome.error()));
+        refuse(context, reactor, outcome.error());
         co_return;
     }
     answer->set_revision(outcome->revision.value);
@@ -154,8 +168,9 @@
                                                   const v1::ApplyRequest* request,
                                                   v1::ApplyAnswer* answer) {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    boost::asio::post(ports_.scheduler.executor(), [this, reactor, request, answer] {
-        ports_.scheduler.spawn("operator.apply", run_apply(ports_, reactor, request, answer));
+    boost::asio::post(ports_.scheduler.executor(), [this, context, reactor, request, answer] {
+        ports_.scheduler.spawn("operator.apply",
+                               run_apply(ports_, context, reactor, request, answer));
     });
     return reactor;
 }
@@ -191,8 +206,9 @@
                                                   const v1::DrainRequest* request,
                                                   v1::DrainAnswer* answer) {
     grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
-    boost::asio::post(ports_.scheduler.executor(), [this, reactor, request, answer] {
-        ports_.scheduler.spawn("operator.drain", run_drain(ports_, reactor, request, answer));
+    boost::asio::post(ports_.scheduler.executor(), [this, context, reactor, request, answer] {
+        ports_.scheduler.spawn("operator.drain",
+                               run_drain(ports_, context, reactor, request, answer));
     });
     return reactor;
 }
