--- a/emulator/engine/engine_server.hpp
+++ b/emulator/engine/engine_server.hpp
@@ -28,6 +28,8 @@
     /// comes back under a new incarnation after `delay`.
     runtime::task<void> crash(base::duration delay);
 
+    /// @return false while crashed.
+    bool is_open() const { return server_ != nullptr; }
     engine_service& service() { return *service_; }
 
   private:
--- /dev/null
+++ b/test/engine/engine_fixture.hpp
@@ -0,0 +1,129 @@
+/// @file
+/// Emulated engines on loopback and a client for them, in one event loop.
+#pragma once
+
+#include "emulator/engine/application_service.hpp"
+#include "emulator/engine/engine_server.hpp"
+#include "emulator/engine/model_service.hpp"
+#include "ferryroad/engine/http_client.hpp"
+#include "test/http/loopback.hpp"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ferryroad::engine::test {
+
+using namespace std::chrono_literals;
+
+inline const core::prefix::cache_namespace scope{
+    base::tenant_name("aire"), base::model_name("m1"), base::weights_version("v1"), {}};
+inline constexpr std::uint64_t first_process = 7;
+
+/// Fast, but with steps long enough that a fault falls into the middle of a stream.
+inline emulator::engine_model_settings quick_engine() {
+    emulator::engine_model_settings settings;
+    settings.name = base::engine_name("e1");
+    settings.model = scope.model;
+    settings.version = scope.version;
+    settings.piece_bytes = 16;
+    settings.prefill_tokens_per_second = 1e6;
+    settings.decode_step = 2ms;
+    settings.event_lag = 5ms;
+    settings.load_lag = 5ms;
+    settings.transfer_per_piece = 1ms;
+    settings.model_load = 5ms;
+    return settings;
+}
+
+/// Short limits where a fault is meant to run into them.
+inline tunables short_limits() {
+    return {.admission = 150ms, .start_silence = 150ms, .token_silence = 150ms, .control = 150ms};
+}
+
+struct engine_bench {
+    explicit engine_bench(tunables limits = {}) : client(loop.scheduler, connections, limits) {}
+
+    /// Starts an engine. @return how to reach it.
+    engine_target start(std::unique_ptr<emulator::engine_service> service) {
+        servers.push_back(
+            std::make_unique<emulator::engine_server>(loop.scheduler, std::move(service)));
+        engine_target target;
+        target.name = base::engine_name("e" + std::to_string(servers.size()));
+        target.address = servers.back()->listen(ferryroad::test::any_port);
+        target.incarnation = servers.back()->service().process();
+        return target;
+    }
+    engine_target start_model() {
+        return start(std::make_unique<emulator::model_service>(
+            loop.scheduler, connections, quick_engine(), base::incarnation(first_process)));
+    }
+    engine_target start_application() {
+        return start(std::make_unique<emulator::application_service>(
+            loop.scheduler, emulator::application_model_settings{},
+            base::incarnation(first_process)));
+    }
+    emulator::engine_service& service(std::size_t index = 0) { return servers[index]->service(); }
+
+    ferryroad::test::loopback loop;
+    http::client connections{loop.scheduler, http::client_limits{}};
+    http_client client;
+    std::vector<std::unique_ptr<emulator::engine_server>> servers;
+};
+
+/// Runs a test's body to its end. (GCC 12 mixes up coroutine lambdas within Criterion's tests.)
+inline void run_on_bench(runtime::task<void> (*body)(engine_bench&), tunables limits = {}) {
+    engine_bench bench(limits);
+    cr_assert(bench.loop.run([&] { return body(bench); }), "the test did not come to its end");
+}
+
+inline generation_request request_of(const std::string& attempt,
+                                     const std::string& prompt = std::string(64, 'p')) {
+    generation_request request;
+    request.request = base::request_id("r-" + attempt);
+    request.attempt = base::attempt_id(attempt);
+    request.scope = scope;
+    request.expected_incarnation = base::incarnation(first_process);
+    request.prompt = std::make_shared<const std::string>(prompt);
+    request.max_tokens = 5;
+    request.time_left = 20s;
+    return request;
+}
+
+/// What a stream came to.
+struct stream_outcome {
+    std::vector<std::uint32_t> indexes;
+    std::string text;
+    std::optional<stream_started> started;
+    std::optional<stream_end> end;
+    std::optional<error> failure;
+};
+
+/// Reads events until the end, an error, or so many tokens.
+inline runtime::task<stream_outcome> read_stream(result<std::unique_ptr<generation_stream>>& stream,
+                                                 std::size_t tokens = 1000) {
+    stream_outcome heard;
+    if (stream.has_error()) {
+        heard.failure = stream.error();
+        co_return heard;
+    }
+    while (!heard.end && !heard.failure && heard.indexes.size() < tokens) {
+        auto event = co_await (*stream)->next();
+        if (event.has_error()) {
+            heard.failure = event.error();
+        } else if (const auto* token = std::get_if<stream_token>(&*event)) {
+            heard.indexes.push_back(token->index);
+            heard.text += token->text;
+        } else if (const auto* started = std::get_if<stream_started>(&*event)) {
+            heard.started = *started;
+        } else {
+            heard.end = std::get<stream_end>(*event);
+        }
+    }
+    co_return heard;
+}
+
+}  // namespace ferryroad::engine::test
