--- a/test/engine/engine_fixture.hpp
+++ b/test/engine/engine_fixture.hpp
@@ -36,6 +36,7 @@
     settings.load_lag = 5ms;
     settings.transfer_per_piece = 1ms;
     settings.model_load = 5ms;
+    settings.detached_limit = 20ms;
     return settings;
 }
 
