--- a/bench/simulation/network/network.cpp
+++ b/bench/simulation/network/network.cpp
@@ -74,7 +74,7 @@
 }
 
 void network::send_datagram(const base::endpoint& from, const base::endpoint& to,
-                            std::function<void()> arrive) {
+                            const std::function<void()>& arrive) {
     if (is_cut(from, to)) {
         return;
     }
--- a/bench/simulation/network/network.hpp
+++ b/bench/simulation/network/network.hpp
@@ -67,7 +67,7 @@
 
     /// Loses, doubles or delays the datagram as the settings say; `arrive` may run 0 to 2 times.
     void send_datagram(const base::endpoint& from, const base::endpoint& to,
-                       std::function<void()> arrive);
+                       const std::function<void()>& arrive);
 
   private:
     struct cut_sets {
