Engine selector on the local prefix index

Cause: the request path needs an engine for each request, with the estimate that chose it and a record that explains it.

Change: router/selection/selector implements engine_selector.hpp on the directory, a prefix_knowledge interface and a policy. Engines that serve another model, version or adapter, were tried already, or only decode are left out; a holder's incarnation must be the engine's present one. The cost policy prefers candidates that meet the deadline and weighs all engines before giving one up. local_prefix_knowledge learns from dispatches, answers and events.

--- a/src/ferryroad/core/routing/cost_policy.cpp
+++ b/src/ferryroad/core/routing/cost_policy.cpp
@@ -82,14 +82,26 @@
         return std::nullopt;
     }
     const std::vector<bool> rendezvous = rendezvous_choices(query);
-    const std::vector<bool> weighed = weighed_candidates(query, rendezvous, random);
+    const std::vector<bool> selected = weighed_candidates(query, rendezvous, random);
+    decision made = weigh(query, rendezvous, selected);
+    if (made.expected_first_token > query.time_left && scope_ == candidate_scope::selected) {
+        made = weigh(query, rendezvous, std::vector<bool>(query.candidates.size(), true));
+    }
+    return made;
+}
+
+decision cost_policy::weigh(const routing_query& query, const std::vector<bool>& rendezvous,
+                            const std::vector<bool>& weighed) const {
     const std::size_t holder = longest_holder(query.candidates);
     const std::uint32_t available = query.candidates[holder].cached_pieces;
     const double price_above_time = std::max(query.recompute_price, 1.0) - 1.0;
+    const auto better = [&query](const candidate_figures& left, const candidate_figures& right) {
+        const bool left_in_time = first_token(left) <= query.time_left;
+        const bool right_in_time = first_token(right) <= query.time_left;
+        return left_in_time != right_in_time ? left_in_time : left.cost < right.cost;
+    };
 
     decision made;
-    const candidate_figures* best = nullptr;
-    made.considered.reserve(query.candidates.size());
     for (std::size_t position = 0; position < query.candidates.size(); ++position) {
         if (!weighed[position]) {
             continue;
@@ -99,23 +111,25 @@
         const base::duration avoidable = avoidable_prefill(query, available, figures);
         figures.cost = first_token(figures) + scaled(avoidable, price_above_time);
         if (!rendezvous[position] && figures.cached_pieces == 0) {
-            const double piece_seconds =
-                query.piece_tokens / prefill_rate(query.candidates[position]);
-            figures.cost += base::from_seconds(piece_seconds * tunables_.stray_penalty_pieces);
+            figures.cost += stray_penalty(query, position);
         }
         made.considered.push_back(figures);
-        if (best == nullptr || figures.cost < best->cost) {
-            best = &made.considered.back();  // Reserved above: it doesn't move.
-        }
     }
-    made.chosen = best->candidate;
-    made.expected_first_token = first_token(*best);
-    if (best->imported_pieces > 0) {
-        made.import = import_plan{holder, best->cached_pieces + best->imported_pieces};
+    const candidate_figures& best =
+        *std::min_element(made.considered.begin(), made.considered.end(), better);
+    made.chosen = best.candidate;
+    made.expected_first_token = first_token(best);
+    if (best.imported_pieces > 0) {
+        made.import = import_plan{holder, best.cached_pieces + best.imported_pieces};
     }
     return made;
 }
 
+base::duration cost_policy::stray_penalty(const routing_query& query, std::size_t position) const {
+    const double piece_seconds = query.piece_tokens / prefill_rate(query.candidates[position]);
+    return base::from_seconds(piece_seconds * tunables_.stray_penalty_pieces);
+}
+
 std::vector<bool> cost_policy::rendezvous_choices(const routing_query& query) const {
     std::vector<bool> chosen(query.candidates.size(), false);
     // Depths 1, 2, 4, ... pieces: every prompt that shares the first n pieces with another
--- a/src/ferryroad/core/routing/cost_policy.hpp
+++ b/src/ferryroad/core/routing/cost_policy.hpp
@@ -19,7 +19,8 @@
 
 /// Weighs queue wait + prefill of missing pieces (or import of them, where that is cheaper)
 /// + price x avoidable recomputation. Avoidable are pieces that some candidate holds and
-/// this one would compute again.
+/// this one would compute again. Candidates that can't meet `time_left` lose to those that
+/// can, and all candidates are weighed where none of the selected ones can.
 class cost_policy final : public policy {
   public:
     /// @param reported_name what `name()` says.
@@ -31,6 +32,10 @@
                                    base::random_source& random) override;
 
   private:
+    /// Weighs the marked candidates.
+    decision weigh(const routing_query& query, const std::vector<bool>& rendezvous,
+                   const std::vector<bool>& weighed) const;
+    base::duration stray_penalty(const routing_query& query, std::size_t position) const;
     /// @return which candidates stand in the rendezvous order at some depth of the prompt.
     std::vector<bool> rendezvous_choices(const routing_query& query) const;
     std::vector<bool> weighed_candidates(const routing_query& query,
--- a/src/ferryroad/core/routing/types.hpp
+++ b/src/ferryroad/core/routing/types.hpp
@@ -40,6 +40,8 @@
     /// alone; less counts as 1.
     double recompute_price = 1.0;
     import_estimate import;
+    /// The first token is worth nothing later than this.
+    base::duration time_left = base::duration::max();
     std::vector<candidate> candidates;  ///< In any order; names are unique.
 };
 
--- /dev/null
+++ b/src/ferryroad/router/selection/selector.cpp
@@ -0,0 +1,144 @@
+#include "ferryroad/router/selection/selector.hpp"
+
+#include "ferryroad/router/selection/candidates.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::router::selection {
+
+namespace {
+
+/// @return figures of the chosen candidate.
+const core::routing::candidate_figures& chosen_figures(const core::routing::decision& made) {
+    return *std::find_if(made.considered.begin(), made.considered.end(),
+                         [&made](const core::routing::candidate_figures& each) {
+                             return each.candidate == made.chosen;
+                         });
+}
+
+engine::import_request to_import_request(const selection_query& query,
+                                         const core::routing::import_plan& plan,
+                                         const engine::engine_target& source) {
+    engine::import_request wanted;
+    wanted.scope = query.scope;
+    wanted.pieces.assign(query.pieces.begin(),
+                         query.pieces.begin() + static_cast<std::ptrdiff_t>(plan.pieces));
+    wanted.source = source;
+    return wanted;
+}
+
+}  // namespace
+
+selector::selector(engine_directory& directory, prefix_knowledge& knowledge,
+                   std::unique_ptr<core::routing::policy> policy, runtime::scheduler& scheduler,
+                   selection_tunables tunables)
+    : directory_(directory),
+      knowledge_(knowledge),
+      policy_(std::move(policy)),
+      scheduler_(scheduler),
+      tunables_(tunables),
+      log_(tunables.decisions_kept) {}
+
+runtime::task<runtime::result<selected_engine, selection_error>> selector::select(
+    selection_query query) {
+    const prefix_answer knowledge = co_await look_up(query);
+    co_return decide(query, knowledge);
+}
+
+runtime::task<prefix_answer> selector::look_up(const selection_query& query) {
+    if (query.pieces.empty()) {
+        co_return prefix_answer{};
+    }
+    core::prefix::cache_namespace scope = query.scope;
+    core::prefix::piece_chain pieces = query.pieces;
+    co_return co_await knowledge_.lookup(std::move(scope), std::move(pieces));
+}
+
+runtime::result<selected_engine, selection_error> selector::decide(const selection_query& query,
+                                                                   const prefix_answer& knowledge) {
+    const auto engines = eligible_engines(directory_.available(query.pool), query);
+    const auto question = to_routing_query(query, engines, knowledge, scheduler_.now());
+    const auto made = policy_->choose(question, scheduler_.random());
+    if (!made) {
+        return refuse_no_engine();
+    }
+    keep(query, question, *made);
+    if (made->expected_first_token > query.time_left) {
+        return refuse_deadline(made->expected_first_token - query.time_left);
+    }
+    const auto& figures = chosen_figures(*made);
+    selected_engine selected;
+    selected.target = engines[made->chosen].target;
+    selected.expected_cached_pieces = figures.cached_pieces + figures.imported_pieces;
+    selected.expected_first_token = made->expected_first_token;
+    if (made->import) {
+        selected.import =
+            to_import_request(query, *made->import, engines[made->import->source].target);
+    }
+    if (!query.pieces.empty()) {
+        knowledge_.report({query.scope,
+                           query.pieces,
+                           {selected.target.name, selected.target.incarnation},
+                           core::prefix::evidence::dispatch});
+    }
+    return selected;
+}
+
+selection_error selector::refuse_no_engine() {
+    ++counters_.refused_no_engine;
+    return {selection_failure::no_engine, tunables_.retry_after_no_engine};
+}
+
+selection_error selector::refuse_deadline(base::duration too_late_by) {
+    ++counters_.refused_deadline;
+    const auto retry_after =
+        std::clamp(too_late_by, tunables_.shortest_retry_after, tunables_.longest_retry_after);
+    return {selection_failure::deadline_too_near, retry_after};
+}
+
+void selector::record_started(const selection_query& query, const selected_engine& selected,
+                              const engine::stream_started& started) {
+    const auto whole_pieces = static_cast<std::uint32_t>(query.pieces.size());
+    const std::uint32_t cached = std::min(started.cached_pieces, whole_pieces);
+    const std::uint32_t expected = selected.expected_cached_pieces;
+    counters_.pieces_total += whole_pieces;
+    counters_.pieces_cached += cached;
+    counters_.pieces_overestimated += expected > cached ? expected - cached : 0;
+    counters_.pieces_underestimated += cached > expected ? cached - expected : 0;
+    if (query.pieces.empty()) {
+        return;
+    }
+    knowledge_.report({query.scope,
+                       query.pieces,
+                       {selected.target.name, started.incarnation},
+                       core::prefix::evidence::answer});
+}
+
+std::optional<decision_record> selector::explain(const base::request_id& request) const {
+    return log_.find(request);
+}
+
+void selector::keep(const selection_query& query, const core::routing::routing_query& question,
+                    const core::routing::decision& made) {
+    ++counters_.decisions;
+    decision_record record;
+    record.request = query.request;
+    record.pool = query.pool;
+    record.policy = policy_->name();
+    record.candidates.reserve(made.considered.size());
+    for (const core::routing::candidate_figures& each : made.considered) {
+        candidate_record candidate;
+        candidate.engine = question.candidates[each.candidate].engine;
+        candidate.cached_pieces = each.cached_pieces;
+        candidate.queue_wait = each.queue_wait;
+        candidate.prefill = each.prefill;
+        candidate.import = each.import;
+        candidate.cost = each.cost;
+        candidate.chosen = each.candidate == made.chosen;
+        record.candidates.push_back(std::move(candidate));
+    }
+    log_.add(std::move(record));
+}
+
+}  // namespace ferryroad::router::selection
--- /dev/null
+++ b/src/ferryroad/router/selection/selector.hpp
@@ -0,0 +1,64 @@
+/// @file
+/// The router's engine selector: directory, prefix knowledge and policy together.
+#pragma once
+
+#include "ferryroad/core/routing/policy.hpp"
+#include "ferryroad/router/engine_directory.hpp"
+#include "ferryroad/router/engine_selector.hpp"
+#include "ferryroad/router/selection/decision_log.hpp"
+#include "ferryroad/router/selection/prefix_knowledge.hpp"
+#include "ferryroad/router/selection/tunables.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace ferryroad::router::selection {
+
+/// How good the choices were, for metrics. Pieces are counted as answers report them.
+struct selection_counters {
+    std::uint64_t decisions = 0;
+    std::uint64_t refused_no_engine = 0;
+    std::uint64_t refused_deadline = 0;
+    std::uint64_t pieces_total = 0;   ///< Whole pieces of started prompts.
+    std::uint64_t pieces_cached = 0;  ///< Of these, found in the engine's cache.
+    /// Expected in the cache and not found there.
+    std::uint64_t pieces_overestimated = 0;
+    std::uint64_t pieces_underestimated = 0;  ///< Found there without being expected.
+};
+
+/// Collaborators outlive the selector. Used from the event loop's thread.
+class selector final : public engine_selector {
+  public:
+    /// @param policy not null.
+    selector(engine_directory& directory, prefix_knowledge& knowledge,
+             std::unique_ptr<core::routing::policy> policy, runtime::scheduler& scheduler,
+             selection_tunables tunables = default_selection_tunables);
+
+    runtime::task<runtime::result<selected_engine, selection_error>> select(
+        selection_query query) override;
+    void record_started(const selection_query& query, const selected_engine& selected,
+                        const engine::stream_started& started) override;
+    std::optional<decision_record> explain(const base::request_id& request) const override;
+
+    const selection_counters& counters() const { return counters_; }
+
+  private:
+    runtime::task<prefix_answer> look_up(const selection_query& query);
+    runtime::result<selected_engine, selection_error> decide(const selection_query& query,
+                                                             const prefix_answer& knowledge);
+    selection_error refuse_no_engine();
+    selection_error refuse_deadline(base::duration too_late_by);
+    void keep(const selection_query& query, const core::routing::routing_query& question,
+              const core::routing::decision& made);
+
+    engine_directory& directory_;
+    prefix_knowledge& knowledge_;
+    std::unique_ptr<core::routing::policy> policy_;
+    runtime::scheduler& scheduler_;
+    selection_tunables tunables_;
+    decision_log log_;
+    selection_counters counters_;
+};
+
+}  // namespace ferryroad::router::selection
--- /dev/null
+++ b/test/router/selection/selector_test.cpp
@@ -0,0 +1,232 @@
+/// The selector on a directory and the local index: what it learns, whom it never sends to,
+/// when it refuses and what it explains.
+#include "ferryroad/router/selection/selector.hpp"
+
+#include "bench/simulation/virtual_scheduler.hpp"
+#include "ferryroad/router/selection/local_prefix_knowledge.hpp"
+#include "test/router/selection/fake_directory.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace ferryroad;
+using namespace ferryroad::router;
+using namespace std::chrono_literals;
+using bench::simulation::virtual_scheduler;
+using bench::simulation::virtual_time;
+
+using selection_result = runtime::result<selected_engine, selection_error>;
+
+runtime::task<void> select_into(selection::selector& selector, selection_query query,
+                                std::optional<selection_result>& into) {
+    into = co_await selector.select(std::move(query));
+}
+
+/// One router's selector under virtual time.
+struct bench_of_one {
+    virtual_time time{1};
+    virtual_scheduler scheduler{time, 1};
+    test::fake_directory directory;
+    selection::local_prefix_knowledge knowledge{scheduler};
+    selection::selector selector;
+
+    explicit bench_of_one(std::string_view policy = "cost",
+                          selection::selection_tunables tunables = {})
+        : selector(directory, knowledge, core::routing::make_policy(policy), scheduler, tunables) {}
+
+    selection_result select(selection_query query) {
+        std::optional<selection_result> result;
+        scheduler.spawn("select", select_into(selector, std::move(query), result));
+        time.run_until(time.now() + 1ms);
+        return *result;
+    }
+};
+
+core::prefix::piece_chain chain_of(std::size_t pieces) {
+    core::prefix::piece_chain chain;
+    for (std::size_t piece = 0; piece < pieces; ++piece) {
+        chain.emplace_back(1000 + piece * 7919);
+    }
+    return chain;
+}
+
+selection_query query_of(const std::string& id, const std::string& tenant = "alpha") {
+    selection_query query;
+    query.request = base::request_id(id);
+    query.scope = {
+        base::tenant_name(tenant), base::model_name("m"), base::weights_version("2"), {}};
+    query.pieces = chain_of(10);
+    query.prompt_tokens = 10000;
+    query.piece_tokens = 1000;
+    query.recompute_price = 2;
+    query.time_left = 10s;
+    return query;
+}
+
+engine::stream_started started_with(std::uint32_t cached, std::uint64_t incarnation = 1) {
+    engine::stream_started started;
+    started.incarnation = base::incarnation(incarnation);
+    started.cached_pieces = cached;
+    started.total_pieces = 10;
+    return started;
+}
+
+/// One engine that must not get the request.
+struct ineligible_row {
+    const char* about;
+    void (*spoil)(engine_view&, selection_query&);
+};
+
+const ineligible_row ineligible_rows[] = {
+    {"tried already", [](engine_view& engine,
+                         selection_query& query) { query.excluded.push_back(engine.target.name); }},
+    {"another model",
+     [](engine_view& engine, selection_query&) { engine.load.model = base::model_name("n"); }},
+    {"older weights",
+     [](engine_view& engine, selection_query&) {
+         engine.load.model = base::model_name("m");
+         engine.load.version = base::weights_version("1");
+     }},
+    {"adapter not loaded",
+     [](engine_view& engine, selection_query& query) {
+         query.scope.adapter = base::adapter_name("x");
+         engine.load.model = base::model_name("m");
+         engine.load.version = base::weights_version("2");
+     }},
+    {"decode role",
+     [](engine_view& engine, selection_query&) { engine.load.role = engine::engine_role::decode; }},
+};
+constexpr std::size_t ineligible_count = sizeof(ineligible_rows) / sizeof(ineligible_rows[0]);
+
+}  // namespace
+
+ParameterizedTestParameters(selector, ineligible_table) {
+    static std::size_t indexes[ineligible_count];
+    for (std::size_t index = 0; index < ineligible_count; ++index) {
+        indexes[index] = index;
+    }
+    return cr_make_param_array(std::size_t, indexes, ineligible_count);
+}
+
+ParameterizedTest(std::size_t* number, selector, ineligible_table) {
+    const ineligible_row& row = ineligible_rows[*number];
+    bench_of_one bench;
+    bench.directory.add("a");
+    auto query = query_of("r1");
+    cr_assert(bench.select(query).has_value(), "%s", row.about);
+    row.spoil(bench.directory.engines.front(), query);
+    const auto refused = bench.select(query);
+    cr_assert(refused.has_error(), "%s", row.about);
+    cr_assert(refused.error().failure == selection_failure::no_engine);
+    cr_assert(refused.error().retry_after > 0s);
+}
+
+Test(selector, follows_its_own_dispatches) {
+    bench_of_one bench;
+    for (int engine = 0; engine < 8; ++engine) {
+        bench.directory.add("engine" + std::to_string(engine));
+    }
+    const auto first = bench.select(query_of("r1"));
+    const auto second = bench.select(query_of("r2"));
+    cr_assert_eq(first->expected_cached_pieces, 0);
+    cr_assert(second->target.name == first->target.name);
+    cr_assert_eq(second->expected_cached_pieces, 10);
+}
+
+Test(selector, another_tenants_pieces_count_for_nothing) {
+    bench_of_one bench;
+    bench.directory.add("a");
+    bench.select(query_of("r1", "alpha"));
+    cr_assert_eq(bench.select(query_of("r2", "beta"))->expected_cached_pieces, 0);
+}
+
+Test(selector, a_dead_incarnations_pieces_count_for_nothing) {
+    bench_of_one bench;
+    bench.directory.add("a");
+    const auto query = query_of("r1");
+    const auto selected = bench.select(query);
+    bench.selector.record_started(query, *selected, started_with(0));
+    bench.directory.engines.front().target.incarnation = base::incarnation(2);
+    cr_assert_eq(bench.select(query_of("r2"))->expected_cached_pieces, 0);
+}
+
+Test(selector, events_add_and_evict) {
+    bench_of_one bench;
+    bench.directory.add("a");
+    const auto query = query_of("r1");
+    engine::cache_event_batch batch;
+    batch.incarnation = base::incarnation(1);
+    for (const auto piece : {0, 1, 2}) {
+        batch.events.push_back({.change = engine::cache_change::stored,
+                                .scope = query.scope,
+                                .root = query.pieces[0],
+                                .piece = query.pieces[static_cast<std::size_t>(piece)]});
+    }
+    batch.events.push_back({.change = engine::cache_change::evicted,
+                            .scope = query.scope,
+                            .root = query.pieces[0],
+                            .piece = query.pieces[2]});
+    bench.knowledge.report_events(base::engine_name("a"), batch);
+    cr_assert_eq(bench.select(query)->expected_cached_pieces, 2);
+    batch = {.incarnation = base::incarnation(1), .gap = true};
+    bench.knowledge.report_events(base::engine_name("a"), batch);
+    cr_assert_eq(bench.select(query_of("r2", "beta"))->expected_cached_pieces, 0);
+}
+
+Test(selector, refuses_at_once_when_no_engine_can_meet_the_deadline) {
+    bench_of_one bench;
+    bench.directory.add("a", 200000).reported_at = bench.scheduler.now();
+    auto query = query_of("r1");
+    query.time_left = 1s;
+    const auto refused = bench.select(query);
+    cr_assert(refused.has_error());
+    cr_assert(refused.error().failure == selection_failure::deadline_too_near);
+    cr_assert(refused.error().retry_after >= 100ms);
+    cr_assert_eq(bench.selector.counters().refused_deadline, 1);
+}
+
+Test(selector, explains_recent_decisions_and_forgets_old_ones) {
+    bench_of_one bench("cost", {.decisions_kept = 2});
+    bench.directory.add("a");
+    bench.directory.add("b", 50000).reported_at = bench.scheduler.now();
+    bench.select(query_of("r1"));
+    const auto record = bench.selector.explain(base::request_id("r1"));
+    cr_assert(record.has_value());
+    cr_assert_str_eq(record->policy.c_str(), "cost");
+    cr_assert_eq(record->candidates.size(), 2);
+    for (const auto& candidate : record->candidates) {
+        cr_assert_eq(candidate.chosen, candidate.engine == base::engine_name("a"));
+    }
+    bench.select(query_of("r2"));
+    bench.select(query_of("r3"));
+    cr_assert(!bench.selector.explain(base::request_id("r1")).has_value());
+    cr_assert(bench.selector.explain(base::request_id("r3")).has_value());
+}
+
+Test(selector, application_requests_need_no_pieces) {
+    bench_of_one bench;
+    bench.directory.add("a");
+    selection_query query;
+    query.request = base::request_id("r1");
+    query.time_left = 1s;
+    cr_assert(bench.select(query).has_value());
+}
+
+Test(selector, counts_what_answers_reveal) {
+    bench_of_one bench;
+    bench.directory.add("a");
+    const auto query = query_of("r1");
+    auto selected = bench.select(query);
+    bench.selector.record_started(query, *selected, started_with(4));
+    cr_assert_eq(bench.selector.counters().pieces_underestimated, 4);
+    selected = bench.select(query);
+    bench.selector.record_started(query, *selected, started_with(7));
+    cr_assert_eq(bench.selector.counters().pieces_overestimated, 3);
+    cr_assert_eq(bench.selector.counters().pieces_total, 20);
+    cr_assert_eq(bench.selector.counters().pieces_cached, 11);
+}
