--- a/src/ferryroad/router/request/routing_request_service.hpp
+++ b/src/ferryroad/router/request/routing_request_service.hpp
@@ -10,10 +10,10 @@
 #include "ferryroad/router/request/tunables.hpp"
 #include "ferryroad/router/request_types.hpp"
 
-#include <compare>
 #include <map>
 #include <memory>
 #include <optional>
+#include <tuple>
 
 namespace ferryroad::router {
 
@@ -33,7 +33,9 @@
     struct budget_key {
         base::route_name route;
         base::tenant_name tenant;
-        friend auto operator<=>(const budget_key&, const budget_key&) = default;
+        friend bool operator<(const budget_key& left, const budget_key& right) {
+            return std::tie(left.route, left.tenant) < std::tie(right.route, right.tenant);
+        }
     };
 
     template <typename Call>
--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -16,7 +16,7 @@
     /// Longest wait for warm state from another engine before computing it anew.
     base::duration import_wait = std::chrono::seconds(2);
     /// Longest answer kept for callers that repeat a key.
-    std::size_t recorded_body_bytes = 256U * 1024U;
+    std::size_t recorded_body_bytes = std::size_t{256} * 1024;
 };
 
 }  // namespace ferryroad::router
--- a/src/ferryroad/runtime/metrics.cpp
+++ b/src/ferryroad/runtime/metrics.cpp
@@ -69,14 +69,15 @@
 metrics::metrics() : state_(std::make_unique<state>()) {}
 metrics::~metrics() = default;
 
-counter metrics::counter_of(std::string_view name, std::string_view help, metric_labels labels) {
+counter metrics::counter_of(std::string_view name, std::string_view help,
+                            const metric_labels& labels) {
     const std::scoped_lock lock(state_->guard);
     auto& family =
         family_of(state_->counters, state_->registry, name, help, prometheus::BuildCounter());
     return counter(family.Add(native_labels(labels)));
 }
 
-gauge metrics::gauge_of(std::string_view name, std::string_view help, metric_labels labels) {
+gauge metrics::gauge_of(std::string_view name, std::string_view help, const metric_labels& labels) {
     const std::scoped_lock lock(state_->guard);
     auto& family =
         family_of(state_->gauges, state_->registry, name, help, prometheus::BuildGauge());
@@ -84,7 +85,7 @@
 }
 
 histogram metrics::histogram_of(std::string_view name, std::string_view help,
-                                const std::vector<double>& bounds, metric_labels labels) {
+                                const std::vector<double>& bounds, const metric_labels& labels) {
     const std::scoped_lock lock(state_->guard);
     auto& family =
         family_of(state_->histograms, state_->registry, name, help, prometheus::BuildHistogram());
--- a/src/ferryroad/runtime/metrics.hpp
+++ b/src/ferryroad/runtime/metrics.hpp
@@ -64,11 +64,12 @@
     metrics(const metrics&) = delete;
     metrics& operator=(const metrics&) = delete;
 
-    counter counter_of(std::string_view name, std::string_view help, metric_labels labels = {});
-    gauge gauge_of(std::string_view name, std::string_view help, metric_labels labels = {});
+    counter counter_of(std::string_view name, std::string_view help,
+                       const metric_labels& labels = {});
+    gauge gauge_of(std::string_view name, std::string_view help, const metric_labels& labels = {});
     /// @param bounds upper bounds of the buckets, rising; the same on each call for a name.
     histogram histogram_of(std::string_view name, std::string_view help,
-                           const std::vector<double>& bounds, metric_labels labels = {});
+                           const std::vector<double>& bounds, const metric_labels& labels = {});
 
     /// @return everything in Prometheus's text format.
     std::string to_text() const;
