Load command: drives a workload, follows the caches and reports

Cause: hit rate, wasted recomputation and times must come from real processes. Change: ferrybench load drives open or closed arrivals with progress, follows the engines' cache events for what was held when, joins the executions, and reports; records go to a file for the auditor.

--- a/apps/ferrybench.cpp
+++ b/apps/ferrybench.cpp
@@ -10,6 +10,7 @@
     program.require_subcommand(1);
     commands::outcome result;
     commands::add_workload(program, result);
+    commands::add_load(program, result);
     commands::add_audit(program, result);
     try {
         program.parse(argc, argv);
