--- a/emulator/engine/application_model.cpp
+++ b/emulator/engine/application_model.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 
 application_model::application_model(application_model_settings settings, base::incarnation process)
-    : settings_(settings), process_(process) {}
+    : settings_(std::move(settings)), process_(process) {}
 
 std::optional<engine::error> application_model::check(
     const engine::application_request& request) const {
@@ -73,6 +73,7 @@
 
 engine::load_report application_model::load() const {
     engine::load_report load;
+    load.name = settings_.name;
     load.incarnation = process_;
     load.kind = engine::engine_kind::application;
     load.leaving = leaving_;
--- a/emulator/engine/application_model.hpp
+++ b/emulator/engine/application_model.hpp
@@ -12,6 +12,7 @@
 namespace ferryroad::emulator {
 
 struct application_model_settings {
+    base::engine_name name;
     base::duration service_time = std::chrono::milliseconds(5);
     std::uint32_t concurrent_calls = 64;  ///< More are refused as overloaded.
 };
--- a/emulator/engine/application_service.cpp
+++ b/emulator/engine/application_service.cpp
@@ -55,7 +55,7 @@
 application_service::application_service(runtime::scheduler& scheduler,
                                          application_model_settings settings,
                                          base::incarnation process)
-    : scheduler_(scheduler), model_(settings, process), faults_(scheduler) {}
+    : scheduler_(scheduler), model_(std::move(settings), process), faults_(scheduler) {}
 
 runtime::task<void> application_service::handle(http::request request,
                                                 http::response_writer& writer) {
--- a/emulator/engine/engine_model.cpp
+++ b/emulator/engine/engine_model.cpp
@@ -273,6 +273,7 @@
 engine::load_report engine_model::report(base::monotonic_time at) const {
     const load_figures figures = history_.read(at);
     engine::load_report load;
+    load.name = settings_.name;
     load.incarnation = process_;
     load.role = role_;
     load.model = model_;
--- a/emulator/engine/engine_program.cpp
+++ b/emulator/engine/engine_program.cpp
@@ -45,7 +45,9 @@
         const base::incarnation process(settings.incarnation != 0 ? settings.incarnation
                                                                   : clock_number);
         if (settings.kind == "application") {
-            return std::make_unique<application_service>(scheduler, settings.application, process);
+            application_model_settings application = settings.application;
+            application.name = settings.engine.name;
+            return std::make_unique<application_service>(scheduler, application, process);
         }
         return std::make_unique<model_service>(scheduler, connections, model_settings(settings),
                                                process);
--- a/src/ferryroad/engine/protocol/answers.cpp
+++ b/src/ferryroad/engine/protocol/answers.cpp
@@ -29,7 +29,8 @@
             {"capacity_pieces", load.capacity_pieces},
             {"prefill_tokens_per_second", load.prefill_tokens_per_second},
             {"decode_seconds_per_token", load.decode_seconds_per_token},
-            {"age_ms", base::to_milliseconds(load.age)}};
+            {"age_ms", base::to_milliseconds(load.age)},
+            {"name", load.name.value}};
 }
 
 load_report read_load(http::object_reader& reader) {
@@ -55,6 +56,7 @@
     load.prefill_tokens_per_second = reader.number("prefill_tokens_per_second");
     load.decode_seconds_per_token = reader.number("decode_seconds_per_token");
     load.age = read_milliseconds(reader, "age_ms");
+    load.name = base::engine_name(reader.text_or("name", {}));
     return load;
 }
 
--- a/src/ferryroad/engine/types.hpp
+++ b/src/ferryroad/engine/types.hpp
@@ -48,7 +48,8 @@
     std::uint32_t capacity_pieces = 0;
     double prefill_tokens_per_second = 0;  ///< Measured by the engine.
     double decode_seconds_per_token = 0;
-    base::duration age{};  ///< How old the figures were when sent.
+    base::duration age{};    ///< How old the figures were when sent.
+    base::engine_name name;  ///< Empty where the engine doesn't say.
 };
 
 /// One attempt to generate.
