--- a/src/ferryroad/platform/services.hpp
+++ b/src/ferryroad/platform/services.hpp
@@ -87,6 +87,8 @@
     base::region_name region;
     std::string pool;  ///< Engines: the pool that operators put it in.
     machine_state state{};
+
+    friend bool operator==(const machine&, const machine&) = default;
 };
 
 /// List of machines; lags behind the truth.
