--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -1,9 +1,5 @@
 /// @file
 /// `ferrybench load`: sends a workload to the routers and reports.
-#include "ferryroad/base/digest.hpp"
-#include "ferryroad/engine/http_client.hpp"
-#include "ferryroad/http/json.hpp"
-
 #include "bench/audit/fetch.hpp"
 #include "bench/commands/commands.hpp"
 #include "bench/commands/event_loop.hpp"
@@ -13,6 +9,9 @@
 #include "bench/load/summarize.hpp"
 #include "bench/report/report.hpp"
 #include "bench/workload/file.hpp"
+#include "ferryroad/base/digest.hpp"
+#include "ferryroad/engine/http_client.hpp"
+#include "ferryroad/http/json.hpp"
 
 #include <fstream>
 #include <iostream>
@@ -183,8 +182,7 @@
     }
     const bool written = write_reports(options, result);
     const measure::summary& run = *result.summary;
-    const bool right =
-        run.wrong == 0 && run.cut == 0 && run.failed == 0 && result.failure.empty();
+    const bool right = run.wrong == 0 && run.cut == 0 && run.failed == 0 && result.failure.empty();
     return written && right ? succeeded : failed;
 }
 
--- a/bench/load/cache_observer.hpp
+++ b/bench/load/cache_observer.hpp
@@ -2,11 +2,10 @@
 /// Follows the engines' event streams during a run and keeps the history of their caches.
 #pragma once
 
-#include "ferryroad/engine/client.hpp"
-#include "ferryroad/runtime/scheduler.hpp"
-
 #include "bench/load/cache_history.hpp"
 #include "bench/load/endpoints.hpp"
+#include "ferryroad/engine/client.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
 
 #include <vector>
 
