--- a/bench/audit/auditor.cpp
+++ b/bench/audit/auditor.cpp
@@ -88,14 +88,16 @@
     }
 
     void check_refusal(const call_record& call) {
-        if (call.outcome != call_outcome::refused) {
-            return;
-        }
         const std::string detail =
             "status " + std::to_string(call.status) + ", code " + call.error_code;
-        if (!call.execution) {
+        const bool answered =
+            call.outcome != call_outcome::cut && call.outcome != call_outcome::unreachable;
+        if (answered && !call.execution) {
             report(violation_kind::unstated_execution, call, detail);
         }
+        if (call.outcome != call_outcome::refused) {
+            return;
+        }
         const bool momentary = call.status == status_too_many || call.status == status_unavailable;
         if (momentary && !call.retry_after) {
             report(violation_kind::missing_retry_after, call, detail);
--- a/bench/audit/auditor.hpp
+++ b/bench/audit/auditor.hpp
@@ -20,7 +20,7 @@
     foreign_execution,   ///< An engine ran it for another tenant or with another prompt.
     foreign_cache,       ///< Used cached pieces that only another tenant, other weights or a dead
                          ///< incarnation of the engine had computed.
-    unstated_execution,  ///< A refusal that doesn't say whether the request ran.
+    unstated_execution,  ///< An answer that doesn't say whether the request ran.
     missing_retry_after  ///< A refusal for the moment that doesn't say when to come back.
 };
 
--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -5,6 +5,7 @@
 #include "bench/commands/event_loop.hpp"
 #include "bench/load/cache_observer.hpp"
 #include "bench/load/record_file.hpp"
+#include "bench/load/rendered_prompt.hpp"
 #include "bench/load/runner.hpp"
 #include "bench/load/summarize.hpp"
 #include "bench/report/report.hpp"
@@ -77,7 +78,9 @@
     workload::generator stream(source);
     while (const auto request = stream.next()) {
         if (request->prompt) {
-            prompts.emplace(base::sha256_hex(*request->prompt), request->prompt);
+            std::string prompt = load::rendered_prompt(*request);
+            const std::string digest = base::sha256_hex(prompt);
+            prompts.emplace(digest, std::make_shared<const std::string>(std::move(prompt)));
         }
     }
     return prompts;
--- a/bench/load/caller.cpp
+++ b/bench/load/caller.cpp
@@ -1,5 +1,6 @@
 #include "bench/load/caller.hpp"
 
+#include "bench/load/rendered_prompt.hpp"
 #include "ferryroad/base/digest.hpp"
 #include "ferryroad/base/hash.hpp"
 #include "ferryroad/core/prefix/pieces.hpp"
@@ -16,7 +17,6 @@
 namespace {
 
 constexpr const char* completions_path = "/v1/completions";
-constexpr std::string_view chat_suffix = "/chat/completions";
 constexpr std::string_view model_prefix = "/v1/";
 constexpr unsigned first_error_status = 400;
 
@@ -41,7 +41,7 @@
                             const std::string& model) {
     boost::json::object body{
         {"model", model}, {"max_tokens", request.max_tokens}, {"stream", request.stream}};
-    if (path.ends_with(chat_suffix)) {
+    if (is_chat_path(path)) {
         const boost::json::object message{{"role", "user"}, {"content", *request.prompt}};
         body["messages"] = boost::json::array{message};
     } else {
@@ -178,8 +178,9 @@
     record.key = request.key;
     record.max_tokens = request.max_tokens;
     if (request.prompt) {
-        record.prompt_sha256 = base::sha256_hex(*request.prompt);
-        record.pieces = core::prefix::hash_pieces({}, *request.prompt, options_.piece_bytes);
+        const std::string prompt = rendered_prompt(request);
+        record.prompt_sha256 = base::sha256_hex(prompt);
+        record.pieces = core::prefix::hash_pieces({}, prompt, options_.piece_bytes);
     }
     record.sent_at = now();
     return record;
@@ -244,7 +245,7 @@
     take_headers(stream, record);
     const bool streams = is_generation(request) && request.stream;
     if (streams && record.status < first_error_status) {
-        std::string prompt = *request.prompt;
+        std::string prompt = rendered_prompt(request);
         co_await read_stream(stream, record, std::move(prompt));
     } else {
         co_await read_body(stream, record, std::move(request));
@@ -293,6 +294,9 @@
             continue;
         }
         accept_part(**part, check, record);
+        if (const auto stated = parse_execution((*part)->execution)) {
+            record.execution = stated;
+        }
         if ((*part)->finish_reason) {
             reason = (*part)->finish_reason;
         }
@@ -302,7 +306,6 @@
         if ((*part)->done) {
             record.outcome = call_outcome::complete;
             record.error_code.clear();
-            record.execution = core::execution::execution_report::complete;
         }
     }
     judge_generation(check, reason, record);
@@ -333,7 +336,7 @@
         mark_malformed(record);
         co_return;
     }
-    answer_check check(*request.prompt);
+    answer_check check(rendered_prompt(request));
     check.accept(part->text);
     judge_generation(check, part->finish_reason, record);
 }
--- a/bench/load/stream_event.cpp
+++ b/bench/load/stream_event.cpp
@@ -57,6 +57,15 @@
                         stated.text_or("execution", "")};
 }
 
+std::string read_execution(const http::object_reader& fields) {
+    const boost::json::value* value = fields.find("ferryroad");
+    if (value == nullptr) {
+        return {};
+    }
+    http::object_reader stated(*value, "ferryroad");
+    return stated.text_or("execution", "");
+}
+
 runtime::result<answer_part, error> parse_object(std::string_view text) {
     const auto parsed = http::parse_json(text);
     if (!parsed) {
@@ -67,6 +76,7 @@
     read_choices(fields, part);
     part.usage = read_usage(fields);
     part.failure = read_failure(fields);
+    part.execution = read_execution(fields);
     if (fields.fault()) {
         return error{error_code::malformed, fields.fault()->message};
     }
--- a/bench/load/stream_event.hpp
+++ b/bench/load/stream_event.hpp
@@ -31,7 +31,8 @@
     std::optional<std::string> finish_reason;
     std::optional<load::usage> usage;
     std::optional<stated_error> failure;
-    bool done = false;  ///< `[DONE]`: the proper end.
+    std::string execution;  ///< `complete`, `not-run` or `unknown`; empty where not stated.
+    bool done = false;      ///< `[DONE]`: the proper end.
 };
 
 /// @param line one line of a `text/event-stream`.
--- a/test/bench/audit/auditor_test.cpp
+++ b/test/bench/audit/auditor_test.cpp
@@ -150,6 +150,8 @@
          [](auto& seen) { seen.executions[4].cached_pieces = 3; }},
         {"a refusal without its execution", violation_kind::unstated_execution, 3,
          [](auto& seen) { seen.calls[2].execution.reset(); }},
+        {"a whole answer without its execution", violation_kind::unstated_execution, 1,
+         [](auto& seen) { seen.calls[0].execution.reset(); }},
         {"a refusal without a time to come back", violation_kind::missing_retry_after, 3,
          [](auto& seen) { seen.calls[2].retry_after = false; }},
     };
