--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -1,18 +1,18 @@
 /// @file
 /// `ferrybench load`: sends a workload to the routers and reports.
-#include "ferryroad/base/digest.hpp"
-#include "ferryroad/engine/http_client.hpp"
-#include "ferryroad/http/json.hpp"
-
 #include "bench/audit/fetch.hpp"
 #include "bench/commands/commands.hpp"
 #include "bench/commands/event_loop.hpp"
 #include "bench/load/cache_observer.hpp"
 #include "bench/load/record_file.hpp"
+#include "bench/load/rendered_prompt.hpp"
 #include "bench/load/runner.hpp"
 #include "bench/load/summarize.hpp"
 #include "bench/report/report.hpp"
 #include "bench/workload/file.hpp"
+#include "ferryroad/base/digest.hpp"
+#include "ferryroad/engine/http_client.hpp"
+#include "ferryroad/http/json.hpp"
 
 #include <fstream>
 #include <iostream>
@@ -78,7 +78,9 @@
     workload::generator stream(source);
     while (const auto request = stream.next()) {
         if (request->prompt) {
-            prompts.emplace(base::sha256_hex(*request->prompt), request->prompt);
+            std::string prompt = load::rendered_prompt(*request);
+            const std::string digest = base::sha256_hex(prompt);
+            prompts.emplace(digest, std::make_shared<const std::string>(std::move(prompt)));
         }
     }
     return prompts;
@@ -183,8 +185,7 @@
     }
     const bool written = write_reports(options, result);
     const measure::summary& run = *result.summary;
-    const bool right =
-        run.wrong == 0 && run.cut == 0 && run.failed == 0 && result.failure.empty();
+    const bool right = run.wrong == 0 && run.cut == 0 && run.failed == 0 && result.failure.empty();
     return written && right ? succeeded : failed;
 }
 
