--- a/src/ferryroad/platform/http_services.cpp
+++ b/src/ferryroad/platform/http_services.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_rate_limited = 429;
+constexpr unsigned status_server_fault = 500;
 constexpr unsigned status_unavailable = 503;
 /// Where a refusal by the rate limit doesn't say when to come back.
 constexpr base::duration default_retry_after = std::chrono::seconds(1);
@@ -60,7 +61,7 @@
 }
 
 /// @return the refusal that a status other than 200 stands for.
-error error_of(const http::response& answer) {
+error error_of(const http::response& answer, http_caller::effect kind) {
     const std::string message = "status " + std::to_string(answer.status) + ": " + answer.body;
     switch (answer.status) {
         case status_not_found:
@@ -70,8 +71,13 @@
         case status_unavailable:
             return {error_code::unavailable, message, std::nullopt};
         default:
-            return {error_code::protocol_violation, message, std::nullopt};
+            break;
     }
+    // A server's own fault (500, 502, 504) may have come after the change.
+    const bool may_have_changed =
+        answer.status >= status_server_fault && kind == http_caller::effect::changes;
+    return {may_have_changed ? error_code::answer_lost : error_code::protocol_violation, message,
+            std::nullopt};
 }
 
 http::request json_request(std::string target, std::string body) {
@@ -114,7 +120,7 @@
         co_return error_of(answer.error(), kind);
     }
     if (answer->status != status_ok) {
-        co_return error_of(*answer);
+        co_return error_of(*answer, kind);
     }
     co_return std::move(answer->body);
 }
@@ -125,10 +131,9 @@
     const auto body = co_await caller_.call(std::move(message), http_caller::effect::changes,
                                             caller_.platform().call_limit);
     auto outcomes = decode_answer(body, decode_outcomes);
-    const bool wrong_count = outcomes && outcomes->size() != transactions.size();
-    const bool unreadable =
-        !outcomes && body && outcomes.error().code == error_code::protocol_violation;
-    if (wrong_count || unreadable) {
+    // A read body that isn't the protocol's says nothing of the change.
+    const bool unreadable = body && (!outcomes || outcomes->size() != transactions.size());
+    if (unreadable) {
         co_return error{error_code::answer_lost, "the table's answer can't be read", std::nullopt};
     }
     co_return outcomes;
--- a/src/ferryroad/platform/http_services.hpp
+++ b/src/ferryroad/platform/http_services.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/platform/services.hpp"
 
 #include <string>
+#include <utility>
 
 namespace ferryroad::platform {
 
@@ -17,9 +18,10 @@
 };
 
 /// Sends calls to the platform and tells its refusals apart:
-/// no connection or 503 is `unavailable`, 429 `rate_limited`, 404 `not_found`, cut or silent
-/// after sending `answer_lost` where the call changes something (else `unavailable`), anything
-/// else `protocol_violation`.
+/// no connection or 503 is `unavailable`, 429 `rate_limited`, 404 `not_found`. Where the call
+/// changes something, all that leaves it open whether it did is `answer_lost`: a connection cut
+/// or silent after sending, an answer that can't be read, another status from 500 on. For calls
+/// that only read, cut and silent are `unavailable`. The rest is `protocol_violation`.
 class http_caller {
   public:
     /// @param client outlives this.
@@ -40,7 +42,8 @@
 
 class http_table final : public table {
   public:
-    http_table(http::client& client, http_platform platform) : caller_(client, platform) {}
+    http_table(http::client& client, http_platform platform)
+        : caller_(client, std::move(platform)) {}
 
     runtime::task<result<std::vector<transaction_outcome>>> transact(
         std::vector<transaction> transactions) override;
@@ -54,7 +57,8 @@
 
 class http_object_store final : public object_store {
   public:
-    http_object_store(http::client& client, http_platform platform) : caller_(client, platform) {}
+    http_object_store(http::client& client, http_platform platform)
+        : caller_(client, std::move(platform)) {}
 
     runtime::task<result<void>> put(std::string name, std::string bytes) override;
     runtime::task<result<std::string>> get(std::string name) override;
@@ -65,7 +69,8 @@
 
 class http_machine_list final : public machine_list {
   public:
-    http_machine_list(http::client& client, http_platform platform) : caller_(client, platform) {}
+    http_machine_list(http::client& client, http_platform platform)
+        : caller_(client, std::move(platform)) {}
 
     runtime::task<result<std::vector<machine>>> list() override;
 
