--- a/src/ferryroad/core/prefix/prefix_index.cpp
+++ b/src/ferryroad/core/prefix/prefix_index.cpp
@@ -89,14 +89,14 @@
 
 std::vector<holder> prefix_index::lookup(const cache_namespace& scope,
                                          std::span<const base::piece_hash> pieces,
-                                         base::monotonic_time now) const {
+                                         base::monotonic_time now, base::duration within) const {
     const auto scope_position = find_scope(scope);
     if (!scope_position) {
         return {};
     }
     std::vector<run> runs;
     for (std::uint32_t depth = 0; depth < pieces.size(); ++depth) {
-        extend(runs, depth, *scope_position, pieces[depth], now);
+        extend(runs, depth, *scope_position, pieces[depth], now, within);
         const bool any_longer = std::any_of(runs.begin(), runs.end(), [depth](const run& each) {
             return each.pieces == depth + 1;
         });
@@ -117,10 +117,12 @@
 }
 
 void prefix_index::extend(std::vector<run>& runs, std::uint32_t depth, position scope,
-                          base::piece_hash piece, base::monotonic_time now) const {
+                          base::piece_hash piece, base::monotonic_time now,
+                          base::duration within) const {
     for (position at = bucket_of(piece); at != none; at = entries_[at].next_in_bucket) {
         const entry& candidate = entries_[at];
-        if (candidate.piece != piece || candidate.scope != scope || !believed(candidate, now)) {
+        if (candidate.piece != piece || candidate.scope != scope || !believed(candidate, now) ||
+            now - candidate.seen_at > within) {
             continue;
         }
         if (depth == 0) {
@@ -137,6 +139,19 @@
     }
 }
 
+bool prefix_index::holds(const cache_namespace& scope, base::piece_hash piece,
+                         const engine_process& process, base::monotonic_time now,
+                         base::duration within) const {
+    const auto scope_position = find_scope(scope);
+    const auto process_position = find_process(process);
+    if (!scope_position || !process_position) {
+        return false;
+    }
+    const position found = find(*scope_position, piece, *process_position);
+    return found != none && believed(entries_[found], now) &&
+           now - entries_[found].seen_at <= within;
+}
+
 std::optional<prefix_index::position> prefix_index::find_scope(const cache_namespace& scope) const {
     const auto known = scope_positions_.find(scope);
     if (known == scope_positions_.end()) {
--- a/src/ferryroad/core/prefix/prefix_index.hpp
+++ b/src/ferryroad/core/prefix/prefix_index.hpp
@@ -78,10 +78,15 @@
     /// The engine is gone: nothing of it is believed any more.
     void forget(const base::engine_name& engine);
 
+    /// @param within only pieces seen this lately count; the lifetime where it is shorter.
     /// @return each engine that holds at least the root, longest match first, then by name.
     std::vector<holder> lookup(const cache_namespace& scope,
-                               std::span<const base::piece_hash> pieces,
-                               base::monotonic_time now) const;
+                               std::span<const base::piece_hash> pieces, base::monotonic_time now,
+                               base::duration within = base::duration::max()) const;
+
+    /// @return true where `process` is believed to hold `piece`, seen within `within`.
+    bool holds(const cache_namespace& scope, base::piece_hash piece, const engine_process& process,
+               base::monotonic_time now, base::duration within = base::duration::max()) const;
 
     /// @return entries kept, void and outdated ones that are not yet reclaimed included.
     std::size_t size() const { return used_; }
@@ -143,8 +148,9 @@
     void link_newest(position index);
     void unlink_age(position index);
     void reclaim_outdated(base::monotonic_time now);
+    /// Lengthens the runs of engines that hold `piece` at `depth`.
     void extend(std::vector<run>& runs, std::uint32_t depth, position scope, base::piece_hash piece,
-                base::monotonic_time now) const;
+                base::monotonic_time now, base::duration within) const;
 
     prefix_index_settings settings_;
     std::vector<entry> entries_;
--- /dev/null
+++ b/src/ferryroad/core/prefix/prefix_owner.cpp
@@ -0,0 +1,19 @@
+#include "ferryroad/core/prefix/prefix_owner.hpp"
+
+namespace ferryroad::core::prefix {
+
+prefix_owner::prefix_owner(prefix_index_settings index, heat_settings heat)
+    : index_(index), heat_(heat) {}
+
+void prefix_owner::record(const prefix_report& report, base::monotonic_time now) {
+    apply(index_, report, now);
+}
+
+owner_answer prefix_owner::lookup(const cache_namespace& scope,
+                                  std::span<const base::piece_hash> pieces,
+                                  base::monotonic_time now) {
+    heat_.record(pieces.front(), now);
+    return {index_.lookup(scope, pieces, now), heat_.rate(pieces.front(), now)};
+}
+
+}  // namespace ferryroad::core::prefix
