--- a/src/ferryroad/caller/caller_front.cpp
+++ b/src/ferryroad/caller/caller_front.cpp
@@ -212,6 +212,9 @@
                                                   const generation_answer& answer) {
     streaming_sink sink(scheduler_, answer, at.writer, stream_headers(at.id));
     const auto summary = co_await requests_.generate(std::move(call), sink);
+    if (sink.caller_gone()) {
+        co_return;
+    }
     if (summary.has_error() && sink.begun()) {
         at.outcome = to_string(summary.error().code);
         co_await sink.fail(summary.error());
--- a/src/ferryroad/caller/generation_sinks.cpp
+++ b/src/ferryroad/caller/generation_sinks.cpp
@@ -60,17 +60,19 @@
 
 runtime::task<bool> streaming_sink::begin() {
     if (begun_) {
-        co_return true;
+        co_return !caller_gone_;
     }
     begun_ = true;
     http::header_list headers = headers_;
     const auto sent = co_await writer_.begin_stream(ok_status, std::move(headers));
-    co_return !sent.has_error();
+    caller_gone_ = sent.has_error();
+    co_return !caller_gone_;
 }
 
 runtime::task<bool> streaming_sink::write(std::string chunk) {
     const auto written = co_await writer_.write(std::move(chunk));
-    co_return !written.has_error();
+    caller_gone_ = written.has_error();
+    co_return !caller_gone_;
 }
 
 }  // namespace ferryroad::caller
--- a/src/ferryroad/caller/generation_sinks.hpp
+++ b/src/ferryroad/caller/generation_sinks.hpp
@@ -49,6 +49,8 @@
     runtime::task<bool> accept(engine::stream_token token) override;
     /// Whether headers have gone out.
     bool begun() const { return begun_; }
+    /// Whether a write failed: nobody reads any more.
+    bool caller_gone() const { return caller_gone_; }
     /// Ends a whole stream.
     runtime::task<void> finish(router::generation_summary summary);
     /// Writes the event for a stream that can't be finished and leaves its end open, so that
@@ -63,6 +65,7 @@
     http::response_writer& writer_;
     http::header_list headers_;
     bool begun_ = false;
+    bool caller_gone_ = false;
 };
 
 }  // namespace ferryroad::caller
--- a/src/ferryroad/router/request/routing_request_service.cpp
+++ b/src/ferryroad/router/request/routing_request_service.cpp
@@ -6,8 +6,11 @@
 #include "ferryroad/router/request/generation_driver.hpp"
 #include "ferryroad/router/request/recorded_generation.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <utility>
 
@@ -243,6 +246,11 @@
         co_return std::get<0>(served);
     }
     driver.interrupt();
+    // The drive keeps the cancellation's exception in; the caller's coroutine still ends by it.
+    const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
+        throw boost::system::system_error(boost::asio::error::operation_aborted);
+    }
     co_return driver.refused();
 }
 
