--- a/bench/commands/commands.hpp
+++ b/bench/commands/commands.hpp
@@ -22,5 +22,6 @@
 void add_workload(CLI::App& program, outcome& result);
 void add_load(CLI::App& program, outcome& result);
 void add_audit(CLI::App& program, outcome& result);
+void add_report(CLI::App& program, outcome& result);
 
 }  // namespace ferryroad::bench::commands
--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -3,18 +3,16 @@
 #include "bench/audit/fetch.hpp"
 #include "bench/commands/commands.hpp"
 #include "bench/commands/event_loop.hpp"
+#include "bench/commands/report_output.hpp"
 #include "bench/load/cache_observer.hpp"
 #include "bench/load/record_file.hpp"
 #include "bench/load/rendered_prompt.hpp"
 #include "bench/load/runner.hpp"
 #include "bench/load/summarize.hpp"
-#include "bench/report/report.hpp"
 #include "bench/workload/file.hpp"
 #include "ferryroad/base/digest.hpp"
 #include "ferryroad/engine/http_client.hpp"
-#include "ferryroad/http/json.hpp"
 
-#include <fstream>
 #include <iostream>
 #include <memory>
 #include <optional>
@@ -40,6 +38,7 @@
     std::uint32_t concurrency = 0;
     double rate = 0;
     double limit_seconds = 120;
+    std::uint64_t progress_ms = 1000;
     bool quiet = false;
 };
 
@@ -124,6 +123,7 @@
 
     static load::runner_options runner_options_of(const load_options& options) {
         load::runner_options made;
+        made.progress_every = std::chrono::milliseconds(options.progress_ms);
         if (!options.quiet) {
             made.show_progress = [label = options.label](const load::progress& state) {
                 show_progress(label, state);
@@ -144,16 +144,6 @@
     load_result result_;
 };
 
-bool write_file(const std::string& file, const std::string& text) {
-    std::ofstream output(file, std::ios::binary | std::ios::trunc);
-    output << text;
-    output.flush();
-    if (!output) {
-        std::cerr << file << ": can't be written\n";
-    }
-    return static_cast<bool>(output);
-}
-
 bool write_reports(const load_options& options, const load_result& result) {
     bool written = true;
     if (!options.records.empty()) {
@@ -164,14 +154,8 @@
         }
     }
     const std::vector<measure::summary> runs{*result.summary};
-    const std::string json_text = http::to_text(report::to_json(runs)) + "\n";
-    if (!options.json_file.empty()) {
-        written &= write_file(options.json_file, json_text);
-    }
-    if (!options.html_file.empty()) {
-        written &= write_file(options.html_file, report::to_html("ferrybench load", runs));
-    }
-    std::cout << (options.output == "json" ? json_text : report::to_text(runs));
+    written &= write_report_files("ferrybench load", runs, {options.json_file, options.html_file});
+    print_report(runs, options.output);
     return written;
 }
 
@@ -225,7 +209,8 @@
     command->add_option("--label", options->label, "Heading of the run in reports.");
     command->add_option("--run", options->run, "Name of the run in keys and prompts.");
     command->add_option("--records", options->records, "Writes each call's record to this file.");
-    command->add_option("--json", options->json_file, "Writes the report as JSON to this file.");
+    command->add_option("--json", options->json_file,
+                        "Writes the report as JSON with all samples to this file.");
     command->add_option("--html", options->html_file, "Writes the report as HTML to this file.");
     command->add_option("--output", options->output, "text or json.")
         ->check(CLI::IsMember({"text", "json"}));
@@ -235,6 +220,8 @@
                         "Closed loop in place of the file's arrivals.");
     command->add_option("--rate", options->rate, "Open loop, requests a second.");
     command->add_option("--limit-seconds", options->limit_seconds, "For one whole exchange.");
+    command->add_option("--progress-ms", options->progress_ms, "Time between progress lines.")
+        ->check(CLI::PositiveNumber);
     command->add_flag("--quiet", options->quiet, "Shows no progress.");
     command->callback([options, &result] { result.code = run_load(*options); });
 }
--- a/bench/measure/distribution.hpp
+++ b/bench/measure/distribution.hpp
@@ -23,6 +23,7 @@
     void add_all(const distribution& other);
 
     std::size_t count() const { return samples_.size(); }
+    const std::vector<double>& samples() const { return samples_; }
     /// @param share from 0 to 1. @return the nearest-rank quantile; 0 without samples.
     double quantile(double share) const;
     double mean() const;
--- a/test/bench/report/report_test.cpp
+++ b/test/bench/report/report_test.cpp
@@ -1,6 +1,8 @@
 /// Reports carry every run's figures in each form.
 #include "bench/report/report.hpp"
 
+#include "ferryroad/http/json.hpp"
+
 #include <criterion/criterion.h>
 
 namespace {
@@ -57,3 +59,15 @@
         cr_assert_not(holds(page, part), "%s", part);
     }
 }
+
+Test(report, json_with_samples_reads_back) {
+    const auto runs = sample_runs();
+    const std::string text =
+        ferryroad::http::to_text(report::to_json(runs, report::samples::included));
+    const auto read = report::from_json(text);
+    cr_assert(read.has_value(), "%s", read.has_error() ? read.error().c_str() : "");
+    cr_assert_eq(report::to_text(*read), report::to_text(runs));
+    const std::string without = ferryroad::http::to_text(report::to_json(runs));
+    cr_assert(report::from_json(without).has_error());
+    cr_assert(report::from_json("{").has_error());
+}
