--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -212,8 +212,8 @@
     command->add_option("--json", options->json_file,
                         "Writes the report as JSON with all samples to this file.");
     command->add_option("--html", options->html_file, "Writes the report as HTML to this file.");
-    command->add_option("--output", options->output, "text or json.")
-        ->check(CLI::IsMember({"text", "json"}));
+    command->add_option("--output", options->output, "text, json or none.")
+        ->check(CLI::IsMember({"text", "json", "none"}));
     command->add_option("--requests", options->requests, "In place of the file's number.");
     command->add_option("--seed", options->seed, "In place of the file's seed.");
     command->add_option("--concurrency", options->concurrency,
--- a/bench/commands/report_output.cpp
+++ b/bench/commands/report_output.cpp
@@ -38,7 +38,7 @@
 void print_report(const std::vector<measure::summary>& runs, const std::string& form) {
     if (form == "json") {
         std::cout << http::to_text(report::to_json(runs)) << "\n";
-    } else {
+    } else if (form == "text") {
         std::cout << report::to_text(runs);
     }
 }
--- a/bench/commands/report_output.hpp
+++ b/bench/commands/report_output.hpp
@@ -19,7 +19,7 @@
 bool write_report_files(const std::string& title, const std::vector<measure::summary>& runs,
                         const report_files& files);
 
-/// @param form `text` or `json`.
+/// @param form `text` or `json`; any other prints nothing.
 void print_report(const std::vector<measure::summary>& runs, const std::string& form);
 
 }  // namespace ferryroad::bench::commands
--- /dev/null
+++ b/test/system/planned_stop_test.py
@@ -0,0 +1,63 @@
+"""Planned stops under load: routers one after another, then engines. No request is cut."""
+
+import unittest
+
+import harness
+
+
+class PlannedStop(harness.Scenario):
+
+    stack_options = ("--routers", "3")
+
+    def test_rolling_routers(self):
+        load = self.system.load("routers", "smoke.json", "--requests", "900",
+                                "--concurrency", "16")
+        for place, router in enumerate(self.system.routers):
+            load.wait_ended(100 + 150 * place)
+            self.system.stop(router)
+            self.system.respawn(router)
+            self.system.wait_ready(router)
+        figures = load.wait()
+        self.assert_whole(figures, refusals=["key_in_use", "not_ready"])
+        for call in load.calls():
+            if call["error_code"] == "not_ready":
+                self.assertEqual(call["execution"], "not-run", call)
+        self.assert_no_violation()
+
+    def test_engine_drained_and_taken_back(self):
+        load = self.system.load("drain", "streams.json", "--requests", "600",
+                                "--concurrency", "16")
+        load.wait_ended(60)
+        code, _, error = self.system.ferryctl("router-1", "drain", "engine-1")
+        self.assertEqual(code, 0, error)
+        self.system.counts["drains"] += 1
+        for router in self.system.routers:
+            self.system.wait_state(router, "engine-1", "drained")
+        harness.wait_until(lambda: self.unfinished("engine-1") == 0, "engine-1 runs nothing")
+        before = len(self.system.executions("engine-1"))
+        ended = load.ended()
+        load.wait_ended(ended + 100)
+        self.assertEqual(len(self.system.executions("engine-1")), before)
+        code, _, error = self.system.ferryctl("router-2", "drain", "engine-1", "--undo")
+        self.assertEqual(code, 0, error)
+        harness.wait_until(lambda: len(self.system.executions("engine-1")) > before,
+                           "engine-1 gets work again")
+        self.assert_whole(load.wait())
+        self.assert_no_violation()
+
+    def unfinished(self, engine):
+        return sum(row["state"] in ("queued", "running") for row in self.system.executions(engine))
+
+    def test_engine_stopped(self):
+        load = self.system.load("stop", "streams.json", "--requests", "300", "--concurrency", "16")
+        load.wait_ended(60)
+        self.system.executions_lost = True
+        self.system.stop("engine-1")
+        load.wait_ended(150)
+        self.system.respawn("engine-1")
+        self.assert_whole(load.wait())
+        self.assert_no_violation()
+
+
+if __name__ == "__main__":
+    unittest.main()
