--- a/src/ferryroad/router/backends/backend_service.cpp
+++ b/src/ferryroad/router/backends/backend_service.cpp
@@ -72,7 +72,7 @@
 base::monotonic_time backend_service::next_poll_time() const {
     const base::monotonic_time now = with_.scheduler.now();
     const base::monotonic_time soonest = now + base::from_seconds(1 / limits_.polls_per_second);
-    const base::monotonic_time latest = now + limits_.poll_interval;
+    const base::monotonic_time latest = now + std::min(limits_.poll_interval, limits_.poll_backoff);
     return std::clamp(with_.directory.next_poll().value_or(latest), soonest,
                       std::max(soonest, latest));
 }
