--- a/emulator/engine/engine_server.cpp
+++ b/emulator/engine/engine_server.cpp
@@ -18,7 +18,7 @@
 constexpr base::duration listen_retry = std::chrono::milliseconds(50);
 constexpr base::duration idle_poll = std::chrono::milliseconds(20);
 /// Prompts of a whole context fit.
-constexpr std::size_t largest_body = 32U * 1024U * 1024U;
+constexpr std::size_t largest_body = std::size_t{32} * 1024 * 1024;
 
 }  // namespace
 
