--- /dev/null
+++ b/src/ferryroad/coordination/claim/base64.cpp
@@ -0,0 +1,52 @@
+#include "ferryroad/coordination/claim/base64.hpp"
+
+#include <openssl/evp.h>
+
+#include <cstddef>
+
+namespace ferryroad::coordination::claim {
+
+namespace {
+
+constexpr std::size_t bytes_per_group = 3;
+constexpr std::size_t digits_per_group = 4;
+
+const unsigned char* unsigned_bytes(std::string_view text) {
+    return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+/// @return how many bytes of the last group are padding.
+std::size_t padding_of(std::string_view text) {
+    if (text.ends_with("==")) {
+        return 2;
+    }
+    return text.ends_with('=') ? 1 : 0;
+}
+
+}  // namespace
+
+std::string to_base64(std::string_view bytes) {
+    const std::size_t groups = (bytes.size() + bytes_per_group - 1) / bytes_per_group;
+    // OpenSSL ends the text with a NUL of its own.
+    std::string text(groups * digits_per_group + 1, '\0');
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), unsigned_bytes(bytes),
+                    static_cast<int>(bytes.size()));
+    text.pop_back();
+    return text;
+}
+
+std::optional<std::string> from_base64(std::string_view text) {
+    if (text.size() % digits_per_group != 0) {
+        return std::nullopt;
+    }
+    std::string bytes(text.size() / digits_per_group * bytes_per_group, '\0');
+    const int written = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                                        unsigned_bytes(text), static_cast<int>(text.size()));
+    if (written < 0) {
+        return std::nullopt;
+    }
+    bytes.resize(bytes.size() - padding_of(text));
+    return bytes;
+}
+
+}  // namespace ferryroad::coordination::claim
