--- a/src/ferryroad/coordination/claim/closing.cpp
+++ b/src/ferryroad/coordination/claim/closing.cpp
@@ -14,7 +14,7 @@
       limits_(limits),
       writes_left_(limits.writes),
       reads_left_(limits.reads),
-      delay_(limits.first_delay) {}
+      delays_(limits) {}
 
 action claim_closing::begin(const circumstances& at) {
     if (known_) {
@@ -36,11 +36,11 @@
 }
 
 action claim_closing::on(const write_lost&, const circumstances&) {
-    return read(next_delay());
+    return read(delays_.next());
 }
 
 action claim_closing::on(const write_refused& refused, const circumstances&) {
-    return read(std::max(next_delay(), refused.retry_after.value_or(base::duration::zero())));
+    return read(std::max(delays_.next(), refused.retry_after.value_or(base::duration::zero())));
 }
 
 action claim_closing::on(const row_read& found, const circumstances& at) {
@@ -48,7 +48,7 @@
 }
 
 action claim_closing::on(const read_failed& failed, const circumstances&) {
-    return read(std::max(next_delay(), failed.retry_after.value_or(base::duration::zero())));
+    return read(std::max(delays_.next(), failed.retry_after.value_or(base::duration::zero())));
 }
 
 action claim_closing::judge(const stored_row& row, const circumstances& at) {
@@ -75,7 +75,7 @@
         return end(claim_outcome::finished);
     }
     // An insert whose answer was lost may still arrive: look again, and then let it be.
-    return read(next_delay());
+    return read(delays_.next());
 }
 
 action claim_closing::write(row_version expected, const circumstances& at, base::duration delay) {
@@ -118,10 +118,4 @@
     return closed;
 }
 
-base::duration claim_closing::next_delay() {
-    const base::duration now = delay_;
-    delay_ = std::min(2 * delay_, limits_.longest_delay);
-    return now;
-}
-
 }  // namespace ferryroad::coordination::claim
--- a/src/ferryroad/coordination/claim/closing.hpp
+++ b/src/ferryroad/coordination/claim/closing.hpp
@@ -2,6 +2,7 @@
 /// Ending a claim: its outcome is recorded, or the key is freed because nothing ran.
 #pragma once
 
+#include "ferryroad/coordination/claim/backoff.hpp"
 #include "ferryroad/coordination/claim/messages.hpp"
 #include "ferryroad/coordination/claim/opening.hpp"
 #include "ferryroad/coordination/claim/record.hpp"
@@ -49,7 +50,6 @@
     action end(claim_outcome result) const;
     record ended_record(const circumstances& at) const;
     bool releases() const { return std::holds_alternative<close_released>(kind_); }
-    base::duration next_delay();
 
     claim_terms terms_;
     std::int64_t claimed_at_ms_;
@@ -58,7 +58,7 @@
     tunables limits_;
     std::uint32_t writes_left_;
     std::uint32_t reads_left_;
-    base::duration delay_;
+    backoff delays_;
 };
 
 }  // namespace ferryroad::coordination::claim
--- a/src/ferryroad/coordination/claim/opening.cpp
+++ b/src/ferryroad/coordination/claim/opening.cpp
@@ -1,6 +1,5 @@
 #include "ferryroad/coordination/claim/opening.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace ferryroad::coordination::claim {
@@ -34,7 +33,7 @@
       writes_left_(limits.writes),
       reads_left_(limits.reads),
       polls_left_(limits.polls),
-      delay_(limits.first_delay) {}
+      delays_(limits) {}
 
 action claim_opening::begin(const circumstances& at) {
     return insert(row_version(0), at);
@@ -158,7 +157,7 @@
         return otherwise;
     }
     --left;
-    return read_row{next_delay()};
+    return read_row{delays_.next()};
 }
 
 action claim_opening::unavailable(std::optional<base::duration> retry_after) const {
@@ -168,10 +167,4 @@
     return end;
 }
 
-base::duration claim_opening::next_delay() {
-    const base::duration now = delay_;
-    delay_ = std::min(2 * delay_, limits_.longest_delay);
-    return now;
-}
-
 }  // namespace ferryroad::coordination::claim
--- a/src/ferryroad/coordination/claim/opening.hpp
+++ b/src/ferryroad/coordination/claim/opening.hpp
@@ -2,6 +2,7 @@
 /// Claiming a key: at most one attempt over all processes is ever granted it.
 #pragma once
 
+#include "ferryroad/coordination/claim/backoff.hpp"
 #include "ferryroad/coordination/claim/messages.hpp"
 #include "ferryroad/coordination/claim/record.hpp"
 #include "ferryroad/coordination/claim/tunables.hpp"
@@ -55,7 +56,6 @@
     action close_as_unknown(const stored_row& row, record other, const circumstances& at);
     action read_again(std::uint32_t& left, ended otherwise);
     action unavailable(std::optional<base::duration> retry_after) const;
-    base::duration next_delay();
 
     claim_terms terms_;
     tunables limits_;
@@ -64,7 +64,7 @@
     std::uint32_t writes_left_;
     std::uint32_t reads_left_;
     std::uint32_t polls_left_;
-    base::duration delay_;
+    backoff delays_;
 };
 
 /// @return whether an ended claim has been kept long enough.
