--- a/bench/workload/file.cpp
+++ b/bench/workload/file.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iterator>
+#include <set>
 #include <utility>
 
 namespace ferryroad::bench::workload {
@@ -161,18 +162,24 @@
     return shifts;
 }
 
+std::string name_of(const tenant_share& tenant) {
+    return tenant.name.value;
+}
+
+template <typename Item>
+std::string name_of(const Item& item) {
+    return item.name;
+}
+
 template <typename Item>
-bool names_repeat(const std::vector<Item>& items) {
-    std::vector<std::string> names;
+void check_names(field_reader& fields, std::string_view list, const std::vector<Item>& items) {
+    std::set<std::string> names;
     for (const Item& item : items) {
-        if constexpr (std::is_same_v<Item, tenant_share>) {
-            names.push_back(item.name.value);
-        } else {
-            names.push_back(item.name);
-        }
+        names.insert(name_of(item));
+    }
+    if (names.size() != items.size()) {
+        fields.fail(list, "names that differ");
     }
-    std::sort(names.begin(), names.end());
-    return std::adjacent_find(names.begin(), names.end()) != names.end();
 }
 
 /// Faults that no single object shows.
@@ -185,15 +192,9 @@
             fields.fail("kinds", "corpus \"" + kind.corpus + "\" to stand in \"corpora\"");
         }
     }
-    if (names_repeat(decoded.tenants)) {
-        fields.fail("tenants", "names that differ");
-    }
-    if (names_repeat(decoded.corpora)) {
-        fields.fail("corpora", "names that differ");
-    }
-    if (names_repeat(decoded.kinds)) {
-        fields.fail("kinds", "names that differ");
-    }
+    check_names(fields, "tenants", decoded.tenants);
+    check_names(fields, "corpora", decoded.corpora);
+    check_names(fields, "kinds", decoded.kinds);
 }
 
 specification decode_specification(field_reader& fields) {
