The router daemon: node composed of its services, whole path end to end

Cause: the services stood each for itself. Change: router/node (composition on abstract ports), daemon/ (settings, real adapters, planned stop), apps/ferryroad.

--- /dev/null
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -0,0 +1,147 @@
+#include "ferryroad/daemon/daemon.hpp"
+
+#include "ferryroad/caller/caller_front.hpp"
+#include "ferryroad/engine/http_client.hpp"
+#include "ferryroad/http/client.hpp"
+#include "ferryroad/http/server.hpp"
+#include "ferryroad/operator/service/operator_server.hpp"
+#include "ferryroad/peer/asio_transport.hpp"
+#include "ferryroad/platform/http_services.hpp"
+#include "ferryroad/router/node.hpp"
+#include "ferryroad/runtime/asio_scheduler.hpp"
+#include "ferryroad/runtime/log.hpp"
+#include "ferryroad/runtime/metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace ferryroad::daemon {
+
+namespace {
+
+constexpr std::string_view log_component = "daemon";
+constexpr int exit_cannot_listen = 1;
+/// Operators' calls at work may take this long to end on a planned stop.
+constexpr base::duration operator_grace = std::chrono::seconds(2);
+/// How often a planned stop looks whether the last request has ended.
+constexpr base::duration stop_poll = std::chrono::milliseconds(20);
+
+runtime::log_level level_of(const std::string& name) {
+    if (name == "debug") {
+        return runtime::log_level::debug;
+    }
+    if (name == "warning") {
+        return runtime::log_level::warning;
+    }
+    return name == "error" ? runtime::log_level::error : runtime::log_level::info;
+}
+
+http::server_limits server_limits_of(const daemon_settings& settings) {
+    http::server_limits limits;
+    limits.body_bytes = settings.body_bytes;
+    limits.connections = settings.connections;
+    return limits;
+}
+
+router::node_identity identity_of(const daemon_settings& settings, base::endpoint peer_address,
+                                  const base::clock& clock) {
+    const auto started = static_cast<std::uint64_t>(clock.unix_milliseconds());
+    return {settings.name, base::incarnation(started), settings.zone, settings.region,
+            std::move(peer_address)};
+}
+
+/// Everything of one process, in the order of construction.
+struct process {
+    explicit process(const daemon_settings& settings)
+        : scheduler(context, std::random_device{}()),
+          connections(scheduler, http::client_limits{}),
+          engines(scheduler, connections),
+          table(connections, {settings.platform}),
+          objects(connections, {settings.platform}),
+          machines(connections, {settings.platform}),
+          transport(scheduler, peer::transport_limits{}),
+          peer_address(transport.listen(settings.peer_listen)),
+          node(identity_of(settings, peer_address, scheduler), {settings.seeds, settings.policy},
+               {scheduler, engines, table, objects, machines, transport}),
+          front(scheduler, node.requests(), metrics, [this] { return node.ready_state().ready(); }),
+          callers(scheduler, server_limits_of(settings),
+                  [this](http::request request, http::response_writer& writer) {
+                      return front.handle(std::move(request), writer);
+                  }),
+          operators(
+              {node.configuration(), node.control(), node.status(), node.selector(), scheduler}) {}
+
+    boost::asio::io_context context{1};
+    runtime::asio_scheduler scheduler;
+    runtime::metrics metrics;
+    http::client connections;
+    engine::http_client engines;
+    platform::http_table table;
+    platform::http_object_store objects;
+    platform::http_machine_list machines;
+    peer::asio_transport transport;
+    base::endpoint peer_address;
+    router::node node;
+    caller::caller_front front;
+    http::server callers;
+    operators::operator_server operators;
+};
+
+/// A second signal changes nothing: requests at work still end.
+runtime::task<void> stop_at_signal(process& running, base::duration grace) {
+    boost::asio::signal_set signals(running.context, SIGTERM, SIGINT);
+    co_await signals.async_wait(boost::asio::use_awaitable);
+    runtime::log(runtime::log_level::info, log_component, "planned stop begins");
+    running.node.begin_stop();
+    const base::monotonic_time latest = running.scheduler.now() + grace;
+    bool drained = false;
+    running.scheduler.spawn("daemon.drain", [](process& at, bool& done) -> runtime::task<void> {
+        co_await at.callers.drain();
+        done = true;
+    }(running, drained));
+    while (!drained && running.scheduler.now() < latest) {
+        co_await running.scheduler.sleep_for(stop_poll);
+    }
+    co_await running.operators.stop(operator_grace);
+    running.node.stop();
+    running.transport.stop();
+    runtime::log(runtime::log_level::info, log_component, "stopped",
+                 {{"drained", drained ? "true" : "false"}});
+    running.context.stop();
+}
+
+}  // namespace
+
+int run_daemon(const daemon_settings& settings) {
+    runtime::start_logging("ferryroad", level_of(settings.log_level));
+    try {
+        process running(settings);
+        const base::endpoint callers = running.callers.listen(settings.caller_listen);
+        const auto operators = running.operators.start(settings.operator_listen);
+        if (!operators) {
+            runtime::log(runtime::log_level::error, log_component, "can't listen",
+                         {{"error", operators.error().message}});
+            return exit_cannot_listen;
+        }
+        running.node.start();
+        running.scheduler.spawn(log_component, stop_at_signal(running, settings.stop_grace));
+        runtime::log(runtime::log_level::info, log_component, "serving",
+                     {{"router", settings.name.value},
+                      {"caller_address", callers.to_string()},
+                      {"operator_address", operators->to_string()},
+                      {"peer_address", running.peer_address.to_string()}});
+        running.context.run();
+    } catch (const boost::system::system_error& failure) {
+        runtime::log(runtime::log_level::error, log_component, "can't listen",
+                     {{"error", failure.what()}});
+        return exit_cannot_listen;
+    }
+    return 0;
+}
+
+}  // namespace ferryroad::daemon
--- /dev/null
+++ b/src/ferryroad/router/node_status.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// What this router tells operators of itself, the other routers and the engines.
+#pragma once
+
+#include "ferryroad/router/backends/backend_directory.hpp"
+#include "ferryroad/router/configuration_view.hpp"
+#include "ferryroad/router/node.hpp"
+#include "ferryroad/router/readiness.hpp"
+#include "ferryroad/router/status_source.hpp"
+
+namespace ferryroad::router {
+
+/// Everything outlives it.
+class node_status final : public status_source {
+  public:
+    node_status(const node_identity& identity, const readiness& ready,
+                const configuration_view& configuration,
+                const backends::backend_directory& directory)
+        : identity_(identity),
+          ready_(ready),
+          configuration_(configuration),
+          directory_(directory) {}
+
+    system_status status() const override;
+
+  private:
+    router_status own_status() const;
+
+    const node_identity& identity_;
+    const readiness& ready_;
+    const configuration_view& configuration_;
+    const backends::backend_directory& directory_;
+};
+
+}  // namespace ferryroad::router
--- /dev/null
+++ b/src/ferryroad/router/readiness.hpp
@@ -0,0 +1,24 @@
+/// @file
+/// Whether this router takes new requests.
+#pragma once
+
+#include "ferryroad/router/configuration_view.hpp"
+
+namespace ferryroad::router {
+
+/// Ready while a configuration is confirmed and no planned stop has begun. Used from the event
+/// loop's thread; the view outlives it.
+class readiness {
+  public:
+    explicit readiness(const configuration_view& configuration) : configuration_(configuration) {}
+
+    bool ready() const { return !stopping_ && configuration_.confirmed(); }
+    bool stopping() const { return stopping_; }
+    void begin_stop() { stopping_ = true; }
+
+  private:
+    const configuration_view& configuration_;
+    bool stopping_ = false;
+};
+
+}  // namespace ferryroad::router
