HTTP: one system call less a read

Change: set where it is not yet. The rule for awaiting wait_closed beside work that throws is written down.

--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -50,10 +50,17 @@
     }
 }
 
+void connection::make_non_blocking() {
+    if (!socket_.non_blocking()) {
+        boost::system::error_code ignored;
+        socket_.non_blocking(true, ignored);
+    }
+}
+
 boost::system::error_code connection::read_available() {
     std::array<char, read_block_bytes> block{};
     boost::system::error_code failure;
-    socket_.non_blocking(true, failure);
+    make_non_blocking();
     const std::size_t count = socket_.read_some(asio::buffer(block), failure);
     received_.append(block.data(), count);
     return failure;
@@ -109,7 +116,7 @@
     }
     std::array<char, 1> byte{};
     boost::system::error_code failure;
-    socket_.non_blocking(true, failure);
+    make_non_blocking();
     socket_.receive(asio::buffer(byte), asio::socket_base::message_peek, failure);
     return failure == asio::error::would_block;
 }
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -61,6 +61,7 @@
 
   private:
     boost::system::error_code read_available();
+    void make_non_blocking();
 
     socket_type socket_;
     boost::asio::steady_timer timer_;
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -28,7 +28,8 @@
     virtual runtime::task<runtime::result<void, error>> write(std::string chunk) = 0;
     virtual runtime::task<runtime::result<void, error>> end_stream() = 0;
     /// Completes when the other side closes its connection while the handler is at work. Meant
-    /// for `handler_work || writer.wait_closed()` (Asio's awaitable operators).
+    /// for `handler_work || writer.wait_closed()` (Asio's awaitable operators), whose first
+    /// success ends the other: work that throws leaves this waiting, so it catches its own.
     virtual runtime::task<void> wait_closed() = 0;
     /// Closes the connection abruptly: for emulators' cut faults.
     virtual void abort() = 0;
