Prefix index shared between routers

Cause: what the routers know of the caches decides nearly all of the gap to full knowledge; each router's own index sees only its own dispatches.

Change: router/selection/shared_prefix_knowledge. A root's index is kept by its owner and a standby among the live routers; dispatches, answers and evictions are reported to both in batches every 20 ms, folded; lookups ask the owner with a limit of 5 ms, the standby where the owner fails, was silent a moment ago or is younger than 10 s, and fall back to the router's own index. An owner gets at most 200 lookups a second for one root: above its even share a router keeps answers for a moment. Counters for lookups, batches and pieces.

Result: ctest core.prefix and router.selection 5 of 5 passed, under loss, silent and crashed owners, restart empty, late reports, evictions and gaps. Ruled out: keeping answers by the rate the owner reports; answers from the cache lower that rate and the cache then switches off and on.

--- a/src/ferryroad/core/prefix/report_outbox.cpp
+++ b/src/ferryroad/core/prefix/report_outbox.cpp
@@ -84,8 +84,4 @@
     }
 }
 
-void report_outbox::forget_told() {
-    told_ = prefix_index(memory_of(settings_));
-}
-
 }  // namespace ferryroad::core::prefix
--- a/src/ferryroad/core/prefix/report_outbox.hpp
+++ b/src/ferryroad/core/prefix/report_outbox.hpp
@@ -57,8 +57,6 @@
     /// they were told, will be told again when next reported.
     void reconcile(const cache_namespace& scope, const piece_chain& pieces,
                    const std::vector<holder>& known_to_owner, base::monotonic_time now);
-    /// Other owners from now on: they know nothing of what was told before.
-    void forget_told();
 
     const report_outbox_counters& counters() const { return counters_; }
 
--- /dev/null
+++ b/src/ferryroad/router/selection/shared_prefix_knowledge.cpp
@@ -0,0 +1,285 @@
+#include "ferryroad/router/selection/shared_prefix_knowledge.hpp"
+
+#include "ferryroad/router/selection/local_prefix_knowledge.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace ferryroad::router::selection {
+
+namespace {
+
+constexpr const char* component = "router.selection";
+
+/// Adds `more` to `holders`: for an engine in both, the longer match counts.
+void merge(std::vector<core::prefix::holder>& holders,
+           const std::vector<core::prefix::holder>& more) {
+    for (const core::prefix::holder& each : more) {
+        const auto known = std::find_if(
+            holders.begin(), holders.end(),
+            [&each](const core::prefix::holder& other) { return other.process == each.process; });
+        if (known == holders.end()) {
+            holders.push_back(each);
+        } else if (each.pieces > known->pieces) {
+            *known = each;
+        }
+    }
+    std::stable_sort(holders.begin(), holders.end(),
+                     [](const core::prefix::holder& left, const core::prefix::holder& right) {
+                         return left.pieces > right.pieces;
+                     });
+}
+
+}  // namespace
+
+shared_prefix_knowledge::shared_prefix_knowledge(base::router_name self,
+                                                 const live_routers& routers,
+                                                 prefix_exchange& exchange,
+                                                 runtime::scheduler& scheduler,
+                                                 shared_index_settings settings)
+    : scheduler_(scheduler),
+      exchange_(exchange),
+      settings_(settings),
+      routers_(routers, std::move(self), settings.warm_up, settings.avoid_failed_for),
+      local_(settings.local),
+      own_lookups_(settings.heat),
+      owned_(settings.owned, settings.heat),
+      outbox_(settings.outbox),
+      answers_(settings.answers_kept) {}
+
+runtime::task<prefix_answer> shared_prefix_knowledge::lookup(core::prefix::cache_namespace scope,
+                                                             core::prefix::piece_chain pieces) {
+    ++counters_.lookups;
+    routers_.refresh(scheduler_.now());
+    own_lookups_.record(pieces.front(), scheduler_.now());
+    prefix_answer answer;
+    const auto kept = answers_.find(scope, pieces, scheduler_.now());
+    if (kept) {
+        ++counters_.lookups_from_cache;
+        answer = {kept->holders, kept->request_rate, answer_source::owner};
+    } else {
+        answer = co_await ask_owners(scope, pieces);
+    }
+    add_own_knowledge(answer, scope, pieces);
+    co_return answer;
+}
+
+runtime::task<prefix_answer> shared_prefix_knowledge::ask_owners(
+    core::prefix::cache_namespace scope, core::prefix::piece_chain pieces) {
+    prefix_answer merged;
+    const auto place = routers_.place_of(pieces.front());
+    if (!place) {
+        co_return merged;
+    }
+    const base::monotonic_time asked_at = scheduler_.now();
+    const bool owner_avoided = place->standby && routers_.avoided(place->owner, asked_at);
+    if (!owner_avoided) {
+        const auto answered = co_await ask(place->owner, scope, pieces);
+        if (answered) {
+            outbox_.reconcile(scope, pieces, answered->holders, scheduler_.now());
+            const base::duration lifetime = answer_lifetime(pieces.front());
+            if (lifetime > base::duration::zero()) {
+                answers_.add(scope, pieces, *answered, scheduler_.now(), lifetime);
+            }
+            merged = {answered->holders, answered->request_rate, answer_source::owner};
+        }
+    }
+    const bool complete =
+        merged.source == answer_source::owner && !routers_.warming_up(place->owner, asked_at);
+    if (place->standby && !complete) {
+        const auto answered = co_await ask(*place->standby, scope, pieces);
+        if (answered) {
+            merge(merged.holders, answered->holders);
+            merged.request_rate = std::max(merged.request_rate, answered->request_rate);
+            if (merged.source == answer_source::none) {
+                merged.source = answer_source::standby;
+            }
+        }
+    }
+    co_return merged;
+}
+
+runtime::task<runtime::result<core::prefix::owner_answer, exchange_error>>
+shared_prefix_knowledge::ask(router_contact router, core::prefix::cache_namespace scope,
+                             core::prefix::piece_chain pieces) {
+    if (routers_.is_self(router)) {
+        co_return answer(scope, pieces);
+    }
+    ++counters_.lookups_sent;
+    const base::duration limit = settings_.lookup_limit;
+    auto answered = co_await exchange_.lookup(router, std::move(scope), std::move(pieces), limit);
+    if (answered.has_error()) {
+        ++counters_.lookups_failed;
+        routers_.record_failure(router, scheduler_.now());
+    }
+    co_return answered;
+}
+
+void shared_prefix_knowledge::add_own_knowledge(prefix_answer& answer,
+                                                const core::prefix::cache_namespace& scope,
+                                                const core::prefix::piece_chain& pieces) {
+    const base::monotonic_time now = scheduler_.now();
+    if (answer.source != answer_source::none) {
+        merge(answer.holders, local_.lookup(scope, pieces, now, settings_.own_reports_delay));
+        return;
+    }
+    ++counters_.lookups_local_only;
+    answer.holders = local_.lookup(scope, pieces, now);
+    answer.source = answer_source::local;
+}
+
+void shared_prefix_knowledge::report(prefix_observation observation) {
+    local_.record(observation.scope, observation.pieces, observation.process, observation.why,
+                  scheduler_.now());
+    const base::piece_hash root = observation.pieces.front();
+    distribute(keepers_of(root), {std::move(observation.scope), std::move(observation.pieces),
+                                  std::move(observation.process), core::prefix::prefix_change::held,
+                                  observation.why});
+}
+
+void shared_prefix_knowledge::report_events(const base::engine_name& engine,
+                                            const engine::cache_event_batch& batch) {
+    record_events(local_, engine, batch, scheduler_.now());
+    if (batch.gap) {
+        distribute_gap({engine, batch.incarnation});
+    }
+    distribute_evictions(engine, batch);
+}
+
+void shared_prefix_knowledge::report_incarnation(const core::prefix::engine_process& process) {
+    local_.record_incarnation(process);
+    owned_.record_incarnation(process);
+}
+
+core::prefix::owner_answer shared_prefix_knowledge::answer(
+    const core::prefix::cache_namespace& scope, const core::prefix::piece_chain& pieces) {
+    return owned_.lookup(scope, pieces, scheduler_.now());
+}
+
+void shared_prefix_knowledge::accept(const std::vector<core::prefix::prefix_report>& reports) {
+    for (const core::prefix::prefix_report& report : reports) {
+        owned_.record(report, scheduler_.now());
+    }
+}
+
+base::duration shared_prefix_knowledge::answer_lifetime(base::piece_hash root) const {
+    const auto routers = static_cast<double>(std::max<std::size_t>(routers_.count(), 1));
+    const double share = settings_.lookups_of_root_per_second / routers;
+    const bool above_share = own_lookups_.rate(root, scheduler_.now()) > share;
+    return above_share ? base::from_seconds(1 / share) : base::duration::zero();
+}
+
+std::vector<router_contact> shared_prefix_knowledge::keepers_of(base::piece_hash root) {
+    routers_.refresh(scheduler_.now());
+    const auto place = routers_.place_of(root);
+    std::vector<router_contact> keepers;
+    if (place) {
+        keepers.push_back(place->owner);
+        if (place->standby) {
+            keepers.push_back(*place->standby);
+        }
+    }
+    return keepers;
+}
+
+void shared_prefix_knowledge::distribute(const std::vector<router_contact>& keepers,
+                                         core::prefix::prefix_report report) {
+    const base::monotonic_time now = scheduler_.now();
+    std::vector<base::router_name> others;
+    for (const router_contact& keeper : keepers) {
+        if (routers_.is_self(keeper)) {
+            owned_.record(report, now);
+        } else {
+            others.push_back(keeper.name);
+        }
+    }
+    outbox_.add(others, std::move(report), now);
+    schedule_flush();
+}
+
+void shared_prefix_knowledge::distribute_evictions(const base::engine_name& engine,
+                                                   const engine::cache_event_batch& batch) {
+    // Pieces that entered are known from the dispatch that brought them.
+    std::map<std::pair<core::prefix::cache_namespace, base::piece_hash>, core::prefix::piece_chain>
+        evicted;
+    for (const engine::cache_event& event : batch.events) {
+        remember_root(engine, event.root);
+        if (event.change == engine::cache_change::evicted) {
+            evicted[{event.scope, event.root}].push_back(event.piece);
+        }
+    }
+    for (auto& [family, pieces] : evicted) {
+        distribute(keepers_of(family.second), {family.first,
+                                               std::move(pieces),
+                                               {engine, batch.incarnation},
+                                               core::prefix::prefix_change::evicted,
+                                               core::prefix::evidence::event});
+    }
+}
+
+void shared_prefix_knowledge::distribute_gap(const core::prefix::engine_process& process) {
+    std::map<base::router_name, router_contact> keepers;
+    for (const auto& [root, seen_at] : roots_of_engines_[process.engine]) {
+        for (const router_contact& keeper : keepers_of(root)) {
+            keepers.emplace(keeper.name, keeper);
+        }
+    }
+    std::vector<router_contact> told;
+    told.reserve(keepers.size());
+    for (const auto& [name, keeper] : keepers) {
+        told.push_back(keeper);
+    }
+    distribute(told, {{}, {}, process, core::prefix::prefix_change::events_lost, {}});
+}
+
+void shared_prefix_knowledge::remember_root(const base::engine_name& engine,
+                                            base::piece_hash root) {
+    roots_seen& roots = roots_of_engines_[engine];
+    const base::monotonic_time now = scheduler_.now();
+    roots[root] = now;
+    if (roots.size() <= settings_.roots_per_engine) {
+        return;
+    }
+    roots.erase(std::min_element(
+        roots.begin(), roots.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+}
+
+void shared_prefix_knowledge::schedule_flush() {
+    if (flush_scheduled_ || outbox_.empty()) {
+        return;
+    }
+    flush_scheduled_ = true;
+    scheduler_.spawn(component, flush_later());
+}
+
+runtime::task<void> shared_prefix_knowledge::flush_later() {
+    co_await scheduler_.sleep_for(settings_.report_interval);
+    flush_scheduled_ = false;
+    for (core::prefix::report_batch& batch : outbox_.take()) {
+        scheduler_.spawn(component, send(std::move(batch)));
+    }
+}
+
+runtime::task<void> shared_prefix_knowledge::send(core::prefix::report_batch batch) {
+    const auto owner = routers_.find(batch.owner);
+    if (!owner) {
+        outbox_.record_lost(batch);
+        co_return;
+    }
+    ++counters_.batches_sent;
+    for (const core::prefix::prefix_report& report : batch.reports) {
+        counters_.pieces_sent += report.pieces.size();
+    }
+    const base::duration limit = settings_.report_limit;
+    std::vector<core::prefix::prefix_report> reports = batch.reports;
+    const auto sent = co_await exchange_.report(*owner, std::move(reports), limit);
+    if (sent.has_error()) {
+        ++counters_.batches_lost;
+        routers_.record_failure(*owner, scheduler_.now());
+        outbox_.record_lost(batch);
+    }
+}
+
+}  // namespace ferryroad::router::selection
--- /dev/null
+++ b/test/router/selection/fake_exchange.hpp
@@ -0,0 +1,154 @@
+/// @file
+/// Routers that share an index over a network a test can break.
+#pragma once
+
+#include "bench/simulation/virtual_scheduler.hpp"
+#include "ferryroad/router/selection/shared_prefix_knowledge.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ferryroad::test {
+
+namespace selection = router::selection;
+
+/// Delivers directly, after a delay; calls to a silent router end at their limit.
+class fake_exchange final : public selection::prefix_exchange {
+  public:
+    explicit fake_exchange(runtime::scheduler& scheduler) : scheduler_(scheduler) {}
+
+    base::duration one_way = std::chrono::milliseconds(1);
+    std::map<base::router_name, selection::shared_prefix_knowledge*> routers;
+    std::set<base::router_name> silent;
+    int reports_to_lose = 0;
+
+    template <typename T>
+    using answer = runtime::task<runtime::result<T, selection::exchange_error>>;
+
+    answer<core::prefix::owner_answer> lookup(selection::router_contact owner,
+                                              core::prefix::cache_namespace scope,
+                                              core::prefix::piece_chain pieces,
+                                              base::duration limit) override {
+        if (silent.contains(owner.name)) {
+            co_await scheduler_.sleep_for(limit);
+            co_return selection::exchange_error{selection::exchange_failure::timed_out};
+        }
+        co_await scheduler_.sleep_for(one_way);
+        auto answered = routers.at(owner.name)->answer(scope, pieces);
+        co_await scheduler_.sleep_for(one_way);
+        co_return answered;
+    }
+
+    answer<void> report(selection::router_contact owner,
+                        std::vector<core::prefix::prefix_report> reports,
+                        base::duration limit) override {
+        const bool lost = reports_to_lose > 0;
+        reports_to_lose -= lost ? 1 : 0;
+        if (lost || silent.contains(owner.name)) {
+            co_await scheduler_.sleep_for(limit);
+            co_return selection::exchange_error{selection::exchange_failure::timed_out};
+        }
+        co_await scheduler_.sleep_for(one_way);
+        routers.at(owner.name)->accept(reports);
+        co_return runtime::result<void, selection::exchange_error>();
+    }
+
+  private:
+    runtime::scheduler& scheduler_;
+};
+
+class fake_live_routers final : public selection::live_routers {
+  public:
+    std::vector<selection::router_contact> contacts;
+    std::vector<selection::router_contact> live() const override { return contacts; }
+};
+
+/// Several routers on one virtual scheduler.
+class router_group {
+  public:
+    explicit router_group(int count, selection::shared_index_settings settings = {})
+        : settings_(settings) {
+        for (int router = 0; router < count; ++router) {
+            live.contacts.push_back({name_of(router), base::incarnation(1), {"127.0.0.1", 1}});
+        }
+        for (int router = 0; router < count; ++router) {
+            start(router);
+        }
+        // All have seen each other, and none is young any more.
+        for (auto& each : knowledge) {
+            each->report_incarnation({base::engine_name("e"), base::incarnation(1)});
+            lookup_on(*each, {}, {base::piece_hash(1)});
+        }
+        time.run_until(time.now() + settings_.warm_up);
+    }
+
+    static base::router_name name_of(int router) {
+        return base::router_name("router" + std::to_string(router));
+    }
+
+    /// Starts, or restarts empty.
+    void start(int router) {
+        const auto index = static_cast<std::size_t>(router);
+        auto started = std::make_unique<selection::shared_prefix_knowledge>(
+            name_of(router), live, exchange, scheduler, settings_);
+        exchange.routers[name_of(router)] = started.get();
+        if (index < knowledge.size()) {
+            retired.push_back(std::move(knowledge[index]));
+            knowledge[index] = std::move(started);
+            live.contacts[index].incarnation.value += 1;
+        } else {
+            knowledge.push_back(std::move(started));
+        }
+    }
+
+    void leave(int router) {
+        std::erase_if(live.contacts, [router](const selection::router_contact& each) {
+            return each.name == name_of(router);
+        });
+    }
+
+    selection::prefix_answer lookup(int router, const core::prefix::cache_namespace& scope,
+                                    const core::prefix::piece_chain& pieces) {
+        return lookup_on(*knowledge[static_cast<std::size_t>(router)], scope, pieces);
+    }
+
+    void run(base::duration length) { time.run_until(time.now() + length); }
+
+    bench::simulation::virtual_time time{1};
+    bench::simulation::virtual_scheduler scheduler{time, 1};
+    fake_exchange exchange{scheduler};
+    fake_live_routers live;
+    std::vector<std::unique_ptr<selection::shared_prefix_knowledge>> knowledge;
+    /// Their coroutines may still wait.
+    std::vector<std::unique_ptr<selection::shared_prefix_knowledge>> retired;
+    /// How long the last lookup took.
+    base::duration last_lookup_took{};
+
+  private:
+    static runtime::task<void> look_up(selection::shared_prefix_knowledge& knowledge,
+                                       core::prefix::cache_namespace scope,
+                                       core::prefix::piece_chain pieces,
+                                       std::optional<selection::prefix_answer>& into) {
+        into = co_await knowledge.lookup(std::move(scope), std::move(pieces));
+    }
+
+    selection::prefix_answer lookup_on(selection::shared_prefix_knowledge& asked,
+                                       const core::prefix::cache_namespace& scope,
+                                       const core::prefix::piece_chain& pieces) {
+        std::optional<selection::prefix_answer> answer;
+        const auto asked_at = time.now();
+        scheduler.spawn("lookup", look_up(asked, scope, pieces, answer));
+        while (!answer && time.run_next()) {
+        }
+        last_lookup_took = time.now() - asked_at;
+        return answer.value();
+    }
+
+    selection::shared_index_settings settings_;
+};
+
+}  // namespace ferryroad::test
