Admission by tenant limits and fair queues

Change: fair_admission puts tenant_limiter and one fair_queue for each pool behind admission_control; tenant_quota is where a tenant's share over all routers comes in. The token bucket admission and core/execution's own retry budget are removed. Conclusion: one implementation of limits, queues and retry budgets.

--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -48,7 +48,7 @@
 }
 
 action_list request_execution::handle(const event& happened, base::monotonic_time now,
-                                      retry_budget& budget) {
+                                      admission::retry_budget& budget) {
     context at{now, budget};
     return std::visit([&](const auto& kind) { return on(kind, at); }, happened);
 }
@@ -146,7 +146,7 @@
     }
     attempts_.back().state = attempt_state::complete;
     phase_ = phase::ended;
-    at.budget.record_answer();
+    at.budget.record_success();
     action_list actions{finish{next_token_}};
     settle(actions);
     return actions;
@@ -250,7 +250,7 @@
     if (!rules_.repeatable && !surely_not_run(attempts_.back())) {
         return false;
     }
-    return !spends_budget(failed.kind) || at.budget.try_spend();
+    return !spends_budget(failed.kind) || at.budget.try_retry();
 }
 
 action_list request_execution::retry() {
--- a/src/ferryroad/core/execution/tunables.hpp
+++ b/src/ferryroad/core/execution/tunables.hpp
@@ -12,8 +12,6 @@
     std::uint32_t attempts = 4;             ///< Dispatches for one request, the first included.
     std::uint32_t resumes_per_attempt = 2;  ///< Tries to take up one attempt's broken stream.
     std::uint32_t overloaded_refusals = 2;  ///< Engines asked before the pool counts as full.
-    double retry_reserve = 10;              ///< Retries a budget holds before any answer.
-    double retry_ceiling = 100;             ///< Most that a budget saves up.
     /// When to come back, where nobody said a better time.
     base::duration retry_after = std::chrono::seconds(1);
 };
--- a/src/ferryroad/router/claims/table_batcher.cpp
+++ b/src/ferryroad/router/claims/table_batcher.cpp
@@ -104,6 +104,7 @@
 runtime::task<void> table_batcher::state::send_transactions(
     std::shared_ptr<state> self, std::vector<waiting_transaction> batch) {
     std::vector<platform::transaction> questions;
+    questions.reserve(batch.size());
     for (waiting_transaction& one : batch) {
         questions.push_back(std::move(one.question));
     }
--- a/src/ferryroad/router/request/execution_driver.hpp
+++ b/src/ferryroad/router/request/execution_driver.hpp
@@ -36,7 +36,7 @@
     selection_query query;
     std::optional<claim_request> claim;  ///< Its attempt is filled in by the driver.
     core::execution::execution_rules rules;
-    std::shared_ptr<core::execution::retry_budget> budget;
+    std::shared_ptr<core::admission::retry_budget> budget;
     request_tunables limits;
 };
 
--- a/src/ferryroad/router/request/routing_request_service.cpp
+++ b/src/ferryroad/router/request/routing_request_service.cpp
@@ -209,14 +209,13 @@
     return start;
 }
 
-std::shared_ptr<execution::retry_budget> routing_request_service::budget_of(
+std::shared_ptr<core::admission::retry_budget> routing_request_service::budget_of(
     const resolved_call& resolved) {
     auto& budget = budgets_[{resolved.route->name, resolved.tenant->name}];
     if (!budget) {
-        budget = std::make_shared<execution::retry_budget>(resolved.route->retry_share,
-                                                           limits_.execution);
+        budget = std::make_shared<core::admission::retry_budget>(resolved.route->retry_share);
     }
-    budget->set_share(resolved.route->retry_share);
+    budget->change_share(resolved.route->retry_share);
     return budget;
 }
 
--- a/src/ferryroad/router/request/routing_request_service.hpp
+++ b/src/ferryroad/router/request/routing_request_service.hpp
@@ -2,7 +2,7 @@
 /// Serves callers' requests: resolve, admit, claim, choose, dispatch, follow to the end.
 #pragma once
 
-#include "ferryroad/core/execution/retry_budget.hpp"
+#include "ferryroad/core/admission/retry_budget.hpp"
 #include "ferryroad/router/configuration_view.hpp"
 #include "ferryroad/router/request/admission.hpp"
 #include "ferryroad/router/request/call_resolution.hpp"
@@ -42,7 +42,7 @@
     runtime::result<resolved_call, refusal> resolve(const Call& call);
     driver_start start_of(const base::request_id& request, resolved_call resolved,
                           base::monotonic_time arrived);
-    std::shared_ptr<core::execution::retry_budget> budget_of(const resolved_call& resolved);
+    std::shared_ptr<core::admission::retry_budget> budget_of(const resolved_call& resolved);
     admission_query admission_query_of(const driver_start& start) const;
     /// Admits and drives the request, within its deadline.
     runtime::task<std::optional<refusal>> serve(execution_driver& driver, admission_query query);
@@ -54,7 +54,7 @@
     request_collaborators with_;
     request_tunables limits_;
     call_resolver resolver_;
-    std::map<budget_key, std::shared_ptr<core::execution::retry_budget>> budgets_;
+    std::map<budget_key, std::shared_ptr<core::admission::retry_budget>> budgets_;
 };
 
 }  // namespace ferryroad::router
--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -9,6 +9,12 @@
 
 namespace ferryroad::router {
 
+struct admission_limits {
+    /// Requests that this router keeps at work for each live engine of a pool; more wait here,
+    /// where priority and fairness hold, and not in the engine.
+    std::size_t places_per_engine = 32;
+};
+
 struct request_tunables {
     core::execution::tunables execution;
     /// When a caller should come back to a router that isn't ready.
--- a/test/core/execution/request_execution_property_test.cpp
+++ b/test/core/execution/request_execution_property_test.cpp
@@ -172,7 +172,7 @@
 void play(const execution_rules& rules, const std::vector<step>& script) {
     request_execution machine(rules);
     model known(rules);
-    retry_budget budget(0.1);
+    ferryroad::core::admission::retry_budget budget(0.1);
     base::monotonic_time now = start;
     const auto feed = [&](const event& happened) {
         const auto* claimed = std::get_if<claim_answered>(&happened);
--- a/test/core/execution/request_execution_test.cpp
+++ b/test/core/execution/request_execution_test.cpp
@@ -77,7 +77,7 @@
     action_list feed(const event& happened) { return machine.handle(happened, start, budget); }
 
     request_execution machine;
-    retry_budget budget;
+    ferryroad::core::admission::retry_budget budget;
 };
 
 template <typename Kind>
@@ -158,7 +158,7 @@
 
 Test(request_execution, retries_stop_with_the_budget) {
     running state(rules_of(true));
-    while (state.budget.try_spend()) {
+    while (state.budget.try_retry()) {
     }
     const auto actions = state.feed(exchange_failed{exchange_number(1), failure_kind::broken});
     cr_assert_eq(find<refuse>(actions)->reason, refusal_reason::engine_failed);
@@ -189,7 +189,7 @@
     auto rules = rules_of(false);
     rules.claimed = true;
     request_execution machine(rules);
-    retry_budget budget(0.1);
+    ferryroad::core::admission::retry_budget budget(0.1);
     cr_assert(find<claim_key>(machine.begin(start)));
     const auto actions = machine.handle(deadline_passed{}, start, budget);
     cr_assert_eq(find<refuse>(actions)->report, execution_report::not_run);
--- a/test/router/request/fake_router.hpp
+++ b/test/router/request/fake_router.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "ferryroad/base/digest.hpp"
+#include "ferryroad/router/request/fair_admission.hpp"
 #include "ferryroad/router/request/routing_request_service.hpp"
-#include "ferryroad/router/request/token_bucket_admission.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -304,7 +304,7 @@
 struct fake_router {
     explicit fake_router(runtime::scheduler& scheduler)
         : engines(scheduler),
-          admission(scheduler),
+          admission(scheduler, directory, quota),
           service(configuration, admission, {scheduler, directory, selector, engines, claims}) {}
 
     fake_configuration configuration;
@@ -312,7 +312,8 @@
     fake_selector selector{directory};
     fake_engines engines;
     fake_claims claims;
-    router::token_bucket_admission admission;
+    router::whole_quota quota;
+    router::fair_admission admission;
     router::routing_request_service service;
 };
 
