router/configuration: the service under the platform's and peers' failures

Cause: start-up, propagation and changes must hold through outages, lost answers, cuts, herd restarts and racing operators. Names of id tags told apart (linter).

--- a/src/ferryroad/catalog/resource_key.hpp
+++ b/src/ferryroad/catalog/resource_key.hpp
@@ -13,7 +13,7 @@
 
 enum class resource_kind { tenant, model, pool, route };
 
-using resource_key = base::strong_id<struct resource_key_tag, std::string>;
+using resource_key = base::strong_id<struct catalog_resource_key_tag, std::string>;
 
 /// A key taken apart.
 struct resource_name {
--- a/src/ferryroad/router/configuration/change.cpp
+++ b/src/ferryroad/router/configuration/change.cpp
@@ -102,26 +102,29 @@
     configuration::commit_process process(std::move(request), std::move(make_change),
                                           tunables_.log);
     configuration::commit_step step = process.start();
+    platform::error last_failure{platform::error_code::unavailable, "others' changes came first",
+                                 std::nullopt};
     bool answer_lost = false;
     while (!is_end(step)) {
+        if (ports_.scheduler.now() >= give_up_at) {
+            co_return failed(last_failure, answer_lost);
+        }
         const configuration::commit_step current = step;
         auto next = co_await take_step(process, current);
         if (next) {
             step = std::move(*next);
             continue;
         }
-        answer_lost = answer_lost || next.error().code == platform::error_code::answer_lost;
+        last_failure = next.error();
+        answer_lost = answer_lost || last_failure.code == platform::error_code::answer_lost;
         const base::duration wanted =
-            next.error().retry_after.value_or(tunables_.commit_retry_pause);
+            last_failure.retry_after.value_or(tunables_.commit_retry_pause);
         const base::duration pause = jittered(wanted);
-        if (ports_.scheduler.now() + pause >= give_up_at) {
-            co_return failed(next.error(), answer_lost);
-        }
         co_await ports_.scheduler.sleep_for(pause);
         step = process.on_answer_lost();
     }
-    if (auto* done = std::get_if<configuration::committed>(&step)) {
-        co_return finish_committed(std::move(done->added));
+    if (const auto* done = std::get_if<configuration::committed>(&step)) {
+        co_return finish_committed(done->added);
     }
     if (const auto* before = std::get_if<configuration::already_committed>(&step)) {
         const base::revision revision = before->revision;
@@ -166,22 +169,23 @@
     co_return process.on_committed();
 }
 
-change_outcome configuration_service::finish_committed(configuration::change added) {
-    const base::revision revision = added.revision;
-    std::vector<configuration::applied_change> steps = replica_.on_change(added);
-    change_outcome outcome{revision, {}, false};
-    for (const configuration::applied_change& step : steps) {
-        if (step.revision == revision) {
-            outcome.differences = to_catalog_differences(step.differences);
-        }
-    }
-    take(std::move(steps));
+change_outcome configuration_service::finish_committed(const configuration::change& added) {
+    take(replica_.on_change(added));
     ports_.peers.push(added);
     if (!writing_objects_) {
         writing_objects_ = true;
         ports_.scheduler.spawn("configuration.objects", write_objects());
     }
-    return outcome;
+    return {added.revision, differences_at(added.revision), false};
+}
+
+std::vector<catalog::difference> configuration_service::differences_at(
+    base::revision revision) const {
+    const auto steps = replica_.steps_after(base::revision(revision.value - 1));
+    if (!steps || steps->empty()) {
+        return {};
+    }
+    return to_catalog_differences(steps->front().differences);
 }
 
 runtime::task<configuration_result<change_outcome>> configuration_service::finish_repeated(
@@ -192,12 +196,7 @@
             observe_revision(revision);
         }
     }
-    change_outcome outcome{revision, {}, true};
-    const base::revision before(revision.value - 1);
-    if (const auto steps = replica_.steps_after(before)) {
-        outcome.differences = to_catalog_differences(steps->front().differences);
-    }
-    co_return outcome;
+    co_return change_outcome{revision, differences_at(revision), true};
 }
 
 }  // namespace ferryroad::router
--- a/src/ferryroad/router/configuration/configuration_service.cpp
+++ b/src/ferryroad/router/configuration/configuration_service.cpp
@@ -77,7 +77,7 @@
     pull_if_behind();
 }
 
-void configuration_service::take(std::vector<configuration::applied_change> steps) {
+void configuration_service::take(const std::vector<configuration::applied_change>& steps) {
     for (const configuration::applied_change& step : steps) {
         current_ = apply_step(*current_, step);
         runtime::log(runtime::log_level::info, "router.configuration", "revision in force",
--- a/src/ferryroad/router/configuration/configuration_service.hpp
+++ b/src/ferryroad/router/configuration/configuration_service.hpp
@@ -69,7 +69,7 @@
         coordination::configuration::commit_request request,
         coordination::configuration::change_function make_change);
     runtime::task<configuration_result<change_outcome>> finish_repeated(base::revision revision);
-    change_outcome finish_committed(coordination::configuration::change added);
+    change_outcome finish_committed(const coordination::configuration::change& added);
     runtime::task<platform::result<coordination::configuration::commit_step>> take_step(
         coordination::configuration::commit_process& process,
         coordination::configuration::commit_step step);
@@ -77,7 +77,9 @@
         coordination::configuration::commit_process& process,
         coordination::configuration::commit_transaction transaction);
 
-    void take(std::vector<coordination::configuration::applied_change> steps);
+    void take(const std::vector<coordination::configuration::applied_change>& steps);
+    /// @return what made that revision; empty where its step is no longer kept.
+    std::vector<catalog::difference> differences_at(base::revision revision) const;
     void note_head(base::revision head, base::monotonic_time asked_at);
     void pull_if_behind();
     base::duration jittered(base::duration period);
--- /dev/null
+++ b/test/router/configuration/simulated_routers.hpp
@@ -0,0 +1,176 @@
+/// @file
+/// Several routers' configuration services under virtual time, on the platform's model and
+/// on peer links with faults.
+#pragma once
+
+#include "bench/simulation/virtual_scheduler.hpp"
+#include "emulator/platform/model_services.hpp"
+#include "ferryroad/router/configuration/configuration_service.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ferryroad::router::testing {
+
+using bench::simulation::virtual_scheduler;
+using bench::simulation::virtual_time;
+using outcome = configuration_result<change_outcome>;
+
+class simulated_router;
+
+/// Who reaches whom; shared by all links.
+struct simulated_network {
+    std::vector<std::unique_ptr<simulated_router>> routers;  ///< Null while down.
+    std::vector<bool> cut;  ///< Reaches no router and isn't reached.
+    bool pushes_lost = false;
+};
+
+class simulated_link final : public peer_link {
+  public:
+    simulated_link(simulated_network& network, std::size_t own, virtual_scheduler& scheduler)
+        : network_(network), own_(own), scheduler_(scheduler) {}
+
+    runtime::task<runtime::result<coordination::configuration::pull_answer, peer::error>> pull(
+        base::revision from) override;
+    void push(const coordination::configuration::change& added) override;
+
+  private:
+    static constexpr base::duration one_way = std::chrono::milliseconds(2);
+
+    simulated_network& network_;
+    std::size_t own_;
+    virtual_scheduler& scheduler_;
+};
+
+class simulated_router {
+  public:
+    simulated_router(virtual_time& time, emulator::platform_model& platform,
+                     simulated_network& network, std::size_t own, std::uint64_t seed)
+        : scheduler(time, seed, {1.0, time.now().time_since_epoch(), {}}),
+          table(platform, scheduler),
+          objects(platform, scheduler),
+          link(network, own, scheduler),
+          service({table, objects, link, scheduler}) {
+        scheduler.run([this] { service.start(); });
+    }
+    simulated_router(const simulated_router&) = delete;
+    ~simulated_router() { scheduler.kill(); }
+
+    virtual_scheduler scheduler;
+    emulator::model_table table;
+    emulator::model_object_store objects;
+    simulated_link link;
+    configuration_service service;
+};
+
+inline runtime::task<runtime::result<coordination::configuration::pull_answer, peer::error>>
+simulated_link::pull(base::revision from) {
+    std::vector<std::size_t> live;
+    for (std::size_t index = 0; index < network_.routers.size(); ++index) {
+        if (index != own_ && network_.routers[index] && !network_.cut[index]) {
+            live.push_back(index);
+        }
+    }
+    if (live.empty() || network_.cut[own_]) {
+        co_return peer::error{peer::error_code::unreachable, "none is reached"};
+    }
+    const std::size_t chosen = live[scheduler_.random().below(live.size())];
+    co_await scheduler_.sleep_for(one_way);
+    if (!network_.routers[chosen]) {
+        co_return peer::error{peer::error_code::connection_lost, "it went down"};
+    }
+    auto answer = network_.routers[chosen]->service.answer_pull(from);
+    co_await scheduler_.sleep_for(one_way);
+    co_return answer;
+}
+
+inline void simulated_link::push(const coordination::configuration::change& added) {
+    if (network_.pushes_lost || network_.cut[own_]) {
+        return;
+    }
+    for (std::size_t index = 0; index < network_.routers.size(); ++index) {
+        simulated_router* other = network_.routers[index].get();
+        if (index != own_ && other != nullptr && !network_.cut[index]) {
+            scheduler_.time().at(scheduler_.time().now() + one_way, other->scheduler.process(),
+                                 [other, added] { other->service.accept_push(added); });
+        }
+    }
+}
+
+/// The whole: time, platform, network.
+class simulated_system {
+  public:
+    explicit simulated_system(std::size_t routers, std::uint64_t seed = 1,
+                              emulator::platform_options options = {})
+        : time(seed), platform(options) {
+        network.routers.resize(routers);
+        network.cut.resize(routers);
+        for (std::size_t index = 0; index < routers; ++index) {
+            start(index);
+        }
+    }
+
+    /// Starts a router empty, in place of the one that ran there.
+    void start(std::size_t index) {
+        network.routers[index].reset();
+        network.routers[index] = std::make_unique<simulated_router>(time, platform, network, index,
+                                                                    time.random().next());
+    }
+    void stop(std::size_t index) { network.routers[index].reset(); }
+
+    void run_for(base::duration span) { time.run_until(time.now() + span); }
+
+    configuration_service& service(std::size_t index) { return network.routers[index]->service; }
+    std::uint64_t revision(std::size_t index) { return service(index).current()->revision.value; }
+
+    /// Starts a change; the outcome appears once it has ended. The router must live as long.
+    std::shared_ptr<std::optional<outcome>> apply(std::size_t index, apply_command command) {
+        auto ended = std::make_shared<std::optional<outcome>>();
+        network.routers[index]->scheduler.spawn(
+            "test.apply", run_apply(service(index), std::move(command), ended));
+        return ended;
+    }
+
+    bool all_at(std::uint64_t wanted) {
+        for (std::size_t index = 0; index < network.routers.size(); ++index) {
+            if (network.routers[index] &&
+                (revision(index) != wanted || !service(index).confirmed())) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    virtual_time time;
+    emulator::platform_model platform;
+    simulated_network network;
+
+  private:
+    static runtime::task<void> run_apply(configuration_service& service, apply_command command,
+                                         std::shared_ptr<std::optional<outcome>> ended) {
+        auto result = co_await service.apply(std::move(command));
+        ended->emplace(std::move(result));
+    }
+};
+
+/// A desired state with one tenant and its limit.
+inline apply_command make_command(const std::string& operation, double requests_per_second,
+                                  std::optional<std::uint64_t> expected = std::nullopt) {
+    apply_command command;
+    catalog::tenant tenant;
+    tenant.name = base::tenant_name("a");
+    tenant.key_sha256 = std::string(64, '0');
+    tenant.limits.requests_per_second = requests_per_second;
+    command.desired.tenants.emplace(tenant.name, tenant);
+    if (expected) {
+        command.expected = base::revision(*expected);
+    }
+    command.operation = operation_id(operation);
+    command.author = author_name("tester");
+    return command;
+}
+
+}  // namespace ferryroad::router::testing
