--- a/src/ferryroad/ctl/router_client.cpp
+++ b/src/ferryroad/ctl/router_client.cpp
@@ -112,7 +112,8 @@
             return error{to_exit_code(made.status.error_code()), made.status.error_message()};
         }
         may_have_changed = may_have_changed || (is_change && made.sent && !made.surely_unchanged);
-        if (clock::now() + retry_pause >= give_up_at) {
+        // A shorter attempt would end unanswered, and leave the outcome unknown.
+        if (clock::now() + shortest_attempt >= give_up_at) {
             return no_answer(router.address, made.status, may_have_changed);
         }
         ++next_;
--- a/src/ferryroad/operator/service/operator_service.cpp
+++ b/src/ferryroad/operator/service/operator_service.cpp
@@ -8,6 +8,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <utility>
@@ -60,6 +61,14 @@
     return std::nullopt;
 }
 
+/// @return until the operator's tool stops waiting; nothing where it named no limit.
+std::optional<base::duration> time_left(const grpc::CallbackServerContext& context) {
+    if (context.deadline() == std::chrono::system_clock::time_point::max()) {
+        return std::nullopt;
+    }
+    return context.deadline() - std::chrono::system_clock::now();
+}
+
 /// Tells the operator's tool that the failed call changed nothing.
 constexpr const char* unchanged_key = "ferryroad-unchanged";
 
@@ -91,6 +100,7 @@
     }
     command.operation = router::operation_id(request->operation_id());
     command.author = router::author_name(request->author());
+    command.time_left = time_left(*context);
     auto outcome = co_await ports.control.apply(std::move(command));
     if (!outcome) {
         refuse(context, reactor, outcome.error());
@@ -131,9 +141,12 @@
         reactor->Finish(not_found("no engine is named \"" + engine.value + "\""));
         co_return;
     }
-    router::drain_command command{*pool, engine, request->undo(),
+    router::drain_command command{*pool,
+                                  engine,
+                                  request->undo(),
                                   router::operation_id(request->operation_id()),
-                                  router::author_name(request->author())};
+                                  router::author_name(request->author()),
+                                  time_left(*context)};
     auto outcome = co_await ports.control.drain(std::move(command));
     if (!outcome) {
         refuse(context, reactor, outcome.error());
--- a/src/ferryroad/router/configuration/change.cpp
+++ b/src/ferryroad/router/configuration/change.cpp
@@ -79,7 +79,7 @@
         [desired](const configuration::resources& content) {
             return changes_towards(content, *desired);
         };
-    co_return co_await change(std::move(request), std::move(make_change));
+    co_return co_await change(std::move(request), std::move(make_change), command.time_left);
 }
 
 runtime::task<configuration_result<change_outcome>> configuration_service::drain(
@@ -93,12 +93,23 @@
         [command](const configuration::resources& content) {
             return drain_change(content, command);
         };
-    co_return co_await change(std::move(request), std::move(make_change));
+    co_return co_await change(std::move(request), std::move(make_change), command.time_left);
+}
+
+base::monotonic_time configuration_service::give_up_time(
+    std::optional<base::duration> time_left) const {
+    base::duration limit = tunables_.commit_limit;
+    if (time_left) {
+        const base::duration way_back = std::min(tunables_.longest_way_back, *time_left / 4);
+        limit = std::min(limit, *time_left - way_back);
+    }
+    return ports_.scheduler.now() + limit;
 }
 
 runtime::task<configuration_result<change_outcome>> configuration_service::change(
-    configuration::commit_request request, configuration::change_function make_change) {
-    const base::monotonic_time give_up_at = ports_.scheduler.now() + tunables_.commit_limit;
+    configuration::commit_request request, configuration::change_function make_change,
+    std::optional<base::duration> time_left) {
+    const base::monotonic_time give_up_at = give_up_time(time_left);
     configuration::commit_process process(std::move(request), std::move(make_change),
                                           tunables_.log);
     configuration::commit_step step = process.start();
@@ -120,6 +131,9 @@
         const base::duration wanted =
             last_failure.retry_after.value_or(tunables_.commit_retry_pause);
         const base::duration pause = jittered(wanted);
+        if (ports_.scheduler.now() + pause >= give_up_at) {
+            co_return failed(last_failure, answer_lost);
+        }
         co_await ports_.scheduler.sleep_for(pause);
         step = process.on_answer_lost();
     }
--- a/src/ferryroad/router/configuration/configuration_service.hpp
+++ b/src/ferryroad/router/configuration/configuration_service.hpp
@@ -67,7 +67,9 @@
 
     runtime::task<configuration_result<change_outcome>> change(
         coordination::configuration::commit_request request,
-        coordination::configuration::change_function make_change);
+        coordination::configuration::change_function make_change,
+        std::optional<base::duration> time_left);
+    base::monotonic_time give_up_time(std::optional<base::duration> time_left) const;
     runtime::task<configuration_result<change_outcome>> finish_repeated(base::revision revision);
     change_outcome finish_committed(const coordination::configuration::change& added);
     runtime::task<platform::result<coordination::configuration::commit_step>> take_step(
--- a/src/ferryroad/router/configuration/control.hpp
+++ b/src/ferryroad/router/configuration/control.hpp
@@ -2,6 +2,7 @@
 /// What operators do with the configuration, apart from any protocol.
 #pragma once
 
+#include "ferryroad/base/time.hpp"
 #include "ferryroad/catalog/difference.hpp"
 #include "ferryroad/catalog/types.hpp"
 #include "ferryroad/coordination/configuration/types.hpp"
@@ -33,6 +34,8 @@
     std::optional<base::revision> expected;
     operation_id operation;
     author_name author;
+    /// Until whoever asks stops waiting: the answer comes before that.
+    std::optional<base::duration> time_left;
 };
 
 /// Gives an engine no new work, or takes that back.
@@ -42,6 +45,7 @@
     bool undo = false;
     operation_id operation;
     author_name author;
+    std::optional<base::duration> time_left;  ///< As in `apply_command`.
 };
 
 struct change_outcome {
--- a/src/ferryroad/router/configuration/tunables.hpp
+++ b/src/ferryroad/router/configuration/tunables.hpp
@@ -36,6 +36,8 @@
 
     /// A change that hasn't taken effect by then is answered as failed or unknown.
     base::duration commit_limit = std::chrono::seconds(8);
+    /// Time kept for the answer's way where whoever asks names a limit; at most a quarter.
+    base::duration longest_way_back = std::chrono::milliseconds(500);
     base::duration commit_retry_pause = std::chrono::milliseconds(100);
     /// Snapshots to the object store are no closer than this.
     base::duration object_write_period = std::chrono::seconds(5);
