--- a/bench/simulation/network/network.cpp
+++ b/bench/simulation/network/network.cpp
@@ -2,12 +2,23 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace ferryroad::bench::simulation {
 
 network::network(virtual_time& time, network_settings settings, fault_counts& faults)
     : time_(time), settings_(settings), faults_(faults) {}
 
+network::~network() {
+    std::vector<std::shared_ptr<channel>> busy;
+    for (channel* line : busy_) {
+        busy.push_back(line->shared_from_this());
+    }
+    for (const auto& line : busy) {
+        line->close();
+    }
+}
+
 void network::place(const base::endpoint& machine, machine_place where) {
     places_[machine] = std::move(where);
 }
@@ -114,13 +125,15 @@
     last_due_ = std::max(last_due_, due);
     waiting_.push_back({last_due_, std::move(arrive)});
     if (waiting_.size() == 1) {
+        carrier_.busy_.insert(this);
         schedule(last_due_);
     }
 }
 
 void channel::close() {
     closed_ = true;
-    waiting_.clear();
+    carrier_.busy_.erase(this);
+    const auto dropped = std::exchange(waiting_, {});
 }
 
 void channel::schedule(base::monotonic_time when) {
@@ -137,7 +150,9 @@
     }
     const std::function<void()> arrive = std::move(waiting_.front().arrive);
     waiting_.pop_front();
-    if (!waiting_.empty()) {
+    if (waiting_.empty()) {
+        carrier_.busy_.erase(this);
+    } else {
         schedule(waiting_.front().due);
     }
     arrive();
--- a/bench/simulation/network/network.hpp
+++ b/bench/simulation/network/network.hpp
@@ -40,6 +40,8 @@
 using cut_id = base::strong_id<struct cut_id_tag, std::uint64_t>;
 using machine_set = std::set<base::endpoint>;
 
+class channel;
+
 /// Carries actions between addresses. What arrives runs outside any process: receivers
 /// enter their process themselves. An address never placed counts as the same zone.
 class network {
@@ -47,6 +49,8 @@
     network(virtual_time& time, network_settings settings, fault_counts& faults);
     network(const network&) = delete;
     network& operator=(const network&) = delete;
+    /// Drops what has not arrived. Processes that may still send are ended before.
+    ~network();
 
     virtual_time& time() { return time_; }
     network_settings& settings() { return settings_; }
@@ -70,6 +74,8 @@
                        const std::function<void()>& arrive);
 
   private:
+    friend class channel;
+
     struct cut_sets {
         machine_set left;
         machine_set right;
@@ -88,6 +94,7 @@
     std::map<base::endpoint, base::duration> slowed_;
     std::map<cut_id, cut_sets> cuts_;
     std::uint64_t next_cut_ = 1;
+    std::set<channel*> busy_;  ///< With messages on their way.
 };
 
 /// One direction of a connection: messages arrive in order or, once closed, not at all. A cut
@@ -95,6 +102,8 @@
 class channel final : public std::enable_shared_from_this<channel> {
   public:
     static std::shared_ptr<channel> open(network& carrier, base::endpoint from, base::endpoint to);
+    channel(const channel&) = delete;
+    channel& operator=(const channel&) = delete;
 
     void send(std::function<void()> arrive);
     /// Drops what has not arrived.
