--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <array>
 
@@ -13,7 +14,7 @@
 
 namespace asio = boost::asio;
 
-constexpr std::size_t read_block_bytes = 16U * 1024U;
+constexpr std::size_t read_block_bytes = std::size_t{16} * 1024;
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 }  // namespace
@@ -49,10 +50,17 @@
     }
 }
 
+void connection::make_non_blocking() {
+    if (!socket_.non_blocking()) {
+        boost::system::error_code ignored;
+        socket_.non_blocking(true, ignored);
+    }
+}
+
 boost::system::error_code connection::read_available() {
-    std::array<char, read_block_bytes> block;
+    std::array<char, read_block_bytes> block{};
     boost::system::error_code failure;
-    socket_.non_blocking(true, failure);
+    make_non_blocking();
     const std::size_t count = socket_.read_some(asio::buffer(block), failure);
     received_.append(block.data(), count);
     return failure;
@@ -108,7 +116,7 @@
     }
     std::array<char, 1> byte{};
     boost::system::error_code failure;
-    socket_.non_blocking(true, failure);
+    make_non_blocking();
     socket_.receive(asio::buffer(byte), asio::socket_base::message_peek, failure);
     return failure == asio::error::would_block;
 }
@@ -118,6 +126,12 @@
     return !received_.empty() || (socket_.is_open() && socket_.available(failure) > 0);
 }
 
+void connection::throw_if_cancelled(const boost::system::error_code& failure) const {
+    if (failure == asio::error::operation_aborted && socket_.is_open()) {
+        throw boost::system::system_error(failure);
+    }
+}
+
 void connection::shutdown_send() {
     boost::system::error_code ignored;
     socket_.shutdown(socket_type::shutdown_send, ignored);
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -18,6 +18,7 @@
 /// Answers one request: either `send` once, or `begin_stream`, `write` any number of times,
 /// and `end_stream`. A stream dropped before `end_stream` closes the connection without the
 /// final chunk, so that the other side sees a broken body. Valid until the handler returns.
+/// Cancelling a coroutine in a write breaks the answer and throws operation_aborted.
 class response_writer {
   public:
     virtual ~response_writer() = default;
@@ -27,15 +28,16 @@
     virtual runtime::task<runtime::result<void, error>> write(std::string chunk) = 0;
     virtual runtime::task<runtime::result<void, error>> end_stream() = 0;
     /// Completes when the other side closes its connection while the handler is at work. Meant
-    /// for `handler_work || writer.wait_closed()` (Asio's awaitable operators).
+    /// for `handler_work || writer.wait_closed()` (Asio's awaitable operators), whose first
+    /// success ends the other: work that throws leaves this waiting, so it catches its own.
     virtual runtime::task<void> wait_closed() = 0;
     /// Closes the connection abruptly: for emulators' cut faults.
     virtual void abort() = 0;
 };
 
 struct server_limits {
-    std::size_t header_bytes = 16U * 1024U;
-    std::size_t body_bytes = 8U * 1024U * 1024U;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t connections = 4096;
     base::duration idle = std::chrono::seconds(60);          ///< Between requests.
     base::duration request_read = std::chrono::seconds(30);  ///< For one whole request.
