Claimed requests run to their end without their caller

Cause: a caller that lost its connection repeats its key to learn the outcome; cancelling the engine's attempt as the caller leaves would leave only unknown. Change: a request with a claim is driven apart from its caller's coroutine (token_relay carries tokens over); drain() waits for such requests in a planned stop. Answers over the recording limit are recorded as complete without their bytes, for application calls too. Conclusion: a repeated key gets the outcome of the one run.

--- a/src/ferryroad/router/request/application_driver.cpp
+++ b/src/ferryroad/router/request/application_driver.cpp
@@ -43,6 +43,9 @@
 recorded_outcome application_driver::whole_outcome() const {
     recorded_outcome outcome;
     outcome.execution = execution::execution_report::complete;
+    if (reply_.body.size() > start().limits.recorded_body_bytes) {
+        return outcome;  // Complete, without its answer.
+    }
     outcome.status = reply_.status;
     outcome.content_type = reply_.content_type;
     outcome.body = reply_.body;
--- a/src/ferryroad/router/request/routing_request_service.cpp
+++ b/src/ferryroad/router/request/routing_request_service.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -139,16 +140,28 @@
     start.rules.claimed = start.claim.has_value();
     start.rules.streamed = true;
     admission_query admitted = admission_query_of(start);
-    generation_driver driver(with_, std::move(start), call.prompt, call.key, sink);
-    const auto refused = co_await serve(driver, std::move(admitted));
+    std::shared_ptr<token_relay> relay;
+    if (start.claim) {
+        relay = std::make_shared<token_relay>(with_.scheduler.executor(),
+                                              std::size_t{start.resolved.max_tokens} + 1);
+    }
+    token_sink& driven = relay ? static_cast<token_sink&>(*relay) : sink;
+    auto driver =
+        std::make_shared<generation_driver>(with_, std::move(start), call.prompt, call.key, driven);
+    std::optional<refusal> refused;
+    if (relay) {
+        refused = co_await serve_claimed(driver, std::move(admitted), relay, &sink);
+    } else {
+        refused = co_await serve(*driver, std::move(admitted));
+    }
     if (refused) {
         co_return *refused;
     }
-    if (driver.replayed()) {
-        auto replayed = co_await replay(*driver.replayed(), sink);
+    if (driver->replayed()) {
+        auto replayed = co_await replay(*driver->replayed(), sink);
         co_return replayed;
     }
-    co_return driver.summary();
+    co_return driver->summary();
 }
 
 runtime::task<runtime::result<application_reply, refusal>>
@@ -163,15 +176,27 @@
     start.rules.claimed = start.claim.has_value();
     start.rules.streamed = false;
     admission_query admitted = admission_query_of(start);
-    application_driver driver(with_, std::move(start), std::move(call));
-    const auto refused = co_await serve(driver, std::move(admitted));
+    const bool claimed = start.claim.has_value();
+    auto driver = std::make_shared<application_driver>(with_, std::move(start), std::move(call));
+    std::optional<refusal> refused;
+    if (claimed) {
+        refused = co_await serve_claimed(driver, std::move(admitted), nullptr, nullptr);
+    } else {
+        refused = co_await serve(*driver, std::move(admitted));
+    }
     if (refused) {
         co_return *refused;
     }
-    if (driver.replayed()) {
-        co_return replay(*driver.replayed());
+    if (driver->replayed()) {
+        co_return replay(*driver->replayed());
+    }
+    co_return driver->reply();
+}
+
+runtime::task<void> routing_request_service::drain() {
+    while (claimed_at_work_ > 0) {
+        co_await with_.scheduler.sleep_for(limits_.drain_poll);
     }
-    co_return driver.reply();
 }
 
 template <typename Call>
@@ -253,6 +278,32 @@
     co_return driver.refused();
 }
 
+runtime::task<std::optional<refusal>> routing_request_service::serve_claimed(
+    std::shared_ptr<execution_driver> driver, admission_query query,
+    std::shared_ptr<token_relay> relay, token_sink* sink) {
+    auto ended = std::make_shared<ending>(with_.scheduler.executor(), std::size_t{1});
+    ++claimed_at_work_;
+    with_.scheduler.spawn("router.request",
+                          run_to_end(std::move(driver), std::move(query), relay, ended));
+    if (relay) {
+        co_await relay->pass_on(*sink);
+    }
+    auto refused = co_await ended->async_receive(boost::asio::use_awaitable);
+    co_return refused;
+}
+
+runtime::task<void> routing_request_service::run_to_end(std::shared_ptr<execution_driver> driver,
+                                                        admission_query query,
+                                                        std::shared_ptr<token_relay> relay,
+                                                        std::shared_ptr<ending> ended) {
+    auto refused = co_await serve(*driver, std::move(query));
+    --claimed_at_work_;
+    if (relay) {
+        relay->close();
+    }
+    ended->try_send(boost::system::error_code(), std::move(refused));
+}
+
 runtime::task<std::optional<refusal>> routing_request_service::admit_and_drive(
     execution_driver& driver, admission_query query) {
     auto admitted = co_await admission_.admit(std::move(query));
--- a/src/ferryroad/router/request/routing_request_service.hpp
+++ b/src/ferryroad/router/request/routing_request_service.hpp
@@ -7,9 +7,13 @@
 #include "ferryroad/router/request/admission.hpp"
 #include "ferryroad/router/request/call_resolution.hpp"
 #include "ferryroad/router/request/execution_driver.hpp"
+#include "ferryroad/router/request/token_relay.hpp"
 #include "ferryroad/router/request/tunables.hpp"
 #include "ferryroad/router/request_types.hpp"
 
+#include <boost/asio/experimental/channel.hpp>
+
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +32,10 @@
     runtime::task<runtime::result<application_reply, refusal>> call_application(
         application_call call) override;
 
+    /// Planned stop, once no caller is left: @return when claimed requests whose callers went
+    /// away have ended too.
+    runtime::task<void> drain();
+
   private:
     /// Whose requests share one retry budget.
     struct budget_key {
@@ -44,8 +52,20 @@
                           base::monotonic_time arrived);
     std::shared_ptr<core::admission::retry_budget> budget_of(const resolved_call& resolved);
     admission_query admission_query_of(const driver_start& start) const;
-    /// Admits and drives the request, within its deadline.
+    /// Admits and drives the request, within its deadline; a caller gone ends it.
     runtime::task<std::optional<refusal>> serve(execution_driver& driver, admission_query query);
+    /// The same for a request that holds a claim, or will: it runs to its end also without its
+    /// caller, so that the caller can ask again by the key.
+    /// @param relay and `sink`: null for application calls.
+    runtime::task<std::optional<refusal>> serve_claimed(std::shared_ptr<execution_driver> driver,
+                                                        admission_query query,
+                                                        std::shared_ptr<token_relay> relay,
+                                                        token_sink* sink);
+    using ending =
+        boost::asio::experimental::channel<void(boost::system::error_code, std::optional<refusal>)>;
+    runtime::task<void> run_to_end(std::shared_ptr<execution_driver> driver, admission_query query,
+                                   std::shared_ptr<token_relay> relay,
+                                   std::shared_ptr<ending> ended);
     runtime::task<std::optional<refusal>> admit_and_drive(execution_driver& driver,
                                                           admission_query query);
 
@@ -54,6 +74,7 @@
     request_collaborators with_;
     request_tunables limits_;
     call_resolver resolver_;
+    std::size_t claimed_at_work_ = 0;
     std::map<budget_key, std::shared_ptr<core::admission::retry_budget>> budgets_;
 };
 
--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -21,6 +21,8 @@
     base::duration not_ready_retry = std::chrono::seconds(2);
     /// Longest wait for warm state from another engine before computing it anew.
     base::duration import_wait = std::chrono::seconds(2);
+    /// How often a planned stop looks whether claimed requests have ended.
+    base::duration drain_poll = std::chrono::milliseconds(50);
     /// Longest answer kept for callers that repeat a key.
     std::size_t recorded_body_bytes = std::size_t{256} * 1024;
 };
--- a/test/router/request/fake_router.hpp
+++ b/test/router/request/fake_router.hpp
@@ -147,6 +147,7 @@
 
     explicit fake_engines(runtime::scheduler& scheduler) : scheduler_(scheduler) {}
 
+    base::duration answer_time{};         ///< Of application calls.
     std::deque<exchange_script> scripts;  ///< Of the next exchanges, in order.
     std::vector<call> calls;
     std::vector<base::attempt_id> cancelled;
@@ -176,6 +177,7 @@
         if (script.silent_at) {
             co_await scheduler_.sleep_until(base::monotonic_time::max());
         }
+        co_await scheduler_.sleep_for(answer_time);
         if (script.refused) {
             co_return *script.refused;
         }
--- a/test/router/request/request_service_test.cpp
+++ b/test/router/request/request_service_test.cpp
@@ -293,6 +293,37 @@
     cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
 }
 
+Test(request_service, a_claimed_call_runs_to_its_end_without_its_caller) {
+    run one;
+    one.router.engines.answer_time = 3s;
+    one.call("/app/records", "k1", "x", 1s);
+    cr_assert_not(one.replied.has_value(), "the caller left");
+    cr_assert(one.router.engines.cancelled.empty());
+    one.call("/app/records", "k1");
+    cr_assert((*one.replied)->body == "echo:x");
+    cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
+}
+
+Test(request_service, a_claimed_generation_runs_to_its_end_without_its_caller) {
+    run one;
+    one.sink.gone_at = 2;
+    one.generate("/v1/chat/completions", "k1");
+    one.sink = text_sink();
+    one.generate("/v1/chat/completions", "k1");
+    cr_assert(one.sink.text == "t0 t1 t2 t3 t4 ");
+    cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
+}
+
+Test(request_service, an_answer_too_long_to_keep_is_complete_all_the_same) {
+    run one;
+    const std::string body(router::request_tunables{}.recorded_body_bytes, 'x');
+    one.call("/app/records", "k1", body);
+    cr_assert((*one.replied)->body == "echo:" + body);
+    one.call("/app/records", "k1", body);
+    cr_assert_eq(one.replied->error().code, refusal_code::key_in_use);
+    cr_assert_eq(one.replied->error().execution, execution_report::complete);
+}
+
 Test(request_service, key_of_an_unknown_outcome_stays_closed) {
     run one;
     one.router.engines.scripts.push_back(refuses(error_code::connection_lost, proof::unknown));
