--- a/src/ferryroad/router/request/token_relay.cpp
+++ b/src/ferryroad/router/request/token_relay.cpp
@@ -24,7 +24,7 @@
     for (;;) {
         boost::system::error_code closed;
         auto completion = boost::asio::redirect_error(boost::asio::use_awaitable, closed);
-        engine::stream_token token = co_await tokens_.async_receive(std::move(completion));
+        engine::stream_token token = co_await tokens_.async_receive(completion);
         if (closed) {
             co_return;
         }
