Node: fair admission in place of the removed token buckets; no Retry-After where waiting can't help

Cause: the node was composed with the stand-in that core/admission replaces; a refusal of a key used for other content said when to come back. Change: router/node builds fair_admission with the whole quota; rejected and other-content refusals carry no Retry-After. Conclusion: the daemon has one admission.

--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -5,8 +5,8 @@
 #include "ferryroad/router/claims/table_claim_registry.hpp"
 #include "ferryroad/router/configuration/configuration_service.hpp"
 #include "ferryroad/router/node_status.hpp"
+#include "ferryroad/router/request/fair_admission.hpp"
 #include "ferryroad/router/request/routing_request_service.hpp"
-#include "ferryroad/router/request/token_bucket_admission.hpp"
 #include "ferryroad/router/selection/local_prefix_knowledge.hpp"
 #include "ferryroad/router/selection/selector.hpp"
 
@@ -54,7 +54,7 @@
           selector(directory, knowledge, core::routing::make_policy(options.policy),
                    ports.scheduler),
           claims(ports.scheduler, ports.table, liveness, {identity.name, identity.process}),
-          admission(ports.scheduler),
+          admission(ports.scheduler, directory, quota),
           requests(configuration, admission,
                    {ports.scheduler, directory, selector, ports.engines, claims}),
           status(identity, ready, configuration, directory) {}
@@ -71,7 +71,8 @@
     selection::selector selector;
     alone liveness;
     table_claim_registry claims;
-    token_bucket_admission admission;
+    whole_quota quota;
+    fair_admission admission;
     routing_request_service requests;
     node_status status;
 };
--- a/src/ferryroad/router/request/engine_failures.cpp
+++ b/src/ferryroad/router/request/engine_failures.cpp
@@ -80,6 +80,12 @@
     return {refusal_code::engine_failed, "The request was abandoned."};
 }
 
+/// Whether the same request can fare better later.
+bool may_pass(execution::refusal_reason reason) {
+    return reason != execution::refusal_reason::rejected &&
+           reason != execution::refusal_reason::claim_other_content;
+}
+
 }  // namespace
 
 execution::exchange_failed to_event(execution::exchange_number exchange,
@@ -100,7 +106,11 @@
 
 refusal to_refusal(const execution::refuse& given_up) {
     const caller_answer answer = answer_of(given_up.reason);
-    return {answer.code, answer.message, given_up.report, given_up.retry_after};
+    refusal refused{answer.code, answer.message, given_up.report, std::nullopt};
+    if (may_pass(given_up.reason)) {
+        refused.retry_after = given_up.retry_after;
+    }
+    return refused;
 }
 
 }  // namespace ferryroad::router
--- a/test/router/request/request_service_test.cpp
+++ b/test/router/request/request_service_test.cpp
@@ -281,6 +281,7 @@
     cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
     one.call("/app/records", "k1", "other");
     cr_assert_eq(one.replied->error().code, refusal_code::key_in_use);
+    cr_assert_not(one.replied->error().retry_after.has_value(), "it never gets better");
 }
 
 Test(request_service, repeated_key_gets_the_recorded_tokens) {
