router/configuration: the table is polled also while peers confirm

Cause: random schedules of faults (restart, pause, cut, lost pushes, outage, delay, lost answers, rate limit) ended with all routers one revision behind the table: a router died after its commit and before its push, the others confirmed each other, and nobody asked the table. Ruled out: replica and pull (each router held exactly the log's prefix).

--- a/src/ferryroad/router/configuration/synchronization.cpp
+++ b/src/ferryroad/router/configuration/synchronization.cpp
@@ -78,26 +78,28 @@
 }
 
 runtime::task<void> configuration_service::follow_table() {
-    base::duration back_off = tunables_.first_table_read;
     const double first = ports_.scheduler.random().unit();
-    const base::duration first_pause = base::from_seconds(first * base::to_seconds(back_off));
+    const base::duration first_pause =
+        base::from_seconds(first * base::to_seconds(tunables_.first_table_read));
     co_await ports_.scheduler.sleep_for(first_pause);
+    base::monotonic_time due = ports_.scheduler.now() + jittered(tunables_.table_poll_period);
+    base::duration back_off = tunables_.first_table_read;
     while (!stopped_) {
-        const bool confirmed_by_peers = confirmed() && peer_confirmed_last_;
-        base::duration pause = jittered(tunables_.table_poll_period);
-        if (!confirmed_by_peers) {
+        base::duration pause = tunables_.lonely_table_poll_period;
+        const bool peers_confirm = confirmed() && peer_confirmed_last_;
+        if (!peers_confirm || ports_.scheduler.now() >= due) {
+            due = ports_.scheduler.now() + jittered(tunables_.table_poll_period);
             auto pulled = co_await pull_from_table();
-            pause = jittered(tunables_.lonely_table_poll_period);
             if (pulled) {
                 back_off = tunables_.first_table_read;
             } else {
                 log_platform("the table didn't give the configuration", pulled.error());
                 back_off = std::min(2 * back_off, tunables_.longest_back_off);
-                const base::duration wanted = pulled.error().retry_after.value_or(back_off);
-                pause = jittered(std::max(wanted, back_off));
+                pause = std::max(back_off, pulled.error().retry_after.value_or(back_off));
             }
         }
-        co_await ports_.scheduler.sleep_for(pause);
+        const base::duration jittered_pause = jittered(pause);
+        co_await ports_.scheduler.sleep_for(jittered_pause);
     }
 }
 
--- a/test/router/configuration/service_test.cpp
+++ b/test/router/configuration/service_test.cpp
@@ -277,3 +277,20 @@
     cr_assert(system.service(0).current()->pools.at(pool).drained.empty());
     cr_assert_eq(system.revision(0), 3);
 }
+
+// A router died after its commit, before it told anyone: peers confirm each other, and only
+// the table knows better.
+Test(configuration, a_change_that_only_the_table_knows_is_found) {
+    simulated_system system(3);
+    system.run_for(1s);
+    emulator::platform_faults faults;
+    faults.lost_answers = 1;
+    system.platform.set_faults(faults);
+    system.apply(0, make_command("first", 1));
+    while (system.platform.faults().lost_answers > 0) {
+        system.run_for(1ms);
+    }
+    system.start(0);
+    system.run_for(80s);
+    cr_assert(system.all_at(1));
+}
