Membership: dissemination as a class of its own

Change: dissemination holds news, notices, the revision and the allowance; the detector keeps probes and states. Dead members are forgotten when one is probed, not on each tick.

--- a/src/ferryroad/coordination/membership/failure_detector.cpp
+++ b/src/ferryroad/coordination/membership/failure_detector.cpp
@@ -13,10 +13,6 @@
 /// Entries taken from one datagram.
 constexpr std::size_t most_entries = 64;
 
-double doublings(std::size_t others) {
-    return std::log2(static_cast<double>(others) + 2.0);
-}
-
 /// Between half and one and a half of `period`, so that members don't act in step.
 base::duration jittered(base::duration period, base::random_source& random) {
     return base::from_seconds(base::to_seconds(period) * (0.5 + random.unit()));
@@ -32,10 +28,8 @@
       seeds_(std::move(seeds)),
       random_(random),
       table_(random),
+      news_(settings_, self_, table_, now),
       next_sequence_(random.next()),
-      allowance_(settings.entries_burst),
-      allowance_at_(now),
-      last_event_(now),
       next_probe_(now + jittered(settings.probe_period, random)),
       next_gossip_(now),
       next_dead_probe_(now + jittered(settings.dead_probe_period, random)),
@@ -58,8 +52,9 @@
     if (late > settings_.pause_tolerance) {
         resume_after_pause(late, now);
     }
-    refill_allowance(now);
-    expire(now);
+    news_.advance(now);
+    expire_suspicions(now);
+    std::erase_if(relays_, [&](const auto& entry) { return entry.second.deadline <= now; });
     advance_probe(now);
     probe_dead_member(now);
     try_seeds(now);
@@ -73,7 +68,7 @@
     if (departed_ || message.sender == self_.name) {
         return {};
     }
-    refill_allowance(now);
+    news_.advance(now);
     const std::size_t entries = std::min(message.members.size(), most_entries);
     for (std::size_t index = 0; index < entries; ++index) {
         merge(message.members[index], now);
@@ -86,11 +81,11 @@
         sender->view_differs = differs;
     }
     if (!differs) {
-        member_news_.credit(transmission_limit());
+        news_.view_matched();
         list_period_ = settings_.shortest_list_period;
         schedule_list(now);
     }
-    if (message.revision > revision_) {
+    if (message.revision > news_.revision()) {
         pending_.emplace_back(revision_seen{message.sender, from, message.revision});
     }
     answer_probe(message, from, now);
@@ -139,7 +134,7 @@
         const bool lacks =
             found == listed.end() ? !dead : supersedes(record.update, *found->second);
         if (lacks) {
-            member_news_.add(name.value);
+            news_.member_unknown_elsewhere(name);
         }
     }
 }
@@ -149,27 +144,14 @@
 }
 
 void failure_detector::set_revision(std::uint64_t revision) {
-    if (revision > revision_) {
-        revision_ = revision;
-        revision_transmissions_left_ = transmission_limit();
-    }
+    news_.set_revision(revision);
 }
 
 void failure_detector::spread(const notice& message, base::monotonic_time now) {
-    const auto known = notices_.find(message.subject);
-    if (known != notices_.end()) {
-        const notice& held = known->second.message;
-        const bool news = message.version > held.version ||
-                          (message.version == held.version && message.raised && !held.raised);
-        if (!news) {
-            return;
-        }
-    } else if (notices_.size() >= settings_.most_notices) {
-        return;
+    news_.advance(now);
+    if (news_.spread(message)) {
+        pending_.emplace_back(notice_learned{message});
     }
-    notices_[message.subject] = kept_notice{message, now};
-    notice_news_.add(message.subject);
-    pending_.emplace_back(notice_learned{message});
 }
 
 void failure_detector::probe_soon(const base::router_name& name) {
@@ -184,21 +166,22 @@
     }
 }
 
-actions failure_detector::depart(base::monotonic_time now) {
+actions failure_detector::depart() {
     leave();
     self_.state = member_state::dead;
     for (const member_record* member : table_.sample_live(settings_.departure_fanout)) {
-        datagram farewell{self_.name, self_.incarnation, revision_, digest(), {}, {self_}, {}};
+        datagram farewell{self_.name, self_.incarnation, news_.revision(), digest(), {}, {self_},
+                          {}};
         pending_.emplace_back(send_datagram{member->update.address, std::move(farewell)});
     }
-    allowance_at_ = now;
     departed_ = true;
     return take_actions();
 }
 
 base::duration failure_detector::suspicion_time() const {
-    const double periods = settings_.suspicion_periods + settings_.suspicion_periods_per_doubling *
-                                                             doublings(table_.live_count());
+    const double periods =
+        settings_.suspicion_periods + settings_.suspicion_periods_per_doubling *
+                                          std::log2(static_cast<double>(table_.live_count()) + 2.0);
     return base::from_seconds(base::to_seconds(settings_.probe_period) * periods);
 }
 
@@ -212,22 +195,6 @@
     }
 }
 
-void failure_detector::expire(base::monotonic_time now) {
-    expire_suspicions(now);
-    std::erase_if(latest_, [&](const latest_change& change) {
-        return now - change.at > settings_.repair_time;
-    });
-    table_.forget_dead(now - settings_.dead_retention);
-    std::erase_if(relays_, [&](const auto& entry) { return entry.second.deadline <= now; });
-    std::erase_if(notices_, [&](const auto& entry) {
-        const bool old = now - entry.second.since > settings_.notice_retention;
-        if (old) {
-            notice_news_.remove(entry.first);
-        }
-        return old;
-    });
-}
-
 void failure_detector::expire_suspicions(base::monotonic_time now) {
     if (table_.suspect_count() == 0) {
         return;
@@ -313,7 +280,7 @@
     }
     next_gossip_ = std::max(next_gossip_ + settings_.gossip_period, now);
     for (const member_record* member : table_.sample_live(settings_.gossip_fanout)) {
-        if (!has_news()) {
+        if (!news_.has_news()) {
             return;
         }
         send(member->update.address, member, std::monostate{});
@@ -325,6 +292,7 @@
         return;
     }
     next_dead_probe_ = now + jittered(settings_.dead_probe_period, random_);
+    table_.forget_dead(now - settings_.dead_retention);
     if (const member_record* dead = table_.sample_dead()) {
         send(dead->update.address, dead, ping{next_sequence_++});
     }
@@ -450,110 +418,23 @@
 
 void failure_detector::apply(const member_update& update, base::monotonic_time now) {
     table_.put(update, now);
-    remember_change(update.name);
-    member_news_.add(update.name.value);
+    news_.member_changed(update.name);
     pending_.emplace_back(member_changed{update});
 }
 
 void failure_detector::announce_self() {
-    remember_change(self_.name);
-    member_news_.add(self_.name.value);
+    news_.member_changed(self_.name);
 }
 
 // ---- Sending ----
 
 void failure_detector::send(const base::endpoint& to, const member_record* receiver,
                             probe content) {
-    datagram out{self_.name, self_.incarnation, revision_, digest(), std::move(content), {}, {}};
-    add_notices(out);
-    add_members(out, receiver);
-    if (receiver != nullptr && receiver->view_differs) {
-        add_repairs(out);
-    }
-    if (revision_transmissions_left_ > 0) {
-        --revision_transmissions_left_;
-    }
+    datagram out{self_.name, self_.incarnation, 0, digest(), std::move(content), {}, {}};
+    news_.fill(out, receiver);
     pending_.emplace_back(send_datagram{to, std::move(out)});
 }
 
-void failure_detector::add_members(datagram& message, const member_record* receiver) {
-    // A receiver that is suspected or taken for dead hears it first, so that it can refute.
-    const bool accused = receiver != nullptr && (receiver->update.state == member_state::suspect ||
-                                                 receiver->update.state == member_state::dead);
-    if (accused) {
-        message.members.push_back(receiver->update);
-    }
-    const std::size_t room = settings_.members_per_datagram - message.members.size();
-    const std::size_t count = take_allowance(std::min(room, member_news_.size()));
-    for (const std::string& subject : member_news_.take(count, transmission_limit())) {
-        const base::router_name name(subject);
-        const member_record* record = table_.find(name);
-        if (name == self_.name) {
-            message.members.push_back(self_);
-        } else if (record != nullptr && record != receiver) {
-            message.members.push_back(record->update);
-        }
-    }
-}
-
-void failure_detector::add_repairs(datagram& message) {
-    const std::size_t room = settings_.members_per_datagram - message.members.size();
-    const std::size_t wanted = std::min({room, settings_.repairs_per_datagram, latest_.size()});
-    const std::size_t count = take_allowance(wanted);
-    for (std::size_t index = 0; index < count; ++index) {
-        const base::router_name& name = latest_[index].name;
-        const member_record* record = table_.find(name);
-        if (name == self_.name) {
-            message.members.push_back(self_);
-        } else if (record != nullptr) {
-            message.members.push_back(record->update);
-        }
-    }
-}
-
-void failure_detector::remember_change(const base::router_name& name) {
-    std::erase_if(latest_, [&](const latest_change& change) { return change.name == name; });
-    latest_.push_front({name, last_event_});
-    if (latest_.size() > settings_.repairs_per_datagram) {
-        latest_.pop_back();
-    }
-}
-
-void failure_detector::add_notices(datagram& message) {
-    const std::size_t wanted = std::min(settings_.notices_per_datagram, notice_news_.size());
-    const std::size_t count = take_allowance(wanted);
-    for (const std::string& subject : notice_news_.take(count, transmission_limit())) {
-        const auto held = notices_.find(subject);
-        if (held != notices_.end()) {
-            message.notices.push_back(held->second.message);
-        }
-    }
-}
-
-bool failure_detector::has_news() const {
-    const bool entries = !member_news_.empty() || !notice_news_.empty();
-    return (entries && allowance_ >= 1.0) || revision_transmissions_left_ > 0;
-}
-
-std::uint32_t failure_detector::transmission_limit() const {
-    return static_cast<std::uint32_t>(
-        std::ceil(settings_.transmissions +
-                  settings_.transmissions_per_doubling * doublings(table_.live_count())));
-}
-
-std::size_t failure_detector::take_allowance(std::size_t wanted) {
-    const std::size_t taken = std::min(wanted, static_cast<std::size_t>(allowance_));
-    allowance_ -= static_cast<double>(taken);
-    return taken;
-}
-
-void failure_detector::refill_allowance(base::monotonic_time now) {
-    const double earned = base::to_seconds(now - allowance_at_) * settings_.entries_per_second;
-    allowance_ = std::min(settings_.entries_burst, allowance_ + std::max(earned, 0.0));
-    allowance_at_ = std::max(now, allowance_at_);
-    last_event_ = std::max(now, last_event_);
-}
-
 actions failure_detector::take_actions() {
     return std::exchange(pending_, {});
 }
--- a/src/ferryroad/coordination/membership/failure_detector.hpp
+++ b/src/ferryroad/coordination/membership/failure_detector.hpp
@@ -10,16 +10,14 @@
 #include "ferryroad/base/random.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/coordination/membership/actions.hpp"
+#include "ferryroad/coordination/membership/dissemination.hpp"
 #include "ferryroad/coordination/membership/member_table.hpp"
 #include "ferryroad/coordination/membership/messages.hpp"
-#include "ferryroad/coordination/membership/news_queue.hpp"
 #include "ferryroad/coordination/membership/settings.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
-#include <string>
 #include <vector>
 
 namespace ferryroad::coordination::membership {
@@ -40,6 +38,8 @@
     failure_detector(detector_settings settings, member_update self,
                      std::vector<base::endpoint> seeds, base::random_source& random,
                      base::monotonic_time now);
+    failure_detector(const failure_detector&) = delete;
+    failure_detector& operator=(const failure_detector&) = delete;
 
     /// @return when `on_tick` is to be called. Being late is taken for a pause of this process.
     base::monotonic_time next_tick() const;
@@ -61,7 +61,7 @@
     /// Planned stop: others are told to give this member no new role. Goes on answering.
     void leave();
     /// The end of a planned stop: tells some members directly. Later events do nothing.
-    actions depart(base::monotonic_time now);
+    actions depart();
 
     const member_update& self() const { return self_; }
     const member_table& members() const { return table_; }
@@ -84,18 +84,9 @@
         std::uint64_t origin_sequence = 0;
         base::monotonic_time deadline;
     };
-    struct latest_change {
-        base::router_name name;
-        base::monotonic_time at;
-    };
-    struct kept_notice {
-        notice message;
-        base::monotonic_time since;
-    };
 
     // Ticks.
     void resume_after_pause(base::duration pause, base::monotonic_time now);
-    void expire(base::monotonic_time now);
     void expire_suspicions(base::monotonic_time now);
     void advance_probe(base::monotonic_time now);
     void start_probe(base::monotonic_time now);
@@ -124,14 +115,6 @@
 
     // Sending.
     void send(const base::endpoint& to, const member_record* receiver, probe content);
-    void add_members(datagram& message, const member_record* receiver);
-    void add_repairs(datagram& message);
-    void add_notices(datagram& message);
-    void remember_change(const base::router_name& name);
-    bool has_news() const;
-    std::uint32_t transmission_limit() const;
-    std::size_t take_allowance(std::size_t wanted);
-    void refill_allowance(base::monotonic_time now);
     actions take_actions();
 
     detector_settings settings_;
@@ -139,20 +122,12 @@
     std::vector<base::endpoint> seeds_;
     base::random_source& random_;
     member_table table_;
-    news_queue member_news_;
-    std::deque<latest_change> latest_;  ///< The newest first.
-    news_queue notice_news_;
-    std::map<std::string, kept_notice> notices_;
-    std::uint64_t revision_ = 0;
-    std::uint32_t revision_transmissions_left_ = 0;
+    dissemination news_;
 
     probe_state probe_;
     std::optional<base::router_name> probe_hint_;
     std::map<std::uint64_t, relay> relays_;
     std::uint64_t next_sequence_;
-    double allowance_;
-    base::monotonic_time allowance_at_;
-    base::monotonic_time last_event_;
     base::monotonic_time next_probe_;
     base::monotonic_time next_gossip_;
     base::monotonic_time next_dead_probe_;
--- a/test/coordination/membership/failure_detector_test.cpp
+++ b/test/coordination/membership/failure_detector_test.cpp
@@ -196,7 +196,7 @@
 Test(failure_detector, departed_member_is_silent) {
     bench test;
     test.hear({member("b", 2)});
-    const actions todo = test.detector.depart(test.now);
+    const actions todo = test.detector.depart();
     cr_assert_eq(todo.size(), 1);
     cr_assert(sent(todo.front())->members.front().state == dead);
     cr_assert(test.hear({}, ping{1}).empty());
--- a/test/coordination/membership/simulated_group.hpp
+++ b/test/coordination/membership/simulated_group.hpp
@@ -87,7 +87,7 @@
         ++nodes_[index].life;
     }
     void depart(std::size_t index) {
-        perform(index, nodes_[index].detector->depart(now_));
+        perform(index, nodes_[index].detector->depart());
         crash(index);
     }
     void pause(std::size_t index) { nodes_[index].paused = true; }
