--- a/apps/ferrybench.cpp
+++ b/apps/ferrybench.cpp
@@ -10,7 +10,9 @@
     program.require_subcommand(1);
     commands::outcome result;
     commands::add_workload(program, result);
+    commands::add_load(program, result);
     commands::add_audit(program, result);
+    commands::add_report(program, result);
     try {
         program.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -9,6 +9,12 @@
 
 namespace ferryroad::router {
 
+struct admission_limits {
+    /// Requests that this router keeps at work for each live engine of a pool; more wait here,
+    /// where priority and fairness hold, and not in the engine.
+    std::size_t places_per_engine = 32;
+};
+
 struct request_tunables {
     core::execution::tunables execution;
     /// When a caller should come back to a router that isn't ready.
@@ -16,7 +22,7 @@
     /// Longest wait for warm state from another engine before computing it anew.
     base::duration import_wait = std::chrono::seconds(2);
     /// Longest answer kept for callers that repeat a key.
-    std::size_t recorded_body_bytes = 256U * 1024U;
+    std::size_t recorded_body_bytes = std::size_t{256} * 1024;
 };
 
 }  // namespace ferryroad::router
