--- a/bench/simulation/engines/simulated_engine.cpp
+++ b/bench/simulation/engines/simulated_engine.cpp
@@ -104,7 +104,9 @@
         reader->break_off();
     }
     reader = line;
-    line->on_closed([this, attempt, closed = line.get()] { close_stream(attempt, closed); });
+    line->on_closed([this, attempt, closed = line.get()] {
+        receive([this, attempt, closed] { close_stream(attempt, closed); });
+    });
     line->send_to_client(stream_opened{});
     settle();
 }
