Wire: prefix reports say whether an answer confirmed them, or that events were lost

Cause: after a gap in an engine's events an owner must void all that no answer has confirmed; reports carried neither.

Change: two fields at the end of PrefixReport, in the codec and its samples.

--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -112,12 +112,13 @@
     wire_body operator()(const prefix_reports& body) const {
         const auto reports =
             write_list<wire::PrefixReport>(builder, body.reports, [&](const prefix_report& report) {
-                const auto within = scope(report.scope);
+                const auto within =
+                    report.events_lost ? offset<wire::Namespace>() : scope(report.scope);
                 const auto held = pieces(report.pieces);
                 const auto engine = write_shared(builder, report.engine.value);
                 return wire::CreatePrefixReport(builder, within, held, engine,
                                                 report.incarnation.value, report.evicted,
-                                                report.depth);
+                                                report.depth, report.answered, report.events_lost);
             });
         return {wire::CallBody::PrefixReports, wire::CreatePrefixReports(builder, reports).Union()};
     }
@@ -229,12 +230,15 @@
     call_body read(const wire::PrefixReports& body) const {
         return prefix_reports{fields.list(
             body.reports(), codec_limits::reports, [&](const wire::PrefixReport& report) {
-                return prefix_report{scope(report.scope()),
-                                     pieces(report.pieces()),
-                                     fields.name<base::engine_name>(report.engine()),
-                                     base::incarnation(report.incarnation()),
-                                     report.evicted(),
-                                     report.depth()};
+                return prefix_report{
+                    report.events_lost() ? cache_namespace{} : scope(report.scope()),
+                    pieces(report.pieces()),
+                    fields.name<base::engine_name>(report.engine()),
+                    base::incarnation(report.incarnation()),
+                    report.evicted(),
+                    report.depth(),
+                    report.answered(),
+                    report.events_lost()};
             })};
     }
     call_body read(const wire::QuotaRequest& body) const {
--- a/src/ferryroad/peer/messages.hpp
+++ b/src/ferryroad/peer/messages.hpp
@@ -80,7 +80,8 @@
     friend bool operator==(const prefix_answer&, const prefix_answer&) = default;
 };
 
-/// An engine has, or has evicted, the pieces (root first) down to `depth`.
+/// An engine has, or has evicted, the pieces (root first) down to `depth`; or events of it were
+/// lost, and what no answer confirmed is void.
 struct prefix_report {
     core::prefix::cache_namespace scope;
     std::vector<base::piece_hash> pieces;
@@ -88,6 +89,8 @@
     base::incarnation incarnation;
     bool evicted = false;
     std::uint32_t depth = 0;
+    bool answered = false;     ///< The engine's own answer said that it holds them.
+    bool events_lost = false;  ///< Scope and pieces are empty.
     friend bool operator==(const prefix_report&, const prefix_report&) = default;
 };
 
--- a/test/peer/sample_messages.hpp
+++ b/test/peer/sample_messages.hpp
@@ -56,7 +56,9 @@
                         std::chrono::milliseconds(40)}},
                       1.5F},
         prefix_reports{
-            {{scope, pieces, base::engine_name("engine-1"), base::incarnation(3), true, 2}}},
+            {{scope, pieces, base::engine_name("engine-1"), base::incarnation(3), true, 2},
+             {scope, pieces, base::engine_name("engine-1"), base::incarnation(3), false, 2, true},
+             {{}, {}, base::engine_name("engine-1"), base::incarnation(3), false, 0, false, true}}},
         quota_request{base::tenant_name("tenant-a"), 12.5, 3.0, 4, base::revision(9)},
         quota_grant{7.25, std::chrono::milliseconds(900), 6},
         empty{}};
