--- a/src/ferryroad/core/routing/tunables.hpp
+++ b/src/ferryroad/core/routing/tunables.hpp
@@ -19,8 +19,9 @@
     /// Engines of the rendezvous order that bounded load tries before the least loaded of them.
     std::size_t bounded_load_choices = 6;
 
-    /// Rendezvous choices the cost policy weighs at each depth.
-    std::size_t rendezvous_choices = 2;
+    /// Rendezvous choices the cost policy weighs at each depth. A second one spreads a prefix
+    /// over more engines than its heat needs.
+    std::size_t rendezvous_choices = 1;
     /// Engines the cost policy weighs beyond holders and rendezvous choices.
     std::size_t random_choices = 2;
     /// A candidate outside the rendezvous order and without cached pieces costs this share of
--- a/src/ferryroad/router/selection/shared_prefix_knowledge.hpp
+++ b/src/ferryroad/router/selection/shared_prefix_knowledge.hpp
@@ -21,7 +21,9 @@
 
 struct shared_index_settings {
     core::prefix::prefix_index_settings local;  ///< This router's own index, the fallback.
-    core::prefix::prefix_index_settings owned;  ///< Roots kept for all routers.
+    /// Roots kept for all routers. Entries live longer than in the local index, since every
+    /// router's dispatches and the engines' evictions correct them.
+    core::prefix::prefix_index_settings owned{.lifetime = std::chrono::seconds(60)};
     core::prefix::heat_settings heat;
     core::prefix::report_outbox_settings outbox;
     /// An owner that has not answered by then is passed over.
--- /dev/null
+++ b/test/router/selection/peer_prefix_exchange_test.cpp
@@ -0,0 +1,167 @@
+/// The shared index over encoded messages: what goes in comes out, and what an answer costs.
+#include "ferryroad/router/selection/peer_prefix_exchange.hpp"
+
+#include "bench/simulation/virtual_scheduler.hpp"
+#include "ferryroad/peer/codec.hpp"
+#include "test/router/selection/fake_exchange.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace ferryroad;
+using namespace ferryroad::router::selection;
+using namespace std::chrono_literals;
+
+const core::prefix::cache_namespace scope{base::tenant_name("alpha"), base::model_name("m"),
+                                          base::weights_version("1"), base::adapter_name("x")};
+const router_contact self{base::router_name("self"), base::incarnation(1), {"127.0.0.1", 1}};
+const router_contact other{base::router_name("other"), base::incarnation(1), {"127.0.0.1", 2}};
+const core::prefix::engine_process engine_a{base::engine_name("a"), base::incarnation(7)};
+
+/// Hands each call to a function, at once.
+class direct_transport final : public peer::transport {
+  public:
+    std::function<peer::result<peer::message_bytes>(const peer::message_bytes&)> answer;
+
+    void on_datagram(datagram_handler) override {}
+    void on_call(call_handler) override {}
+    void send(const base::endpoint&, peer::message_bytes) override {}
+    runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
+                                                          peer::message_bytes request,
+                                                          base::duration) override {
+        counters_.call_bytes_sent += request.size();
+        auto answered = answer(request);
+        counters_.call_bytes_received += answered ? answered->size() : 0;
+        co_return answered;
+    }
+    const peer::transport_counters& counters() const override { return counters_; }
+
+  private:
+    peer::transport_counters counters_;
+};
+
+core::prefix::piece_chain chain_of(std::size_t pieces) {
+    core::prefix::piece_chain chain;
+    for (std::size_t piece = 0; piece < pieces; ++piece) {
+        chain.emplace_back(0x123456789abcdef0U + piece);
+    }
+    return chain;
+}
+
+/// This router's exchange with one other that answers through the codec.
+struct pair_of_routers {
+    bench::simulation::virtual_time time{1};
+    bench::simulation::virtual_scheduler scheduler{time, 1};
+    test::fake_exchange unused{scheduler};
+    test::fake_live_routers routers;
+    shared_prefix_knowledge knowledge{other.name, routers, unused, scheduler};
+    direct_transport transport;
+    peer_prefix_exchange exchange{transport, self};
+
+    pair_of_routers() {
+        transport.answer = [this](const peer::message_bytes& request) {
+            const auto received = peer::decode_call(request);
+            const auto body = answer_prefix_call(knowledge, received->body);
+            return peer::result<peer::message_bytes>(
+                peer::encode(peer::call{other.name, other.incarnation, *body}));
+        };
+    }
+
+    template <typename T>
+    static runtime::task<void> finish(runtime::task<T> work, std::optional<T>& into) {
+        into = co_await std::move(work);
+    }
+    template <typename T>
+    T run(runtime::task<T> work) {
+        std::optional<T> result;
+        scheduler.spawn("test", finish(std::move(work), result));
+        time.run_until(time.now() + 1ms);
+        return *result;
+    }
+
+    auto report(core::prefix::prefix_change change, std::size_t pieces,
+                core::prefix::evidence why = core::prefix::evidence::dispatch) {
+        const bool lost = change == core::prefix::prefix_change::events_lost;
+        core::prefix::prefix_report told{lost ? core::prefix::cache_namespace{} : scope,
+                                         chain_of(pieces), engine_a, change, why};
+        return run(exchange.report(other, {told}, 1s));
+    }
+    auto lookup() { return run(exchange.lookup(other, scope, chain_of(13), 1s)); }
+};
+
+struct fault_row {
+    const char* about;
+    peer::result<peer::message_bytes> answer;
+    exchange_failure expected;
+};
+
+const fault_row fault_rows[] = {
+    {"no connection", peer::error{peer::error_code::unreachable, ""},
+     exchange_failure::unreachable},
+    {"cut", peer::error{peer::error_code::connection_lost, ""}, exchange_failure::unreachable},
+    {"silence", peer::error{peer::error_code::timed_out, ""}, exchange_failure::timed_out},
+    {"noise", peer::message_bytes("noise"), exchange_failure::malformed},
+    {"answer to another question",
+     peer::encode(peer::call{other.name, other.incarnation, peer::quota_grant{}}),
+     exchange_failure::malformed},
+};
+constexpr std::size_t fault_count = sizeof(fault_rows) / sizeof(fault_rows[0]);
+
+}  // namespace
+
+Test(peer_prefix_exchange, reports_and_answers_survive_the_wire) {
+    pair_of_routers pair;
+    cr_assert(pair.report(core::prefix::prefix_change::held, 2, core::prefix::evidence::answer)
+                  .has_value());
+    cr_assert(pair.report(core::prefix::prefix_change::held, 5).has_value());
+    auto answer = pair.lookup();
+    cr_assert_eq(answer->holders.size(), 1);
+    cr_assert(answer->holders.front().process == engine_a);
+    cr_assert_eq(answer->holders.front().pieces, 5);
+    cr_assert(answer->request_rate > 0);
+    cr_assert(pair.report(core::prefix::prefix_change::events_lost, 0).has_value());
+    cr_assert_eq(pair.lookup()->holders.front().pieces, 2, "what an answer confirmed stays");
+    cr_assert(pair.report(core::prefix::prefix_change::evicted, 1).has_value());
+    cr_assert(pair.lookup()->holders.empty());
+}
+
+Test(peer_prefix_exchange, other_calls_are_left_to_others) {
+    pair_of_routers pair;
+    cr_assert(!answer_prefix_call(pair.knowledge, peer::quota_request{}).has_value());
+    cr_assert(answer_prefix_call(pair.knowledge, peer::prefix_lookup{scope, {}}).has_value());
+}
+
+Test(peer_prefix_exchange, a_lookup_costs_a_few_hundred_bytes) {
+    pair_of_routers pair;
+    pair.report(core::prefix::prefix_change::held, 12);
+    const auto before = pair.transport.counters();
+    pair.lookup();
+    cr_assert_leq(pair.transport.counters().call_bytes_sent - before.call_bytes_sent, 320);
+    cr_assert_leq(pair.transport.counters().call_bytes_received - before.call_bytes_received, 200);
+}
+
+ParameterizedTestParameters(peer_prefix_exchange, fault_table) {
+    static std::size_t indexes[fault_count];
+    for (std::size_t index = 0; index < fault_count; ++index) {
+        indexes[index] = index;
+    }
+    return cr_make_param_array(std::size_t, indexes, fault_count);
+}
+
+ParameterizedTest(std::size_t* number, peer_prefix_exchange, fault_table) {
+    const fault_row& row = fault_rows[*number];
+    pair_of_routers pair;
+    pair.transport.answer = [&row](const peer::message_bytes&) { return row.answer; };
+    const auto looked_up = pair.lookup();
+    cr_assert(looked_up.has_error(), "%s", row.about);
+    cr_assert(looked_up.error().failure == row.expected, "%s", row.about);
+    const auto reported = pair.report(core::prefix::prefix_change::held, 2);
+    cr_assert(reported.has_error(), "%s", row.about);
+    cr_assert(reported.error().failure == row.expected, "%s", row.about);
+}
