--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -9,12 +9,20 @@
 
 namespace ferryroad::router {
 
+struct admission_limits {
+    /// Requests that this router keeps at work for each live engine of a pool; more wait here,
+    /// where priority and fairness hold, and not in the engine.
+    std::size_t places_per_engine = 32;
+};
+
 struct request_tunables {
     core::execution::tunables execution;
     /// When a caller should come back to a router that isn't ready.
     base::duration not_ready_retry = std::chrono::seconds(2);
     /// Longest wait for warm state from another engine before computing it anew.
     base::duration import_wait = std::chrono::seconds(2);
+    /// How often a planned stop looks whether claimed requests have ended.
+    base::duration drain_poll = std::chrono::milliseconds(50);
     /// Longest answer kept for callers that repeat a key.
     std::size_t recorded_body_bytes = std::size_t{256} * 1024;
 };
--- a/test/router/request/fake_router.hpp
+++ b/test/router/request/fake_router.hpp
@@ -3,8 +3,8 @@
 #pragma once
 
 #include "ferryroad/base/digest.hpp"
+#include "ferryroad/router/request/fair_admission.hpp"
 #include "ferryroad/router/request/routing_request_service.hpp"
-#include "ferryroad/router/request/token_bucket_admission.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -147,6 +147,7 @@
 
     explicit fake_engines(runtime::scheduler& scheduler) : scheduler_(scheduler) {}
 
+    base::duration answer_time{};         ///< Of application calls.
     std::deque<exchange_script> scripts;  ///< Of the next exchanges, in order.
     std::vector<call> calls;
     std::vector<base::attempt_id> cancelled;
@@ -176,6 +177,7 @@
         if (script.silent_at) {
             co_await scheduler_.sleep_until(base::monotonic_time::max());
         }
+        co_await scheduler_.sleep_for(answer_time);
         if (script.refused) {
             co_return *script.refused;
         }
@@ -304,7 +306,7 @@
 struct fake_router {
     explicit fake_router(runtime::scheduler& scheduler)
         : engines(scheduler),
-          admission(scheduler),
+          admission(scheduler, directory, quota),
           service(configuration, admission, {scheduler, directory, selector, engines, claims}) {}
 
     fake_configuration configuration;
@@ -312,7 +314,8 @@
     fake_selector selector{directory};
     fake_engines engines;
     fake_claims claims;
-    router::token_bucket_admission admission;
+    router::whole_quota quota;
+    router::fair_admission admission;
     router::routing_request_service service;
 };
 
