Engine model property: an attempt id never runs twice in a process

Cause: with the check of known attempt ids taken out, the property still passed; only the table test failed. Change: the property keeps the ids that the process admitted.

--- a/test/emulator/engine/engine_model_property_test.cpp
+++ b/test/emulator/engine/engine_model_property_test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck.h>
 
 #include <map>
+#include <set>
 
 using namespace ferryroad;
 using namespace ferryroad::emulator;
@@ -79,6 +80,7 @@
             return;
         }
         RC_ASSERT(request.expected_incarnation.value == process_);
+        RC_ASSERT(known_.insert(request.attempt).second);  // never runs an attempt twice
         const std::string digest = model_.execution(*answer).prompt_sha256;
         const bool fresh = expected_.try_emplace(*answer, digest, 0U, request.max_tokens).second;
         RC_ASSERT(fresh);
@@ -99,6 +101,7 @@
         RC_ASSERT(model_.submit(request_of("x", "p"), now_).error().proves ==
                   engine::proof::not_sent);
         ++process_;
+        known_.clear();
         model_.restart(base::incarnation(process_), now_);
     }
 
@@ -122,6 +125,7 @@
     engine_model model_{small_engine(), base::incarnation(1)};
     base::monotonic_time now_{};
     std::uint64_t process_ = 1;
+    std::set<base::attempt_id> known_;  ///< Of this process.
     std::map<attempt_handle, expectation> expected_;
 };
 
