--- a/src/ferryroad/engine/tunables.hpp
+++ b/src/ferryroad/engine/tunables.hpp
@@ -8,7 +8,7 @@
 
 struct tunables {
     /// For an engine to admit or refuse an attempt, connection included.
-    base::duration admission = std::chrono::seconds(5);
+    base::duration admission = std::chrono::seconds(2);
     /// For an admitted attempt to start: it may queue.
     base::duration start_silence = std::chrono::seconds(60);
     /// Between two events of a stream that has started.
