Import of warm state: single flight, caps, and a price on copies

Cause: moving pieces is cheaper than prefill where the holder's queue is long, but every copy takes cache from other prefixes, and moves must not pile up.

The selector asks the policy again without import where the limiter refuses. The cost policy prices an imported piece like avoidable prefill of half of it.

--- a/src/ferryroad/core/routing/cost_policy.cpp
+++ b/src/ferryroad/core/routing/cost_policy.cpp
@@ -109,7 +109,8 @@
         candidate_figures figures = estimate_figures(query, position);
         weigh_import(query, available, figures);
         const base::duration avoidable = avoidable_prefill(query, available, figures);
-        figures.cost = first_token(figures) + scaled(avoidable, price_above_time);
+        const base::duration priced = avoidable + copy_cost(query, figures);
+        figures.cost = first_token(figures) + scaled(priced, price_above_time);
         if (!rendezvous[position] && figures.cached_pieces == 0) {
             figures.cost += stray_penalty(query, position);
         }
@@ -125,6 +126,13 @@
     return made;
 }
 
+base::duration cost_policy::copy_cost(const routing_query& query,
+                                      const candidate_figures& figures) const {
+    const double tokens = 1.0 * figures.imported_pieces * query.piece_tokens;
+    const double seconds = tokens / prefill_rate(query.candidates[figures.candidate]);
+    return base::from_seconds(seconds * tunables_.copy_price);
+}
+
 base::duration cost_policy::stray_penalty(const routing_query& query, std::size_t position) const {
     const double piece_seconds = query.piece_tokens / prefill_rate(query.candidates[position]);
     return base::from_seconds(piece_seconds * tunables_.stray_penalty_pieces);
--- a/src/ferryroad/core/routing/cost_policy.hpp
+++ b/src/ferryroad/core/routing/cost_policy.hpp
@@ -35,6 +35,8 @@
     /// Weighs the marked candidates.
     decision weigh(const routing_query& query, const std::vector<bool>& rendezvous,
                    const std::vector<bool>& weighed) const;
+    /// @return what the moved copies cost beyond their time.
+    base::duration copy_cost(const routing_query& query, const candidate_figures& figures) const;
     base::duration stray_penalty(const routing_query& query, std::size_t position) const;
     /// @return which candidates stand in the rendezvous order at some depth of the prompt.
     std::vector<bool> rendezvous_choices(const routing_query& query) const;
--- a/src/ferryroad/core/routing/tunables.hpp
+++ b/src/ferryroad/core/routing/tunables.hpp
@@ -27,6 +27,9 @@
     /// A candidate outside the rendezvous order and without cached pieces costs this share of
     /// one piece's prefill more, so that routers without knowledge agree.
     double stray_penalty_pieces = 0.4;
+    /// An imported piece takes cache from others: it is priced like avoidable prefill of this
+    /// share of its own.
+    double copy_price = 0.5;
 };
 
 inline constexpr routing_tunables default_routing_tunables{};
--- a/src/ferryroad/router/selection/selector.cpp
+++ b/src/ferryroad/router/selection/selector.cpp
@@ -17,6 +17,13 @@
                          });
 }
 
+core::routing::import_move to_move(const core::routing::routing_query& question,
+                                   const core::routing::decision& made) {
+    return {question.pieces[made.import->pieces - 1],
+            question.candidates[made.import->source].engine,
+            question.candidates[made.chosen].engine};
+}
+
 engine::import_request to_import_request(const selection_query& query,
                                          const core::routing::import_plan& plan,
                                          const engine::engine_target& source) {
@@ -38,6 +45,7 @@
       policy_(std::move(policy)),
       scheduler_(scheduler),
       tunables_(tunables),
+      imports_(tunables.import_limits),
       log_(tunables.decisions_kept) {}
 
 runtime::task<runtime::result<selected_engine, selection_error>> selector::select(
@@ -58,13 +66,17 @@
 runtime::result<selected_engine, selection_error> selector::decide(const selection_query& query,
                                                                    const prefix_answer& knowledge) {
     const auto engines = eligible_engines(directory_.available(query.pool), query);
-    const auto question = to_routing_query(query, engines, knowledge, scheduler_.now());
-    const auto made = policy_->choose(question, scheduler_.random());
+    auto question = to_routing_query(query, engines, knowledge, scheduler_.now());
+    question.import = tunables_.import;
+    const auto made = choose(question);
     if (!made) {
         return refuse_no_engine();
     }
     keep(query, question, *made);
     if (made->expected_first_token > query.time_left) {
+        if (made->import) {
+            imports_.finish(to_move(question, *made));
+        }
         return refuse_deadline(made->expected_first_token - query.time_left);
     }
     const auto& figures = chosen_figures(*made);
@@ -85,6 +97,17 @@
     return selected;
 }
 
+std::optional<core::routing::decision> selector::choose(core::routing::routing_query& question) {
+    auto made = policy_->choose(question, scheduler_.random());
+    const bool import_refused =
+        made && made->import && !imports_.begin(to_move(question, *made), scheduler_.now());
+    if (import_refused) {
+        question.import.allowed = false;
+        made = policy_->choose(question, scheduler_.random());
+    }
+    return made;
+}
+
 selection_error selector::refuse_no_engine() {
     ++counters_.refused_no_engine;
     return {selection_failure::no_engine, tunables_.retry_after_no_engine};
@@ -109,6 +132,10 @@
     if (query.pieces.empty()) {
         return;
     }
+    if (selected.import) {
+        imports_.finish(
+            {selected.import->pieces.back(), selected.import->source.name, selected.target.name});
+    }
     knowledge_.report({query.scope,
                        query.pieces,
                        {selected.target.name, started.incarnation},
--- a/src/ferryroad/router/selection/selector.hpp
+++ b/src/ferryroad/router/selection/selector.hpp
@@ -2,6 +2,7 @@
 /// The router's engine selector: directory, prefix knowledge and policy together.
 #pragma once
 
+#include "ferryroad/core/routing/import_limiter.hpp"
 #include "ferryroad/core/routing/policy.hpp"
 #include "ferryroad/router/engine_directory.hpp"
 #include "ferryroad/router/engine_selector.hpp"
@@ -42,11 +43,14 @@
     std::optional<decision_record> explain(const base::request_id& request) const override;
 
     const selection_counters& counters() const { return counters_; }
+    const core::routing::import_counters& import_counts() const { return imports_.counters(); }
 
   private:
     runtime::task<prefix_answer> look_up(const selection_query& query);
     runtime::result<selected_engine, selection_error> decide(const selection_query& query,
                                                              const prefix_answer& knowledge);
+    /// @return the policy's choice; without import where the limits forbid the one it wants.
+    std::optional<core::routing::decision> choose(core::routing::routing_query& question);
     selection_error refuse_no_engine();
     selection_error refuse_deadline(base::duration too_late_by);
     void keep(const selection_query& query, const core::routing::routing_query& question,
@@ -57,6 +61,7 @@
     std::unique_ptr<core::routing::policy> policy_;
     runtime::scheduler& scheduler_;
     selection_tunables tunables_;
+    core::routing::import_limiter imports_;
     decision_log log_;
     selection_counters counters_;
 };
--- a/src/ferryroad/router/selection/tunables.hpp
+++ b/src/ferryroad/router/selection/tunables.hpp
@@ -3,6 +3,8 @@
 #pragma once
 
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/core/routing/import_limiter.hpp"
+#include "ferryroad/core/routing/types.hpp"
 
 #include <cstddef>
 
@@ -11,6 +13,10 @@
 struct selection_tunables {
     /// Decisions kept for `explain`.
     std::size_t decisions_kept = 512;
+    /// What a move of warm state is taken to last; 'allowed' turns moves on.
+    core::routing::import_estimate import{true, std::chrono::milliseconds(10),
+                                          std::chrono::milliseconds(20)};
+    core::routing::import_limits import_limits;
     /// What a caller is told where the pool has no live engine.
     base::duration retry_after_no_engine = std::chrono::seconds(1);
     /// Bounds of what a caller is told where no engine can meet the deadline.
--- a/test/router/selection/selector_test.cpp
+++ b/test/router/selection/selector_test.cpp
@@ -178,6 +178,65 @@
     cr_assert_eq(bench.select(query_of("r2", "beta"))->expected_cached_pieces, 0);
 }
 
+namespace {
+
+/// Engine "a" holds the prompt and has a long queue; "b" to "d" are idle and empty.
+void add_loaded_holder(bench_of_one& bench) {
+    const auto query = query_of("r0");
+    bench.directory.add("a", 60000).reported_at = bench.scheduler.now();
+    bench.directory.add("b");
+    bench.directory.add("c");
+    bench.directory.add("d");
+    bench.knowledge.report({query.scope,
+                            query.pieces,
+                            {base::engine_name("a"), base::incarnation(1)},
+                            core::prefix::evidence::answer});
+}
+
+}  // namespace
+
+Test(selector, moves_warm_state_away_from_a_loaded_holder) {
+    bench_of_one bench;
+    add_loaded_holder(bench);
+    const auto query = query_of("r1");
+    const auto selected = bench.select(query);
+    cr_assert(selected->import.has_value());
+    cr_assert(selected->target.name != base::engine_name("a"));
+    cr_assert(selected->import->source.name == base::engine_name("a"));
+    cr_assert(selected->import->pieces == query.pieces);
+    cr_assert(selected->import->scope == query.scope);
+    cr_assert_eq(selected->expected_cached_pieces, 10);
+    const auto record = bench.selector.explain(query.request);
+    for (const auto& candidate : record->candidates) {
+        cr_assert_eq(candidate.import > 0s, candidate.engine != base::engine_name("a"));
+    }
+}
+
+Test(selector, moves_are_capped_and_freed_by_the_answer) {
+    bench_of_one bench("cost", {.import_limits = {.at_once = 1}});
+    add_loaded_holder(bench);
+    auto query = query_of("r1");
+    const auto first = bench.select(query);
+    cr_assert(first->import.has_value());
+    query.excluded.push_back(first->target.name);
+    const auto second = bench.select(query);
+    cr_assert(!second->import.has_value());
+    cr_assert_eq(bench.selector.import_counts().over_limit, 1);
+    bench.selector.record_started(query_of("r1"), *first, started_with(10));
+    query.excluded.push_back(second->target.name);
+    cr_assert(bench.select(query)->import.has_value());
+}
+
+Test(selector, a_refused_request_keeps_no_move) {
+    bench_of_one bench("cost", {.import_limits = {.at_once = 1}});
+    add_loaded_holder(bench);
+    auto query = query_of("r1");
+    query.time_left = 1ms;
+    cr_assert(bench.select(query).has_error());
+    query.time_left = 10s;
+    cr_assert(bench.select(query)->import.has_value());
+}
+
 Test(selector, refuses_at_once_when_no_engine_can_meet_the_deadline) {
     bench_of_one bench;
     bench.directory.add("a", 200000).reported_at = bench.scheduler.now();
