Leases with fencing tokens on a transactional table, pure

Cause: roles such as ordering engines need one holder at a time, also when holders pause and table answers are lost.

Conclusion: safe within the drift bound; beyond it the fencing token is what protects.

--- /dev/null
+++ b/src/ferryroad/coordination/lease/lease_holder.cpp
@@ -0,0 +1,189 @@
+#include "ferryroad/coordination/lease/lease_holder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::coordination::lease {
+
+namespace {
+
+base::duration scaled(base::duration period, double factor) {
+    return base::from_seconds(base::to_seconds(period) * factor);
+}
+
+}  // namespace
+
+lease_holder::lease_holder(lease_identity self, lease_settings settings,
+                           base::random_source& random)
+    : self_(std::move(self)), settings_(settings), random_(random), delay_(settings.first_delay) {}
+
+std::optional<base::fencing_token> lease_holder::token(base::monotonic_time now) const {
+    const bool valid = wanted_ && hold_ && now < hold_->valid_until;
+    return valid ? std::optional(hold_->token) : std::nullopt;
+}
+
+std::optional<lease_identity> lease_holder::seen_holder() const {
+    return row_ && row_->record ? row_->record->holder : std::nullopt;
+}
+
+// ---- Actions ----
+
+action lease_holder::next(base::monotonic_time now) {
+    if (under_way_) {
+        return wait_until{base::monotonic_time::max()};
+    }
+    if (hold_ && now >= hold_->valid_until) {
+        hold_.reset();
+        must_read_ = true;
+    }
+    if (!wanted_ && !hold_ && !pending_) {
+        return wait_until{base::monotonic_time::max()};
+    }
+    if (now < not_before_) {
+        return wait_until{not_before_};
+    }
+    if (must_read_) {
+        return start_read();
+    }
+    if (hold_) {
+        return wanted_ ? keep(now) : release(now);
+    }
+    return contend(now);
+}
+
+action lease_holder::start_read() {
+    under_way_ = true;
+    return read_row{};
+}
+
+action lease_holder::start_write(lease_record record, base::monotonic_time now) {
+    record.write_id = random_.next();
+    under_way_ = true;
+    pending_ = pending_write{record, now};
+    return write_row{row_->version, encode(record)};
+}
+
+action lease_holder::contend(base::monotonic_time now) {
+    if (malformed()) {
+        must_read_ = true;
+        try_later(settings_.poll_period, now);
+        return wait_until{not_before_};
+    }
+    if (now >= free_at()) {
+        return acquire(now);
+    }
+    if (now >= next_poll_) {
+        return start_read();
+    }
+    return wait_until{std::min(free_at(), next_poll_)};
+}
+
+base::monotonic_time lease_holder::free_at() const {
+    const auto& record = row_->record;
+    // A hold of this very process that it doesn't count on protects nothing.
+    if (!record || !record->holder || is_own(*record)) {
+        return row_->first_seen;
+    }
+    const base::duration longest = std::max(record->duration, settings_.duration);
+    return row_->first_seen + scaled(longest, 1.0 + settings_.drift_bound);
+}
+
+action lease_holder::acquire(base::monotonic_time now) {
+    lease_record record;
+    record.holder = self_;
+    record.token.value = row_->record ? row_->record->token.value + 1 : 1;
+    record.duration = settings_.duration;
+    return start_write(std::move(record), now);
+}
+
+action lease_holder::keep(base::monotonic_time now) {
+    if (now < hold_->renew_at) {
+        return wait_until{std::min(hold_->renew_at, hold_->valid_until)};
+    }
+    lease_record record;
+    record.holder = self_;
+    record.token = hold_->token;
+    record.duration = settings_.duration;
+    return start_write(std::move(record), now);
+}
+
+action lease_holder::release(base::monotonic_time now) {
+    lease_record record;
+    record.token = hold_->token;
+    record.duration = settings_.duration;
+    hold_.reset();
+    return start_write(std::move(record), now);
+}
+
+// ---- Events ----
+
+void lease_holder::handle(const event& happened, base::monotonic_time now) {
+    under_way_ = false;
+    std::visit([&](const auto& each) { on(each, now); }, happened);
+}
+
+void lease_holder::on(const row_read& read, base::monotonic_time now) {
+    must_read_ = false;
+    delay_ = settings_.first_delay;
+    next_poll_ = now + scaled(settings_.poll_period, 0.75 + 0.5 * random_.unit());
+    see(read.row, now);
+}
+
+void lease_holder::on(const write_committed& committed, base::monotonic_time now) {
+    delay_ = settings_.first_delay;
+    take_effect(committed.version, now);
+}
+
+void lease_holder::on(const write_conflicted& conflicted, base::monotonic_time now) {
+    delay_ = settings_.first_delay;
+    next_poll_ = now + settings_.poll_period;
+    see(conflicted.row, now);
+}
+
+void lease_holder::on(const write_lost& /*lost*/, base::monotonic_time now) {
+    must_read_ = true;
+    try_later(delay_, now);
+}
+
+void lease_holder::on(const refused& refusal, base::monotonic_time now) {
+    // A refused write changed nothing; a refused read leaves open what it was to find out.
+    if (!must_read_) {
+        pending_.reset();
+    }
+    try_later(std::max(delay_, refusal.retry_after.value_or(base::duration{})), now);
+}
+
+void lease_holder::see(const stored_row& row, base::monotonic_time now) {
+    const std::optional<lease_record> record = decode(row.value);
+    const bool own_write = record && pending_ && record->write_id == pending_->record.write_id;
+    if (own_write) {
+        take_effect(row.version, now);
+        return;
+    }
+    pending_.reset();
+    const bool same = row_ && row_->version == row.version;
+    row_ = seen_row{row.version, record, same ? row_->first_seen : now};
+    const bool still_own = record && hold_ && is_own(*record) && record->token == hold_->token;
+    if (!still_own) {
+        hold_.reset();
+    }
+}
+
+void lease_holder::take_effect(row_version version, base::monotonic_time now) {
+    const pending_write written = *std::exchange(pending_, std::nullopt);
+    row_ = seen_row{version, written.record, now};
+    if (!written.record.holder) {
+        return;  // Released.
+    }
+    const base::duration counted =
+        scaled(settings_.duration, 1.0 - settings_.drift_bound) - settings_.margin;
+    hold_ = hold{written.record.token, written.sent_at + counted,
+                 written.sent_at + settings_.renew_after};
+}
+
+void lease_holder::try_later(base::duration delay, base::monotonic_time now) {
+    not_before_ = now + scaled(delay, 0.5 + random_.unit());
+    delay_ = std::min(2 * delay_, settings_.poll_period);
+}
+
+}  // namespace ferryroad::coordination::lease
--- /dev/null
+++ b/src/ferryroad/coordination/lease/lease_holder.hpp
@@ -0,0 +1,114 @@
+/// @file
+/// One process's side of one lease on a transactional table.
+///
+/// Safety rests on no clock but each process's own: a holder counts from when it sent its
+/// write and stops a margin early; a contender waits for the whole duration from when it first
+/// saw the row as it is. Both stretch by the bound on the clocks' drift. What a holder sends
+/// out carries its fencing token, for a pause can fall between its look at the clock and
+/// the act.
+#pragma once
+
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/random.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/coordination/lease/lease_record.hpp"
+#include "ferryroad/coordination/lease/messages.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+namespace ferryroad::coordination::lease {
+
+/// Equal in all processes that contend, but for the poll period.
+struct lease_settings {
+    /// From a write's sending to the lease's end.
+    base::duration duration = std::chrono::seconds(10);
+    /// Two clocks may differ in rate by this share at the most.
+    double drift_bound = 0.01;
+    /// The holder stops this long before the end, so that a short act ends within the lease.
+    base::duration margin = std::chrono::milliseconds(500);
+    /// A third of the duration leaves time for two more tries.
+    base::duration renew_after = std::chrono::milliseconds(3300);
+    /// Between a contender's reads while another holds it.
+    base::duration poll_period = std::chrono::seconds(5);
+    /// After a refusal; doubles up to the poll period.
+    base::duration first_delay = std::chrono::milliseconds(200);
+};
+
+/// Not thread-safe.
+class lease_holder {
+  public:
+    /// @param random outlives the holder.
+    lease_holder(lease_identity self, lease_settings settings, base::random_source& random);
+
+    /// Contends from now on, or gives the lease up.
+    void want(bool wanted) { wanted_ = wanted; }
+    bool wanted() const { return wanted_; }
+
+    /// @return what to do. While a read or write is under way: nothing but to wait for it.
+    action next(base::monotonic_time now);
+    /// The answer to the last read or write.
+    void handle(const event& happened, base::monotonic_time now);
+
+    /// To be asked right before each act. @return the token that the act must carry, or
+    /// nothing where this process may not act.
+    std::optional<base::fencing_token> token(base::monotonic_time now) const;
+
+    /// @return the holder as last seen, for operators; nothing while free or not known.
+    std::optional<lease_identity> seen_holder() const;
+    /// @return whether the row holds what is no lease: nobody can take it.
+    bool malformed() const { return row_ && !row_->record && row_->version.value != 0; }
+
+  private:
+    /// The row as last seen.
+    struct seen_row {
+        row_version version;
+        std::optional<lease_record> record;  ///< Nothing where absent or malformed.
+        base::monotonic_time first_seen;     ///< Of this version.
+    };
+    struct hold {
+        base::fencing_token token;
+        base::monotonic_time valid_until;
+        base::monotonic_time renew_at;
+    };
+    /// A write whose effect is not yet known.
+    struct pending_write {
+        lease_record record;
+        base::monotonic_time sent_at;
+    };
+
+    action start_read();
+    action start_write(lease_record record, base::monotonic_time now);
+    action contend(base::monotonic_time now);
+    action acquire(base::monotonic_time now);
+    action keep(base::monotonic_time now);
+    action release(base::monotonic_time now);
+
+    void on(const row_read& read, base::monotonic_time now);
+    void on(const write_committed& committed, base::monotonic_time now);
+    void on(const write_conflicted& conflicted, base::monotonic_time now);
+    void on(const write_lost& lost, base::monotonic_time now);
+    void on(const refused& refusal, base::monotonic_time now);
+
+    void see(const stored_row& row, base::monotonic_time now);
+    void take_effect(row_version version, base::monotonic_time now);
+    void try_later(base::duration delay, base::monotonic_time now);
+    bool is_own(const lease_record& record) const { return record.holder == self_; }
+    base::monotonic_time free_at() const;
+
+    lease_identity self_;
+    lease_settings settings_;
+    base::random_source& random_;
+    bool wanted_ = false;
+    bool under_way_ = false;
+    bool must_read_ = true;
+    std::optional<seen_row> row_;
+    std::optional<hold> hold_;
+    std::optional<pending_write> pending_;
+    base::duration delay_;
+    base::monotonic_time not_before_{};
+    base::monotonic_time next_poll_{};
+};
+
+}  // namespace ferryroad::coordination::lease
--- a/src/ferryroad/router/membership/membership_service.cpp
+++ b/src/ferryroad/router/membership/membership_service.cpp
@@ -87,7 +87,7 @@
 
 }  // namespace
 
-membership_service::membership_service(membership_identity identity,
+membership_service::membership_service(const membership_identity& identity,
                                        std::vector<base::endpoint> seeds, membership_ports ports,
                                        membership_settings settings)
     : ports_(ports),
--- a/src/ferryroad/router/membership/membership_service.hpp
+++ b/src/ferryroad/router/membership/membership_service.hpp
@@ -56,7 +56,7 @@
 /// Used from the event loop's thread; kept until the loop has ended.
 class membership_service final : public live_routers {
   public:
-    membership_service(membership_identity identity, std::vector<base::endpoint> seeds,
+    membership_service(const membership_identity& identity, std::vector<base::endpoint> seeds,
                        membership_ports ports, membership_settings settings = {});
     ~membership_service() override;
     membership_service(const membership_service&) = delete;
--- /dev/null
+++ b/test/coordination/lease/lease_holder_test.cpp
@@ -0,0 +1,180 @@
+/// One holder, event by event, and its row's text.
+#include "ferryroad/coordination/lease/lease_holder.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <chrono>
+#include <string>
+
+namespace {
+
+using namespace ferryroad;
+using namespace ferryroad::coordination::lease;
+using namespace std::chrono_literals;
+
+const lease_identity self{"router 1", base::incarnation(7)};
+
+struct bench {
+    base::seeded_random random{1};
+    lease_holder holder{self, lease_settings{}, random};
+    base::monotonic_time now{1h};
+
+    bench() { holder.want(true); }
+    template <typename Action>
+    Action expect() {
+        const action wanted = holder.next(now);
+        cr_assert(std::holds_alternative<Action>(wanted), "another action (%zu)", wanted.index());
+        return std::get<Action>(wanted);
+    }
+    void answer(const event& happened) { holder.handle(happened, now); }
+    /// Up to the write that acquires the free lease.
+    write_row acquire() {
+        expect<read_row>();
+        answer(row_read{});
+        return expect<write_row>();
+    }
+};
+
+std::string row_of(const lease_identity& holder, std::uint64_t token) {
+    return encode({holder, base::fencing_token(token), 10s, 99});
+}
+
+const std::string malformed_rows[] = {
+    "",
+    "lease1",
+    "lease1 ",
+    "lease2 1 2 3 1 5 name",
+    "lease1 1 2 3 1 5",
+    "lease1 x 2 3 1 5 name",
+    "lease1 1 2 3 2 5 name",
+    "lease1 -1 2 3 1 5 name",
+    "lease1 1 99999999999 3 1 5 name",
+    "lease1 99999999999999999999 2 3 1 5 name",
+};
+constexpr std::size_t malformed_count = sizeof(malformed_rows) / sizeof(malformed_rows[0]);
+
+}  // namespace
+
+Test(lease_record, round_trip) {
+    for (const lease_record& record :
+         {lease_record{self, base::fencing_token(3), 10s, 4},
+          lease_record{std::nullopt, base::fencing_token(9), 1500ms, ~std::uint64_t{0}}}) {
+        cr_assert(decode(encode(record)) == record);
+    }
+}
+
+ParameterizedTestParameters(lease_record, malformed) {
+    static std::size_t indexes[malformed_count];
+    for (std::size_t index = 0; index < malformed_count; ++index) {
+        indexes[index] = index;
+    }
+    return cr_make_param_array(std::size_t, indexes, malformed_count);
+}
+
+ParameterizedTest(std::size_t* index, lease_record, malformed) {
+    cr_assert_not(decode(malformed_rows[*index]).has_value(), "%s", malformed_rows[*index].c_str());
+}
+
+Test(lease_holder, counts_from_the_sending) {
+    bench test;
+    test.acquire();
+    test.now += 4s;
+    test.answer(write_committed{row_version(1)});
+    cr_assert(test.holder.token(test.now) == base::fencing_token(1));
+    cr_assert(test.holder.token(test.now + 5s) == base::fencing_token(1));
+    cr_assert_not(test.holder.token(test.now + 6s).has_value());
+}
+
+Test(lease_holder, an_answer_after_the_end_gives_nothing) {
+    bench test;
+    test.acquire();
+    test.now += 11s;
+    test.answer(write_committed{row_version(1)});
+    cr_assert_not(test.holder.token(test.now).has_value());
+}
+
+Test(lease_holder, a_lost_answer_is_read_back) {
+    bench test;
+    const write_row sent = test.acquire();
+    test.answer(write_lost{});
+    test.now += 1s;
+    test.expect<read_row>();
+    test.answer(row_read{{row_version(1), sent.value}});
+    cr_assert(test.holder.token(test.now) == base::fencing_token(1));
+    cr_assert_not(test.holder.token(test.now + 9s).has_value(), "counted from the reading back");
+}
+
+Test(lease_holder, waits_out_another_from_when_it_was_first_seen) {
+    bench test;
+    const lease_identity other{"router 2", base::incarnation(1)};
+    test.expect<read_row>();
+    test.answer(row_read{{row_version(5), row_of(other, 4)}});
+    test.now += 9s;
+    test.expect<read_row>();  // A poll: the version is the same, the wait goes on.
+    test.answer(row_read{{row_version(5), row_of(other, 4)}});
+    test.now += 1s;
+    test.expect<wait_until>();
+    test.now += 200ms;
+    const write_row taken = test.expect<write_row>();
+    cr_assert_eq(taken.expected.value, 5);
+    cr_assert(decode(taken.value)->token == base::fencing_token(5));
+    test.answer(write_conflicted{{row_version(6), row_of(other, 4)}});
+    test.now += 9s;
+    cr_assert_not(std::holds_alternative<write_row>(test.holder.next(test.now)),
+                  "a renewal starts the wait anew");
+}
+
+Test(lease_holder, an_earlier_process_of_the_same_name_is_another_holder) {
+    bench test;
+    test.expect<read_row>();
+    test.answer(row_read{{row_version(5), row_of({self.name, base::incarnation(6)}, 4)}});
+    test.expect<wait_until>();
+}
+
+Test(lease_holder, gives_up_before_it_releases) {
+    bench test;
+    test.acquire();
+    test.answer(write_committed{row_version(1)});
+    test.holder.want(false);
+    cr_assert_not(test.holder.token(test.now).has_value());
+    const write_row released = test.expect<write_row>();
+    cr_assert_not(decode(released.value)->holder.has_value());
+    cr_assert(decode(released.value)->token == base::fencing_token(1), "the token lives on");
+    test.answer(write_committed{row_version(2)});
+    cr_assert(test.expect<wait_until>().when == base::monotonic_time::max());
+}
+
+Test(lease_holder, loses_it_when_another_has_it) {
+    bench test;
+    test.acquire();
+    test.answer(write_committed{row_version(1)});
+    test.now += 4s;
+    test.expect<write_row>();
+    test.answer(write_conflicted{{row_version(2), row_of({"router 2", base::incarnation(1)}, 2)}});
+    cr_assert_not(test.holder.token(test.now).has_value());
+}
+
+Test(lease_holder, keeps_it_through_refusals_until_its_time) {
+    bench test;
+    test.acquire();
+    test.answer(write_committed{row_version(1)});
+    const base::monotonic_time acquired = test.now;
+    while (test.now < acquired + 9s) {
+        const action wanted = test.holder.next(test.now);
+        if (const auto* wait = std::get_if<wait_until>(&wanted)) {
+            test.now = wait->when;
+        } else {
+            test.answer(refused{});
+        }
+        cr_assert_eq(test.holder.token(test.now).has_value(), test.now < acquired + 9400ms);
+    }
+}
+
+Test(lease_holder, a_malformed_row_is_left_alone) {
+    bench test;
+    test.expect<read_row>();
+    test.answer(row_read{{row_version(5), "nonsense"}});
+    test.expect<wait_until>();
+    cr_assert(test.holder.malformed());
+}
