--- a/bench/simulation/engines/engine_client.cpp
+++ b/bench/simulation/engines/engine_client.cpp
@@ -211,10 +211,10 @@
 
 runtime::task<engine::result<engine::load_report>> engine_client::read_load(
     const base::endpoint& address) {
-    const base::endpoint to = address;
-    const auto line = open_link<engine::result<engine::load_report>>(to);
+    const auto line = open_link<engine::result<engine::load_report>>(address);
     arrival work = [line](simulated_engine& engine) { engine.read_load(line); };
-    co_return co_await exchange<engine::load_report>(to, limits_.control, line, std::move(work));
+    co_return co_await exchange<engine::load_report>(address, limits_.control, line,
+                                                     std::move(work));
 }
 
 runtime::task<engine::result<engine::cache_event_batch>> engine_client::read_events(
