--- a/bench/simulation/cluster/operators.cpp
+++ b/bench/simulation/cluster/operators.cpp
@@ -17,7 +17,7 @@
 
 operators::order_pointer operators::make_order(catalog::catalog desired, std::string author,
                                                std::size_t router) {
-    const auto wanted = std::make_shared<order>();
+    auto wanted = std::make_shared<order>();
     wanted->command.desired = std::move(desired);
     wanted->command.author = router::author_name(std::move(author));
     wanted->command.operation = router::operation_id("op-" + std::to_string(next_operation_++));
--- a/test/bench/simulation/cluster_test.cpp
+++ b/test/bench/simulation/cluster_test.cpp
@@ -1,6 +1,8 @@
 /// Real routers in virtual time, without faults: all answers whole, the same run each time.
 #include "bench/simulation/cluster/cluster.hpp"
 
+#include "ferryroad/runtime/log.hpp"
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -59,10 +61,11 @@
 };
 
 run_outcome run(std::uint64_t seed) {
+    runtime::start_logging("test", runtime::log_level::error);
     cluster world(small_options(seed));
     run_outcome outcome;
     outcome.started = world.start(20s);
-    world.callers().send_all(small_workload(), world.time().now() + 3s);
+    world.callers().send_all(small_workload(), world.time().now() + 6s);
     world.time().run_until(world.time().now() + 30s);
     const auto& records = world.callers().records();
     outcome.records = records.size();
