--- a/apps/ferrybench.cpp
+++ b/apps/ferrybench.cpp
@@ -13,6 +13,7 @@
     commands::add_load(program, result);
     commands::add_audit(program, result);
     commands::add_report(program, result);
+    commands::add_simulate(program, result);
     try {
         program.parse(argc, argv);
     } catch (const CLI::ParseError& error) {
--- a/bench/commands/commands.hpp
+++ b/bench/commands/commands.hpp
@@ -23,5 +23,6 @@
 void add_load(CLI::App& program, outcome& result);
 void add_audit(CLI::App& program, outcome& result);
 void add_report(CLI::App& program, outcome& result);
+void add_simulate(CLI::App& program, outcome& result);
 
 }  // namespace ferryroad::bench::commands
--- a/bench/simulation/cluster/operators.cpp
+++ b/bench/simulation/cluster/operators.cpp
@@ -1,5 +1,6 @@
 #include "bench/simulation/cluster/operators.hpp"
 
+#include <stdexcept>
 #include <utility>
 
 namespace ferryroad::bench::simulation {
@@ -29,17 +30,27 @@
     submit(make_order(std::move(desired), std::move(author), 0));
 }
 
-void operators::edit(std::size_t router, std::string author, catalog_edit change) {
+void operators::edit(std::size_t router, std::string author, catalog_edit change,
+                     on_conflict conflict, edit_accepted accepted) {
     simulated_router* at = routers_[router % routers_.size()];
-    at->run([this, at, router, author = std::move(author), change = std::move(change)] {
+    const auto again = [this, router, author, change, conflict, accepted] {
+        edit(router + 1, author, change, conflict, accepted);
+    };
+    if (!at->ready()) {
+        // Operators ask another router; where none is ready, they wait.
+        time_.after(retry_pause, again);
+        return;
+    }
+    at->run([this, at, router, author, change, conflict, accepted, again] {
         catalog::catalog desired = *at->node().configuration().current();
-        if (desired.revision.value == 0) {
-            return;
-        }
         const base::revision read = desired.revision;
         change(desired);
         const order_pointer wanted = make_order(std::move(desired), author, router);
         wanted->command.expected = read;
+        wanted->accepted = accepted;
+        if (conflict == on_conflict::edit_again) {
+            wanted->conflicting = [this, again] { time_.after(retry_pause, again); };
+        }
         submit(wanted);
     });
 }
@@ -78,6 +89,9 @@
     if (code == router::configuration_error_code::revision_conflict) {
         wanted->ended = true;
         ++conflicts_;
+        if (wanted->conflicting) {
+            wanted->conflicting();
+        }
     } else if (code == router::configuration_error_code::invalid) {
         wanted->ended = true;
         throw std::logic_error("the simulated configuration is invalid: " +
--- a/bench/simulation/cluster/operators.hpp
+++ b/bench/simulation/cluster/operators.hpp
@@ -25,6 +25,11 @@
 };
 
 using catalog_edit = std::function<void(catalog::catalog&)>;
+/// Told of the change's own revision.
+using edit_accepted = std::function<void(base::revision)>;
+
+/// What an operator does whose change met another's.
+enum class on_conflict { give_up, edit_again };
 
 /// Calls from outside processes. Routers outlive it, and it outlives the run's events.
 class operators {
@@ -34,8 +39,9 @@
     /// Applies the whole desired state, through the routers in turn until one says yes.
     void apply_all(catalog::catalog desired, std::string author);
     /// Reads the configuration at a router, edits it and applies it there, expecting the
-    /// revision read. A conflict gives it up: the operator lost the race.
-    void edit(std::size_t router, std::string author, catalog_edit change);
+    /// revision read.
+    void edit(std::size_t router, std::string author, catalog_edit change, on_conflict conflict,
+              edit_accepted accepted = nullptr);
 
     const std::vector<accepted_change>& accepted() const { return accepted_; }
     std::uint64_t conflicts() const { return conflicts_; }
@@ -48,6 +54,8 @@
         std::size_t router = 0;
         std::uint32_t tries = 0;
         bool ended = false;
+        edit_accepted accepted;
+        std::function<void()> conflicting;
     };
     using order_pointer = std::shared_ptr<order>;
 
--- a/bench/simulation/engines/engine_client.cpp
+++ b/bench/simulation/engines/engine_client.cpp
@@ -169,8 +169,8 @@
     const auto line = open_link<stream_message>(address);
     const base::duration limit = std::min(limits_.admission, request.time_left);
     const base::monotonic_time deadline = scheduler_.now() + request.time_left;
-    arrival work = [line, request = std::move(request)](simulated_engine& engine) {
-        engine.generate(line, request);
+    arrival work = [line, from = own_, request = std::move(request)](simulated_engine& engine) {
+        engine.generate(line, from, request);
     };
     co_return co_await open_stream(address, limit, deadline, line, std::move(work));
 }
@@ -203,8 +203,8 @@
     }
     const base::endpoint address = target.address;
     const auto line = open_link<engine::result<engine::application_answer>>(address);
-    arrival work = [line, request = std::move(request)](simulated_engine& engine) {
-        engine.call_application(line, request);
+    arrival work = [line, from = own_, request = std::move(request)](simulated_engine& engine) {
+        engine.call_application(line, from, request);
     };
     co_return co_await exchange<engine::application_answer>(address, limit, line, std::move(work));
 }
--- a/bench/simulation/engines/simulated_engine.cpp
+++ b/bench/simulation/engines/simulated_engine.cpp
@@ -58,13 +58,16 @@
     connections_.push_back(connection);
 }
 
-void simulated_engine::record_arrival(const base::request_id& request,
-                                      const base::attempt_id& attempt,
+void simulated_engine::record_arrival(dispatch_arrival arrival,
                                       std::optional<engine::error_code> refused) {
-    arrivals_.push_back({time().now(), request, attempt, process_, refused});
+    arrival.at = time().now();
+    arrival.process = process_;
+    arrival.refused = refused;
+    arrivals_.push_back(std::move(arrival));
 }
 
 void simulated_engine::generate(const std::shared_ptr<stream_link>& line,
+                                const base::endpoint& router,
                                 const engine::generation_request& request) {
     remember(line);
     if (!model_) {
@@ -72,12 +75,17 @@
         return;
     }
     const auto admitted = model_->submit(request, time().now());
+    dispatch_arrival arrival;
+    arrival.router = router;
+    arrival.request = request.request;
+    arrival.attempt = request.attempt;
+    arrival.version = request.scope.version;
     if (admitted.has_error()) {
-        record_arrival(request.request, request.attempt, admitted.error().code);
+        record_arrival(std::move(arrival), admitted.error().code);
         line->send_to_client(admitted.error());
         return;
     }
-    record_arrival(request.request, request.attempt, std::nullopt);
+    record_arrival(std::move(arrival), std::nullopt);
     open_stream(line, *admitted);
 }
 
@@ -179,19 +187,23 @@
 
 void simulated_engine::call_application(
     const std::shared_ptr<answer_link<engine::application_answer>>& line,
-    const engine::application_request& request) {
+    const base::endpoint& router, const engine::application_request& request) {
     remember(line);
     if (!application_) {
         line->send_to_client(no_such_service());
         return;
     }
     const auto ticket = application_->submit(request, time().now());
+    dispatch_arrival arrival;
+    arrival.router = router;
+    arrival.request = request.request;
+    arrival.attempt = request.attempt;
     if (ticket.has_error()) {
-        record_arrival(request.request, request.attempt, ticket.error().code);
+        record_arrival(std::move(arrival), ticket.error().code);
         line->send_to_client(ticket.error());
         return;
     }
-    record_arrival(request.request, request.attempt, std::nullopt);
+    record_arrival(std::move(arrival), std::nullopt);
     const emulator::attempt_handle attempt = ticket->attempt;
     time().at(ticket->ready_at, [this, line, request, attempt, meant = process_] {
         if (meant == process_ && !down_) {
@@ -340,11 +352,11 @@
 void simulated_engine::restart() {
     process_.value += 1;
     down_ = false;
-    leaving_since_.reset();
     frozen_until_ = time().now();
     lost_answers_ = 0;
     if (model_) {
         model_->restart(process_, time().now());
+        order_weights();
     } else {
         application_->restart(process_);
     }
@@ -352,6 +364,7 @@
 
 void simulated_engine::freeze(base::duration length) {
     frozen_until_ = time().now() + length;
+    frozen_times_.push_back({time().now(), frozen_until_});
     if (model_ && !down_) {
         model_->freeze(time().now(), length);
         settle();
@@ -390,10 +403,10 @@
 }
 
 void simulated_engine::leave() {
-    if (down_ || leaving_since_) {
+    if (down_ || is_leaving()) {
         return;
     }
-    leaving_since_ = time().now();
+    leavings_.push_back({process_, time().now()});
     if (model_) {
         model_->set_leaving(true);
     } else {
@@ -401,6 +414,33 @@
     }
 }
 
+void simulated_engine::load_weights(const engine::load_model_order& order,
+                                    base::fencing_token token) {
+    if (!model_ || token < weights_token_) {
+        return;
+    }
+    weights_ = order;
+    weights_token_ = token;
+    if (!down_) {
+        order_weights();
+    }
+}
+
+void simulated_engine::order_weights() {
+    if (weights_) {
+        // A refusal means that a router's order carried a higher token.
+        [[maybe_unused]] const auto outcome =
+            model_->order(*weights_, weights_token_, process_, time().now());
+        settle();
+    }
+}
+
+bool simulated_engine::was_frozen(base::monotonic_time from, base::monotonic_time until) const {
+    return std::any_of(frozen_times_.begin(), frozen_times_.end(), [&](const frozen_time& held) {
+        return held.from <= until && from <= held.until;
+    });
+}
+
 const std::vector<emulator::execution_record>& simulated_engine::executions() const {
     return model_ ? model_->executions() : application_->executions();
 }
--- a/bench/simulation/engines/simulated_engine.hpp
+++ b/bench/simulation/engines/simulated_engine.hpp
@@ -29,12 +29,20 @@
 /// A dispatch as it reached an engine, for the auditor.
 struct dispatch_arrival {
     base::monotonic_time at{};  ///< True time.
+    base::endpoint router;
     base::request_id request;
     base::attempt_id attempt;
+    base::weights_version version;              ///< Wanted; empty for application calls.
     base::incarnation process;                  ///< Of the engine then.
     std::optional<engine::error_code> refused;  ///< Nothing where it was admitted.
 };
 
+/// A planned stop of one engine process.
+struct leaving_notice {
+    base::incarnation process;
+    base::monotonic_time since{};
+};
+
 /// What an engine machine runs.
 struct engine_machine {
     base::engine_name name;
@@ -56,21 +64,23 @@
     const machine_place& where() const { return machine_.where; }
     bool is_model() const { return model_ != nullptr; }
     bool is_down() const { return down_; }
-    bool is_leaving() const { return leaving_since_.has_value(); }
-    std::optional<base::monotonic_time> leaving_since() const { return leaving_since_; }
+    bool is_leaving() const { return !leavings_.empty() && leavings_.back().process == process_; }
+    const std::vector<leaving_notice>& leavings() const { return leavings_; }
+    /// @return whether it was frozen at some time between the two.
+    bool was_frozen(base::monotonic_time from, base::monotonic_time until) const;
     base::incarnation process() const { return process_; }
     emulator::engine_model* model() { return model_.get(); }
 
     /// Runs `work` once the engine isn't frozen. @return false where nobody listens.
     bool receive(std::function<void()> work);
 
-    void generate(const std::shared_ptr<stream_link>& line,
+    void generate(const std::shared_ptr<stream_link>& line, const base::endpoint& router,
                   const engine::generation_request& request);
     void resume(const std::shared_ptr<stream_link>& line, const engine::engine_target& target,
                 const base::attempt_id& attempt, std::uint32_t first_token);
     void cancel(const std::shared_ptr<answer_link<void>>& line, const base::attempt_id& attempt);
     void call_application(const std::shared_ptr<answer_link<engine::application_answer>>& line,
-                          const engine::application_request& request);
+                          const base::endpoint& router, const engine::application_request& request);
     void read_load(const std::shared_ptr<answer_link<engine::load_report>>& line);
     void read_events(const std::shared_ptr<answer_link<engine::cache_event_batch>>& line,
                      base::incarnation process, std::uint64_t from, base::duration wait);
@@ -93,21 +103,29 @@
     void lose_answers(std::uint32_t count) { lost_answers_ += count; }
     /// A planned stop: refuses new work until the machine goes.
     void leave();
+    /// The provider loads other weights, in this process and those to come; a lower token
+    /// than one before changes nothing.
+    void load_weights(const engine::load_model_order& order, base::fencing_token token);
 
     const std::vector<emulator::execution_record>& executions() const;
     const std::vector<dispatch_arrival>& arrivals() const { return arrivals_; }
 
   private:
+    struct frozen_time {
+        base::monotonic_time from{};
+        base::monotonic_time until{};
+    };
+
     virtual_time& time() { return carrier_.time(); }
     void restart();
+    void order_weights();
     /// Does what is due, sends events to their readers, plans the next time.
     void settle();
     void plan_wakeup();
     void dispatch(const emulator::model_output& output);
     void open_stream(const std::shared_ptr<stream_link>& line, emulator::attempt_handle attempt);
     void close_stream(emulator::attempt_handle attempt, const stream_link* closed);
-    void record_arrival(const base::request_id& request, const base::attempt_id& attempt,
-                        std::optional<engine::error_code> refused);
+    void record_arrival(dispatch_arrival arrival, std::optional<engine::error_code> refused);
     void finish_call(const std::shared_ptr<answer_link<engine::application_answer>>& line,
                      const engine::application_request& request, emulator::attempt_handle attempt);
     void answer_import(const std::shared_ptr<answer_link<engine::import_answer>>& line,
@@ -121,8 +139,11 @@
     std::unique_ptr<emulator::engine_model> model_;
     std::unique_ptr<emulator::application_model> application_;
     bool down_ = false;
-    std::optional<base::monotonic_time> leaving_since_;
+    std::vector<leaving_notice> leavings_;
     base::monotonic_time frozen_until_{};
+    std::vector<frozen_time> frozen_times_;
+    std::optional<engine::load_model_order> weights_;
+    base::fencing_token weights_token_;
     std::uint32_t lost_answers_ = 0;
     std::map<emulator::attempt_handle, std::shared_ptr<stream_link>> readers_;
     std::vector<std::weak_ptr<server_connection>> connections_;
