--- a/src/ferryroad/router/backends/tunables.hpp
+++ b/src/ferryroad/router/backends/tunables.hpp
@@ -25,7 +25,7 @@
     base::duration poll_interval = std::chrono::milliseconds(500);
     /// Load requests a second to all engines together.
     double polls_per_second = 20;
-    std::uint32_t polls_at_once = 64;  ///< And after a pause.  
+    std::uint32_t polls_at_once = 64;  ///< And after a pause.
     /// Between polls of an engine that doesn't answer: doubled from the first to the last.
     base::duration poll_backoff = std::chrono::milliseconds(250);
     base::duration poll_backoff_limit = std::chrono::seconds(4);
