--- a/src/ferryroad/router/node_status.hpp
+++ b/src/ferryroad/router/node_status.hpp
@@ -4,6 +4,7 @@
 
 #include "ferryroad/router/backends/backend_directory.hpp"
 #include "ferryroad/router/configuration_view.hpp"
+#include "ferryroad/router/membership/live_routers.hpp"
 #include "ferryroad/router/node.hpp"
 #include "ferryroad/router/readiness.hpp"
 #include "ferryroad/router/status_source.hpp"
@@ -15,11 +16,13 @@
   public:
     node_status(const node_identity& identity, const readiness& ready,
                 const configuration_view& configuration,
-                const backends::backend_directory& directory)
+                const backends::backend_directory& directory,
+                const membership::live_routers& routers)
         : identity_(identity),
           ready_(ready),
           configuration_(configuration),
-          directory_(directory) {}
+          directory_(directory),
+          routers_(routers) {}
 
     system_status status() const override;
 
@@ -30,6 +33,7 @@
     const readiness& ready_;
     const configuration_view& configuration_;
     const backends::backend_directory& directory_;
+    const membership::live_routers& routers_;
 };
 
 }  // namespace ferryroad::router
