Attempts that wait at a silent engine go elsewhere

Cause: an engine that freezes after it took an attempt, before the first token, held a repeatable request until its deadline (the engine layer allows 60 s for a start). Change: engine_directory gains suspected() (additive, false by default; the directory of back ends answers from its health); until the first token a repeatable attempt is given up as the engine comes under suspicion, and cancelled there. Where every attempt is proven not run and no engine is left the refusal is no_engine (503), not engine_failed (502). Conclusion: a freeze costs the time to suspicion, not the deadline.

--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -111,8 +111,8 @@
     if (failed.problem == selection_problem::deadline_too_near || overloaded_refusals_ > 0) {
         return end_with_refusal(refusal_reason::overloaded, failed.retry_after);
     }
-    const bool tried = !attempts_.empty();
-    const auto reason = tried ? refusal_reason::engine_failed : refusal_reason::no_engine;
+    const bool ran = report() != execution_report::not_run;
+    const auto reason = ran ? refusal_reason::engine_failed : refusal_reason::no_engine;
     return end_with_refusal(reason, failed.retry_after);
 }
 
@@ -264,8 +264,13 @@
 }
 
 action_list request_execution::give_up(const exchange_failed& failed) {
-    const bool closed = !rules_.repeatable && report() == execution_report::unknown;
-    const auto reason = closed ? refusal_reason::outcome_unknown : reason_of(failed.kind);
+    const bool ran = report() != execution_report::not_run;
+    auto reason = reason_of(failed.kind);
+    if (ran && !rules_.repeatable) {
+        reason = refusal_reason::outcome_unknown;
+    } else if (!ran && reason == refusal_reason::engine_failed) {
+        reason = refusal_reason::no_engine;
+    }
     return end_with_refusal(reason, failed.retry_after);
 }
 
--- a/src/ferryroad/router/backends/backend_directory.cpp
+++ b/src/ferryroad/router/backends/backend_directory.cpp
@@ -67,6 +67,12 @@
     return found->second.view();
 }
 
+bool backend_directory::suspected(const base::engine_name& engine) const {
+    const auto found = records_.find(engine);
+    return found != records_.end() &&
+           found->second.health(clock_.now()) == backend_health::suspected;
+}
+
 void backend_directory::record_dispatch(const base::engine_name& engine,
                                         std::uint64_t prefill_tokens) {
     if (backend_record* record = find_record(engine)) {
--- a/src/ferryroad/router/backends/backend_directory.hpp
+++ b/src/ferryroad/router/backends/backend_directory.hpp
@@ -30,6 +30,7 @@
 
     std::vector<engine_view> available(const base::pool_name& pool) const override;
     std::optional<engine_view> find(const base::engine_name& engine) const override;
+    bool suspected(const base::engine_name& engine) const override;
     void record_dispatch(const base::engine_name& engine, std::uint64_t prefill_tokens) override;
     void record_end(const base::engine_name& engine) override;
     void record_load(const base::engine_name& engine, const engine::load_report& load) override;
--- a/src/ferryroad/router/engine_directory.hpp
+++ b/src/ferryroad/router/engine_directory.hpp
@@ -34,6 +34,10 @@
     /// @return the engine if it may get new work; asked again right before each dispatch.
     virtual std::optional<engine_view> find(const base::engine_name& engine) const = 0;
 
+    /// @return whether the engine failed to answer lately: attempts that still wait to start
+    /// there may be given up on. False of engines that only take no new work.
+    virtual bool suspected(const base::engine_name& /*engine*/) const { return false; }
+
     /// An attempt goes to `engine`; `prefill_tokens` as estimated.
     virtual void record_dispatch(const base::engine_name& engine, std::uint64_t prefill_tokens) = 0;
     /// The attempt ended or failed before its load showed in a report.
--- a/src/ferryroad/router/request/application_driver.cpp
+++ b/src/ferryroad/router/request/application_driver.cpp
@@ -13,12 +13,17 @@
 runtime::task<void> application_driver::open_exchange(execution::dispatch_attempt wanted,
                                                       engine::engine_target target) {
     engine::application_request request = request_for(wanted);
-    auto answered = co_await with().engines.call_application(target, std::move(request));
-    if (answered.has_error()) {
-        feed_failure(wanted.exchange, answered.error());
+    auto answered =
+        co_await unless_suspected(with().engines.call_application(target, std::move(request)));
+    if (!answered) {
+        feed_silence(wanted.exchange);
         co_return;
     }
-    engine::application_answer& answer = *answered;
+    if (answered->has_error()) {
+        feed_failure(wanted.exchange, answered->error());
+        co_return;
+    }
+    engine::application_answer& answer = **answered;
     reply_ = {answer.status, std::move(answer.content_type), std::move(answer.body)};
     feed(execution::exchange_ended{wanted.exchange, 0});
 }
--- a/src/ferryroad/router/request/execution_driver.cpp
+++ b/src/ferryroad/router/request/execution_driver.cpp
@@ -127,6 +127,21 @@
     feed(to_event(exchange, failure));
 }
 
+void execution_driver::feed_silence(execution::exchange_number exchange) {
+    feed_failure(exchange, {engine::error_code::timed_out, engine::proof::unknown,
+                            "the engine answers nobody", std::nullopt});
+}
+
+runtime::task<void> execution_driver::wait_for_suspicion(base::engine_name engine) {
+    try {
+        while (!with_.directory.suspected(engine)) {
+            co_await with_.scheduler.sleep_for(start_.limits.suspicion_poll);
+        }
+    } catch (const boost::system::system_error&) {
+        co_return;  // Cancelled: the answer came, or nobody wants it.
+    }
+}
+
 void execution_driver::note_started(const engine::stream_started& started) {
     note_load(started.load);
     with_.selector.record_started(start_.query, selected_, started);
--- a/src/ferryroad/router/request/execution_driver.hpp
+++ b/src/ferryroad/router/request/execution_driver.hpp
@@ -12,6 +12,11 @@
 #include "ferryroad/router/request_types.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <boost/asio/error.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/system/system_error.hpp>
+
 #include <deque>
 #include <memory>
 #include <optional>
@@ -84,6 +89,13 @@
     void note_started(const engine::stream_started& started);
     void note_load(const engine::load_report& load);
 
+    /// Awaits an answer of the current engine. @return nothing where the engine came under
+    /// suspicion meanwhile and another may be asked: the answer is given up.
+    template <typename Answer>
+    runtime::task<std::optional<Answer>> unless_suspected(runtime::task<Answer> answer);
+    /// The current exchange was given up for its engine's silence.
+    void feed_silence(core::execution::exchange_number exchange);
+
     base::attempt_id attempt_id_of(core::execution::attempt_number number) const;
     base::duration time_left() const;
     engine::priority urgency() const;
@@ -92,6 +104,8 @@
 
   private:
     runtime::task<void> run();
+    /// Ends once the engine is suspected, or by cancellation.
+    runtime::task<void> wait_for_suspicion(base::engine_name engine);
     runtime::task<void> perform(core::execution::action wanted);
     void perform_now(const core::execution::action& wanted);
     runtime::task<void> claim();
@@ -115,4 +129,23 @@
     std::optional<recorded_outcome> replayed_;
 };
 
+template <typename Answer>
+runtime::task<std::optional<Answer>> execution_driver::unless_suspected(
+    runtime::task<Answer> answer) {
+    using boost::asio::experimental::awaitable_operators::operator||;
+    if (!start_.rules.repeatable) {
+        auto whole = co_await std::move(answer);
+        co_return std::optional<Answer>(std::move(whole));
+    }
+    auto first = co_await (std::move(answer) || wait_for_suspicion(targets_.back().name));
+    const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
+        throw boost::system::system_error(boost::asio::error::operation_aborted);
+    }
+    if (first.index() != 0) {
+        co_return std::nullopt;
+    }
+    co_return std::optional<Answer>(std::get<0>(std::move(first)));
+}
+
 }  // namespace ferryroad::router
--- a/src/ferryroad/router/request/generation_driver.cpp
+++ b/src/ferryroad/router/request/generation_driver.cpp
@@ -23,7 +23,7 @@
                                                      engine::engine_target target) {
     stream_.reset();
     engine::generation_request request = request_for(wanted);
-    auto opened = co_await with().engines.generate(target, std::move(request));
+    auto opened = co_await unless_suspected(with().engines.generate(target, std::move(request)));
     take_stream(std::move(opened), wanted.exchange);
 }
 
@@ -31,27 +31,45 @@
                                                        engine::engine_target target) {
     stream_.reset();
     const base::attempt_id attempt = attempt_id_of(wanted.attempt);
-    auto opened = co_await with().engines.resume(target, attempt, wanted.first_token);
+    auto opened =
+        co_await unless_suspected(with().engines.resume(target, attempt, wanted.first_token));
     take_stream(std::move(opened), wanted.exchange);
 }
 
-void generation_driver::take_stream(opened_stream opened, execution::exchange_number exchange) {
-    if (opened.has_error()) {
-        feed_failure(exchange, opened.error());
+void generation_driver::take_stream(std::optional<opened_stream> opened,
+                                    execution::exchange_number exchange) {
+    if (!opened) {
+        feed_silence(exchange);
         return;
     }
-    stream_ = std::move(*opened);
+    if (opened->has_error()) {
+        feed_failure(exchange, opened->error());
+        return;
+    }
+    stream_ = std::move(**opened);
     exchange_ = exchange;
+    token_seen_ = false;
 }
 
 runtime::task<void> generation_driver::continue_exchange() {
-    auto next = co_await stream_->next();
-    if (next.has_error()) {
+    std::optional<next_event> next;
+    if (token_seen_) {
+        // Between tokens the stream's own limit of silence holds.
+        next = co_await stream_->next();
+    } else {
+        next = co_await unless_suspected(stream_->next());
+    }
+    if (!next) {
+        stream_.reset();
+        feed_silence(exchange_);
+        co_return;
+    }
+    if (next->has_error()) {
         stream_.reset();
-        feed_failure(exchange_, next.error());
+        feed_failure(exchange_, next->error());
         co_return;
     }
-    std::visit([this](auto& received) { take(std::move(received)); }, *next);
+    std::visit([this](auto& received) { take(std::move(received)); }, **next);
 }
 
 void generation_driver::take(const engine::stream_started& started) {
@@ -64,6 +82,7 @@
 }
 
 void generation_driver::take(engine::stream_token token) {
+    token_seen_ = true;
     received_ = std::move(token);
     feed(execution::token_received{exchange_, received_.index});
 }
--- a/src/ferryroad/router/request/generation_driver.hpp
+++ b/src/ferryroad/router/request/generation_driver.hpp
@@ -5,6 +5,7 @@
 #include "ferryroad/router/request/execution_driver.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,9 +32,12 @@
 
   private:
     using opened_stream = engine::result<std::unique_ptr<engine::generation_stream>>;
+    using next_event = engine::result<engine::stream_event>;
 
     engine::generation_request request_for(const core::execution::dispatch_attempt& wanted) const;
-    void take_stream(opened_stream opened, core::execution::exchange_number exchange);
+    /// @param opened nothing where the engine came under suspicion.
+    void take_stream(std::optional<opened_stream> opened,
+                     core::execution::exchange_number exchange);
     void take(const engine::stream_started& started);
     void take(engine::stream_token token);
     void take(const engine::stream_end& end);
@@ -43,6 +47,7 @@
     token_sink& sink_;
     std::unique_ptr<engine::generation_stream> stream_;
     core::execution::exchange_number exchange_;
+    bool token_seen_ = false;  ///< In the open exchange.
     engine::stream_token received_;
     std::vector<std::string> kept_tokens_;  ///< Only for claimed requests.
     generation_summary summary_;
--- a/src/ferryroad/router/request/tunables.hpp
+++ b/src/ferryroad/router/request/tunables.hpp
@@ -19,6 +19,8 @@
     core::execution::tunables execution;
     /// When a caller should come back to a router that isn't ready.
     base::duration not_ready_retry = std::chrono::seconds(2);
+    /// How often an attempt that waits to start looks whether its engine still answers anyone.
+    base::duration suspicion_poll = std::chrono::milliseconds(100);
     /// Longest wait for warm state from another engine before computing it anew.
     base::duration import_wait = std::chrono::seconds(2);
     /// How often a planned stop looks whether claimed requests have ended.
--- a/test/router/request/fake_router.hpp
+++ b/test/router/request/fake_router.hpp
@@ -63,8 +63,9 @@
 struct fake_directory final : router::engine_directory {
     std::vector<base::engine_name> engines{base::engine_name("e1"), base::engine_name("e2"),
                                            base::engine_name("e3")};
-    std::vector<base::engine_name> left;  ///< No new work, though a selector may not know yet.
-    int in_flight = 0;                    ///< Dispatches that no report or end has answered.
+    std::vector<base::engine_name> left;    ///< No new work, though a selector may not know yet.
+    std::vector<base::engine_name> silent;  ///< Suspected.
+    int in_flight = 0;                      ///< Dispatches that no report or end has answered.
     std::vector<engine::error_code> failures;
 
     static router::engine_view view_of(const base::engine_name& name) {
@@ -85,6 +86,9 @@
         }
         return view_of(engine);
     }
+    bool suspected(const base::engine_name& engine) const override {
+        return std::count(silent.begin(), silent.end(), engine) > 0;
+    }
     void record_dispatch(const base::engine_name&, std::uint64_t) override { ++in_flight; }
     void record_end(const base::engine_name&) override { --in_flight; }
     void record_load(const base::engine_name&, const engine::load_report&) override {
