--- a/bench/simulation/engines/engine_client.cpp
+++ b/bench/simulation/engines/engine_client.cpp
@@ -169,8 +169,8 @@
     const auto line = open_link<stream_message>(address);
     const base::duration limit = std::min(limits_.admission, request.time_left);
     const base::monotonic_time deadline = scheduler_.now() + request.time_left;
-    arrival work = [line, request = std::move(request)](simulated_engine& engine) {
-        engine.generate(line, request);
+    arrival work = [line, from = own_, request = std::move(request)](simulated_engine& engine) {
+        engine.generate(line, from, request);
     };
     co_return co_await open_stream(address, limit, deadline, line, std::move(work));
 }
@@ -203,18 +203,18 @@
     }
     const base::endpoint address = target.address;
     const auto line = open_link<engine::result<engine::application_answer>>(address);
-    arrival work = [line, request = std::move(request)](simulated_engine& engine) {
-        engine.call_application(line, request);
+    arrival work = [line, from = own_, request = std::move(request)](simulated_engine& engine) {
+        engine.call_application(line, from, request);
     };
     co_return co_await exchange<engine::application_answer>(address, limit, line, std::move(work));
 }
 
 runtime::task<engine::result<engine::load_report>> engine_client::read_load(
     const base::endpoint& address) {
-    const base::endpoint to = address;
-    const auto line = open_link<engine::result<engine::load_report>>(to);
+    const auto line = open_link<engine::result<engine::load_report>>(address);
     arrival work = [line](simulated_engine& engine) { engine.read_load(line); };
-    co_return co_await exchange<engine::load_report>(to, limits_.control, line, std::move(work));
+    co_return co_await exchange<engine::load_report>(address, limits_.control, line,
+                                                     std::move(work));
 }
 
 runtime::task<engine::result<engine::cache_event_batch>> engine_client::read_events(
--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -1,15 +1,21 @@
 #include "ferryroad/router/node.hpp"
 
+#include "ferryroad/base/hash.hpp"
 #include "ferryroad/core/routing/policy.hpp"
 #include "ferryroad/platform/batching_table.hpp"
 #include "ferryroad/router/backends/backend_service.hpp"
 #include "ferryroad/router/claims/table_claim_registry.hpp"
 #include "ferryroad/router/configuration/configuration_service.hpp"
+#include "ferryroad/router/membership/configuration_link.hpp"
+#include "ferryroad/router/membership/membership_service.hpp"
+#include "ferryroad/router/membership/prefix_link.hpp"
+#include "ferryroad/router/membership/views.hpp"
 #include "ferryroad/router/node_status.hpp"
 #include "ferryroad/router/request/fair_admission.hpp"
 #include "ferryroad/router/request/routing_request_service.hpp"
-#include "ferryroad/router/selection/local_prefix_knowledge.hpp"
+#include "ferryroad/router/selection/cache_event_adapter.hpp"
 #include "ferryroad/router/selection/selector.hpp"
+#include "ferryroad/router/selection/shared_prefix_knowledge.hpp"
 
 #include <utility>
 
@@ -21,27 +27,6 @@
 /// than what only polls; refusals by the rate limit slow them down.
 constexpr platform::pacer_limits claims_pace{20.0, 10.0};
 
-/// Cache events that this router reads go into the prefix index.
-class events_into_knowledge final : public backends::cache_event_sink {
-  public:
-    explicit events_into_knowledge(selection::prefix_knowledge& knowledge)
-        : knowledge_(knowledge) {}
-
-    void accept(const base::engine_name& engine, const engine::cache_event_batch& batch) override {
-        knowledge_.report_events(engine, batch);
-    }
-
-  private:
-    selection::prefix_knowledge& knowledge_;
-};
-
-/// Before membership has spoken: no process is known to have ended.
-class alone final : public process_liveness {
-  public:
-    bool known_dead(const base::router_name&, base::incarnation) const override { return false; }
-    std::size_t live_routers() const override { return 1; }
-};
-
 }  // namespace
 
 /// In the order of construction: each stands on those before it.
@@ -49,33 +34,64 @@
     services(node_identity who, const node_options& options, const node_ports& ports)
         : scheduler(ports.scheduler),
           identity(std::move(who)),
-          configuration({ports.table, ports.objects, peers, ports.scheduler}),
+          dispatcher(ports.peers, identity.name, identity.process),
+          membership({identity.name, identity.process, identity.zone, identity.region,
+                      identity.peer_address},
+                     options.seeds, {scheduler, ports.peers, dispatcher}),
+          configuration_peers(scheduler, dispatcher, membership, identity.name),
+          configuration({ports.table, ports.objects, configuration_peers, scheduler}),
           ready(configuration),
-          directory(ports.scheduler, configuration),
-          knowledge(ports.scheduler),
+          directory(scheduler, configuration),
+          knowledge_routers(membership),
+          knowledge_peers(dispatcher),
+          knowledge(identity.name, knowledge_routers, knowledge_peers, scheduler),
           events(knowledge),
-          backend({ports.scheduler, ports.machines, ports.engines, directory, events},
-                  [](const base::engine_name&) { return true; }),
-          selector(directory, knowledge, core::routing::make_policy(options.policy),
-                   ports.scheduler),
-          claims_table(ports.scheduler, ports.table, {claims_pace, {}}),
-          claims(ports.scheduler, claims_table, liveness, {identity.name, identity.process}),
-          admission(ports.scheduler, directory, quota),
+          backend({scheduler, ports.machines, ports.engines, directory, events},
+                  [this](const base::engine_name& engine) { return reads_events_of(engine); }),
+          selector(directory, knowledge, core::routing::make_policy(options.policy), scheduler),
+          liveness(membership),
+          claims_table(scheduler, ports.table, {claims_pace, {}}),
+          claims(scheduler, claims_table, liveness, {identity.name, identity.process}),
+          admission(scheduler, directory, quota),
           requests(configuration, admission,
-                   {ports.scheduler, directory, selector, ports.engines, claims}),
-          status(identity, ready, configuration, directory) {}
+                   {scheduler, directory, selector, ports.engines, claims}),
+          status(identity, ready, configuration, directory, membership) {
+        connect();
+    }
+
+    /// Lets the services hear of each other.
+    void connect() {
+        configuration_peers.serve(configuration);
+        knowledge_peers.serve(knowledge);
+        membership.listen({[this] { return configuration.current()->revision; },
+                           [this](base::revision seen) { configuration.observe_revision(seen); },
+                           [this](const base::engine_name& engine, base::incarnation process) {
+                               directory.record_leaving(engine, process);
+                           }});
+        directory.on_leaving([this](const base::engine_name& engine, base::incarnation process) {
+            membership.spread_leaving(engine, process);
+        });
+    }
+
+    bool reads_events_of(const base::engine_name& engine) const {
+        return membership.owned_here(base::hash_bytes(engine.value));
+    }
 
     runtime::scheduler& scheduler;
     node_identity identity;
-    no_peers peers;
+    peer::peer_dispatcher dispatcher;
+    membership::membership_service membership;
+    membership::configuration_link configuration_peers;
     configuration_service configuration;
     readiness ready;
     backends::backend_directory directory;
-    selection::local_prefix_knowledge knowledge;
-    events_into_knowledge events;
+    membership::selection_view knowledge_routers;
+    membership::prefix_link knowledge_peers;
+    selection::shared_prefix_knowledge knowledge;
+    selection::cache_event_adapter events;
     backends::backend_service backend;
     selection::selector selector;
-    alone liveness;
+    membership::liveness_view liveness;
     platform::batching_table claims_table;
     table_claim_registry claims;
     whole_quota quota;
@@ -90,6 +106,7 @@
 node::~node() = default;
 
 void node::start() {
+    services_->membership.start();
     services_->configuration.start();
     services_->backend.start();
     services_->scheduler.spawn("router.claims", services_->claims.sweep_for_ever());
@@ -97,11 +114,13 @@
 
 void node::begin_stop() {
     services_->ready.begin_stop();
+    services_->membership.leave();
 }
 
 void node::stop() {
     services_->backend.stop();
     services_->configuration.stop();
+    services_->membership.stop();
 }
 
 const readiness& node::ready_state() const {
--- a/test/router/selection/peer_prefix_exchange_test.cpp
+++ b/test/router/selection/prefix_link_test.cpp
@@ -1,14 +1,14 @@
 /// The shared index over encoded messages: what goes in comes out, and what an answer costs.
-#include "ferryroad/router/selection/peer_prefix_exchange.hpp"
+#include "ferryroad/router/membership/prefix_link.hpp"
 
 #include "bench/simulation/virtual_scheduler.hpp"
 #include "ferryroad/peer/codec.hpp"
+#include "ferryroad/peer/peer_dispatcher.hpp"
 #include "test/router/selection/fake_exchange.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <functional>
 #include <optional>
 #include <string>
 
@@ -24,20 +24,25 @@
 const router_contact other{base::router_name("other"), base::incarnation(1), {"127.0.0.1", 2}};
 const core::prefix::engine_process engine_a{base::engine_name("a"), base::incarnation(7)};
 
-/// Hands each call to a function, at once.
+/// Hands each call to the other side's handler at once, or gives a fixed answer.
 class direct_transport final : public peer::transport {
   public:
-    std::function<peer::result<peer::message_bytes>(const peer::message_bytes&)> answer;
+    direct_transport* other_side = nullptr;
+    std::optional<peer::result<peer::message_bytes>> fixed_answer;
+    call_handler handler;
 
     void on_datagram(datagram_handler) override {}
-    void on_call(call_handler) override {}
+    void on_call(call_handler handle) override { handler = std::move(handle); }
     void send(const base::endpoint&, peer::message_bytes) override {}
     runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
                                                           peer::message_bytes request,
                                                           base::duration) override {
         counters_.call_bytes_sent += request.size();
-        auto answered = answer(request);
-        counters_.call_bytes_received += answered ? answered->size() : 0;
+        if (fixed_answer) {
+            co_return *fixed_answer;
+        }
+        peer::message_bytes answered = co_await other_side->handler(std::move(request));
+        counters_.call_bytes_received += answered.size();
         co_return answered;
     }
     const peer::transport_counters& counters() const override { return counters_; }
@@ -62,15 +67,15 @@
     test::fake_live_routers routers;
     shared_prefix_knowledge knowledge{other.name, routers, unused, scheduler};
     direct_transport transport;
-    peer_prefix_exchange exchange{transport, self};
+    direct_transport other_transport;
+    peer::peer_dispatcher dispatcher{transport, self.name, self.incarnation};
+    peer::peer_dispatcher other_dispatcher{other_transport, other.name, other.incarnation};
+    router::membership::prefix_link exchange{dispatcher};
+    router::membership::prefix_link other_exchange{other_dispatcher};
 
     pair_of_routers() {
-        transport.answer = [this](const peer::message_bytes& request) {
-            const auto received = peer::decode_call(request);
-            const auto body = answer_prefix_call(knowledge, received->body);
-            return peer::result<peer::message_bytes>(
-                peer::encode(peer::call{other.name, other.incarnation, *body}));
-        };
+        transport.other_side = &other_transport;
+        other_exchange.serve(knowledge);
     }
 
     template <typename T>
@@ -115,7 +120,7 @@
 
 }  // namespace
 
-Test(peer_prefix_exchange, reports_and_answers_survive_the_wire) {
+Test(prefix_link, reports_and_answers_survive_the_wire) {
     pair_of_routers pair;
     cr_assert(pair.report(core::prefix::prefix_change::held, 2, core::prefix::evidence::answer)
                   .has_value());
@@ -131,13 +136,17 @@
     cr_assert(pair.lookup()->holders.empty());
 }
 
-Test(peer_prefix_exchange, other_calls_are_left_to_others) {
+Test(prefix_link, other_calls_are_left_to_others) {
     pair_of_routers pair;
-    cr_assert(!answer_prefix_call(pair.knowledge, peer::quota_request{}).has_value());
-    cr_assert(answer_prefix_call(pair.knowledge, peer::prefix_lookup{scope, {}}).has_value());
+    const auto ask = [&pair](peer::call_body body) {
+        const peer::call message{self.name, self.incarnation, std::move(body)};
+        return pair.run(pair.other_transport.handler(peer::encode(message)));
+    };
+    cr_assert(ask(peer::quota_request{}).empty());
+    cr_assert(!ask(peer::prefix_lookup{scope, {}}).empty());
 }
 
-Test(peer_prefix_exchange, a_lookup_costs_a_few_hundred_bytes) {
+Test(prefix_link, a_lookup_costs_a_few_hundred_bytes) {
     pair_of_routers pair;
     pair.report(core::prefix::prefix_change::held, 12);
     const auto before = pair.transport.counters();
@@ -146,7 +155,7 @@
     cr_assert_leq(pair.transport.counters().call_bytes_received - before.call_bytes_received, 200);
 }
 
-ParameterizedTestParameters(peer_prefix_exchange, fault_table) {
+ParameterizedTestParameters(prefix_link, fault_table) {
     static std::size_t indexes[fault_count];
     for (std::size_t index = 0; index < fault_count; ++index) {
         indexes[index] = index;
@@ -154,10 +163,10 @@
     return cr_make_param_array(std::size_t, indexes, fault_count);
 }
 
-ParameterizedTest(std::size_t* number, peer_prefix_exchange, fault_table) {
+ParameterizedTest(std::size_t* number, prefix_link, fault_table) {
     const fault_row& row = fault_rows[*number];
     pair_of_routers pair;
-    pair.transport.answer = [&row](const peer::message_bytes&) { return row.answer; };
+    pair.transport.fixed_answer = row.answer;
     const auto looked_up = pair.lookup();
     cr_assert(looked_up.has_error(), "%s", row.about);
     cr_assert(looked_up.error().failure == row.expected, "%s", row.about);
