A planned stop waits for recorded outcomes and claimed requests

Cause: the process could end between a request's answer and the recording of its outcome, which would leave its key unknown. Change: background_work counts what requests leave behind (claims to settle, cancellations, claimed requests without callers); node::drain (additive) waits for it after the callers' server has drained, and the daemon calls it.

--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -102,6 +102,7 @@
     bool drained = false;
     running.scheduler.spawn("daemon.drain", [](process& at, bool& done) -> runtime::task<void> {
         co_await at.callers.drain();
+        co_await at.node.drain();
         done = true;
     }(running, drained));
     while (!drained && running.scheduler.now() < latest) {
--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -117,6 +117,10 @@
     services_->membership.leave();
 }
 
+runtime::task<void> node::drain() {
+    return services_->requests.drain();
+}
+
 void node::stop() {
     services_->backend.stop();
     services_->configuration.stop();
--- a/src/ferryroad/router/node.hpp
+++ b/src/ferryroad/router/node.hpp
@@ -58,6 +58,9 @@
 
     /// First step of a planned stop: unready, leaving in gossip. Requests at work go on.
     void begin_stop();
+    /// Second step, once no caller is left: @return when what requests left behind is done, such
+    /// as outcomes to record.
+    runtime::task<void> drain();
     /// Last step: services end when they next wake up.
     void stop();
 
--- a/src/ferryroad/router/request/execution_driver.cpp
+++ b/src/ferryroad/router/request/execution_driver.cpp
@@ -16,7 +16,7 @@
 constexpr const char* component = "router.request";
 
 runtime::task<void> cancel_at_engine(engine::client& engines, engine::engine_target target,
-                                     base::attempt_id attempt) {
+                                     base::attempt_id attempt, background_work::token /*counted*/) {
     const auto cancelled = co_await engines.cancel(target, attempt);
     if (cancelled.has_error()) {
         runtime::log(runtime::log_level::warning, component, "attempt could not be cancelled",
@@ -25,7 +25,8 @@
 }
 
 runtime::task<void> record_end_of_claim(claim_registry& claims, claim_request claim,
-                                        recorded_outcome outcome) {
+                                        recorded_outcome outcome,
+                                        background_work::token /*counted*/) {
     const base::idempotency_key key = claim.key;
     const auto recorded = co_await claims.finish(std::move(claim), std::move(outcome));
     if (recorded.has_error()) {
@@ -34,7 +35,8 @@
     }
 }
 
-runtime::task<void> release_claim(claim_registry& claims, claim_request claim) {
+runtime::task<void> release_claim(claim_registry& claims, claim_request claim,
+                                  background_work::token /*counted*/) {
     const base::idempotency_key key = claim.key;
     const auto released = co_await claims.release(std::move(claim));
     if (released.has_error()) {
@@ -186,9 +188,9 @@
 
 void execution_driver::perform_now(const execution::action& wanted) {
     if (const auto* live = std::get_if<execution::cancel_attempt>(&wanted)) {
-        with_.scheduler.spawn(component,
-                              cancel_at_engine(with_.engines, targets_.at(live->attempt.value - 1),
-                                               attempt_id_of(live->attempt)));
+        with_.scheduler.spawn(
+            component, cancel_at_engine(with_.engines, targets_.at(live->attempt.value - 1),
+                                        attempt_id_of(live->attempt), start_.background.begin()));
     } else if (const auto* given_up = std::get_if<execution::refuse>(&wanted)) {
         refused_ = to_refusal(*given_up);
     } else if (const auto* settled = std::get_if<execution::settle_claim>(&wanted)) {
@@ -273,11 +275,13 @@
 
 void execution_driver::settle(execution::claim_settlement settlement) {
     if (settlement == execution::claim_settlement::release) {
-        with_.scheduler.spawn(component, release_claim(with_.claims, *start_.claim));
+        with_.scheduler.spawn(
+            component, release_claim(with_.claims, *start_.claim, start_.background.begin()));
         return;
     }
     with_.scheduler.spawn(
-        component, record_end_of_claim(with_.claims, *start_.claim, outcome_to_record(settlement)));
+        component, record_end_of_claim(with_.claims, *start_.claim, outcome_to_record(settlement),
+                                       start_.background.begin()));
 }
 
 recorded_outcome execution_driver::outcome_to_record(execution::claim_settlement settlement) const {
--- a/src/ferryroad/router/request/execution_driver.hpp
+++ b/src/ferryroad/router/request/execution_driver.hpp
@@ -7,6 +7,7 @@
 #include "ferryroad/router/claim_registry.hpp"
 #include "ferryroad/router/engine_directory.hpp"
 #include "ferryroad/router/engine_selector.hpp"
+#include "ferryroad/router/request/background_work.hpp"
 #include "ferryroad/router/request/call_resolution.hpp"
 #include "ferryroad/router/request/tunables.hpp"
 #include "ferryroad/router/request_types.hpp"
@@ -43,6 +44,7 @@
     core::execution::execution_rules rules;
     std::shared_ptr<core::admission::retry_budget> budget;
     request_tunables limits;
+    background_work background;  ///< What the request leaves behind is counted there.
 };
 
 /// One request from its claim or selection to its end. `generation_driver` and
--- a/src/ferryroad/router/request/routing_request_service.cpp
+++ b/src/ferryroad/router/request/routing_request_service.cpp
@@ -194,7 +194,7 @@
 }
 
 runtime::task<void> routing_request_service::drain() {
-    while (claimed_at_work_ > 0) {
+    while (background_.count() > 0) {
         co_await with_.scheduler.sleep_for(limits_.drain_poll);
     }
 }
@@ -230,6 +230,7 @@
     start.rules.deadline = arrived + resolved.route->deadline;
     start.budget = budget_of(resolved);
     start.limits = limits_;
+    start.background = background_;
     start.resolved = std::move(resolved);
     return start;
 }
@@ -282,9 +283,8 @@
     std::shared_ptr<execution_driver> driver, admission_query query,
     std::shared_ptr<token_relay> relay, token_sink* sink) {
     auto ended = std::make_shared<ending>(with_.scheduler.executor(), std::size_t{1});
-    ++claimed_at_work_;
-    with_.scheduler.spawn("router.request",
-                          run_to_end(std::move(driver), std::move(query), relay, ended));
+    with_.scheduler.spawn("router.request", run_to_end(std::move(driver), std::move(query), relay,
+                                                       ended, background_.begin()));
     if (relay) {
         co_await relay->pass_on(*sink);
     }
@@ -295,9 +295,9 @@
 runtime::task<void> routing_request_service::run_to_end(std::shared_ptr<execution_driver> driver,
                                                         admission_query query,
                                                         std::shared_ptr<token_relay> relay,
-                                                        std::shared_ptr<ending> ended) {
+                                                        std::shared_ptr<ending> ended,
+                                                        background_work::token /*counted*/) {
     auto refused = co_await serve(*driver, std::move(query));
-    --claimed_at_work_;
     if (relay) {
         relay->close();
     }
--- a/src/ferryroad/router/request/routing_request_service.hpp
+++ b/src/ferryroad/router/request/routing_request_service.hpp
@@ -13,7 +13,6 @@
 
 #include <boost/asio/experimental/channel.hpp>
 
-#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,7 +32,7 @@
         application_call call) override;
 
     /// Planned stop, once no caller is left: @return when claimed requests whose callers went
-    /// away have ended too.
+    /// away have ended, and all outcomes are recorded and cancellations told.
     runtime::task<void> drain();
 
   private:
@@ -65,7 +64,7 @@
         boost::asio::experimental::channel<void(boost::system::error_code, std::optional<refusal>)>;
     runtime::task<void> run_to_end(std::shared_ptr<execution_driver> driver, admission_query query,
                                    std::shared_ptr<token_relay> relay,
-                                   std::shared_ptr<ending> ended);
+                                   std::shared_ptr<ending> ended, background_work::token counted);
     runtime::task<std::optional<refusal>> admit_and_drive(execution_driver& driver,
                                                           admission_query query);
 
@@ -74,7 +73,7 @@
     request_collaborators with_;
     request_tunables limits_;
     call_resolver resolver_;
-    std::size_t claimed_at_work_ = 0;
+    background_work background_;
     std::map<budget_key, std::shared_ptr<core::admission::retry_budget>> budgets_;
 };
 
--- a/test/router/request/request_service_test.cpp
+++ b/test/router/request/request_service_test.cpp
@@ -194,6 +194,11 @@
     return table;
 }
 
+runtime::task<void> note_drain(run& one, std::optional<base::monotonic_time>& drained_at) {
+    co_await one.router.service.drain();
+    drained_at = one.time.now();
+}
+
 std::string asked(const test::fake_engines& engines) {
     std::string text;
     for (const auto& call : engines.calls) {
@@ -325,6 +330,19 @@
     cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
 }
 
+Test(request_service, a_planned_stop_waits_for_claimed_calls_without_callers) {
+    run one;
+    one.router.engines.answer_time = 3s;
+    const auto left_at = one.time.now() + 1s;
+    std::optional<base::monotonic_time> drained_at;
+    one.time.at(left_at + 1ms, one.scheduler.process(),
+                [&] { one.scheduler.spawn("drain", note_drain(one, drained_at)); });
+    one.call("/app/records", "k1", "x", 1s);
+    cr_assert(drained_at.has_value());
+    cr_assert_geq((*drained_at - left_at).count(), base::duration(2s).count());
+    cr_assert(one.router.claims.records.begin()->second.outcome.has_value());
+}
+
 Test(request_service, a_claimed_generation_runs_to_its_end_without_its_caller) {
     run one;
     one.sink.gone_at = 2;
