--- a/test/router/request/request_service_test.cpp
+++ b/test/router/request/request_service_test.cpp
@@ -181,7 +181,7 @@
           refuses(error_code::connect_failed, proof::not_sent)},
          "e1@0 e2@0 e3@0",
          false,
-         refusal_code::engine_failed,
+         refusal_code::no_engine,
          execution_report::not_run},
         {"silent past the deadline",
          many,
@@ -194,6 +194,11 @@
     return table;
 }
 
+runtime::task<void> note_drain(run& one, std::optional<base::monotonic_time>& drained_at) {
+    co_await one.router.service.drain();
+    drained_at = one.time.now();
+}
+
 std::string asked(const test::fake_engines& engines) {
     std::string text;
     for (const auto& call : engines.calls) {
@@ -263,6 +268,26 @@
     cr_assert_eq(one.router.engines.cancelled.size(), 1U);
 }
 
+Test(request_service, an_attempt_that_waits_at_a_silent_engine_goes_elsewhere) {
+    run one;
+    one.router.engines.scripts.push_back(silent(0));
+    const base::engine_name silent_engine("e1");
+    one.time.after(2s, [&] { one.router.directory.silent.push_back(silent_engine); });
+    one.generate();
+    cr_assert(one.sink.text == "t0 t1 t2 t3 t4 ");
+    cr_assert(asked(one.router.engines) == "e1@0 e2@0");
+    cr_assert_eq(one.router.engines.cancelled.size(), 1U);
+}
+
+Test(request_service, a_call_that_may_not_be_repeated_waits_at_a_silent_engine) {
+    run one;
+    one.router.engines.answer_time = 5s;
+    one.router.directory.silent.push_back(base::engine_name("e1"));
+    one.call("/app/records", nullptr);
+    cr_assert(one.replied->has_value());
+    cr_assert_eq(one.router.engines.calls.size(), 1U);
+}
+
 Test(request_service, engine_that_left_after_the_choice_gets_nothing) {
     run one;
     one.router.directory.left.push_back(base::engine_name("e1"));
@@ -305,6 +330,19 @@
     cr_assert_eq(one.router.engines.calls.size(), 1U, "it ran once");
 }
 
+Test(request_service, a_planned_stop_waits_for_claimed_calls_without_callers) {
+    run one;
+    one.router.engines.answer_time = 3s;
+    const auto left_at = one.time.now() + 1s;
+    std::optional<base::monotonic_time> drained_at;
+    one.time.at(left_at + 1ms, one.scheduler.process(),
+                [&] { one.scheduler.spawn("drain", note_drain(one, drained_at)); });
+    one.call("/app/records", "k1", "x", 1s);
+    cr_assert(drained_at.has_value());
+    cr_assert_geq((*drained_at - left_at).count(), base::duration(2s).count());
+    cr_assert(one.router.claims.records.begin()->second.outcome.has_value());
+}
+
 Test(request_service, a_claimed_generation_runs_to_its_end_without_its_caller) {
     run one;
     one.sink.gone_at = 2;
