--- /dev/null
+++ b/test/router/leases/lease_test.cpp
@@ -0,0 +1,333 @@
+/// Leases of several routers on the platform's model, and the orders that they fence.
+#include "bench/simulation/engines/engine_client.hpp"
+#include "bench/simulation/faults/fault_counts.hpp"
+#include "emulator/platform/model_services.hpp"
+#include "ferryroad/platform/json_codec.hpp"
+#include "ferryroad/router/leases/lease_service.hpp"
+#include "ferryroad/router/leases/model_placement.hpp"
+#include "test/router/backends/directory_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace {
+
+using namespace ferryroad;
+using namespace ferryroad::router;
+using namespace ferryroad::router::leases;
+using namespace ferryroad::bench::simulation;
+using namespace std::chrono_literals;
+using backends::test::machine_of;
+using backends::test::manual_configuration;
+
+const lease_name role("role");
+
+base::endpoint router_address(std::size_t index) {
+    return {"10.0.0." + std::to_string(1 + index), 7000};
+}
+
+/// Counts what a table client sends and receives as bodies of the platform protocol.
+class metered_table final : public platform::table {
+  public:
+    explicit metered_table(platform::table& inner) : inner_(inner) {}
+
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        bytes += platform::encode_transactions(transactions).size();
+        auto outcomes = co_await inner_.transact(std::move(transactions));
+        bytes += outcomes ? platform::encode_outcomes(*outcomes).size() : 0;
+        co_return outcomes;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key> keys) override {
+        bytes += platform::encode_keys(keys).size();
+        auto rows = co_await inner_.read(std::move(keys));
+        bytes += rows ? platform::encode_rows(*rows).size() : 0;
+        co_return rows;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string prefix,
+                                                                     platform::row_key after,
+                                                                     std::uint32_t limit) override {
+        return inner_.scan(std::move(prefix), std::move(after), limit);
+    }
+
+    std::uint64_t bytes = 0;
+
+  private:
+    platform::table& inner_;
+};
+
+/// One router process: leases, placement and what they stand on.
+struct router_process {
+    router_process(virtual_time& time, emulator::platform_model& platform, network& carrier,
+                   engine_fleet& fleet, const configuration_view& view, std::size_t index)
+        : scheduler(time, index),
+          table_model(platform, scheduler),
+          table(table_model),
+          engines(fleet, carrier, scheduler, router_address(index)),
+          directory(scheduler, view),
+          leases(scheduler, table, {"router-" + std::to_string(index), base::incarnation(1)}),
+          placement({scheduler, engines, directory, view, leases}) {
+        scheduler.run([this] {
+            leases.contend(role, [this] { return wanted; });
+            leases.contend(placement_lease, [this] { return wanted; });
+            placement.start();
+        });
+    }
+    router_process(const router_process&) = delete;
+    ~router_process() { scheduler.kill(); }
+
+    virtual_scheduler scheduler;
+    emulator::model_table table_model;
+    metered_table table;
+    engine_client engines;
+    backends::backend_directory directory;
+    lease_service leases;
+    model_placement placement;
+    bool wanted = true;
+};
+
+struct test_bench {
+    explicit test_bench(std::size_t size) : routers(size) {
+        for (std::size_t index = 0; index < size; ++index) {
+            routers[index] = std::make_unique<router_process>(time, platform, carrier, fleet,
+                                                              configuration, index);
+        }
+    }
+
+    bool run_until(const std::function<bool()>& condition, base::duration limit = 60s) {
+        const base::monotonic_time end = time.now() + limit;
+        while (!condition() && time.now() < end) {
+            run_for(50ms);
+        }
+        return condition();
+    }
+    void run_for(base::duration period) {
+        const base::monotonic_time end = time.now() + period;
+        while (time.now() < end) {
+            time.run_until(std::min(end, time.now() + 20ms));
+            cr_assert_leq(holders().size(), 1, "two routers hold one lease");
+        }
+    }
+    std::vector<std::size_t> holders() const {
+        std::vector<std::size_t> found;
+        for (std::size_t index = 0; index < routers.size(); ++index) {
+            if (routers[index] && routers[index]->leases.token(role)) {
+                found.push_back(index);
+            }
+        }
+        return found;
+    }
+    std::size_t wait_for_holder() {
+        cr_assert(run_until([&] { return holders().size() == 1; }));
+        return holders().front();
+    }
+    base::fencing_token token_of(std::size_t index) const {
+        return routers[index]->leases.token(role).value();
+    }
+
+    virtual_time time{1};
+    emulator::platform_model platform{{}};
+    fault_counts counts;
+    network carrier{time, {}, counts};
+    engine_fleet fleet;
+    manual_configuration configuration;
+    std::vector<std::unique_ptr<simulated_engine>> engines;
+    std::vector<std::unique_ptr<router_process>> routers;
+};
+
+}  // namespace
+
+Test(lease_service, one_holder_and_a_successor_after_its_end) {
+    test_bench test(3);
+    const std::size_t first = test.wait_for_holder();
+    const base::fencing_token token = test.token_of(first);
+    test.run_for(60s);
+    cr_assert(test.token_of(first) == token, "a lease that is renewed keeps its token");
+    test.routers[first].reset();
+    const std::size_t second = test.wait_for_holder();
+    cr_assert(test.token_of(second) > token);
+}
+
+Test(lease_service, what_a_lease_costs) {
+    test_bench test(2);
+    const std::size_t holder = test.wait_for_holder();
+    const std::size_t contender = 1 - holder;
+    const auto cost = [&](std::size_t index) {
+        return std::pair(test.routers[index]->leases.table_calls(),
+                         test.routers[index]->table.bytes);
+    };
+    const auto holder_before = cost(holder);
+    const auto contender_before = cost(contender);
+    constexpr double seconds = 300;
+    test.run_for(300s);
+    const auto rates = [&](const char* what, auto before, auto after) {
+        // Two leases are held or contended for by each router here.
+        const double calls = static_cast<double>(after.first - before.first) / seconds / 2;
+        const double bytes = static_cast<double>(after.second - before.second) / seconds / 2;
+        std::printf("%s of one lease: %.2f table calls/s, bodies %.0f B/s\n", what, calls, bytes);
+        return calls;
+    };
+    cr_assert_lt(rates("holder", holder_before, cost(holder)), 0.5);
+    cr_assert_lt(rates("contender", contender_before, cost(contender)), 0.5);
+}
+
+Test(lease_service, released_at_once_when_not_wanted) {
+    test_bench test(2);
+    const std::size_t first = test.wait_for_holder();
+    test.routers[first]->wanted = false;
+    cr_assert_not(test.routers[first]->leases.token(role).has_value());
+    cr_assert(test.run_until([&] { return test.holders().size() == 1; }, 8s),
+              "the other waited for the lease's end");
+}
+
+Test(lease_service, a_holder_frozen_past_its_lease) {
+    test_bench test(3);
+    const std::size_t first = test.wait_for_holder();
+    const base::fencing_token token = test.token_of(first);
+    test.routers[first]->scheduler.pause();
+    test.run_for(15s);
+    const std::size_t second = test.wait_for_holder();
+    cr_assert_neq(first, second);
+    cr_assert(test.token_of(second) > token);
+    test.routers[first]->scheduler.resume();
+    test.run_for(30s);
+    cr_assert(test.holders() == std::vector<std::size_t>{second});
+}
+
+Test(lease_service, outage_and_lost_answers) {
+    test_bench test(3);
+    const std::size_t first = test.wait_for_holder();
+    emulator::platform_faults faults;
+    faults.lost_answers = 3;
+    test.platform.set_faults(faults);
+    test.run_for(20s);
+    cr_assert(test.holders() == std::vector<std::size_t>{first}, "lost answers cost the lease");
+    faults = {};
+    faults.outage = true;
+    test.platform.set_faults(faults);
+    test.run_for(30s);
+    cr_assert(test.holders().empty(), "held without the table past its time");
+    test.platform.set_faults({});
+    test.wait_for_holder();
+}
+
+namespace {
+
+/// Engines of one pool at version 1, known to every router's directory.
+void add_engines(test_bench& test, std::size_t count) {
+    catalog::model model;
+    model.name = base::model_name("m");
+    model.version = base::weights_version("1");
+    test.configuration.value->models[model.name] = model;
+    auto& pool = test.configuration.value->pools[backends::test::pool];
+    pool.name = backends::test::pool;
+    pool.model = model.name;
+    for (std::size_t index = 0; index < count; ++index) {
+        emulator::engine_model_settings settings;
+        settings.name = base::engine_name("engine-" + std::to_string(index));
+        settings.model = model.name;
+        settings.version = model.version;
+        const base::endpoint address{"10.0.1." + std::to_string(1 + index), 8000};
+        test.engines.push_back(std::make_unique<simulated_engine>(
+            test.carrier, engine_machine{settings.name, address, {}, settings}));
+        test.fleet.add(*test.engines.back());
+    }
+}
+
+/// What the directories would hear by polling.
+void tell_loads(test_bench& test) {
+    std::vector<platform::machine> machines;
+    for (const auto& engine : test.engines) {
+        platform::machine machine = machine_of(engine->name().value);
+        machine.address = engine->address();
+        machines.push_back(machine);
+    }
+    for (const auto& router : test.routers) {
+        router->directory.apply_list(machines);
+        for (const auto& engine : test.engines) {
+            router->directory.record_poll(engine->name(),
+                                          {engine->address(), router->scheduler.now(),
+                                           engine->model()->load(test.time.now())});
+        }
+    }
+}
+
+runtime::task<void> order_version_1(engine_client* engines, engine::engine_target target,
+                                    base::fencing_token token,
+                                    std::optional<engine::result<void>>* answer) {
+    engine::engine_order order =
+        engine::load_model_order{base::model_name("m"), base::weights_version("1")};
+    *answer = co_await engines->order(target, token, std::move(order));
+}
+
+std::size_t at_version(const test_bench& test, const std::string& version) {
+    std::size_t count = 0;
+    for (const auto& engine : test.engines) {
+        count += engine->model()->load(test.time.now()).version.value == version ? 1 : 0;
+    }
+    return count;
+}
+
+}  // namespace
+
+Test(model_placement, brings_every_engine_to_the_declared_version_two_at_a_time) {
+    test_bench test(3);
+    add_engines(test, 6);
+    tell_loads(test);
+    test.run_for(10s);
+    const auto orders = [&] {
+        std::uint64_t sent = 0;
+        for (const auto& router : test.routers) {
+            sent += router->placement.counters().orders_sent;
+        }
+        return sent;
+    };
+    cr_assert_eq(orders(), 0, "nothing to do");
+    test.configuration.value->models[base::model_name("m")].version = base::weights_version("2");
+    std::size_t loaded = 0;
+    while (loaded < 6) {
+        cr_assert_leq(orders(), loaded + 2, "more than two load at once");
+        tell_loads(test);
+        loaded = at_version(test, "2");
+        test.run_for(100ms);
+        cr_assert_lt(test.time.now().time_since_epoch(), base::duration(300s));
+    }
+    cr_assert_eq(orders(), 6);
+}
+
+Test(model_placement, an_order_of_a_former_holder_is_refused) {
+    test_bench test(2);
+    add_engines(test, 1);
+    tell_loads(test);
+    cr_assert(test.run_until([&] {
+        return test.routers[0]->leases.token(placement_lease) ||
+               test.routers[1]->leases.token(placement_lease);
+    }));
+    const std::size_t first = test.routers[0]->leases.token(placement_lease) ? 0 : 1;
+    // The holder looks at its token and is frozen before it acts.
+    const auto token = test.routers[first]->leases.token(placement_lease);
+    test.routers[first]->scheduler.pause();
+    test.configuration.value->models[base::model_name("m")].version = base::weights_version("2");
+    cr_assert(test.run_until([&] {
+        tell_loads(test);
+        return at_version(test, "2") == 1;
+    }));
+    std::optional<engine::result<void>> answer;
+    router_process& late = *test.routers[first];
+    late.scheduler.resume();
+    const engine::engine_target target{test.engines[0]->name(), test.engines[0]->address(),
+                                       test.engines[0]->process()};
+    late.scheduler.spawn("test", order_version_1(&late.engines, target, *token, &answer));
+    cr_assert(test.run_until([&] { return answer.has_value(); }));
+    cr_assert(answer->has_error());
+    cr_assert(answer->error().code == engine::error_code::refused_stale_token);
+    test.run_for(20s);
+    cr_assert_eq(at_version(test, "2"), 1);
+}
