--- a/bench/commands/load.cpp
+++ b/bench/commands/load.cpp
@@ -39,6 +39,7 @@
     double rate = 0;
     double limit_seconds = 120;
     std::uint64_t progress_ms = 1000;
+    bool fresh_connections = false;
     bool quiet = false;
 };
 
@@ -118,7 +119,8 @@
   private:
     static load::caller_options caller_options_of(const workload::specification& source,
                                                   const load_options& options) {
-        return {base::from_seconds(options.limit_seconds), options.run, source.piece_bytes};
+        return {base::from_seconds(options.limit_seconds), options.run, source.piece_bytes,
+                options.fresh_connections};
     }
 
     static load::runner_options runner_options_of(const load_options& options) {
@@ -222,6 +224,8 @@
     command->add_option("--limit-seconds", options->limit_seconds, "For one whole exchange.");
     command->add_option("--progress-ms", options->progress_ms, "Time between progress lines.")
         ->check(CLI::PositiveNumber);
+    command->add_flag("--fresh-connections", options->fresh_connections,
+                      "A connection for each request.");
     command->add_flag("--quiet", options->quiet, "Shows no progress.");
     command->callback([options, &result] { result.code = run_load(*options); });
 }
--- a/bench/load/caller.cpp
+++ b/bench/load/caller.cpp
@@ -214,9 +214,10 @@
 
 runtime::task<caller::opened> caller::open(const workload::workload_request& request,
                                            call_record& record) {
-    const bool repeatable = request.type != workload::request_type::application_write;
-    http::client& client = repeatable ? pooled_ : fresh_;
-    const http::resend again = repeatable ? http::resend::allowed : http::resend::forbidden;
+    const bool keep =
+        !options_.fresh_connections && request.type != workload::request_type::application_write;
+    http::client& client = keep ? pooled_ : fresh_;
+    const http::resend again = keep ? http::resend::allowed : http::resend::forbidden;
     const http::request message = make_message(request);
     opened answer = http::error{http::error_code::connect_failed, "no router"};
     for (std::size_t turn = 0; turn < system_.routers.size(); ++turn) {
--- a/bench/load/caller.hpp
+++ b/bench/load/caller.hpp
@@ -20,6 +20,9 @@
     base::duration limit = std::chrono::seconds(120);  ///< For one whole exchange.
     std::string run;                                   ///< Written into each record.
     std::size_t piece_bytes = core::prefix::default_piece_bytes;
+    /// A connection for each request: then no exchange is ever sent again after a kept
+    /// connection proved dead, and every lost one shows as cut.
+    bool fresh_connections = false;
 };
 
 /// Used from the event loop's thread; outlives its calls.
--- a/test/system/harness.py
+++ b/test/system/harness.py
@@ -252,6 +252,8 @@
             if self.alive(name):
                 self.signal(name, signal.SIGCONT)
         self._stack("stop")
+        for child in self.children.values():
+            child.wait()
 
 
 class Scenario(unittest.TestCase):
--- a/test/system/planned_stop_test.py
+++ b/test/system/planned_stop_test.py
@@ -10,8 +10,14 @@
     stack_options = ("--routers", "3")
 
     def test_rolling_routers(self):
+        self.roll("--fresh-connections")
+
+    def test_rolling_routers_with_kept_connections(self):
+        self.roll()
+
+    def roll(self, *options):
         load = self.system.load("routers", "smoke.json", "--requests", "900",
-                                "--concurrency", "16")
+                                "--concurrency", "16", *options)
         for place, router in enumerate(self.system.routers):
             load.wait_ended(100 + 150 * place)
             self.system.stop(router)
