--- a/bench/simulation/cluster/operators.cpp
+++ b/bench/simulation/cluster/operators.cpp
@@ -83,6 +83,9 @@
     if (outcome.has_value()) {
         wanted->ended = true;
         accepted_.push_back({wanted->command.operation.value, outcome->revision, time_.now()});
+        if (wanted->accepted) {
+            wanted->accepted(outcome->revision);
+        }
         return;
     }
     const router::configuration_error_code code = outcome.error().code;
