--- a/src/ferryroad/router/node_status.cpp
+++ b/src/ferryroad/router/node_status.cpp
@@ -2,6 +2,34 @@
 
 namespace ferryroad::router {
 
+namespace {
+
+member_health health_of(membership::router_state state) {
+    switch (state) {
+        case membership::router_state::alive:
+            return member_health::alive;
+        case membership::router_state::suspect:
+            return member_health::suspect;
+        case membership::router_state::leaving:
+            return member_health::leaving;
+        case membership::router_state::dead:
+            break;
+    }
+    return member_health::dead;
+}
+
+router_status status_of(const membership::router_info& router) {
+    router_status other;
+    other.name = router.name;
+    other.address = router.address;
+    other.zone = router.zone;
+    other.health = health_of(router.state);
+    other.incarnation = router.process;
+    return other;
+}
+
+}  // namespace
+
 router_status node_status::own_status() const {
     router_status own;
     own.name = identity_.name;
@@ -17,7 +45,10 @@
     system_status all;
     all.self = identity_.name;
     all.ready = ready_.ready();
-    all.routers.push_back(own_status());
+    for (const membership::router_info& router : routers_.known()) {
+        const bool own = router.name == identity_.name;
+        all.routers.push_back(own ? own_status() : status_of(router));
+    }
     all.engines = directory_.status();
     return all;
 }
