--- a/bench/simulation/cluster/router_front.cpp
+++ b/bench/simulation/cluster/router_front.cpp
@@ -42,28 +42,36 @@
     return base::request_id(prefix_ + std::to_string(next_request_++));
 }
 
-void router_front::begin(const std::shared_ptr<caller_exchange>& exchange) {
+std::uint64_t router_front::admit(const std::shared_ptr<caller_exchange>& exchange) {
+    const std::uint64_t connection = next_connection_++;
+    exchanges_.emplace(connection, exchange);
+    return connection;
+}
+
+void router_front::begin(std::uint64_t connection) {
+    const std::shared_ptr<caller_exchange> exchange = exchanges_.at(connection);
     const wait_id gone = scheduler_.begin_wait();
     virtual_scheduler* scheduler = &scheduler_;
     exchange->on_caller_gone([scheduler, process = scheduler_.process(), gone] {
         scheduler->time().at(scheduler->time().now(), process,
                              [scheduler, gone] { scheduler->wake(gone); });
     });
-    scheduler_.spawn("simulation.front", handle(exchange, gone));
+    scheduler_.spawn("simulation.front", handle(connection, exchange, gone));
 }
 
 void router_front::break_off_all() {
-    for (const auto& exchange : std::exchange(exchanges_, {})) {
+    for (const auto& [connection, exchange] : std::exchange(exchanges_, {})) {
         exchange->on_caller_gone(nullptr);
         exchange->break_off("connection_lost");
     }
 }
 
-runtime::task<void> router_front::handle(std::shared_ptr<caller_exchange> exchange, wait_id gone) {
+runtime::task<void> router_front::handle(std::uint64_t connection,
+                                         std::shared_ptr<caller_exchange> exchange, wait_id gone) {
     using boost::asio::experimental::awaitable_operators::operator||;
     co_await (serve(exchange) || scheduler_.wait(gone));
     exchange->on_caller_gone(nullptr);
-    exchanges_.erase(exchange);
+    exchanges_.erase(connection);
 }
 
 runtime::task<void> router_front::serve(std::shared_ptr<caller_exchange> exchange) {
--- a/bench/simulation/cluster/router_front.hpp
+++ b/bench/simulation/cluster/router_front.hpp
@@ -8,8 +8,8 @@
 #include "ferryroad/router/request_types.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace ferryroad::bench::simulation {
@@ -23,9 +23,10 @@
                  std::string prefix);
 
     /// The connection is made; from outside the process.
-    void admit(const std::shared_ptr<caller_exchange>& exchange) { exchanges_.insert(exchange); }
+    /// @return the connection's number.
+    std::uint64_t admit(const std::shared_ptr<caller_exchange>& exchange);
     /// Begins to work on an exchange that was admitted.
-    void begin(const std::shared_ptr<caller_exchange>& exchange);
+    void begin(std::uint64_t connection);
     std::size_t under_way() const { return exchanges_.size(); }
     /// The process was killed: its connections close. From outside the process.
     void break_off_all();
@@ -33,7 +34,8 @@
   private:
     class exchange_sink;
 
-    runtime::task<void> handle(std::shared_ptr<caller_exchange> exchange, wait_id gone);
+    runtime::task<void> handle(std::uint64_t connection, std::shared_ptr<caller_exchange> exchange,
+                               wait_id gone);
     runtime::task<void> serve(std::shared_ptr<caller_exchange> exchange);
     runtime::task<void> generate(std::shared_ptr<caller_exchange> exchange);
     runtime::task<void> call_application(std::shared_ptr<caller_exchange> exchange);
@@ -43,7 +45,9 @@
     router::request_service& requests_;
     std::string prefix_;
     std::uint64_t next_request_ = 1;
-    std::set<std::shared_ptr<caller_exchange>> exchanges_;
+    std::uint64_t next_connection_ = 1;
+    /// By number: in an order that is the same in each run of a seed.
+    std::map<std::uint64_t, std::shared_ptr<caller_exchange>> exchanges_;
 };
 
 /// @return the bearer key of a tenant in the simulation.
--- a/bench/simulation/cluster/simulated_router.cpp
+++ b/bench/simulation/cluster/simulated_router.cpp
@@ -165,8 +165,8 @@
         return false;
     }
     router_front* front = &process_->front;
-    front->admit(exchange);
-    run([front, exchange] { front->begin(exchange); });
+    const std::uint64_t connection = front->admit(exchange);
+    run([front, connection] { front->begin(connection); });
     return true;
 }
 
