Owners tell of work that other routers sent; losses of events pass the codec

Cause: with imports and a shared index, unseen dispatches of other routers are what is left of the gap: load reports are some 0.4 s old. And a report of lost events, which names no namespace, was refused as malformed: the sample had one.

Change: dispatch reports carry the expected prefill; an owner tells an asking router what others sent to any engine within the last second, 16 at most, and the estimate of the queue counts what is younger than the engine's figures. core/prefix/recent_dispatches keeps them. Holders an answer can't truly have (no piece, or more than asked) are dropped before they are used.

Ruled out: letting the reported queue age slower (0.5 and 0.7 of real time), which made p95 worse.

--- a/src/ferryroad/core/prefix/report.hpp
+++ b/src/ferryroad/core/prefix/report.hpp
@@ -6,6 +6,8 @@
 #include "ferryroad/core/prefix/pieces.hpp"
 #include "ferryroad/core/prefix/prefix_index.hpp"
 
+#include <cstdint>
+
 namespace ferryroad::core::prefix {
 
 enum class prefix_change {
@@ -21,6 +23,8 @@
     engine_process process;
     prefix_change change{};
     evidence why{};  ///< Of `held` only.
+    /// Of a dispatch: prefill that it is expected to cost there; 0 where not known.
+    std::uint32_t prefill_tokens = 0;
 };
 
 /// Enters a report into an index.
--- a/src/ferryroad/core/routing/estimate.cpp
+++ b/src/ferryroad/core/routing/estimate.cpp
@@ -19,8 +19,8 @@
     const double rate = rate_or_default(load.prefill_tokens_per_second);
     const double reported_seconds = static_cast<double>(load.queued_prefill_tokens) / rate;
     const double left_seconds = std::max(0.0, reported_seconds - base::to_seconds(load.age));
-    const double own_seconds = static_cast<double>(load.own_prefill_tokens_since) / rate;
-    return base::from_seconds(left_seconds + own_seconds);
+    const double sent_seconds = static_cast<double>(load.prefill_tokens_since) / rate;
+    return base::from_seconds(left_seconds + sent_seconds);
 }
 
 double prefill_rate(const candidate& engine) {
--- a/src/ferryroad/core/routing/estimate.hpp
+++ b/src/ferryroad/core/routing/estimate.hpp
@@ -9,16 +9,16 @@
 
 namespace ferryroad::core::routing {
 
-/// An engine's load as last reported, with what this router has sent there since.
+/// An engine's load as last reported, with what is known to have been sent there since.
 struct reported_load {
     std::uint64_t queued_prefill_tokens = 0;
     double prefill_tokens_per_second = 0;  ///< 0: not known.
     base::duration age{};                  ///< Since the figures were true.
-    std::uint64_t own_prefill_tokens_since = 0;
+    std::uint64_t prefill_tokens_since = 0;
 };
 
 /// @return time until the engine has prefilled all that is queued: what it reported, less
-/// what it has worked off since, plus own dispatches since.
+/// what it has worked off since, plus known dispatches since.
 base::duration estimate_queue_wait(const reported_load& load);
 
 /// @return the candidate's prefill rate, or the default where it is not known.
--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -120,24 +120,33 @@
     wire_body operator()(const prefix_answer& body) const {
         const auto holders = write_list<wire::PrefixHolder>(
             builder, body.holders, [&](const core::prefix::holder& holder) {
-                const auto engine = write_text(builder, holder.process.engine.value);
+                const auto engine = write_shared(builder, holder.process.engine.value);
                 return wire::CreatePrefixHolder(builder, engine, holder.process.incarnation.value,
                                                 holder.pieces, wire_milliseconds(holder.age));
             });
         const auto rate = static_cast<float>(body.request_rate);
+        const auto dispatches = write_list<wire::PrefixDispatch>(
+            builder, body.dispatches, [&](const core::prefix::recent_dispatch& dispatch) {
+                const auto engine = write_shared(builder, dispatch.process.engine.value);
+                return wire::CreatePrefixDispatch(
+                    builder, engine, dispatch.process.incarnation.value, dispatch.prefill_tokens,
+                    wire_milliseconds(dispatch.age));
+            });
         return {wire::CallBody::PrefixAnswer,
-                wire::CreatePrefixAnswer(builder, holders, rate).Union()};
+                wire::CreatePrefixAnswer(builder, holders, rate, dispatches).Union()};
     }
     wire_body operator()(const prefix_reports& body) const {
         const auto reports = write_list<wire::PrefixReport>(
             builder, body.reports, [&](const core::prefix::prefix_report& report) {
-                const auto within = scope(report.scope);
+                const auto within = report.change == core::prefix::prefix_change::events_lost
+                                        ? offset<wire::Namespace>()
+                                        : scope(report.scope);
                 const auto held = pieces(report.pieces);
                 const auto engine = write_shared(builder, report.process.engine.value);
-                return wire::CreatePrefixReport(builder, within, held, engine,
-                                                report.process.incarnation.value,
-                                                static_cast<wire::PrefixChange>(report.change),
-                                                static_cast<wire::PrefixEvidence>(report.why));
+                return wire::CreatePrefixReport(
+                    builder, within, held, engine, report.process.incarnation.value,
+                    static_cast<wire::PrefixChange>(report.change),
+                    static_cast<wire::PrefixEvidence>(report.why), report.prefill_tokens);
             });
         return {wire::CallBody::PrefixReports, wire::CreatePrefixReports(builder, reports).Union()};
     }
@@ -234,10 +243,14 @@
         fields.require(field.evidence() <= wire::PrefixEvidence::MAX &&
                            field.evidence() >= wire::PrefixEvidence::MIN,
                        "known evidence");
-        return {scope(field.scope()), pieces(field.pieces()),
+        // A loss of events concerns all of an engine's namespaces.
+        const bool any_scope = field.change() == wire::PrefixChange::events_lost;
+        return {any_scope ? cache_namespace{} : scope(field.scope()),
+                pieces(field.pieces()),
                 process(field.engine(), field.incarnation()),
                 static_cast<core::prefix::prefix_change>(field.change()),
-                static_cast<core::prefix::evidence>(field.evidence())};
+                static_cast<core::prefix::evidence>(field.evidence()),
+                field.prefill_tokens()};
     }
 
     call_body read(const wire::JoinRequest& body) const {
@@ -276,6 +289,12 @@
                                             std::chrono::milliseconds(holder.age_milliseconds())};
             });
         answer.request_rate = fields.amount(body.request_rate());
+        answer.dispatches = fields.list(
+            body.dispatches(), codec_limits::dispatches, [&](const wire::PrefixDispatch& entry) {
+                return core::prefix::recent_dispatch{
+                    process(entry.engine(), entry.incarnation()), entry.prefill_tokens(),
+                    std::chrono::milliseconds(entry.age_milliseconds())};
+            });
         return answer;
     }
     call_body read(const wire::PrefixReports& body) const {
--- a/src/ferryroad/peer/codec.hpp
+++ b/src/ferryroad/peer/codec.hpp
@@ -20,6 +20,7 @@
     static constexpr std::size_t pieces = 4096;
     static constexpr std::size_t reports = 4096;
     static constexpr std::size_t holders = 1024;
+    static constexpr std::size_t dispatches = 1024;
     static constexpr std::size_t resources = 100'000;
     static constexpr std::size_t changes = 10'000;
 };
--- a/src/ferryroad/router/membership/prefix_link.cpp
+++ b/src/ferryroad/router/membership/prefix_link.cpp
@@ -26,13 +26,14 @@
 
 void prefix_link::serve(selection::shared_prefix_knowledge& knowledge) {
     dispatcher_.handle<peer::prefix_lookup>(
-        [&knowledge](const peer::call_sender& /*sender*/, const peer::prefix_lookup& request) {
-            return request.pieces.empty() ? peer::prefix_answer{}
-                                          : knowledge.answer(request.scope, request.pieces);
+        [&knowledge](const peer::call_sender& sender, const peer::prefix_lookup& request) {
+            return request.pieces.empty()
+                       ? peer::prefix_answer{}
+                       : knowledge.answer(sender.name, request.scope, request.pieces);
         });
     dispatcher_.handle<peer::prefix_reports>(
-        [&knowledge](const peer::call_sender& /*sender*/, const peer::prefix_reports& message) {
-            knowledge.accept(message.reports);
+        [&knowledge](const peer::call_sender& sender, const peer::prefix_reports& message) {
+            knowledge.accept(sender.name, message.reports);
             return peer::empty{};
         });
 }
--- a/src/ferryroad/router/selection/answer_cache.cpp
+++ b/src/ferryroad/router/selection/answer_cache.cpp
@@ -4,6 +4,20 @@
 
 namespace ferryroad::router::selection {
 
+namespace {
+
+core::prefix::owner_answer aged(core::prefix::owner_answer answer, base::duration by) {
+    for (core::prefix::holder& each : answer.holders) {
+        each.age += by;
+    }
+    for (core::prefix::recent_dispatch& each : answer.dispatches) {
+        each.age += by;
+    }
+    return answer;
+}
+
+}  // namespace
+
 void answer_cache::add(const core::prefix::cache_namespace& scope,
                        const core::prefix::piece_chain& pieces,
                        const core::prefix::owner_answer& answer, base::monotonic_time now,
@@ -14,7 +28,7 @@
     make_room(now);
     // Holders come longest match first.
     const base::piece_hash deepest = pieces[answer.holders.front().pieces - 1];
-    answers_.insert_or_assign(deepest, kept_answer{scope, answer, now + lifetime});
+    answers_.insert_or_assign(deepest, kept_answer{scope, answer, now, now + lifetime});
 }
 
 std::optional<core::prefix::owner_answer> answer_cache::find(
@@ -25,7 +39,7 @@
         const bool usable =
             kept != answers_.end() && kept->second.scope == scope && now <= kept->second.ends_at;
         if (usable) {
-            return kept->second.answer;
+            return aged(kept->second.answer, now - kept->second.answered_at);
         }
     }
     return std::nullopt;
--- a/src/ferryroad/router/selection/answer_cache.hpp
+++ b/src/ferryroad/router/selection/answer_cache.hpp
@@ -23,7 +23,7 @@
     void add(const core::prefix::cache_namespace& scope, const core::prefix::piece_chain& pieces,
              const core::prefix::owner_answer& answer, base::monotonic_time now,
              base::duration lifetime);
-    /// @return the answer kept under the deepest of `pieces` that has one.
+    /// @return the answer, its ages as of now, kept under the deepest of `pieces` that has one.
     std::optional<core::prefix::owner_answer> find(const core::prefix::cache_namespace& scope,
                                                    const core::prefix::piece_chain& pieces,
                                                    base::monotonic_time now) const;
@@ -32,6 +32,7 @@
     struct kept_answer {
         core::prefix::cache_namespace scope;
         core::prefix::owner_answer answer;
+        base::monotonic_time answered_at;
         base::monotonic_time ends_at;
     };
 
--- a/src/ferryroad/router/selection/candidates.cpp
+++ b/src/ferryroad/router/selection/candidates.cpp
@@ -20,12 +20,26 @@
     return load.model == scope.model && load.version == scope.version && has_adapter;
 }
 
-core::routing::candidate to_candidate(const engine_view& engine, base::monotonic_time now) {
+/// @return prefill that other routers sent to the engine since its figures were true.
+std::uint64_t sent_by_others(const engine_view& engine, const prefix_answer& knowledge,
+                             base::duration figures_age) {
+    const core::prefix::engine_process process{engine.target.name, engine.target.incarnation};
+    std::uint64_t tokens = 0;
+    for (const core::prefix::recent_dispatch& each : knowledge.dispatches) {
+        const bool unreported = each.process == process && each.age < figures_age;
+        tokens += unreported ? each.prefill_tokens : 0;
+    }
+    return tokens;
+}
+
+core::routing::candidate to_candidate(const engine_view& engine, const prefix_answer& knowledge,
+                                      base::monotonic_time now) {
     core::routing::reported_load load;
     load.queued_prefill_tokens = engine.load.queued_prefill_tokens;
     load.prefill_tokens_per_second = engine.load.prefill_tokens_per_second;
     load.age = now - engine.reported_at + engine.load.age;
-    load.own_prefill_tokens_since = engine.own_prefill_tokens_since;
+    load.prefill_tokens_since =
+        engine.own_prefill_tokens_since + sent_by_others(engine, knowledge, load.age);
 
     core::routing::candidate candidate;
     candidate.engine = engine.target.name;
@@ -61,7 +75,7 @@
     question.time_left = query.time_left;
     question.candidates.reserve(engines.size());
     for (const engine_view& engine : engines) {
-        core::routing::candidate candidate = to_candidate(engine, now);
+        core::routing::candidate candidate = to_candidate(engine, knowledge, now);
         const core::prefix::engine_process present{candidate.engine, candidate.incarnation};
         const auto held =
             std::find_if(knowledge.holders.begin(), knowledge.holders.end(),
--- a/src/ferryroad/router/selection/prefix_knowledge.hpp
+++ b/src/ferryroad/router/selection/prefix_knowledge.hpp
@@ -5,6 +5,7 @@
 
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/core/prefix/prefix_index.hpp"
+#include "ferryroad/core/prefix/recent_dispatches.hpp"
 #include "ferryroad/engine/types.hpp"
 #include "ferryroad/runtime/task.hpp"
 
@@ -26,6 +27,8 @@
     std::vector<core::prefix::holder> holders;  ///< Longest match first.
     double request_rate = 0;                    ///< Of the root, a second, as far as known.
     answer_source source = answer_source::none;
+    /// Work that other routers sent lately, as far as known; ages count from the answer on.
+    std::vector<core::prefix::recent_dispatch> dispatches;
 };
 
 /// Something learned: `process` holds, or is about to hold, all of `pieces`.
@@ -34,6 +37,7 @@
     core::prefix::piece_chain pieces;  ///< Root first.
     core::prefix::engine_process process;
     core::prefix::evidence why{};
+    std::uint32_t prefill_tokens = 0;  ///< Of a dispatch: expected to be prefilled there.
 };
 
 /// Used from the event loop's thread. A holder's incarnation must be compared with the
--- a/src/ferryroad/router/selection/selector.cpp
+++ b/src/ferryroad/router/selection/selector.cpp
@@ -1,5 +1,6 @@
 #include "ferryroad/router/selection/selector.hpp"
 
+#include "ferryroad/core/routing/estimate.hpp"
 #include "ferryroad/router/selection/candidates.hpp"
 
 #include <algorithm>
@@ -92,7 +93,9 @@
         knowledge_.report({query.scope,
                            query.pieces,
                            {selected.target.name, selected.target.incarnation},
-                           core::prefix::evidence::dispatch});
+                           core::prefix::evidence::dispatch,
+                           static_cast<std::uint32_t>(core::routing::missing_tokens(
+                               question, selected.expected_cached_pieces))});
     }
     return selected;
 }
--- a/src/ferryroad/router/selection/shared_prefix_knowledge.cpp
+++ b/src/ferryroad/router/selection/shared_prefix_knowledge.cpp
@@ -12,6 +12,13 @@
 
 constexpr const char* component = "router.selection";
 
+void sort_longest_first(std::vector<core::prefix::holder>& holders) {
+    std::stable_sort(holders.begin(), holders.end(),
+                     [](const core::prefix::holder& left, const core::prefix::holder& right) {
+                         return left.pieces > right.pieces;
+                     });
+}
+
 /// Adds `more` to `holders`: for an engine in both, the longer match counts.
 void merge(std::vector<core::prefix::holder>& holders,
            const std::vector<core::prefix::holder>& more) {
@@ -25,10 +32,15 @@
             *known = each;
         }
     }
-    std::stable_sort(holders.begin(), holders.end(),
-                     [](const core::prefix::holder& left, const core::prefix::holder& right) {
-                         return left.pieces > right.pieces;
-                     });
+    sort_longest_first(holders);
+}
+
+/// Drops what can't be true of `asked` pieces, and puts the longest match first.
+void keep_plausible(std::vector<core::prefix::holder>& holders, std::size_t asked) {
+    std::erase_if(holders, [asked](const core::prefix::holder& each) {
+        return each.pieces == 0 || each.pieces > asked;
+    });
+    sort_longest_first(holders);
 }
 
 }  // namespace
@@ -40,6 +52,7 @@
                                                  shared_index_settings settings)
     : scheduler_(scheduler),
       exchange_(exchange),
+      self_(self),
       settings_(settings),
       routers_(routers, std::move(self), settings.warm_up, settings.avoid_failed_for),
       local_(settings.local),
@@ -57,7 +70,7 @@
     const auto kept = answers_.find(scope, pieces, scheduler_.now());
     if (kept) {
         ++counters_.lookups_from_cache;
-        answer = {kept->holders, kept->request_rate, answer_source::owner};
+        answer = {kept->holders, kept->request_rate, answer_source::owner, kept->dispatches};
     } else {
         answer = co_await ask_owners(scope, pieces);
     }
@@ -82,7 +95,8 @@
             if (lifetime > base::duration::zero()) {
                 answers_.add(scope, pieces, *answered, scheduler_.now(), lifetime);
             }
-            merged = {answered->holders, answered->request_rate, answer_source::owner};
+            merged = {answered->holders, answered->request_rate, answer_source::owner,
+                      answered->dispatches};
         }
     }
     const bool complete =
@@ -93,6 +107,7 @@
             merge(merged.holders, answered->holders);
             merged.request_rate = std::max(merged.request_rate, answered->request_rate);
             if (merged.source == answer_source::none) {
+                merged.dispatches = answered->dispatches;
                 merged.source = answer_source::standby;
             }
         }
@@ -104,15 +119,18 @@
 shared_prefix_knowledge::ask(router_contact router, core::prefix::cache_namespace scope,
                              core::prefix::piece_chain pieces) {
     if (routers_.is_self(router)) {
-        co_return answer(scope, pieces);
+        co_return answer(self_, scope, pieces);
     }
     ++counters_.lookups_sent;
     const base::duration limit = settings_.lookup_limit;
+    const std::size_t asked = pieces.size();
     auto answered = co_await exchange_.lookup(router, std::move(scope), std::move(pieces), limit);
     if (answered.has_error()) {
         ++counters_.lookups_failed;
         routers_.record_failure(router, scheduler_.now());
+        co_return answered;
     }
+    keep_plausible(answered->holders, asked);
     co_return answered;
 }
 
@@ -135,7 +153,7 @@
     const base::piece_hash root = observation.pieces.front();
     distribute(keepers_of(root), {std::move(observation.scope), std::move(observation.pieces),
                                   std::move(observation.process), core::prefix::prefix_change::held,
-                                  observation.why});
+                                  observation.why, observation.prefill_tokens});
 }
 
 void shared_prefix_knowledge::report_events(const base::engine_name& engine,
@@ -153,13 +171,15 @@
 }
 
 core::prefix::owner_answer shared_prefix_knowledge::answer(
-    const core::prefix::cache_namespace& scope, const core::prefix::piece_chain& pieces) {
-    return owned_.lookup(scope, pieces, scheduler_.now());
+    const base::router_name& asker, const core::prefix::cache_namespace& scope,
+    const core::prefix::piece_chain& pieces) {
+    return owned_.lookup(scope, pieces, asker, scheduler_.now());
 }
 
-void shared_prefix_knowledge::accept(const std::vector<core::prefix::prefix_report>& reports) {
+void shared_prefix_knowledge::accept(const base::router_name& reporter,
+                                     const std::vector<core::prefix::prefix_report>& reports) {
     for (const core::prefix::prefix_report& report : reports) {
-        owned_.record(report, scheduler_.now());
+        owned_.record(report, reporter, scheduler_.now());
     }
 }
 
@@ -189,7 +209,7 @@
     std::vector<base::router_name> others;
     for (const router_contact& keeper : keepers) {
         if (routers_.is_self(keeper)) {
-            owned_.record(report, now);
+            owned_.record(report, self_, now);
         } else {
             others.push_back(keeper.name);
         }
--- a/src/ferryroad/router/selection/shared_prefix_knowledge.hpp
+++ b/src/ferryroad/router/selection/shared_prefix_knowledge.hpp
@@ -71,11 +71,13 @@
                        const engine::cache_event_batch& batch) override;
     void report_incarnation(const core::prefix::engine_process& process) override;
 
-    /// Another router asks this one as owner or standby.
-    core::prefix::owner_answer answer(const core::prefix::cache_namespace& scope,
+    /// A router asks this one as owner or standby.
+    core::prefix::owner_answer answer(const base::router_name& asker,
+                                      const core::prefix::cache_namespace& scope,
                                       const core::prefix::piece_chain& pieces);
-    /// Another router reports to this one as owner or standby.
-    void accept(const std::vector<core::prefix::prefix_report>& reports);
+    /// A router reports to this one as owner or standby.
+    void accept(const base::router_name& reporter,
+                const std::vector<core::prefix::prefix_report>& reports);
 
     const shared_index_counters& counters() const { return counters_; }
     const core::prefix::report_outbox_counters& outbox_counters() const {
@@ -112,6 +114,7 @@
 
     runtime::scheduler& scheduler_;
     prefix_exchange& exchange_;
+    base::router_name self_;
     shared_index_settings settings_;
     router_view routers_;
     core::prefix::prefix_index local_;
--- a/test/core/prefix/shared_index_test.cpp
+++ b/test/core/prefix/shared_index_test.cpp
@@ -19,6 +19,7 @@
 const cache_namespace scope{
     base::tenant_name("alpha"), base::model_name("m"), base::weights_version("1"), {}};
 const engine_process engine_a{base::engine_name("a"), base::incarnation(1)};
+const base::router_name asking_router("asking");
 const std::vector<base::router_name> one_owner{base::router_name("owner")};
 
 base::monotonic_time at(base::duration since_start) {
@@ -43,7 +44,7 @@
     std::size_t pieces = 0;
     for (const report_batch& batch : outbox.take()) {
         for (const prefix_report& report : batch.reports) {
-            owner.record(report, now);
+            owner.record(report, asking_router, now);
             pieces += report.pieces.size();
         }
     }
@@ -51,7 +52,7 @@
 }
 
 std::uint32_t depth_at(prefix_owner& owner, base::monotonic_time now) {
-    const auto answer = owner.lookup(scope, chain_of(20), now);
+    const auto answer = owner.lookup(scope, chain_of(20), asking_router, now);
     return answer.holders.empty() ? 0 : answer.holders.front().pieces;
 }
 
@@ -91,19 +92,45 @@
 
 Test(prefix_owner, answers_with_holders_and_the_rate_of_the_root) {
     prefix_owner owner;
-    owner.record(report_of(3, evidence::answer), at(0s));
+    owner.record(report_of(3, evidence::answer), asking_router, at(0s));
     base::monotonic_time now = at(0s);
     for (int lookup = 0; lookup < 400; ++lookup) {
         now += 250ms;
-        owner.record(report_of(3, evidence::answer), now);
-        owner.lookup(scope, chain_of(5), now);
+        owner.record(report_of(3, evidence::answer), asking_router, now);
+        owner.lookup(scope, chain_of(5), asking_router, now);
     }
-    const auto answer = owner.lookup(scope, chain_of(5), now);
+    const auto answer = owner.lookup(scope, chain_of(5), asking_router, now);
     cr_assert_eq(answer.holders.size(), 1);
     cr_assert_eq(answer.holders.front().pieces, 3);
     cr_assert_float_eq(answer.request_rate, 4.0, 0.3);
 }
 
+Test(prefix_owner, tells_of_dispatches_by_others_for_a_moment) {
+    prefix_owner owner;
+    prefix_report report = report_of(3, evidence::dispatch);
+    report.prefill_tokens = 3000;
+    owner.record(report, base::router_name("other"), at(1s));
+    report.prefill_tokens = 500;
+    owner.record(report, asking_router, at(1s));
+    const auto answer = owner.lookup(scope, chain_of(3), asking_router, at(1500ms));
+    cr_assert_eq(answer.dispatches.size(), 1);
+    cr_assert_eq(answer.dispatches.front().prefill_tokens, 3000);
+    cr_assert(answer.dispatches.front().process == engine_a);
+    cr_assert(answer.dispatches.front().age == 500ms);
+    cr_assert(owner.lookup(scope, chain_of(3), asking_router, at(3s)).dispatches.empty());
+}
+
+Test(recent_dispatches, are_bounded_and_the_newest_are_told) {
+    recent_dispatches dispatches({.window = 1s, .kept = 3, .told = 2});
+    for (std::uint32_t tokens = 1; tokens <= 5; ++tokens) {
+        dispatches.record(engine_a, tokens, base::router_name("other"), at(0s));
+    }
+    const auto told = dispatches.by_others(asking_router, at(0s));
+    cr_assert_eq(told.size(), 2);
+    cr_assert_eq(told[0].prefill_tokens, 5);
+    cr_assert_eq(told[1].prefill_tokens, 4);
+}
+
 Test(report_outbox, tells_each_owner_once_and_folds_repeats) {
     report_outbox outbox;
     const std::vector<base::router_name> owners{base::router_name("o"), base::router_name("s")};
@@ -153,7 +180,7 @@
     prefix_owner owner;
     outbox.add(one_owner, report_of(3, evidence::dispatch), at(0s));
     outbox.take();  // Lost without a trace, or the owner restarted empty.
-    const auto answer = owner.lookup(scope, chain_of(3), at(1s));
+    const auto answer = owner.lookup(scope, chain_of(3), asking_router, at(1s));
     outbox.reconcile(scope, chain_of(3), answer.holders, at(1s));
     outbox.add(one_owner, report_of(3, evidence::dispatch), at(1s));
     cr_assert_eq(deliver(outbox, owner, at(1s)), 3);
@@ -180,7 +207,7 @@
                 report.pieces = {report.pieces.back()};
             }
             outbox.add(one_owner, report, now);
-            told_everything.record(report, now);
+            told_everything.record(report, asking_router, now);
             for (const report_batch& batch : outbox.take()) {
                 if (*rc::gen::inRange(0, 4) == 0) {
                     outbox.record_lost(batch);
@@ -189,12 +216,12 @@
                     continue;
                 }
                 for (const prefix_report& each : batch.reports) {
-                    owner.record(each, now);
+                    owner.record(each, asking_router, now);
                 }
             }
             deliver(outbox, owner, now);
-            const auto expected = told_everything.lookup(scope, chain_of(8), now);
-            const auto found = owner.lookup(scope, chain_of(8), now);
+            const auto expected = told_everything.lookup(scope, chain_of(8), asking_router, now);
+            const auto found = owner.lookup(scope, chain_of(8), asking_router, now);
             RC_ASSERT(found.holders.size() == expected.holders.size());
             for (std::size_t holder = 0; holder < expected.holders.size(); ++holder) {
                 RC_ASSERT(found.holders[holder].process == expected.holders[holder].process);
--- a/test/core/routing/policy_test.cpp
+++ b/test/core/routing/policy_test.cpp
@@ -236,11 +236,11 @@
     }
 }
 
-Test(policy, queue_wait_is_corrected_by_age_and_own_dispatches) {
+Test(policy, queue_wait_is_corrected_by_age_and_later_dispatches) {
     reported_load load{.queued_prefill_tokens = 20000,
                        .prefill_tokens_per_second = prefill_rate_of_tests,
                        .age = 500ms,
-                       .own_prefill_tokens_since = 5000};
+                       .prefill_tokens_since = 5000};
     cr_assert(estimate_queue_wait(load) == 2s);
     load.age = 1min;
     cr_assert(estimate_queue_wait(load) == 500ms);
--- a/test/router/selection/fake_exchange.hpp
+++ b/test/router/selection/fake_exchange.hpp
@@ -16,15 +16,25 @@
 
 namespace selection = router::selection;
 
-/// Delivers directly, after a delay; calls to a silent router end at their limit.
-class fake_exchange final : public selection::prefix_exchange {
-  public:
-    explicit fake_exchange(runtime::scheduler& scheduler) : scheduler_(scheduler) {}
+/// The network between the routers of a test.
+struct fake_network {
+    explicit fake_network(runtime::scheduler& owner) : scheduler(owner) {}
 
+    runtime::scheduler& scheduler;
     base::duration one_way = std::chrono::milliseconds(1);
     std::map<base::router_name, selection::shared_prefix_knowledge*> routers;
     std::set<base::router_name> silent;
     int reports_to_lose = 0;
+    /// Added to every answer.
+    std::vector<core::prefix::holder> forged;
+};
+
+/// One router's way out: delivers directly, after a delay; calls to a silent router end at
+/// their limit.
+class fake_exchange final : public selection::prefix_exchange {
+  public:
+    fake_exchange(fake_network& network, base::router_name self)
+        : network_(network), self_(std::move(self)) {}
 
     template <typename T>
     using answer = runtime::task<runtime::result<T, selection::exchange_error>>;
@@ -33,32 +43,35 @@
                                               core::prefix::cache_namespace scope,
                                               core::prefix::piece_chain pieces,
                                               base::duration limit) override {
-        if (silent.contains(owner.name)) {
-            co_await scheduler_.sleep_for(limit);
+        if (network_.silent.contains(owner.name)) {
+            co_await network_.scheduler.sleep_for(limit);
             co_return selection::exchange_error{selection::exchange_failure::timed_out};
         }
-        co_await scheduler_.sleep_for(one_way);
-        auto answered = routers.at(owner.name)->answer(scope, pieces);
-        co_await scheduler_.sleep_for(one_way);
+        co_await network_.scheduler.sleep_for(network_.one_way);
+        auto answered = network_.routers.at(owner.name)->answer(self_, scope, pieces);
+        answered.holders.insert(answered.holders.end(), network_.forged.begin(),
+                                network_.forged.end());
+        co_await network_.scheduler.sleep_for(network_.one_way);
         co_return answered;
     }
 
     answer<void> report(selection::router_contact owner,
                         std::vector<core::prefix::prefix_report> reports,
                         base::duration limit) override {
-        const bool lost = reports_to_lose > 0;
-        reports_to_lose -= lost ? 1 : 0;
-        if (lost || silent.contains(owner.name)) {
-            co_await scheduler_.sleep_for(limit);
+        const bool lost = network_.reports_to_lose > 0;
+        network_.reports_to_lose -= lost ? 1 : 0;
+        if (lost || network_.silent.contains(owner.name)) {
+            co_await network_.scheduler.sleep_for(limit);
             co_return selection::exchange_error{selection::exchange_failure::timed_out};
         }
-        co_await scheduler_.sleep_for(one_way);
-        routers.at(owner.name)->accept(reports);
+        co_await network_.scheduler.sleep_for(network_.one_way);
+        network_.routers.at(owner.name)->accept(self_, reports);
         co_return runtime::result<void, selection::exchange_error>();
     }
 
   private:
-    runtime::scheduler& scheduler_;
+    fake_network& network_;
+    base::router_name self_;
 };
 
 class fake_live_routers final : public selection::live_routers {
@@ -76,6 +89,7 @@
             live.contacts.push_back({name_of(router), base::incarnation(1), {"127.0.0.1", 1}});
         }
         for (int router = 0; router < count; ++router) {
+            exchanges.push_back(std::make_unique<fake_exchange>(network, name_of(router)));
             start(router);
         }
         // All have seen each other, and none is young any more.
@@ -94,8 +108,8 @@
     void start(int router) {
         const auto index = static_cast<std::size_t>(router);
         auto started = std::make_unique<selection::shared_prefix_knowledge>(
-            name_of(router), live, exchange, scheduler, settings_);
-        exchange.routers[name_of(router)] = started.get();
+            name_of(router), live, *exchanges[index], scheduler, settings_);
+        network.routers[name_of(router)] = started.get();
         if (index < knowledge.size()) {
             retired.push_back(std::move(knowledge[index]));
             knowledge[index] = std::move(started);
@@ -120,7 +134,8 @@
 
     bench::simulation::virtual_time time{1};
     bench::simulation::virtual_scheduler scheduler{time, 1};
-    fake_exchange exchange{scheduler};
+    fake_network network{scheduler};
+    std::vector<std::unique_ptr<fake_exchange>> exchanges;
     fake_live_routers live;
     std::vector<std::unique_ptr<selection::shared_prefix_knowledge>> knowledge;
     /// Their coroutines may still wait.
--- a/test/router/selection/selector_test.cpp
+++ b/test/router/selection/selector_test.cpp
@@ -3,6 +3,7 @@
 #include "ferryroad/router/selection/selector.hpp"
 
 #include "bench/simulation/virtual_scheduler.hpp"
+#include "ferryroad/router/selection/candidates.hpp"
 #include "ferryroad/router/selection/local_prefix_knowledge.hpp"
 #include "test/router/selection/fake_directory.hpp"
 
@@ -195,6 +196,19 @@
 
 }  // namespace
 
+Test(selector, work_that_others_sent_counts_as_queue) {
+    bench_of_one bench;
+    const engine_view& engine = bench.directory.add("a");
+    selection::prefix_answer knowledge;
+    const core::prefix::engine_process process{engine.target.name, engine.target.incarnation};
+    const core::prefix::engine_process dead{engine.target.name, base::incarnation(7)};
+    knowledge.dispatches = {{process, 5000, 100ms}, {process, 7000, 3s}, {dead, 9000, 100ms}};
+    const auto now = engine.reported_at + 1s;
+    const auto question =
+        selection::to_routing_query(query_of("r1"), bench.directory.engines, knowledge, now);
+    cr_assert(question.candidates.front().queue_wait == 500ms, "5,000 at 10,000 a second");
+}
+
 Test(selector, moves_warm_state_away_from_a_loaded_holder) {
     bench_of_one bench;
     add_loaded_holder(bench);
--- a/test/router/selection/shared_prefix_knowledge_test.cpp
+++ b/test/router/selection/shared_prefix_knowledge_test.cpp
@@ -100,7 +100,7 @@
     const auto part = parts_in(group);
     report(group, part.third, 3);
     group.run(settled);
-    group.exchange.silent.insert(router_group::name_of(part.owner));
+    group.network.silent.insert(router_group::name_of(part.owner));
     cr_assert_eq(depth_seen(group, part.fourth), 3);
     cr_assert(group.last_lookup_took <= 8ms, "one limit and one exchange");
     // A moment later the owner is passed over at once.
@@ -126,7 +126,7 @@
     report(group, part.third, 3);
     group.run(settled);
     cr_assert_eq(group.knowledge[static_cast<std::size_t>(part.owner)]
-                     ->answer(scope, chain_of(10))
+                     ->answer(router_group::name_of(part.fourth), scope, chain_of(10))
                      .holders.size(),
                  1);
 }
@@ -136,8 +136,8 @@
     const auto part = parts_in(group);
     report(group, part.third, 3);
     group.run(settled);
-    group.exchange.silent.insert(router_group::name_of(part.owner));
-    group.exchange.silent.insert(router_group::name_of(part.standby));
+    group.network.silent.insert(router_group::name_of(part.owner));
+    group.network.silent.insert(router_group::name_of(part.standby));
     const auto answer = group.lookup(part.third, scope, chain_of(10));
     cr_assert(answer.source == answer_source::local);
     cr_assert_eq(answer.holders.front().pieces, 3);
@@ -148,7 +148,7 @@
 Test(shared_prefix_knowledge, a_lost_report_is_told_with_the_next_dispatch) {
     router_group group(router_count);
     const auto part = parts_in(group);
-    group.exchange.reports_to_lose = 2;
+    group.network.reports_to_lose = 2;
     report(group, part.third, 3);
     group.run(2s);
     cr_assert_eq(depth_seen(group, part.fourth), 0);
@@ -202,6 +202,31 @@
     cr_assert_eq(depth_seen(group, part.fourth), 2);
 }
 
+Test(shared_prefix_knowledge, routers_hear_of_work_that_others_sent) {
+    router_group group(router_count);
+    const auto part = parts_in(group);
+    group.knowledge[static_cast<std::size_t>(part.third)]->report(
+        {scope, chain_of(3), engine_a, evidence::dispatch, 3000});
+    group.run(settled);
+    const auto told = group.lookup(part.fourth, scope, chain_of(10)).dispatches;
+    cr_assert_eq(told.size(), 1);
+    cr_assert(told.front().process == engine_a);
+    cr_assert_eq(told.front().prefill_tokens, 3000);
+    cr_assert(group.lookup(part.third, scope, chain_of(10)).dispatches.empty(), "its own");
+    group.run(2s);
+    cr_assert(group.lookup(part.fourth, scope, chain_of(10)).dispatches.empty(), "reported now");
+}
+
+Test(shared_prefix_knowledge, answers_that_cannot_be_true_are_dropped) {
+    router_group group(router_count);
+    const auto part = parts_in(group);
+    const core::prefix::engine_process other{base::engine_name("b"), base::incarnation(1)};
+    group.network.forged = {{engine_a, 0, {}}, {engine_a, 11, {}}, {other, 10, {}}};
+    const auto answer = group.lookup(part.fourth, scope, chain_of(10));
+    cr_assert_eq(answer.holders.size(), 1);
+    cr_assert(answer.holders.front().process == other);
+}
+
 Test(shared_prefix_knowledge, a_very_hot_root_costs_a_bounded_number_of_messages) {
     shared_index_settings settings;
     settings.lookups_of_root_per_second = 40;
