--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -138,9 +138,8 @@
     wire_body operator()(const prefix_reports& body) const {
         const auto reports = write_list<wire::PrefixReport>(
             builder, body.reports, [&](const core::prefix::prefix_report& report) {
-                const auto within = report.change == core::prefix::prefix_change::events_lost
-                                        ? offset<wire::Namespace>()
-                                        : scope(report.scope);
+                const bool without_scope = report.scope == cache_namespace{};
+                const auto within = without_scope ? offset<wire::Namespace>() : scope(report.scope);
                 const auto held = pieces(report.pieces);
                 const auto engine = write_shared(builder, report.process.engine.value);
                 return wire::CreatePrefixReport(
@@ -243,9 +242,10 @@
         fields.require(field.evidence() <= wire::PrefixEvidence::MAX &&
                            field.evidence() >= wire::PrefixEvidence::MIN,
                        "known evidence");
-        // A loss of events concerns all of an engine's namespaces.
-        const bool any_scope = field.change() == wire::PrefixChange::events_lost;
-        return {any_scope ? cache_namespace{} : scope(field.scope()),
+        // A loss of events concerns every namespace of the process.
+        const bool without_scope =
+            field.change() == wire::PrefixChange::events_lost && field.scope() == nullptr;
+        return {without_scope ? cache_namespace{} : scope(field.scope()),
                 pieces(field.pieces()),
                 process(field.engine(), field.incarnation()),
                 static_cast<core::prefix::prefix_change>(field.change()),
--- a/src/ferryroad/router/configuration/synchronization.cpp
+++ b/src/ferryroad/router/configuration/synchronization.cpp
@@ -36,9 +36,13 @@
 }  // namespace
 
 runtime::task<void> configuration_service::follow_peers() {
+    unsigned unconfirmed_pulls = 0;
     while (!stopped_) {
         peer_confirmed_last_ = co_await pull_from_peer();
-        const base::duration pause = jittered(tunables_.peer_pull_period);
+        unconfirmed_pulls = confirmed() ? 0 : unconfirmed_pulls + 1;
+        const bool fast = unconfirmed_pulls > 0 && unconfirmed_pulls <= tunables_.fast_peer_pulls;
+        const base::duration pause =
+            jittered(fast ? tunables_.fast_peer_pull_period : tunables_.peer_pull_period);
         co_await ports_.scheduler.sleep_for(pause);
     }
 }
--- a/test/router/selection/prefix_link_test.cpp
+++ b/test/router/selection/prefix_link_test.cpp
@@ -1,15 +1,14 @@
-/// The shared index over encoded messages: what goes in comes out, what an exchange costs, and
-/// what faults become.
+/// The shared index over encoded messages: what goes in comes out, and what an answer costs.
 #include "ferryroad/router/membership/prefix_link.hpp"
 
 #include "bench/simulation/virtual_scheduler.hpp"
 #include "ferryroad/peer/codec.hpp"
+#include "ferryroad/peer/peer_dispatcher.hpp"
 #include "test/router/selection/fake_exchange.hpp"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-#include <functional>
 #include <optional>
 #include <string>
 
@@ -18,42 +17,37 @@
 using namespace ferryroad;
 using namespace ferryroad::router::selection;
 using namespace std::chrono_literals;
-using core::prefix::evidence;
-using core::prefix::prefix_change;
-using peer_answer = peer::result<peer::message_bytes>;
 
 const core::prefix::cache_namespace scope{base::tenant_name("alpha"), base::model_name("m"),
                                           base::weights_version("1"), base::adapter_name("x")};
-const base::router_name self("self");
+const router_contact self{base::router_name("self"), base::incarnation(1), {"127.0.0.1", 1}};
 const router_contact other{base::router_name("other"), base::incarnation(1), {"127.0.0.1", 2}};
 const core::prefix::engine_process engine_a{base::engine_name("a"), base::incarnation(7)};
 
-/// Hands each call to the other side's handler, or to a fault, at once.
+/// Hands each call to the other side's handler at once, or gives a fixed answer.
 class direct_transport final : public peer::transport {
   public:
-    direct_transport* far_side = nullptr;
-    std::optional<peer_answer> fault;
+    direct_transport* other_side = nullptr;
+    std::optional<peer::result<peer::message_bytes>> fixed_answer;
+    call_handler handler;
 
     void on_datagram(datagram_handler) override {}
-    void on_call(call_handler handler) override { handler_ = std::move(handler); }
+    void on_call(call_handler handle) override { handler = std::move(handle); }
     void send(const base::endpoint&, peer::message_bytes) override {}
-    runtime::task<peer_answer> call(const base::endpoint&, peer::message_bytes request,
-                                    base::duration) override {
+    runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
+                                                          peer::message_bytes request,
+                                                          base::duration) override {
         counters_.call_bytes_sent += request.size();
-        if (fault) {
-            co_return *fault;
+        if (fixed_answer) {
+            co_return *fixed_answer;
         }
-        peer::message_bytes answer = co_await far_side->handler_(std::move(request));
-        counters_.call_bytes_received += answer.size();
-        if (answer.empty()) {
-            co_return peer::error{peer::error_code::connection_lost, "closed without answer"};
-        }
-        co_return answer;
+        peer::message_bytes answered = co_await other_side->handler(std::move(request));
+        counters_.call_bytes_received += answered.size();
+        co_return answered;
     }
     const peer::transport_counters& counters() const override { return counters_; }
 
   private:
-    call_handler handler_;
     peer::transport_counters counters_;
 };
 
@@ -65,22 +59,24 @@
     return chain;
 }
 
-/// This router's link with one other that owns every root.
-struct linked_pair {
+/// This router's exchange with one other that answers through the codec.
+struct pair_of_routers {
     bench::simulation::virtual_time time{1};
     bench::simulation::virtual_scheduler scheduler{time, 1};
-    direct_transport near;
-    direct_transport far;
-    peer::peer_dispatcher near_dispatcher{near, self, base::incarnation(1)};
-    peer::peer_dispatcher far_dispatcher{far, other.name, other.incarnation};
-    router::membership::prefix_link near_link{near_dispatcher};
-    router::membership::prefix_link far_link{far_dispatcher};
+    test::fake_network network{scheduler};
+    test::fake_exchange unused{network, other.name};
     test::fake_live_routers routers;
-    shared_prefix_knowledge knowledge{other.name, routers, far_link, scheduler};
-
-    linked_pair() {
-        near.far_side = &far;
-        far_link.serve(knowledge);
+    shared_prefix_knowledge knowledge{other.name, routers, unused, scheduler};
+    direct_transport transport;
+    direct_transport other_transport;
+    peer::peer_dispatcher dispatcher{transport, self.name, self.incarnation};
+    peer::peer_dispatcher other_dispatcher{other_transport, other.name, other.incarnation};
+    router::membership::prefix_link exchange{dispatcher};
+    router::membership::prefix_link other_exchange{other_dispatcher};
+
+    pair_of_routers() {
+        transport.other_side = &other_transport;
+        other_exchange.serve(knowledge);
     }
 
     template <typename T>
@@ -95,18 +91,19 @@
         return *result;
     }
 
-    auto report(prefix_change change, std::size_t pieces, evidence why = evidence::dispatch) {
-        const bool lost = change == prefix_change::events_lost;
+    auto report(core::prefix::prefix_change change, std::size_t pieces,
+                core::prefix::evidence why = core::prefix::evidence::dispatch) {
+        const bool lost = change == core::prefix::prefix_change::events_lost;
         core::prefix::prefix_report told{lost ? core::prefix::cache_namespace{} : scope,
                                          chain_of(pieces), engine_a, change, why};
-        return run(near_link.report(other, {told}, 1s));
+        return run(exchange.report(other, {told}, 1s));
     }
-    auto lookup() { return run(near_link.lookup(other, scope, chain_of(13), 1s)); }
+    auto lookup() { return run(exchange.lookup(other, scope, chain_of(13), 1s)); }
 };
 
 struct fault_row {
     const char* about;
-    peer_answer answer;
+    peer::result<peer::message_bytes> answer;
     exchange_failure expected;
 };
 
@@ -125,28 +122,38 @@
 }  // namespace
 
 Test(prefix_link, reports_and_answers_survive_the_wire) {
-    linked_pair pair;
-    cr_assert(pair.report(prefix_change::held, 2, evidence::answer).has_value());
-    cr_assert(pair.report(prefix_change::held, 5).has_value());
-    const auto answer = pair.lookup();
+    pair_of_routers pair;
+    cr_assert(pair.report(core::prefix::prefix_change::held, 2, core::prefix::evidence::answer)
+                  .has_value());
+    cr_assert(pair.report(core::prefix::prefix_change::held, 5).has_value());
+    auto answer = pair.lookup();
     cr_assert_eq(answer->holders.size(), 1);
     cr_assert(answer->holders.front().process == engine_a);
     cr_assert_eq(answer->holders.front().pieces, 5);
     cr_assert(answer->request_rate > 0);
-    cr_assert(pair.report(prefix_change::events_lost, 0).has_value());
+    cr_assert(pair.report(core::prefix::prefix_change::events_lost, 0).has_value());
     cr_assert_eq(pair.lookup()->holders.front().pieces, 2, "what an answer confirmed stays");
-    cr_assert(pair.report(prefix_change::evicted, 1).has_value());
+    cr_assert(pair.report(core::prefix::prefix_change::evicted, 1).has_value());
     cr_assert(pair.lookup()->holders.empty());
 }
 
+Test(prefix_link, other_calls_are_left_to_others) {
+    pair_of_routers pair;
+    const auto ask = [&pair](peer::call_body body) {
+        const peer::call message{self.name, self.incarnation, std::move(body)};
+        return pair.run(pair.other_transport.handler(peer::encode(message)));
+    };
+    cr_assert(ask(peer::quota_request{}).empty());
+    cr_assert(!ask(peer::prefix_lookup{scope, {}}).empty());
+}
+
 Test(prefix_link, a_lookup_costs_a_few_hundred_bytes) {
-    linked_pair pair;
-    pair.report(prefix_change::held, 12);
-    const auto before = pair.near.counters();
+    pair_of_routers pair;
+    pair.report(core::prefix::prefix_change::held, 12);
+    const auto before = pair.transport.counters();
     pair.lookup();
-    const auto& after = pair.near.counters();
-    cr_assert_leq(after.call_bytes_sent - before.call_bytes_sent, 320);
-    cr_assert_leq(after.call_bytes_received - before.call_bytes_received, 200);
+    cr_assert_leq(pair.transport.counters().call_bytes_sent - before.call_bytes_sent, 320);
+    cr_assert_leq(pair.transport.counters().call_bytes_received - before.call_bytes_received, 200);
 }
 
 ParameterizedTestParameters(prefix_link, fault_table) {
@@ -159,12 +166,12 @@
 
 ParameterizedTest(std::size_t* number, prefix_link, fault_table) {
     const fault_row& row = fault_rows[*number];
-    linked_pair pair;
-    pair.near.fault = row.answer;
+    pair_of_routers pair;
+    pair.transport.fixed_answer = row.answer;
     const auto looked_up = pair.lookup();
     cr_assert(looked_up.has_error(), "%s", row.about);
     cr_assert(looked_up.error().failure == row.expected, "%s", row.about);
-    const auto reported = pair.report(prefix_change::held, 2);
+    const auto reported = pair.report(core::prefix::prefix_change::held, 2);
     cr_assert(reported.has_error(), "%s", row.about);
     cr_assert(reported.error().failure == row.expected, "%s", row.about);
 }
