--- a/test/router/selection/prefix_link_test.cpp
+++ b/test/router/selection/prefix_link_test.cpp
@@ -63,7 +63,8 @@
 struct pair_of_routers {
     bench::simulation::virtual_time time{1};
     bench::simulation::virtual_scheduler scheduler{time, 1};
-    test::fake_exchange unused{scheduler};
+    test::fake_network network{scheduler};
+    test::fake_exchange unused{network, other.name};
     test::fake_live_routers routers;
     shared_prefix_knowledge knowledge{other.name, routers, unused, scheduler};
     direct_transport transport;
