Execution figures in logs and metrics; import of warm state bounded

Cause: operators need to see attempts, retries, resumes, dropped answers and replayed outcomes by route; an import could hold a request for the engine layer's 30 s. Conclusion: each request's execution is visible.

--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include "ferryroad/peer/asio_transport.hpp"
 #include "ferryroad/platform/http_services.hpp"
 #include "ferryroad/router/node.hpp"
+#include "ferryroad/router/request/request_metrics.hpp"
 #include "ferryroad/runtime/asio_scheduler.hpp"
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/metrics.hpp"
@@ -74,11 +75,14 @@
                       return front.handle(std::move(request), writer);
                   }),
           operators(
-              {node.configuration(), node.control(), node.status(), node.selector(), scheduler}) {}
+              {node.configuration(), node.control(), node.status(), node.selector(), scheduler}) {
+        node.observe_requests(executions);
+    }
 
     boost::asio::io_context context{1};
     runtime::asio_scheduler scheduler;
     runtime::metrics metrics;
+    router::request_metrics executions{metrics};
     http::client connections;
     engine::http_client engines;
     platform::http_table table;
--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -54,7 +54,7 @@
           claims(scheduler, claims_table, liveness, {identity.name, identity.process}),
           admission(scheduler, directory, quota),
           requests(configuration, admission,
-                   {scheduler, directory, selector, ports.engines, claims}),
+                   {scheduler, directory, selector, ports.engines, claims, identity.name}),
           status(identity, ready, configuration, directory, membership) {
         connect();
     }
@@ -133,6 +133,9 @@
 request_service& node::requests() {
     return services_->requests;
 }
+void node::observe_requests(request_observer& observer) {
+    services_->requests.observe(observer);
+}
 configuration_view& node::configuration() {
     return services_->configuration;
 }
--- a/src/ferryroad/router/node.hpp
+++ b/src/ferryroad/router/node.hpp
@@ -11,6 +11,7 @@
 #include "ferryroad/router/configuration/control.hpp"
 #include "ferryroad/router/engine_selector.hpp"
 #include "ferryroad/router/readiness.hpp"
+#include "ferryroad/router/request/request_observer.hpp"
 #include "ferryroad/router/request_types.hpp"
 #include "ferryroad/router/status_source.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
@@ -66,6 +67,8 @@
 
     const readiness& ready_state() const;
     request_service& requests();
+    /// Tells `observer` of each request's end; it outlives the node.
+    void observe_requests(request_observer& observer);
     configuration_view& configuration();
     configuration_control& control();
     engine_selector& selector();
--- a/src/ferryroad/router/request/execution_driver.cpp
+++ b/src/ferryroad/router/request/execution_driver.cpp
@@ -103,6 +103,23 @@
     }
 }
 
+ended_request execution_driver::figures() const {
+    ended_request ended;
+    ended.request = start_.request;
+    ended.tenant = start_.resolved.tenant->name;
+    ended.route = start_.resolved.route->name;
+    ended.execution = refused_ ? refused_->execution : machine_.report();
+    if (!refused_ && replayed_) {
+        ended.execution = replayed_->execution;
+        ended.replayed = true;
+    }
+    ended.attempts = static_cast<std::uint32_t>(machine_.attempts().size());
+    ended.resumes = resumes_;
+    ended.dropped_answers = machine_.dropped();
+    ended.taken = with_.scheduler.now() - start_.arrived;
+    return ended;
+}
+
 void execution_driver::feed(const execution::event& happened) {
     auto wanted = machine_.handle(happened, with_.scheduler.now(), *start_.budget);
     for (execution::action& each : wanted) {
@@ -123,6 +140,7 @@
     }
     runtime::log(runtime::log_level::info, component, "exchange failed",
                  {{"request_id", start_.request.value},
+                  {"router", with_.self.value},
                   {"engine", target.name.value},
                   {"error", failure.message}});
     note_attempt_end();
@@ -175,6 +193,7 @@
         co_await dispatch(*attempt);
     } else if (auto* broken = std::get_if<execution::resume_attempt>(&wanted)) {
         engine::engine_target target = targets_.back();
+        ++resumes_;
         co_await resume_exchange(*broken, target);
     } else if (std::holds_alternative<execution::emit_token>(wanted)) {
         const bool accepted = co_await emit();
@@ -226,10 +245,15 @@
     feed(execution::engine_selected{{selected_.target.name, selected_.target.incarnation}});
 }
 
-/// Warm state only saves time: where it can't be had the prompt is computed anew.
+/// Warm state only saves time: where it can't be had soon the prompt is computed anew.
 runtime::task<void> execution_driver::import_state() {
-    engine::engine_target target = selected_.target;
-    engine::import_request wanted = *selected_.import;
+    using boost::asio::experimental::awaitable_operators::operator||;
+    const base::duration limit = std::min(start_.limits.import_wait, time_left());
+    co_await (import_from(selected_.target, *selected_.import) || with_.scheduler.sleep_for(limit));
+}
+
+runtime::task<void> execution_driver::import_from(engine::engine_target target,
+                                                  engine::import_request wanted) {
     const auto imported = co_await with_.engines.import_state(target, std::move(wanted));
     if (imported.has_error()) {
         runtime::log(runtime::log_level::info, component, "warm state could not be imported",
@@ -248,6 +272,7 @@
     runtime::log(runtime::log_level::debug, component, "attempt dispatched",
                  {{"request_id", start_.request.value},
                   {"attempt_id", attempt_id_of(wanted.attempt).value},
+                  {"router", with_.self.value},
                   {"tenant", start_.resolved.tenant->name.value},
                   {"route", start_.resolved.route->name.value},
                   {"engine", target.name.value}});
--- a/src/ferryroad/router/request/execution_driver.hpp
+++ b/src/ferryroad/router/request/execution_driver.hpp
@@ -9,6 +9,7 @@
 #include "ferryroad/router/engine_selector.hpp"
 #include "ferryroad/router/request/background_work.hpp"
 #include "ferryroad/router/request/call_resolution.hpp"
+#include "ferryroad/router/request/request_observer.hpp"
 #include "ferryroad/router/request/tunables.hpp"
 #include "ferryroad/router/request_types.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
@@ -33,11 +34,13 @@
     engine_selector& selector;
     engine::client& engines;
     claim_registry& claims;
+    base::router_name self;  ///< For the log.
 };
 
 /// What a driver is started with.
 struct driver_start {
     base::request_id request;
+    base::monotonic_time arrived{};
     resolved_call resolved;
     selection_query query;
     std::optional<claim_request> claim;  ///< Its attempt is filled in by the driver.
@@ -69,6 +72,8 @@
     /// Where an earlier request with the same key had ended.
     const std::optional<recorded_outcome>& replayed() const { return replayed_; }
     const core::execution::request_execution& execution() const { return machine_; }
+    /// @return the figures of the request, once it has ended.
+    ended_request figures() const;
 
   protected:
     /// Sends the attempt; reports by `feed`.
@@ -113,6 +118,7 @@
     runtime::task<void> claim();
     runtime::task<void> select(std::vector<base::engine_name> excluded);
     runtime::task<void> import_state();
+    runtime::task<void> import_from(engine::engine_target target, engine::import_request wanted);
     runtime::task<void> dispatch(core::execution::dispatch_attempt wanted);
     bool still_available(const engine::engine_target& target) const;
     std::uint64_t expected_prefill() const;
@@ -126,6 +132,7 @@
     std::deque<core::execution::action> pending_;
     selected_engine selected_;
     std::vector<engine::engine_target> targets_;  ///< Of each attempt, in order.
+    std::uint32_t resumes_ = 0;
     bool load_awaited_ = false;  ///< The current attempt shows in no load report yet.
     std::optional<refusal> refused_;
     std::optional<recorded_outcome> replayed_;
--- /dev/null
+++ b/src/ferryroad/router/request/request_metrics.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// Metrics of the execution of requests.
+#pragma once
+
+#include "ferryroad/router/request/request_observer.hpp"
+#include "ferryroad/runtime/metrics.hpp"
+
+namespace ferryroad::router {
+
+class request_metrics final : public request_observer {
+  public:
+    /// @param registry outlives this.
+    explicit request_metrics(runtime::metrics& registry);
+    void request_ended(const ended_request& ended) override;
+
+  private:
+    runtime::metrics& registry_;
+    runtime::counter attempts_;
+    runtime::counter retries_;
+    runtime::counter resumes_;
+    runtime::counter dropped_;
+    runtime::counter replayed_;
+};
+
+}  // namespace ferryroad::router
--- a/src/ferryroad/router/request/routing_request_service.cpp
+++ b/src/ferryroad/router/request/routing_request_service.cpp
@@ -5,6 +5,7 @@
 #include "ferryroad/router/request/application_driver.hpp"
 #include "ferryroad/router/request/generation_driver.hpp"
 #include "ferryroad/router/request/recorded_generation.hpp"
+#include "ferryroad/runtime/log.hpp"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -223,6 +224,7 @@
                                                base::monotonic_time arrived) {
     driver_start start;
     start.request = request;
+    start.arrived = arrived;
     start.query.request = request;
     start.query.pool = resolved.pool->name;
     start.query.recompute_price = resolved.route->recompute_price;
@@ -271,6 +273,7 @@
         co_return std::get<0>(served);
     }
     driver.interrupt();
+    record_end(driver);
     // The drive keeps the cancellation's exception in; the caller's coroutine still ends by it.
     const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
     if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
@@ -279,6 +282,21 @@
     co_return driver.refused();
 }
 
+void routing_request_service::record_end(const execution_driver& driver) {
+    const ended_request ended = driver.figures();
+    runtime::log(runtime::log_level::info, "router.request", "execution ended",
+                 {{"request_id", ended.request.value},
+                  {"router", with_.self.value},
+                  {"tenant", ended.tenant.value},
+                  {"route", ended.route.value},
+                  {"execution", std::string(to_string(ended.execution))},
+                  {"attempts", std::to_string(ended.attempts)},
+                  {"milliseconds", std::to_string(base::to_milliseconds(ended.taken))}});
+    if (observer_) {
+        observer_->request_ended(ended);
+    }
+}
+
 runtime::task<std::optional<refusal>> routing_request_service::serve_claimed(
     std::shared_ptr<execution_driver> driver, admission_query query,
     std::shared_ptr<token_relay> relay, token_sink* sink) {
--- a/src/ferryroad/router/request/routing_request_service.hpp
+++ b/src/ferryroad/router/request/routing_request_service.hpp
@@ -31,6 +31,9 @@
     runtime::task<runtime::result<application_reply, refusal>> call_application(
         application_call call) override;
 
+    /// Tells `observer` of each request's end from here on; it outlives the service.
+    void observe(request_observer& observer) { observer_ = &observer; }
+
     /// Planned stop, once no caller is left: @return when claimed requests whose callers went
     /// away have ended, and all outcomes are recorded and cancellations told.
     runtime::task<void> drain();
@@ -68,12 +71,16 @@
     runtime::task<std::optional<refusal>> admit_and_drive(execution_driver& driver,
                                                           admission_query query);
 
+    /// Logs the request's end and tells the observer.
+    void record_end(const execution_driver& driver);
+
     const configuration_view& configuration_;
     admission_control& admission_;
     request_collaborators with_;
     request_tunables limits_;
     call_resolver resolver_;
     background_work background_;
+    request_observer* observer_ = nullptr;
     std::map<budget_key, std::shared_ptr<core::admission::retry_budget>> budgets_;
 };
 
--- a/test/caller/front_fixture.hpp
+++ b/test/caller/front_fixture.hpp
@@ -4,6 +4,7 @@
 
 #include "ferryroad/caller/caller_front.hpp"
 #include "ferryroad/http/json.hpp"
+#include "ferryroad/router/request/request_metrics.hpp"
 #include "test/http/loopback.hpp"
 #include "test/router/request/fake_router.hpp"
 
@@ -15,6 +16,7 @@
     loopback loop;
     fake_router router{loop.scheduler};
     runtime::metrics registry;
+    router::request_metrics executions{registry};
     bool ready = true;
     caller::caller_front front{loop.scheduler, router.service, registry, [this] { return ready; }};
     http::server server{loop.scheduler, limits(),
@@ -29,6 +31,8 @@
         return small;
     }
 
+    caller_fixture() { router.service.observe(executions); }
+
     /// @return all that came for `bytes` until the server closed the connection.
     std::string exchange(const std::string& bytes) {
         std::string answer;
--- a/test/caller/stream_test.cpp
+++ b/test/caller/stream_test.cpp
@@ -99,6 +99,10 @@
     test::caller_fixture fixture;
     fixture.router.engines.scripts.push_back({{}, 3, {}});
     expect_whole(fixture.exchange(completion_text(R"(,"stream":true)")), false);
+    const std::string counted = fixture.registry.to_text();
+    cr_assert(counted.find("ferryroad_resumes_total 1") != std::string::npos);
+    cr_assert(counted.find("execution=\"complete\",route=\"generate\"} 1") != std::string::npos,
+              "%s", counted.c_str());
 }
 
 Test(caller_stream, a_refusal_before_any_token_has_its_status) {
--- a/test/router/request/fake_router.hpp
+++ b/test/router/request/fake_router.hpp
@@ -311,7 +311,8 @@
     explicit fake_router(runtime::scheduler& scheduler)
         : engines(scheduler),
           admission(scheduler, directory, quota),
-          service(configuration, admission, {scheduler, directory, selector, engines, claims}) {}
+          service(configuration, admission,
+                  {scheduler, directory, selector, engines, claims, base::router_name("r1")}) {}
 
     fake_configuration configuration;
     fake_directory directory;
