Answers of the HTTP server itself carry request id and execution too

Cause: 413, 431, 400 and 503 of the server had no Ferryroad-Request-Id, Ferryroad-Execution or error.execution, though every answer should. Change: http::server::complete_refusals (additive) calls back before such an answer goes out; the caller front marks it as not run, counts and logs it. Conclusion: one contract for all answers.

--- a/src/ferryroad/caller/caller_front.cpp
+++ b/src/ferryroad/caller/caller_front.cpp
@@ -150,6 +150,14 @@
     }
 }
 
+void caller_front::complete_refusal(http::response& answer) {
+    const base::request_id id = next_request_id();
+    mark_not_run(id, answer);
+    counted_.refused_unread();
+    runtime::log(runtime::log_level::info, component, "unreadable request refused",
+                 {{"request_id", id.value}, {"status", std::to_string(answer.status)}});
+}
+
 runtime::task<void> caller_front::answer_probe(std::string_view path,
                                                http::response_writer& writer) {
     http::response answer = text_answer(ok_status, "ok\n");
--- a/src/ferryroad/caller/caller_front.hpp
+++ b/src/ferryroad/caller/caller_front.hpp
@@ -29,6 +29,10 @@
     /// Answers one request. A caller that closes its connection ends the request.
     runtime::task<void> handle(http::request request, http::response_writer& writer);
 
+    /// Makes an answer that the HTTP server gives by itself say what every answer says: a
+    /// request id and that nothing ran. Give it to `http::server::complete_refusals`.
+    void complete_refusal(http::response& answer);
+
   private:
     /// One caller's request on its way through the front.
     struct exchange;
--- a/src/ferryroad/caller/caller_metrics.hpp
+++ b/src/ferryroad/caller/caller_metrics.hpp
@@ -18,6 +18,8 @@
     void request_began() { active_.add(1); }
     /// @param outcome `complete`, `abandoned`, or a refusal's code.
     void request_ended(std::string_view api, std::string_view outcome, base::duration taken);
+    /// The HTTP server refused what it couldn't read.
+    void refused_unread() { unread_.add(); }
     void first_token(base::duration taken) { first_token_.observe(base::to_seconds(taken)); }
     void tokens(double count) { tokens_.add(count); }
     void prompt_tokens(double total, double cached);
@@ -26,6 +28,7 @@
     runtime::metrics& registry_;
     runtime::gauge active_;
     runtime::histogram first_token_;
+    runtime::counter unread_;
     runtime::counter tokens_;
     runtime::counter prompt_tokens_;
     runtime::counter cached_tokens_;
--- a/src/ferryroad/caller/refusal_answer.cpp
+++ b/src/ferryroad/caller/refusal_answer.cpp
@@ -133,6 +133,18 @@
                        error_object(row.type, row.name, failure.message, not_run));
 }
 
+void mark_not_run(const base::request_id& request, http::response& answer) {
+    const std::string execution(to_string(core::execution::execution_report::not_run));
+    answer.headers.add(request_id_header, request.value);
+    answer.headers.add(execution_header, execution);
+    auto body = http::parse_json(answer.body);
+    if (body.has_error() || !body->is_object() || !body->get_object().contains("error")) {
+        return;
+    }
+    body->get_object().at("error").as_object()["execution"] = execution;
+    answer.body = http::to_text(*body);
+}
+
 std::string refusal_event(const router::refusal& refused) {
     json::object body = refusal_object(refused);
     body["ferryroad"] = json::object{{"execution", to_string(refused.execution)}};
--- a/src/ferryroad/caller/refusal_answer.hpp
+++ b/src/ferryroad/caller/refusal_answer.hpp
@@ -27,6 +27,9 @@
 /// @return the answer to a request that the front itself turned away: nothing ran.
 http::response error_answer(const base::request_id& request, const error& failure);
 
+/// Adds request id and execution to an error answer of the HTTP server: nothing ran.
+void mark_not_run(const base::request_id& request, http::response& answer);
+
 /// @return the server-sent event that ends a stream which can't be finished.
 std::string refusal_event(const router::refusal& refused);
 
--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -77,6 +77,8 @@
           operators(
               {node.configuration(), node.control(), node.status(), node.selector(), scheduler}) {
         node.observe_requests(executions);
+        callers.complete_refusals(
+            [this](http::response& answer) { front.complete_refusal(answer); });
     }
 
     boost::asio::io_context context{1};
--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -150,6 +150,10 @@
     return state_->drain(state_);
 }
 
+void server::complete_refusals(refusal_completion complete) {
+    state_->shared->complete_refusal = std::move(complete);
+}
+
 std::size_t server::active_requests() const {
     return state_->shared->active_requests;
 }
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -55,6 +55,12 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    /// Called on each answer that the server gives by itself to what never became a request
+    /// (malformed, too large, too many connections), before it is sent.
+    using refusal_completion = std::function<void(response&)>;
+    /// Before `listen`.
+    void complete_refusals(refusal_completion complete);
+
     /// Listens and accepts. Port 0 takes a free port.
     /// @return the address listened on. @throws boost::system::system_error where it can't.
     base::endpoint listen(const base::endpoint& address);
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -145,6 +145,9 @@
     if (status == 503) {
         answer.headers.add("Retry-After", "1");
     }
+    if (shared_->complete_refusal) {
+        shared_->complete_refusal(answer);
+    }
     answer_head head;
     head.status = status;
     head.headers = &answer.headers;
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -13,6 +13,7 @@
 struct server_shared {
     server_limits limits;
     server::handler handle;
+    server::refusal_completion complete_refusal;  ///< May be empty.
     bool draining = false;
     std::size_t active_requests = 0;
 };
--- a/test/caller/contract_test.cpp
+++ b/test/caller/contract_test.cpp
@@ -89,8 +89,8 @@
          fault::none, "400", "prompt_too_long", "not-run", ""},
         {"body over the limit",
          request_text("POST /v1/completions", authorized, std::string(9000, 'x')), fault::none,
-         "413", "request_body_too_large", "", ""},
-        {"not HTTP", "what?\r\n\r\n", fault::none, "400", "malformed_request", "", ""},
+         "413", "request_body_too_large", "not-run", ""},
+        {"not HTTP", "what?\r\n\r\n", fault::none, "400", "malformed_request", "not-run", ""},
         {"idempotency key with spaces", record_text("Idempotency-Key: a b\r\n", "x"), fault::none,
          "400", "invalid_request", "not-run", ""},
         {"over the limit", completion_text(""), fault::limited, "429", "over_limit", "not-run",
@@ -170,9 +170,7 @@
     cr_assert(error.text("code") == sent.code, "%s", sent.name);
     cr_assert_not(error.text("message").empty(), "%s", sent.name);
     cr_assert_not(error.text("type").empty(), "%s", sent.name);
-    if (*sent.execution) {
-        cr_assert(error.text("execution") == sent.execution, "%s", sent.name);
-    }
+    cr_assert(error.text("execution") == sent.execution, "%s", sent.name);
 }
 
 }  // namespace
@@ -196,8 +194,7 @@
     cr_assert_str_eq(answer.status.c_str(), sent.status, "%s: %s", sent.name, answer.head.c_str());
     const std::string execution = header_of(answer, "Ferryroad-Execution");
     cr_assert_str_eq(execution.c_str(), sent.execution, "%s", sent.name);
-    cr_assert_eq(header_of(answer, "Ferryroad-Request-Id").empty(), *sent.execution == 0, "%s",
-                 sent.name);
+    cr_assert_not(header_of(answer, "Ferryroad-Request-Id").empty(), "%s", sent.name);
     const std::string retry_after = header_of(answer, "Retry-After");
     if (std::string(sent.retry_after) == "*") {
         cr_assert_gt(std::stol(retry_after), 0, "%s", sent.name);
--- a/test/caller/front_fixture.hpp
+++ b/test/caller/front_fixture.hpp
@@ -31,7 +31,11 @@
         return small;
     }
 
-    caller_fixture() { router.service.observe(executions); }
+    caller_fixture() {
+        router.service.observe(executions);
+        server.complete_refusals(
+            [this](http::response& answer) { front.complete_refusal(answer); });
+    }
 
     /// @return all that came for `bytes` until the server closed the connection.
     std::string exchange(const std::string& bytes) {
