--- a/bench/simulation/engines/simulated_engine.hpp
+++ b/bench/simulation/engines/simulated_engine.hpp
@@ -101,6 +101,7 @@
     void cut_streams();
     /// The next answers of the application are not sent.
     void lose_answers(std::uint32_t count) { lost_answers_ += count; }
+    void lose_no_answers() { lost_answers_ = 0; }
     /// A planned stop: refuses new work until the machine goes.
     void leave();
     /// The provider loads other weights, in this process and those to come; a lower token
--- a/bench/simulation/faults/fault_driver.cpp
+++ b/bench/simulation/faults/fault_driver.cpp
@@ -288,9 +288,11 @@
     world_.platform().set_outage(false);
     world_.platform().set_delay(base::duration::zero());
     world_.platform().set_rate(std::nullopt);
+    world_.platform().lose_no_answers();
     for (const auto& engine : world_.engines()) {
         engine->set_slow_factor(1.0);
         engine->set_refuse_overloaded(false);
+        engine->lose_no_answers();
     }
     for (std::size_t index = 0; index < world_.routers().size(); ++index) {
         world_.routers()[index]->resume();
--- a/bench/simulation/platform/simulated_platform.cpp
+++ b/bench/simulation/platform/simulated_platform.cpp
@@ -138,4 +138,10 @@
     model_.set_faults(faults);
 }
 
+void simulated_platform::lose_no_answers() {
+    emulator::platform_faults faults = model_.faults();
+    faults.lost_answers = 0;
+    model_.set_faults(faults);
+}
+
 }  // namespace ferryroad::bench::simulation
--- a/bench/simulation/platform/simulated_platform.hpp
+++ b/bench/simulation/platform/simulated_platform.hpp
@@ -55,6 +55,7 @@
     void set_rate(std::optional<double> calls_per_second);
     /// The next commits take effect and lose their answer.
     void lose_answers(std::uint32_t count);
+    void lose_no_answers();
 
     /// Calls that came, for the slopes of docs/CAPACITY.md.
     std::uint64_t calls() const { return calls_; }
--- a/bench/simulation/simulation_run.hpp
+++ b/bench/simulation/simulation_run.hpp
@@ -16,8 +16,8 @@
     std::uint32_t routers = 3;
     std::uint32_t engines = 5;
     std::uint32_t application_engines = 2;
-    std::uint64_t requests = 300;
-    double requests_per_second = 10;
+    std::uint64_t requests = 600;
+    double requests_per_second = 20;
     bool with_faults = true;
 };
 
