clang-tidy: node options by reference; a false alarm on defaulted comparisons marked

Change: node takes its options by reference; defaulted operator<=> marked, as clang-tidy 14 misreads it.

--- a/bench/audit/auditor.cpp
+++ b/bench/audit/auditor.cpp
@@ -27,6 +27,7 @@
     base::tenant_name tenant;
     base::idempotency_key key;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const once_only_key&, const once_only_key&) = default;
 };
 using key_rows = std::map<once_only_key, rows>;
--- a/bench/audit/cache_check.cpp
+++ b/bench/audit/cache_check.cpp
@@ -16,6 +16,7 @@
     base::weights_version version;
     base::piece_hash piece;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const scoped_piece&, const scoped_piece&) = default;
 };
 
@@ -24,6 +25,7 @@
     std::size_t engine = 0;
     base::incarnation process;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const holder&, const holder&) = default;
 };
 
--- a/src/ferryroad/base/endpoint.hpp
+++ b/src/ferryroad/base/endpoint.hpp
@@ -15,6 +15,7 @@
     std::string address;  ///< IPv4 or IPv6 number, as text.
     std::uint16_t port = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const endpoint&, const endpoint&) = default;
     friend bool operator==(const endpoint&, const endpoint&) = default;
 
--- a/src/ferryroad/core/prefix/cache_namespace.hpp
+++ b/src/ferryroad/core/prefix/cache_namespace.hpp
@@ -19,6 +19,7 @@
     base::weights_version version;
     base::adapter_name adapter;  ///< Empty for the bare model.
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const cache_namespace&, const cache_namespace&) = default;
     friend bool operator==(const cache_namespace&, const cache_namespace&) = default;
 
--- a/src/ferryroad/core/prefix/prefix_index.hpp
+++ b/src/ferryroad/core/prefix/prefix_index.hpp
@@ -32,6 +32,7 @@
     base::engine_name engine;
     base::incarnation incarnation;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads defaulted comparisons.
     friend auto operator<=>(const engine_process&, const engine_process&) = default;
     friend bool operator==(const engine_process&, const engine_process&) = default;
 };
--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -100,7 +100,7 @@
     node_status status;
 };
 
-node::node(node_identity identity, node_options options, const node_ports& ports)
+node::node(node_identity identity, const node_options& options, const node_ports& ports)
     : services_(std::make_unique<services>(std::move(identity), options, ports)) {}
 
 node::~node() = default;
--- a/src/ferryroad/router/node.hpp
+++ b/src/ferryroad/router/node.hpp
@@ -49,7 +49,7 @@
 /// Used from the event loop's thread. Lives until the event loop has ended.
 class node {
   public:
-    node(node_identity identity, node_options options, const node_ports& ports);
+    node(node_identity identity, const node_options& options, const node_ports& ports);
     ~node();
     node(const node&) = delete;
     node& operator=(const node&) = delete;
