--- a/bench/simulation/cluster/operators.cpp
+++ b/bench/simulation/cluster/operators.cpp
@@ -30,8 +30,8 @@
     submit(make_order(std::move(desired), std::move(author), 0));
 }
 
-void operators::edit(std::size_t router, std::string author, catalog_edit change,
-                     on_conflict conflict, edit_accepted accepted) {
+void operators::edit(std::size_t router, const std::string& author, const catalog_edit& change,
+                     on_conflict conflict, const edit_accepted& accepted) {
     simulated_router* at = routers_[router % routers_.size()];
     const auto again = [this, router, author, change, conflict, accepted] {
         edit(router + 1, author, change, conflict, accepted);
--- a/bench/simulation/cluster/operators.hpp
+++ b/bench/simulation/cluster/operators.hpp
@@ -40,8 +40,8 @@
     void apply_all(catalog::catalog desired, std::string author);
     /// Reads the configuration at a router, edits it and applies it there, expecting the
     /// revision read.
-    void edit(std::size_t router, std::string author, catalog_edit change, on_conflict conflict,
-              edit_accepted accepted = nullptr);
+    void edit(std::size_t router, const std::string& author, const catalog_edit& change,
+              on_conflict conflict, const edit_accepted& accepted = nullptr);
 
     const std::vector<accepted_change>& accepted() const { return accepted_; }
     std::uint64_t conflicts() const { return conflicts_; }
