--- a/src/ferryroad/coordination/claim/base64.cpp
+++ b/src/ferryroad/base/base64.cpp
@@ -1,10 +1,10 @@
-#include "ferryroad/coordination/claim/base64.hpp"
+#include "ferryroad/base/base64.hpp"
 
 #include <openssl/evp.h>
 
 #include <cstddef>
 
-namespace ferryroad::coordination::claim {
+namespace ferryroad::base {
 
 namespace {
 
@@ -49,4 +49,4 @@
     return bytes;
 }
 
-}  // namespace ferryroad::coordination::claim
+}  // namespace ferryroad::base
--- a/src/ferryroad/coordination/claim/base64.hpp
+++ b/src/ferryroad/base/base64.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <string_view>
 
-namespace ferryroad::coordination::claim {
+namespace ferryroad::base {
 
 std::string to_base64(std::string_view bytes);
 
 /// @return nothing where `text` is no base64 with padding.
 std::optional<std::string> from_base64(std::string_view text);
 
-}  // namespace ferryroad::coordination::claim
+}  // namespace ferryroad::base
--- a/src/ferryroad/coordination/claim/record.cpp
+++ b/src/ferryroad/coordination/claim/record.cpp
@@ -1,6 +1,6 @@
 #include "ferryroad/coordination/claim/record.hpp"
 
-#include "ferryroad/coordination/claim/base64.hpp"
+#include "ferryroad/base/base64.hpp"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -68,7 +68,7 @@
     }
     leaf::result<std::string> bytes(std::string_view name) const {
         BOOST_LEAF_AUTO(encoded, text(name));
-        auto decoded = from_base64(encoded);
+        auto decoded = base::from_base64(encoded);
         if (!decoded) {
             return malformed(std::string(name) + ": expected base64");
         }
@@ -134,8 +134,8 @@
     if (claimed.kept_outcome) {
         const outcome& kept = *claimed.kept_outcome;
         object["outcome"] = json::object{{"status", kept.status},
-                                         {"content_type", to_base64(kept.content_type)},
-                                         {"body", to_base64(kept.body)}};
+                                         {"content_type", base::to_base64(kept.content_type)},
+                                         {"body", base::to_base64(kept.body)}};
     }
     return json::serialize(object);
 }
--- /dev/null
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -0,0 +1,149 @@
+#include "ferryroad/coordination/rollout/weights_rollout.hpp"
+
+#include <algorithm>
+
+namespace ferryroad::coordination::rollout {
+
+namespace {
+
+const engine_view* find(const std::vector<engine_view>& engines, const base::engine_name& name) {
+    const auto found = std::find_if(engines.begin(), engines.end(),
+                                    [&](const engine_view& one) { return one.name == name; });
+    return found == engines.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+void weights_rollout::want(const std::string& model, std::uint64_t version) {
+    std::uint64_t& newest = m_wanted[model];
+    newest = std::max(newest, version);
+}
+
+std::uint64_t weights_rollout::wanted(const std::string& model) const {
+    const auto found = m_wanted.find(model);
+    return found == m_wanted.end() ? 0 : found->second;
+}
+
+void weights_rollout::drop_ended(const std::vector<engine_view>& engines,
+                                 base::monotonic_time now) {
+    std::erase_if(m_engines, [&](const auto& entry) {
+        const engine_view* seen = find(engines, entry.first);
+        const bool done = seen != nullptr && seen->version >= wanted(seen->model);
+        const bool silent = now - entry.second.since > m_tunables.give_up;
+        return seen == nullptr || (!entry.second.call_under_way && (done || silent));
+    });
+}
+
+std::size_t weights_rollout::room_for(const std::string& model,
+                                      const std::vector<engine_view>& engines) const {
+    std::size_t total = 0;
+    std::size_t busy = 0;
+    for (const engine_view& one : engines) {
+        if (one.model == model) {
+            ++total;
+            busy += m_engines.contains(one.name) ? 1 : 0;
+        }
+    }
+    const auto share = static_cast<std::size_t>(static_cast<double>(total) *
+                                                m_tunables.share_at_once);
+    const std::size_t allowed = std::clamp<std::size_t>(share, 1, m_tunables.at_once);
+    return allowed > busy ? allowed - busy : 0;
+}
+
+void weights_rollout::begin_some(const std::vector<engine_view>& engines,
+                                 base::monotonic_time now) {
+    std::vector<const engine_view*> outdated;
+    for (const engine_view& one : engines) {
+        if (one.version < wanted(one.model) && !m_engines.contains(one.name)) {
+            outdated.push_back(&one);
+        }
+    }
+    // The least loaded first: it is free the soonest, and its loss is felt the least.
+    std::stable_sort(outdated.begin(), outdated.end(),
+                     [](const engine_view* a, const engine_view* b) { return a->load < b->load; });
+    for (const engine_view* one : outdated) {
+        if (room_for(one->model, engines) == 0) {
+            continue;
+        }
+        progress begun;
+        begun.version = wanted(one->model);
+        begun.since = now;
+        begun.next_call = now;
+        m_engines.emplace(one->name, begun);
+    }
+}
+
+rollout_steps weights_rollout::next(const std::vector<engine_view>& engines,
+                                    base::monotonic_time now) {
+    drop_ended(engines, now);
+    begin_some(engines, now);
+    rollout_steps steps;
+    for (auto& [name, state] : m_engines) {
+        if (state.call_under_way || now < state.next_call) {
+            continue;
+        }
+        const engine_view* seen = find(engines, name);
+        state.call_under_way = true;
+        if (state.stage == phase::ready) {
+            state.stage = phase::ordering;
+            state.version = wanted(seen->model);
+            steps.orders.push_back({name, seen->model, state.version, state.orders_taken});
+        } else {
+            steps.reports.push_back({name});
+        }
+    }
+    return steps;
+}
+
+void weights_rollout::reported(const base::engine_name& engine, const engine_report& report,
+                               base::monotonic_time now) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    progress& state = found->second;
+    state.call_under_way = false;
+    if (report.version >= state.version) {
+        m_engines.erase(found);
+        return;
+    }
+    state.orders_taken = report.orders_taken;
+    state.next_call = now;
+    const bool working = report.busy || state.stage == phase::loading;
+    if (working) {
+        state.next_call = now + m_tunables.look_period;
+        const bool lost_track = !report.busy && now - state.since > m_tunables.give_up / 2;
+        state.stage = lost_track ? phase::ready : state.stage;
+        return;
+    }
+    state.stage = phase::ready;
+}
+
+void weights_rollout::report_lost(const base::engine_name& engine, base::monotonic_time now) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    found->second.call_under_way = false;
+    found->second.next_call = now + m_tunables.retry_delay;
+}
+
+void weights_rollout::ordered(const base::engine_name& engine, order_answer answer,
+                              base::monotonic_time now) {
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    progress& state = found->second;
+    state.call_under_way = false;
+    if (answer == order_answer::accepted) {
+        state.stage = phase::loading;
+        state.since = now;
+        state.next_call = now + m_tunables.first_look;
+        return;
+    }
+    state.stage = phase::asking;
+    state.next_call = now + m_tunables.retry_delay;
+}
+
+}  // namespace ferryroad::coordination::rollout
--- /dev/null
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -0,0 +1,127 @@
+/// @file
+/// Brings a fleet of engines to the newest named weights, a few engines at a time, by orders
+/// that carry a fencing token. Pure: what is seen of engines and answers comes in, steps come
+/// out. Only the holder of the rollout's lease carries steps out.
+#pragma once
+
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ferryroad::coordination::rollout {
+
+/// One engine process, as it was last seen.
+struct engine_view {
+    base::engine_name name;
+    std::string model;
+    std::uint64_t version = 0;
+    std::uint32_t load = 0;  ///< Requests that the observer has running there.
+
+    friend bool operator==(const engine_view&, const engine_view&) = default;
+};
+
+/// What an engine said of itself when it was asked.
+struct engine_report {
+    std::uint64_t version = 0;
+    std::uint64_t orders_taken = 0;
+    bool busy = false;  ///< An order is under way.
+
+    friend bool operator==(const engine_report&, const engine_report&) = default;
+};
+
+/// Ask the engine for its report; answered by `reported` or `report_lost`.
+struct ask_report {
+    base::engine_name engine;
+
+    friend bool operator==(const ask_report&, const ask_report&) = default;
+};
+/// Order the engine to load a version; answered by `ordered`.
+struct send_order {
+    base::engine_name engine;
+    std::string model;
+    std::uint64_t version = 0;
+    std::uint64_t expected_orders = 0;  ///< The engine refuses where it has taken others.
+
+    friend bool operator==(const send_order&, const send_order&) = default;
+};
+
+struct rollout_steps {
+    std::vector<ask_report> reports;
+    std::vector<send_order> orders;
+};
+
+enum class order_answer {
+    accepted,  ///< Being carried out, or it already holds.
+    refused,   ///< Not carried out and never will be: other orders came between, or one runs.
+    fenced,    ///< A later holder has ordered: this process holds the lease no more.
+    lost       ///< It may be carried out, at any time from now on.
+};
+
+struct rollout_tunables {
+    /// Engines with an order under way; the rest serve.
+    std::size_t at_once = 3;
+    /// Never more than this share of a model's engines at once (but always one).
+    double share_at_once = 0.34;
+    /// From an accepted order to the first question whether it is done.
+    base::duration first_look = std::chrono::milliseconds(600);
+    base::duration look_period = std::chrono::milliseconds(150);
+    /// After a refusal or a lost answer, before the engine is asked again.
+    base::duration retry_delay = std::chrono::milliseconds(200);
+    /// An engine silent for so long stops counting against `at_once`.
+    base::duration give_up = std::chrono::seconds(6);
+};
+
+/// Not thread-safe.
+class weights_rollout {
+  public:
+    explicit weights_rollout(rollout_tunables tunables = {}) : m_tunables(tunables) {}
+
+    /// Versions only rise; an older one changes nothing.
+    void want(const std::string& model, std::uint64_t version);
+    /// @return the newest version named for a model, 0 where none is.
+    std::uint64_t wanted(const std::string& model) const;
+    /// @return whether the engine is being brought to another version.
+    bool under_way(const base::engine_name& engine) const { return m_engines.contains(engine); }
+
+    /// @param engines all that may be ordered now. @return the steps that are due.
+    rollout_steps next(const std::vector<engine_view>& engines, base::monotonic_time now);
+
+    void reported(const base::engine_name& engine, const engine_report& report,
+                  base::monotonic_time now);
+    void report_lost(const base::engine_name& engine, base::monotonic_time now);
+    void ordered(const base::engine_name& engine, order_answer answer, base::monotonic_time now);
+    /// The lease was lost or taken anew: whatever was under way is looked at afresh.
+    void reset() { m_engines.clear(); }
+
+  private:
+    enum class phase {
+        asking,   ///< Its report is wanted before an order.
+        ready,    ///< Its report is in: the order may go out.
+        ordering, ///< The order is on its way.
+        loading   ///< The order was accepted.
+    };
+    struct progress {
+        phase stage = phase::asking;
+        bool call_under_way = false;
+        std::uint64_t version = 0;  ///< That it is brought to.
+        std::uint64_t orders_taken = 0;
+        base::monotonic_time since{};
+        base::monotonic_time next_call{};
+    };
+
+    void drop_ended(const std::vector<engine_view>& engines, base::monotonic_time now);
+    void begin_some(const std::vector<engine_view>& engines, base::monotonic_time now);
+    std::size_t room_for(const std::string& model, const std::vector<engine_view>& engines) const;
+
+    rollout_tunables m_tunables;
+    std::map<std::string, std::uint64_t> m_wanted;
+    std::map<base::engine_name, progress> m_engines;
+};
+
+}  // namespace ferryroad::coordination::rollout
--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -13,8 +13,11 @@
 }
 
 /// Stale knowledge of one engine is no sign of a failing pool, so that correcting it is free.
-bool spends_budget(failure_kind kind) {
-    return kind != failure_kind::unreachable && kind != failure_kind::stale_target;
+bool spends_budget(failure_kind kind, const tunables& limits) {
+    if (kind == failure_kind::stale_target) {
+        return !limits.stale_target_is_free;
+    }
+    return kind != failure_kind::unreachable;
 }
 
 refusal_reason reason_of(failure_kind kind) {
@@ -248,10 +251,16 @@
     if (overloaded_refusals_ >= limits_.overloaded_refusals) {
         return false;
     }
+    const auto executions = std::count_if(
+        attempts_.begin(), attempts_.end(),
+        [](const attempt_record& attempt) { return !surely_not_run(attempt); });
+    if (static_cast<std::uint64_t>(executions) >= limits_.executions) {
+        return false;
+    }
     if (!rules_.repeatable && !surely_not_run(attempts_.back())) {
         return false;
     }
-    return !spends_budget(failed.kind) || at.budget.try_retry();
+    return !spends_budget(failed.kind, limits_) || at.budget.try_retry();
 }
 
 action_list request_execution::retry() {
--- /dev/null
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -0,0 +1,49 @@
+#include "ferryroad/core/placement/placement.hpp"
+
+#include <algorithm>
+
+namespace ferryroad::core::placement {
+
+namespace {
+
+double prefill_cost(const placement_query& query, const engine_candidate& engine,
+                    const placement_tunables& tunables) {
+    double warm = static_cast<double>(engine.warm_tokens);
+    if (engine.home) {
+        warm = std::max(warm, tunables.home_warmth * static_cast<double>(query.shared_tokens));
+    }
+    const double shared_missing =
+        std::max(0.0, static_cast<double>(query.shared_tokens) - warm);
+    const double own = static_cast<double>(query.input_tokens - std::min(query.shared_tokens,
+                                                                         query.input_tokens));
+    return (own + shared_missing * tunables.recompute_factor) / tunables.prefill_tokens_per_ms;
+}
+
+double cost_of(const placement_query& query, const engine_candidate& engine,
+               const placement_tunables& tunables) {
+    const double pending = static_cast<double>(engine.pending_prefill_tokens);
+    const double queue = pending * tunables.load_of_others / tunables.prefill_tokens_per_ms;
+    const double share = static_cast<double>(engine.running) / std::max(1U, engine.slots);
+    const double crowd = share * tunables.load_of_others * tunables.full_engine_ms;
+    double cost = prefill_cost(query, engine, tunables) + queue + crowd;
+    cost += engine.same_zone ? 0.0 : tunables.other_zone_ms;
+    cost += engine.outdated ? tunables.outdated_ms : 0.0;
+    cost += engine.suspended ? tunables.suspended_ms : 0.0;
+    return cost;
+}
+
+}  // namespace
+
+std::optional<placement_choice> choose_engine(const placement_query& query,
+                                              const placement_tunables& tunables) {
+    std::optional<placement_choice> best;
+    for (std::size_t index = 0; index < query.candidates.size(); ++index) {
+        const double cost = cost_of(query, query.candidates[index], tunables);
+        if (!best || cost < best->cost_ms) {
+            best = placement_choice{index, cost};
+        }
+    }
+    return best;
+}
+
+}  // namespace ferryroad::core::placement
--- /dev/null
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -0,0 +1,66 @@
+/// @file
+/// Chooses the engine of a relayed request by one cost in one unit: milliseconds until the
+/// first answer bytes, with penalties for what costs money or worth instead of time.
+#pragma once
+
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ferryroad::core::placement {
+
+/// An engine that may get the request, as this router sees it.
+struct engine_candidate {
+    base::engine_name name;
+    bool same_zone = true;
+    bool home = false;       ///< Where all routers of the zone send this prompt's prefix.
+    bool suspended = false;  ///< Taken only where no other is left.
+    bool outdated = false;   ///< Runs weights older than the newest named, and not yet too old.
+    std::uint32_t running = 0;  ///< Of this router's requests.
+    std::uint32_t slots = 1;
+    std::uint64_t pending_prefill_tokens = 0;  ///< Of this router's, before their first event.
+    std::uint64_t warm_tokens = 0;             ///< Of this prompt, believed to be held.
+
+    friend bool operator==(const engine_candidate&, const engine_candidate&) = default;
+};
+
+struct placement_query {
+    std::uint64_t input_tokens = 0;   ///< 0 for requests without a prompt.
+    std::uint64_t shared_tokens = 0;  ///< Of its declared parts.
+    std::vector<engine_candidate> candidates;
+};
+
+struct placement_tunables {
+    double prefill_tokens_per_ms = 35;
+    /// How many times this router's own load an engine is believed to have.
+    double load_of_others = 3.0;
+    /// For each request that runs there, as a share of the slots, in milliseconds.
+    double full_engine_ms = 60;
+    /// Bytes between zones cost money, and two ways' delay.
+    double other_zone_ms = 40;
+    /// Reading shared tokens again costs money beside time: times its prefill.
+    double recompute_factor = 2.0;
+    /// Share of a prefix that its home is believed to hold where nothing is known.
+    double home_warmth = 0.5;
+    double outdated_ms = 150;
+    double suspended_ms = 5000;
+};
+
+/// What was decided, with the figures for the log.
+struct placement_choice {
+    std::size_t candidate = 0;  ///< Position in the query's list.
+    double cost_ms = 0;
+
+    friend bool operator==(const placement_choice&, const placement_choice&) = default;
+};
+
+/// @return the candidate with the least cost, the first of equals; nothing where there is none.
+/// Thread-safe.
+std::optional<placement_choice> choose_engine(const placement_query& query,
+                                              const placement_tunables& tunables);
+
+}  // namespace ferryroad::core::placement
--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -27,4 +27,11 @@
     return open_stream(state_->pool, {address, std::move(message), limit, again});
 }
 
+runtime::task<result<std::unique_ptr<byte_stream>>> client::relay(const base::endpoint& address,
+                                                                  request message,
+                                                                  relay_options options) {
+    return open_relay(state_->pool, {address, std::move(message), options.limit, resend::forbidden},
+                      std::move(options));
+}
+
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -33,6 +33,19 @@
     virtual runtime::task<result<std::string>> read_rest(base::duration limit) = 0;
 };
 
+/// An answer's body as it comes. Destroying it early closes the connection. Used from the event
+/// loop's thread.
+class byte_stream {
+  public:
+    virtual ~byte_stream() = default;
+    virtual unsigned status() const = 0;
+    virtual const header_list& headers() const = 0;
+    /// @return the next bytes, at least one; nothing at the body's proper end. A body without a
+    /// length or chunks ends properly where the other side closes without a reset.
+    /// @param limit for some bytes to come; over it: `timed_out`.
+    virtual runtime::task<result<std::optional<std::string>>> next(base::duration limit) = 0;
+};
+
 struct client_limits {
     base::duration connect = std::chrono::seconds(1);
     std::size_t body_bytes = std::size_t{64} * 1024 * 1024;
@@ -45,6 +58,14 @@
 /// again on a fresh connection only if `idempotent` says so; else it is `connection_lost`.
 enum class resend { allowed, forbidden };
 
+struct relay_options {
+    base::duration limit{};  ///< Until the answer's headers have come.
+    /// Header that every answer to this request repeats. An answer with another value belongs
+    /// to an earlier request of the connection: it is skipped, and the connection not used again.
+    std::optional<header> echoed;
+    bool fresh_connection = false;
+};
+
 /// Used from the event loop's thread; outlives its streams. Cancelling a coroutine in one of
 /// the calls closes the connection and throws boost::system::system_error (operation_aborted).
 class client {
@@ -62,6 +83,11 @@
                                                                  request message,
                                                                  base::duration limit,
                                                                  resend again);
+    /// Sends a request and passes its answer on as it comes, an early one (before the whole
+    /// request was sent) and one without a length included. Never sends twice.
+    runtime::task<result<std::unique_ptr<byte_stream>>> relay(const base::endpoint& address,
+                                                              request message,
+                                                              relay_options options);
 
   private:
     struct state;
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -1,8 +1,14 @@
 #include "ferryroad/http/client_exchange.hpp"
 
 #include "ferryroad/http/line_stream.hpp"
+#include "ferryroad/http/relayed_body.hpp"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <stdexcept>
 
 namespace ferryroad::http {
@@ -83,24 +89,26 @@
 runtime::task<result<void>> exchange::start(const std::string& head, const std::string& body,
                                             base::monotonic_time deadline) {
     link_->set_limit(time_left(deadline));
-    const boost::system::error_code failure =
-        co_await link_->write(head, body, base::duration::zero());
-    if (failure) {
-        co_return fail(fault(failure));
-    }
-    while (!decoder_.headers_complete()) {
-        const boost::system::error_code read_failure = co_await link_->read_more();
-        if (read_failure) {
-            co_return fail(fault(read_failure));
+    if (relayed_) {
+        const auto answered = co_await write_and_read_head(head, body);
+        if (!answered) {
+            co_return answered;
         }
-        const auto decoded = decode();
-        if (!decoded) {
-            const result<void> failed = fail(decoded.error());
-            // A fault in the body is told by the body's reads, after what came before it.
-            co_return decoder_.headers_complete() ? result<void>() : failed;
+    } else {
+        const boost::system::error_code failure =
+            co_await link_->write(head, body, base::duration::zero());
+        if (failure) {
+            co_return fail(fault(failure));
+        }
+        const auto answered = co_await read_head();
+        if (!answered) {
+            co_return answered;
         }
     }
-    if (decoder_.is_unbounded()) {
+    if (failure_) {
+        co_return result<void>();  // Told by the body's reads.
+    }
+    if (decoder_.is_unbounded() && !relayed_) {
         co_return fail({error_code::malformed,
                         "the answer has neither a length nor chunks: its end can't be told "
                         "from a cut"});
@@ -110,12 +118,85 @@
     co_return result<void>();
 }
 
+runtime::task<result<void>> exchange::write_and_read_head(std::string head, std::string body) {
+    using boost::asio::experimental::awaitable_operators::operator||;
+    auto first = co_await (link_->write(std::move(head), std::move(body), base::duration::zero()) ||
+                           read_head());
+    if (first.index() == 1) {
+        reusable_ = false;  // The rest of the request will never be sent.
+        co_return std::get<1>(first);
+    }
+    const boost::system::error_code failure = std::get<0>(first);
+    link_->throw_if_cancelled(failure);
+    if (failure) {
+        reusable_ = false;  // An early answer may have come before the connection broke.
+    }
+    if (failure_) {
+        co_return *failure_;
+    }
+    co_return co_await read_head();
+}
+
+runtime::task<result<void>> exchange::read_head() {
+    for (;;) {
+        if (decoder_.headers_complete() && !is_foreign()) {
+            co_return result<void>();
+        }
+        const bool more_needed = !skip_foreign();
+        if (more_needed) {
+            const boost::system::error_code failure = co_await link_->read_more();
+            if (failure) {
+                co_return fail(fault(failure));
+            }
+        }
+        const auto decoded = decode();
+        if (!decoded) {
+            const result<void> failed = fail(decoded.error());
+            // A fault in the body is told by the body's reads, after what came before it.
+            const bool head_is_whole = decoder_.headers_complete() && !is_foreign();
+            co_return head_is_whole ? result<void>() : failed;
+        }
+    }
+}
+
+void exchange::relay_with(std::optional<header> echoed) {
+    relayed_ = true;
+    echoed_ = std::move(echoed);
+}
+
+bool exchange::is_foreign() const {
+    if (!echoed_) {
+        return false;
+    }
+    const header_list headers = decoder_.headers();
+    const auto value = headers.find(echoed_->name);
+    return value && *value != echoed_->value;
+}
+
+bool exchange::skip_foreign() {
+    if (!decoder_.headers_complete()) {
+        return false;
+    }
+    reusable_ = false;
+    decoder_.take_body();
+    if (!is_complete()) {
+        return false;
+    }
+    decoder_.restart();
+    return !link_->received().empty();
+}
+
 runtime::task<result<void>> exchange::read_some(base::monotonic_time deadline) {
     if (failure_) {
         co_return *failure_;
     }
     link_->set_limit(time_left(deadline));
     const boost::system::error_code failure = co_await link_->read_more();
+    if (failure == boost::asio::error::eof && relayed_ && decoder_.is_unbounded()) {
+        decoder_.finish();
+        finish();
+        co_return result<void>();
+    }
     if (failure) {
         co_return fail(fault(failure));
     }
@@ -177,12 +258,29 @@
     return *failure_;
 }
 
+std::optional<base::duration> exchange::idle_hint() const {
+    constexpr std::string_view parameter = "timeout=";
+    const header_list headers = decoder_.headers();
+    const auto value = headers.find("Keep-Alive");
+    const auto start = value ? value->find(parameter) : std::string_view::npos;
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = value->substr(start + parameter.size());
+    std::uint32_t seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
 void exchange::finish() {
     if (!is_complete() || !link_) {
         return;
     }
-    if (decoder_.keep_alive()) {
-        pool_->put_back(address_, std::move(link_));
+    if (decoder_.keep_alive() && reusable_) {
+        pool_->put_back(address_, std::move(link_), idle_hint());
     } else {
         link_->close();
     }
@@ -221,4 +319,29 @@
     co_return std::move(stream);
 }
 
+runtime::task<result<std::unique_ptr<byte_stream>>> open_relay(
+    std::shared_ptr<connection_pool> pool, exchange_order order, relay_options options) {
+    const base::monotonic_time deadline = pool->scheduler().now() + order.limit;
+    const response_decoder::limits limits{answer_header_bytes, std::nullopt};
+    std::string head;
+    try {
+        head = encode_head(order.message, order.address.to_string());
+    } catch (const std::invalid_argument& fault) {
+        co_return error{error_code::malformed, fault.what()};
+    }
+    auto attempt =
+        std::make_unique<exchange>(pool, order.address, limits, order.message.method == "HEAD");
+    attempt->relay_with(std::move(options.echoed));
+    const auto connected = co_await attempt->connect(options.fresh_connection, deadline);
+    if (!connected) {
+        co_return connected.error();
+    }
+    const auto started = co_await attempt->start(head, order.message.body, deadline);
+    if (!started) {
+        co_return started.error();
+    }
+    std::unique_ptr<byte_stream> stream = std::make_unique<relayed_body>(std::move(attempt));
+    co_return std::move(stream);
+}
+
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -20,6 +20,9 @@
 runtime::task<result<std::unique_ptr<response_stream>>> open_stream(
     std::shared_ptr<connection_pool> pool, exchange_order order);
 
+runtime::task<result<std::unique_ptr<byte_stream>>> open_relay(
+    std::shared_ptr<connection_pool> pool, exchange_order order, relay_options options);
+
 /// One try on one connection. Closes the connection unless the answer was read whole.
 class exchange {
   public:
@@ -29,6 +32,9 @@
     exchange(const exchange&) = delete;
     exchange& operator=(const exchange&) = delete;
 
+    /// Before `start`: what makes this exchange one of `client::relay`.
+    void relay_with(std::optional<header> echoed);
+
     /// Takes an idle connection, or connects within the pool's limit and by `deadline`.
     runtime::task<result<void>> connect(bool fresh, base::monotonic_time deadline);
     bool is_reused() const { return reused_; }
@@ -47,6 +53,17 @@
 
   private:
     base::duration time_left(base::monotonic_time deadline) const;
+    /// Writes the request while the answer's head is awaited, for it may come early.
+    runtime::task<result<void>> write_and_read_head(std::string head, std::string body);
+    /// Reads until the head of the answer to this request has come.
+    runtime::task<result<void>> read_head();
+    /// @return whether the head just read answers another request.
+    bool is_foreign() const;
+    /// Consumes the answer to another request as far as it has come.
+    /// @return whether bytes that follow it wait to be decoded.
+    bool skip_foreign();
+    /// @return how long the other side keeps the connection idle, where it says so.
+    std::optional<base::duration> idle_hint() const;
     /// Feeds what was received. @return the decoder's fault, if any.
     result<void> decode();
     /// @throws boost::system::system_error where the caller was cancelled.
@@ -60,6 +77,9 @@
     std::shared_ptr<connection> link_;
     response_decoder decoder_;
     std::optional<error> failure_;
+    std::optional<header> echoed_;
+    bool relayed_ = false;
+    bool reusable_ = true;  ///< As far as is known beside what the answer says.
     bool reused_ = false;
 };
 
--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -133,6 +133,10 @@
     return parser_->native.keep_alive();
 }
 
+bool request_decoder::headers_complete() const {
+    return parser_->native.is_header_done();
+}
+
 bool request_decoder::accepts_chunks() const {
     return parser_->native.get().version() >= http_1_1_version;
 }
@@ -218,6 +222,17 @@
     return parser_->native.need_eof();
 }
 
+void response_decoder::finish() {
+    if (state_ != decode_state::need_more) {
+        return;
+    }
+    boost::beast::error_code failure;
+    if (parser_->native.is_header_done()) {
+        parser_->native.put_eof(failure);
+    }
+    state_ = parser_->native.is_done() ? decode_state::complete : decode_state::malformed;
+}
+
 bool is_bodiless(unsigned status) {
     constexpr unsigned no_content = 204;
     constexpr unsigned not_modified = 304;
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -29,6 +29,8 @@
     /// @return whether the sender waits for `100 Continue` before it sends the body.
     bool expects_continue() const;
     bool keep_alive() const;
+    /// @return whether the head has come whole.
+    bool headers_complete() const;
     /// @return whether the sender understands chunked bodies (HTTP/1.1).
     bool accepts_chunks() const;
     /// @return the request; once, when `complete`.
@@ -68,10 +70,14 @@
     /// @return whether the body's end can't be told from a cut: it has neither a length nor
     /// chunks.
     bool is_unbounded() const;
+    /// The other side ended its sending in order: completes an unbounded body, and makes any
+    /// other that is not complete `malformed`.
+    void finish();
+    /// Begins anew with the next answer of the same connection.
+    void restart();
 
   private:
     struct parser;
-    void restart();
 
     limits limit_;
     bool answers_head_;
--- a/src/ferryroad/http/connection_pool.cpp
+++ b/src/ferryroad/http/connection_pool.cpp
@@ -1,7 +1,16 @@
 #include "ferryroad/http/connection_pool.hpp"
 
+#include <algorithm>
+
 namespace ferryroad::http {
 
+namespace {
+
+/// A request sent just before the other side's idle limit could cross its close.
+constexpr base::duration idle_hint_margin = std::chrono::milliseconds(500);
+
+}  // namespace
+
 connection_pool::connection_pool(runtime::scheduler& scheduler, client_limits limits)
     : scheduler_(scheduler), limits_(limits), sweep_timer_(scheduler.executor()) {}
 
@@ -27,13 +36,17 @@
     return std::make_shared<connection>(connection::socket_type(scheduler_.executor()));
 }
 
-void connection_pool::put_back(const base::endpoint& address, std::shared_ptr<connection> link) {
-    if (!link->is_quiet() || limits_.idle_connections_per_address == 0) {
+void connection_pool::put_back(const base::endpoint& address, std::shared_ptr<connection> link,
+                               std::optional<base::duration> other_side_keeps) {
+    const base::duration hinted = other_side_keeps.value_or(limits_.idle) - idle_hint_margin;
+    const base::duration kept = other_side_keeps ? std::min(limits_.idle, hinted) : limits_.idle;
+    const bool keepable = limits_.idle_connections_per_address > 0 && kept > base::duration{};
+    if (!keepable || !link->is_quiet()) {
         link->close();
         return;
     }
     idle_list& list = idle_[address];
-    list.push_back({std::move(link), scheduler_.now() + limits_.idle});
+    list.push_back({std::move(link), scheduler_.now() + kept});
     if (list.size() > limits_.idle_connections_per_address) {
         list.front().link->close();
         list.pop_front();
@@ -59,10 +72,13 @@
 void connection_pool::close_expired() {
     const base::monotonic_time now = scheduler_.now();
     for (auto& [address, list] : idle_) {
-        while (!list.empty() && list.front().until <= now) {
-            list.front().link->close();
-            list.pop_front();
-        }
+        std::erase_if(list, [now](const idle_connection& one) {
+            if (one.until > now) {
+                return false;
+            }
+            one.link->close();
+            return true;
+        });
     }
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
     if (!idle_.empty()) {
--- a/src/ferryroad/http/connection_pool.hpp
+++ b/src/ferryroad/http/connection_pool.hpp
@@ -20,7 +20,9 @@
     /// @return a connection that isn't connected yet.
     std::shared_ptr<connection> make();
     /// Keeps `link` for another request, or closes it where it can't carry one.
-    void put_back(const base::endpoint& address, std::shared_ptr<connection> link);
+    /// @param other_side_keeps how long the other side said that it keeps it idle.
+    void put_back(const base::endpoint& address, std::shared_ptr<connection> link,
+                  std::optional<base::duration> other_side_keeps = std::nullopt);
 
     const client_limits& limits() const { return limits_; }
     runtime::scheduler& scheduler() { return scheduler_; }
--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -150,6 +150,14 @@
     return state_->drain(state_);
 }
 
+void server::change_limits(server_limits limits) {
+    state_->shared->limits = limits;
+}
+
+void server::begin_leaving() {
+    state_->shared->leaving = true;
+}
+
 void server::complete_refusals(refusal_completion complete) {
     state_->shared->complete_refusal = std::move(complete);
 }
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -40,7 +40,8 @@
     std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
     std::size_t connections = 4096;
     base::duration idle = std::chrono::seconds(60);          ///< Between requests.
-    base::duration request_read = std::chrono::seconds(30);  ///< For one whole request.
+    base::duration header_read = std::chrono::seconds(30);   ///< For a request's head.
+    base::duration request_read = std::chrono::seconds(30);  ///< For the body after it.
     base::duration write = std::chrono::seconds(30);         ///< For one write to progress.
 };
 
@@ -65,6 +66,13 @@
     /// @return the address listened on. @throws boost::system::system_error where it can't.
     base::endpoint listen(const base::endpoint& address);
 
+    /// Limits in force from the next request of each connection on.
+    void change_limits(server_limits limits);
+
+    /// First step of a planned stop, for servers behind a balancer that needs a while to see
+    /// that this one leaves: goes on accepting, but every answer ends its connection.
+    void begin_leaving();
+
     /// Planned stop: accepts no connection, closes idle ones, answers requests at work with
     /// `Connection: close`. @return once the last connection is closed.
     runtime::task<void> drain();
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -72,8 +72,9 @@
         }
     }
     phase_ = phase::reading;
-    link_->set_limit(shared_->limits.request_read);
+    link_->set_limit(shared_->limits.header_read);
     bool continue_sent = false;
+    bool reading_body = false;
     for (;;) {
         link_->consume(decoder.feed(link_->received()));
         if (decoder.state() == decode_state::complete) {
@@ -84,6 +85,10 @@
             co_await refuse_input(decoder.state());
             co_return false;
         }
+        if (decoder.headers_complete() && !reading_body) {
+            reading_body = true;
+            link_->set_limit(shared_->limits.request_read);
+        }
         if (decoder.expects_continue() && !continue_sent) {
             continue_sent = true;
             std::string text(continue_answer);
--- a/src/ferryroad/http/session_writer.cpp
+++ b/src/ferryroad/http/session_writer.cpp
@@ -29,6 +29,10 @@
     co_return runtime::result<void, error>();
 }
 
+bool session_writer::may_be_kept_alive() const {
+    return terms_.keep_alive && !shared_->draining && !shared_->leaving;
+}
+
 runtime::result<void, error> session_writer::misuse(const char* message) {
     if (stage_ == stage::broken) {
         return error{error_code::connection_lost, "the connection is lost"};
@@ -43,7 +47,7 @@
     if (is_bodiless(answer.status)) {
         answer.body.clear();
     }
-    kept_alive_ = terms_.keep_alive && !shared_->draining;
+    kept_alive_ = may_be_kept_alive();
     answer_head head;
     head.status = answer.status;
     head.headers = &answer.headers;
@@ -62,7 +66,7 @@
     if (stage_ != stage::none) {
         co_return misuse("begin_stream after the answer was begun");
     }
-    kept_alive_ = terms_.keep_alive && terms_.accepts_chunks && !shared_->draining;
+    kept_alive_ = may_be_kept_alive() && terms_.accepts_chunks;
     answer_head head;
     head.status = status;
     head.headers = &headers;
--- a/src/ferryroad/http/session_writer.hpp
+++ b/src/ferryroad/http/session_writer.hpp
@@ -37,6 +37,7 @@
     /// Writes; the answer is `broken` until all is written, also where this is cancelled.
     runtime::task<runtime::result<void, error>> put(std::string head, std::string body, stage next);
     runtime::result<void, error> misuse(const char* message);
+    bool may_be_kept_alive() const;
 
     std::shared_ptr<connection> link_;
     std::shared_ptr<server_shared> shared_;
--- a/src/ferryroad/router/leases/lease_service.cpp
+++ b/src/ferryroad/leases/lease_service.cpp
@@ -1,4 +1,4 @@
-#include "ferryroad/router/leases/lease_service.hpp"
+#include "ferryroad/leases/lease_service.hpp"
 
 #include "ferryroad/runtime/log.hpp"
 
@@ -6,13 +6,13 @@
 #include <utility>
 #include <variant>
 
-namespace ferryroad::router::leases {
+namespace ferryroad::leases {
 
 namespace {
 
 namespace lease = coordination::lease;
 
-constexpr std::string_view component = "router.leases";
+constexpr std::string_view component = "leases";
 
 lease::stored_row stored(const platform::row& row) {
     return {lease::row_version(row.version.value), row.value};
@@ -115,4 +115,4 @@
     co_return lease::write_conflicted{stored(row)};
 }
 
-}  // namespace ferryroad::router::leases
+}  // namespace ferryroad::leases
--- a/src/ferryroad/router/leases/lease_service.hpp
+++ b/src/ferryroad/leases/lease_service.hpp
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-namespace ferryroad::router::leases {
+namespace ferryroad::leases {
 
 using lease_name = base::strong_id<struct lease_name_tag, std::string>;
 
@@ -63,4 +63,4 @@
     bool stopped_ = false;
 };
 
-}  // namespace ferryroad::router::leases
+}  // namespace ferryroad::leases
--- /dev/null
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -0,0 +1,73 @@
+#include "ferryroad/relay/engine_registry.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace ferryroad::relay {
+
+std::uint64_t known_engine::version_of(const std::string& model) const {
+    const auto found = versions.find(model);
+    return found == versions.end() ? 0 : found->second;
+}
+
+void engine_registry::replace_all(const std::vector<listed_engine>& listed) {
+    std::set<base::engine_name> names;
+    for (const listed_engine& one : listed) {
+        names.insert(one.name);
+        put(one);
+    }
+    std::erase_if(m_engines, [&](const auto& entry) { return !names.contains(entry.first); });
+    m_known = true;
+}
+
+void engine_registry::put(const listed_engine& one) {
+    known_engine& engine = m_engines[one.name];
+    engine.listed = one;
+    for (const auto& [model, version] : one.versions) {
+        saw_version(one.name, model, version);
+    }
+}
+
+void engine_registry::remove(const base::engine_name& name) {
+    m_engines.erase(name);
+}
+
+known_engine* engine_registry::find(const base::engine_name& name) {
+    const auto found = m_engines.find(name);
+    return found == m_engines.end() ? nullptr : &found->second;
+}
+
+void engine_registry::saw_version(const base::engine_name& name, const std::string& model,
+                                  std::uint64_t version) {
+    if (known_engine* engine = find(name)) {
+        std::uint64_t& newest = engine->versions[model];
+        newest = std::max(newest, version);
+    }
+}
+
+engine_load::engine_load(engine_registry& registry, base::engine_name name,
+                         std::uint64_t prefill_tokens)
+    : m_registry(registry), m_name(std::move(name)), m_prefill_tokens(prefill_tokens) {
+    if (known_engine* engine = m_registry.find(m_name)) {
+        ++engine->running;
+        engine->pending_prefill_tokens += m_prefill_tokens;
+    }
+}
+
+engine_load::~engine_load() {
+    prefilled();
+    known_engine* engine = m_registry.find(m_name);
+    if (engine != nullptr && engine->running > 0) {
+        --engine->running;
+    }
+}
+
+void engine_load::prefilled() {
+    const std::uint64_t tokens = std::exchange(m_prefill_tokens, 0);
+    if (known_engine* engine = m_registry.find(m_name)) {
+        engine->pending_prefill_tokens -= std::min(tokens, engine->pending_prefill_tokens);
+    }
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// The engines as this router knows them: the list of its source, corrected by what its own
+/// exchanges show sooner.
+#pragma once
+
+#include "ferryroad/base/endpoint.hpp"
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/core/placement/engine_health.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ferryroad::relay {
+
+/// An engine process as the list tells it.
+struct listed_engine {
+    base::engine_name name;
+    base::pool_name pool;
+    base::endpoint address;
+    base::zone_name zone;
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    std::map<std::string, std::uint64_t> versions;  ///< Of weights, by model.
+
+    friend bool operator==(const listed_engine&, const listed_engine&) = default;
+};
+
+/// A listed engine with what this router knows beyond the list.
+struct known_engine {
+    listed_engine listed;
+    core::placement::engine_health health;
+    std::map<std::string, std::uint64_t> versions;  ///< The newest seen, from whatever source.
+    std::uint32_t running = 0;
+    std::uint64_t pending_prefill_tokens = 0;
+    base::monotonic_time refuses_until{};  ///< It said that it takes no work for now.
+
+    std::uint64_t version_of(const std::string& model) const;
+};
+
+/// Used from the event loop's thread.
+class engine_registry {
+  public:
+    /// Takes the whole list: what it lacks is gone.
+    void replace_all(const std::vector<listed_engine>& listed);
+    void put(const listed_engine& one);
+    void remove(const base::engine_name& name);
+
+    /// @return the engine, or null. The pointer holds until the next change of the list.
+    known_engine* find(const base::engine_name& name);
+    const std::map<base::engine_name, known_engine>& engines() const { return m_engines; }
+    /// @return whether a whole list has been taken yet.
+    bool known() const { return m_known; }
+
+    /// An engine showed the version of its weights.
+    void saw_version(const base::engine_name& name, const std::string& model,
+                     std::uint64_t version);
+
+  private:
+    std::map<base::engine_name, known_engine> m_engines;
+    bool m_known = false;
+};
+
+/// Counts one request at an engine while it lives. The registry outlives it; the engine may
+/// leave the list meanwhile.
+class engine_load {
+  public:
+    engine_load(engine_registry& registry, base::engine_name name, std::uint64_t prefill_tokens);
+    ~engine_load();
+    engine_load(const engine_load&) = delete;
+    engine_load& operator=(const engine_load&) = delete;
+
+    /// The prompt has been read: the first event came.
+    void prefilled();
+
+  private:
+    engine_registry& m_registry;
+    base::engine_name m_name;
+    std::uint64_t m_prefill_tokens;
+};
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -0,0 +1,74 @@
+/// @file
+/// The declared policy in force and how fresh it is confirmed to be. The declaration's owner is
+/// outside; here versions only rise, and ages are checked at use, never by timers.
+#pragma once
+
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/core/traffic/traffic_policy.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ferryroad::relay {
+
+/// A model's newest named weights.
+struct named_version {
+    std::uint64_t version = 0;
+    /// The owner may have accepted it as early as this.
+    base::monotonic_time accepted_after{};
+
+    friend bool operator==(const named_version&, const named_version&) = default;
+};
+
+struct policy_bounds {
+    /// A key may be relied on while the policy was confirmed no longer ago than this; nothing
+    /// where keys stay good without a confirmation.
+    std::optional<base::duration> key_confirmation;
+    /// A refusal that only the newest policy justifies needs a confirmation this fresh.
+    base::duration refusal_confirmation = std::chrono::milliseconds(1800);
+};
+
+/// @param keys_need_confirmation whether keys stop to hold without the owner.
+/// @param revocation a key that was taken away may hold no longer than this.
+policy_bounds policy_bounds_for(bool keys_need_confirmation, base::duration revocation);
+
+/// @param allowed after newer weights are named, how long requests may begin on older ones.
+/// @return the last moment to send such a request, so that it begins in time.
+base::duration outdated_limit_for(base::duration allowed);
+
+/// Used from the event loop's thread.
+class policy_source {
+  public:
+    explicit policy_source(policy_bounds bounds) : m_bounds(bounds) {}
+
+    void change_bounds(policy_bounds bounds) { m_bounds = bounds; }
+
+    /// @return whether the policy was taken: it is newer than the one in force.
+    bool offer(core::traffic::declaration declared);
+    /// A model's weights were named. @return whether the version is newer than any known.
+    bool name_version(const std::string& model, std::uint64_t version);
+    /// Everything accepted by the owner before `asked_at` has been offered.
+    void confirm(base::monotonic_time asked_at);
+
+    /// @return the policy in force, or null while none is known.
+    std::shared_ptr<const core::traffic::traffic_policy> current() const { return m_current; }
+    /// @return the newest weights named for a model; version 0 where none are.
+    named_version newest(const std::string& model) const;
+    const std::map<std::string, named_version>& versions() const { return m_versions; }
+
+    /// @return time since the policy was last confirmed; the greatest while it never was.
+    base::duration age(base::monotonic_time now) const;
+    bool keys_hold(base::monotonic_time now) const;
+    bool refusals_hold(base::monotonic_time now) const;
+
+  private:
+    policy_bounds m_bounds;
+    std::shared_ptr<const core::traffic::traffic_policy> m_current;
+    std::map<std::string, named_version> m_versions;
+    std::optional<base::monotonic_time> m_confirmed_at;
+};
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -0,0 +1,499 @@
+/// @file
+/// Carries out one relayed request: asks the execution state machine what to do, does it, and
+/// tells it what came of it. Streams are passed on event by event and resumed inside the same
+/// answer; other answers are passed on whole.
+#pragma once
+
+#include "ferryroad/core/admission/retry_budget.hpp"
+#include "ferryroad/core/execution/request_execution.hpp"
+#include "ferryroad/core/stream/event_splitter.hpp"
+#include "ferryroad/core/traffic/traffic_policy.hpp"
+#include "ferryroad/http/server.hpp"
+#include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/policy_source.hpp"
+#include "ferryroad/relay/refusal.hpp"
+#include "ferryroad/relay/selection.hpp"
+#include "ferryroad/relay/upstream.hpp"
+#include "ferryroad/runtime/log.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace ferryroad::relay {
+
+namespace execution = core::execution;
+
+struct driver_tunables {
+    /// Engines asked beyond those that a request may run on, after proofs that it did not run.
+    std::uint32_t extra_dispatches = 2;
+    /// A repeatable request whose engine is silent for this share of the target is tried
+    /// elsewhere.
+    double silence_share = 0.75;
+    /// A stream whose engine pauses this many times the target gap is taken up elsewhere.
+    double gap_factor = 2.0;
+    base::duration least_silence = std::chrono::milliseconds(250);
+    /// An engine that said it takes no work for now is passed over this long.
+    base::duration refusal_pause = std::chrono::milliseconds(150);
+    /// An address that another process answered on is passed over this long.
+    base::duration misdirected_pause = std::chrono::seconds(3);
+    /// Bytes of a whole answer, and of one event.
+    std::size_t answer_bytes = std::size_t{16} * 1024 * 1024;
+    /// When to come back, where nothing better is known.
+    base::duration retry_after = std::chrono::milliseconds(150);
+};
+
+/// What a request was resolved to.
+struct relay_plan {
+    std::shared_ptr<const relay_call> call;
+    std::shared_ptr<const core::traffic::traffic_policy> policy;  ///< Keeps `on` and `tenant`.
+    const core::traffic::route* on = nullptr;
+    const core::traffic::tenant* tenant = nullptr;  ///< Null on public routes.
+    base::pool_name pool;
+    base::monotonic_time deadline{};
+    std::uint32_t priority = 0;
+};
+
+/// What requests are served with. All outlive the requests.
+template <upstream Upstream>
+struct relay_collaborators {
+    runtime::scheduler& scheduler;
+    Upstream& engines;
+    engine_registry& registry;
+    engine_selection& selection;
+    const policy_source& policies;
+};
+
+/// How a request ended, for logs and metrics.
+struct relay_outcome {
+    std::optional<relay_refusal> refusal;  ///< Nothing where an engine's answer was passed on.
+    unsigned status = 0;
+    std::uint32_t dispatches = 0;
+    std::uint64_t events = 0;
+    std::optional<base::duration> first_event;  ///< From the call's arrival.
+    std::string engine;                         ///< The last one asked.
+};
+
+/// One request, from its selection to its final answer. Used from the event loop's thread.
+template <upstream Upstream>
+class relay_driver {
+  public:
+    relay_driver(const relay_collaborators<Upstream>& with, relay_plan plan,
+                 core::admission::retry_budget& budget, http::response_writer& writer,
+                 driver_tunables tunables)
+        : m_with(with),
+          m_plan(std::move(plan)),
+          m_budget(budget),
+          m_writer(writer),
+          m_tunables(tunables),
+          m_machine(rules_of(m_plan), limits_of(m_plan, tunables)),
+          m_last_id(m_plan.call->last_event_id) {}
+
+    /// Runs the request to its end, its final answer included. Exceptions end it early and are
+    /// kept in; then, and where it is cancelled, call `interrupt`.
+    runtime::task<void> run() {
+        try {
+            for (execution::action& wanted : m_machine.begin(m_with.scheduler.now())) {
+                m_pending.push_back(std::move(wanted));
+            }
+            co_await work();
+        } catch (...) {
+            runtime::log_exception(component, std::current_exception());
+        }
+    }
+
+    /// Ends a request that `run` left unfinished, and gives its final answer where someone
+    /// waits for it.
+    runtime::task<void> interrupt(execution::event happened) {
+        m_outbox.clear();
+        feed(happened);
+        try {
+            co_await work();
+        } catch (...) {
+            runtime::log_exception(component, std::current_exception());
+        }
+    }
+
+    const relay_outcome& outcome() const { return m_outcome; }
+
+  private:
+    using execution_rules = core::execution::execution_rules;
+    static constexpr std::string_view component = "relay.request";
+    static constexpr unsigned first_failure_status = 500;
+
+    static bool is_repeatable(const core::traffic::route& on) {
+        const bool stream = on.kind == core::traffic::request_kind::streaming;
+        return stream ? on.resumable : on.kind == core::traffic::request_kind::safe;
+    }
+    static execution_rules rules_of(const relay_plan& plan) {
+        execution_rules rules;
+        rules.repeatable = is_repeatable(*plan.on);
+        rules.streamed = plan.on->kind == core::traffic::request_kind::streaming;
+        rules.deadline = plan.deadline;
+        return rules;
+    }
+    static core::execution::tunables limits_of(const relay_plan& plan,
+                                               const driver_tunables& tunables) {
+        core::execution::tunables limits;
+        limits.executions = std::max(1U, plan.on->attempts);
+        limits.attempts = limits.executions + tunables.extra_dispatches;
+        limits.resumes_per_attempt = 0;
+        limits.overloaded_refusals = limits.attempts;
+        limits.stale_target_is_free = false;
+        limits.retry_after = tunables.retry_after;
+        return limits;
+    }
+
+    runtime::task<void> work() {
+        while (!m_machine.ended() || !m_pending.empty()) {
+            if (m_pending.empty()) {
+                co_await read_answer();
+                continue;
+            }
+            const execution::action wanted = std::move(m_pending.front());
+            m_pending.pop_front();
+            co_await perform(wanted);
+        }
+    }
+
+    void feed(const execution::event& happened) {
+        auto wanted = m_machine.handle(happened, m_with.scheduler.now(), m_budget);
+        for (execution::action& each : wanted) {
+            m_pending.push_back(std::move(each));
+        }
+    }
+
+    runtime::task<void> perform(const execution::action& wanted) {
+        if (const auto* selection = std::get_if<execution::select_engine>(&wanted)) {
+            select(*selection);
+        } else if (const auto* attempt = std::get_if<execution::dispatch_attempt>(&wanted)) {
+            co_await open(*attempt);
+        } else if (std::holds_alternative<execution::cancel_attempt>(wanted)) {
+            end_exchange();
+        } else if (const auto* given_up = std::get_if<execution::refuse>(&wanted)) {
+            end_exchange();
+            co_await refuse(to_relay_refusal(*given_up));
+        } else if (std::holds_alternative<execution::finish>(wanted)) {
+            co_await finish();
+        }
+    }
+
+    // ---- Selection and dispatch ----
+
+    bool key_still_holds() const {
+        if (m_plan.tenant == nullptr) {
+            return true;
+        }
+        const auto current = m_with.policies.current();
+        const auto* holder = current->find_tenant(*m_plan.call->api_key);
+        return m_with.policies.keys_hold(m_with.scheduler.now()) && holder != nullptr &&
+               holder->name == m_plan.tenant->name;
+    }
+
+    void select(const execution::select_engine& wanted) {
+        const base::monotonic_time now = m_with.scheduler.now();
+        const selection_query query{*m_plan.call, *m_plan.policy, m_plan.pool, m_plan.tenant,
+                                    wanted.excluded};
+        std::optional<selected_engine> chosen;
+        if (key_still_holds()) {
+            chosen = m_with.selection.select(query, now);
+        }
+        if (!chosen) {
+            feed(execution::selection_failed{execution::selection_problem::no_engine,
+                                             m_tunables.retry_after});
+            return;
+        }
+        m_selected = std::move(*chosen);
+        feed(execution::engine_selected{{m_selected.target.name, {}}});
+    }
+
+    dispatch terms_of(const execution::dispatch_attempt& attempt) const {
+        dispatch sent;
+        sent.call = m_plan.call;
+        sent.time_left = m_plan.deadline - m_with.scheduler.now();
+        if (m_plan.tenant != nullptr) {
+            sent.tenant = m_plan.tenant->name;
+        }
+        sent.expected_version = m_selected.expected_version;
+        sent.cache_scope = m_selected.cache_scope;
+        sent.fetch_state_from = m_selected.fetch_state_from;
+        sent.save_state_to = m_selected.save_state_to;
+        sent.priority = m_plan.priority;
+        sent.resume_after = m_last_id;
+        sent.fresh_connection = attempt.attempt.value > 1;
+        return sent;
+    }
+
+    runtime::task<void> open(execution::dispatch_attempt attempt) {
+        const base::monotonic_time now = m_with.scheduler.now();
+        m_exchange = attempt.exchange;
+        m_exchange_began = now;
+        ++m_outcome.dispatches;
+        m_outcome.engine = m_selected.target.name.value;
+        m_with.selection.record_dispatch(*m_plan.call, m_selected, now);
+        m_load.emplace(m_with.registry, m_selected.target.name, m_selected.prefill_tokens);
+        log_dispatch(attempt);
+        engine_target target = m_selected.target;
+        dispatch sent = terms_of(attempt);
+        auto opened =
+            co_await m_with.engines.open(std::move(target), std::move(sent), silence_limit());
+        if (!opened) {
+            note_failure(opened.error());
+            co_return;
+        }
+        saw_version(opened->version);
+        m_answer = std::move(*opened);
+        m_whole.clear();
+        m_splitter = core::stream::event_splitter();
+        feed(execution::exchange_started{m_exchange});
+    }
+
+    /// @return how long the engine may stay silent before it is given up.
+    base::duration silence_limit() const {
+        const base::duration left =
+            std::max(m_plan.deadline - m_with.scheduler.now(), base::duration{});
+        const bool may_go_elsewhere = is_repeatable(*m_plan.on) &&
+                                      m_outcome.dispatches < m_plan.on->attempts;
+        if (!may_go_elsewhere) {
+            return left;
+        }
+        const bool streaming = m_outcome.events > 0;
+        const double share = streaming ? m_tunables.gap_factor : m_tunables.silence_share;
+        const base::duration target = streaming ? m_plan.on->target_gap : m_plan.on->target_latency;
+        const base::duration allowed = base::from_seconds(base::to_seconds(target) * share);
+        return std::min(left, std::max(allowed, m_tunables.least_silence));
+    }
+
+    void saw_version(const std::optional<std::uint64_t>& version) {
+        if (version && m_plan.call->prompt) {
+            m_with.registry.saw_version(m_selected.target.name, m_plan.call->prompt->model,
+                                        *version);
+        }
+    }
+
+    void note_failure(const dispatch_failure& failure) {
+        const base::monotonic_time now = m_with.scheduler.now();
+        saw_version(failure.version);
+        if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
+            blame(*engine, failure, now);
+        }
+        runtime::log(runtime::log_level::info, component, "dispatch failed",
+                     {{"request_id", m_plan.call->id.value},
+                      {"engine", m_selected.target.name.value},
+                      {"reason", failure.message},
+                      {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
+        end_exchange();
+        feed(execution::exchange_failed{m_exchange, failure.kind, failure.proof,
+                                        failure.retry_after});
+    }
+
+    void blame(known_engine& engine, const dispatch_failure& failure, base::monotonic_time now) {
+        switch (failure.kind) {
+            case execution::failure_kind::overloaded:
+                engine.refuses_until = now + m_tunables.refusal_pause;
+                return;
+            case execution::failure_kind::stale_target:
+                if (!failure.version) {
+                    engine.refuses_until = now + m_tunables.misdirected_pause;
+                }
+                return;
+            case execution::failure_kind::rejected:
+                return;
+            default:
+                engine.health.record_failure(
+                    failure.kind == execution::failure_kind::unreachable, now);
+        }
+    }
+
+    void fail_exchange(execution::failure_kind kind, std::string message) {
+        note_failure({kind, execution::failure_proof::unknown, std::nullopt, std::nullopt,
+                      std::move(message)});
+    }
+
+    void end_exchange() {
+        m_answer.reset();
+        m_load.reset();
+    }
+
+    // ---- The answer ----
+
+    runtime::task<void> read_answer() {
+        auto bytes = co_await m_answer->body->next(silence_limit());
+        if (!bytes) {
+            const bool late = bytes.error().code == http::error_code::timed_out;
+            fail_exchange(
+                late ? execution::failure_kind::timed_out : execution::failure_kind::broken,
+                bytes.error().message);
+            co_return;
+        }
+        if (m_answer->is_event_stream) {
+            co_await take_stream(*bytes);
+        } else {
+            take_whole(*bytes);
+        }
+    }
+
+    void take_whole(const std::optional<std::string>& bytes) {
+        if (bytes) {
+            m_whole += *bytes;
+            if (m_whole.size() > m_tunables.answer_bytes) {
+                fail_exchange(execution::failure_kind::broken, "the answer is too large");
+            }
+            return;
+        }
+        m_kept = http::response{m_answer->status, m_answer->headers, std::move(m_whole)};
+        note_success();
+        end_exchange();
+        if (m_kept->status >= first_failure_status && is_repeatable(*m_plan.on)) {
+            feed(execution::exchange_failed{m_exchange, execution::failure_kind::engine_failure,
+                                            execution::failure_proof::unknown, std::nullopt});
+            return;
+        }
+        feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
+    }
+
+    runtime::task<void> take_stream(const std::optional<std::string>& bytes) {
+        if (!bytes) {
+            if (m_splitter.in_event()) {
+                fail_exchange(execution::failure_kind::broken, "the stream ends inside an event");
+                co_return;
+            }
+            note_success();
+            end_exchange();
+            feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
+            co_return;
+        }
+        bool sound = m_splitter.held_bytes() < m_tunables.answer_bytes;
+        for (core::stream::whole_event& event : m_splitter.feed(*bytes)) {
+            sound = sound && follows(event);
+            if (!sound) {
+                break;
+            }
+            take_event(event);
+        }
+        co_await flush();
+        if (!sound) {
+            fail_exchange(execution::failure_kind::broken, "the stream's events are out of order");
+        }
+    }
+
+    bool follows(const core::stream::whole_event& event) const {
+        return !event.id || !m_last_id || *event.id == *m_last_id + 1;
+    }
+
+    void take_event(const core::stream::whole_event& event) {
+        if (event.id) {
+            m_last_id = event.id;
+        }
+        if (m_outcome.events == 0) {
+            m_outcome.first_event = m_with.scheduler.now() - m_plan.call->arrived;
+        }
+        if (m_load) {
+            m_load->prefilled();
+        }
+        ++m_outcome.events;
+        m_outbox += event.bytes;
+        feed(execution::token_received{m_exchange, m_machine.emitted_tokens()});
+    }
+
+    runtime::task<void> flush() {
+        if (m_outbox.empty()) {
+            co_return;
+        }
+        if (!m_begun) {
+            m_begun = true;
+            m_outcome.status = m_answer->status;
+            http::header_list headers = m_answer->headers;
+            const auto begun =
+                co_await m_writer.begin_stream(m_answer->status, std::move(headers));
+            if (!begun) {
+                feed(execution::caller_gone{});
+                co_return;
+            }
+        }
+        std::string events = std::exchange(m_outbox, {});
+        const auto written = co_await m_writer.write(std::move(events));
+        if (!written) {
+            feed(execution::caller_gone{});
+        }
+    }
+
+    void note_success() {
+        if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
+            engine->health.record_success();
+        }
+    }
+
+    // ---- The end ----
+
+    runtime::task<void> finish() {
+        if (m_begun) {
+            co_await m_writer.end_stream();
+            co_return;
+        }
+        http::response answer = m_kept ? std::move(*m_kept) : http::response{};
+        co_await send(std::move(answer));
+    }
+
+    runtime::task<void> send(http::response answer) {
+        m_outcome.status = answer.status;
+        co_await m_writer.send(std::move(answer));
+    }
+
+    runtime::task<void> refuse(relay_refusal refusal) {
+        m_outcome.refusal = refusal;
+        if (refusal.cause == refusal_cause::caller_gone || m_begun) {
+            m_writer.abort();  // A stream that was cut short must not look complete.
+            co_return;
+        }
+        if (m_kept) {
+            http::response kept = std::move(*m_kept);
+            co_await send(std::move(kept));  // The engine's own failure says more than ours.
+            co_return;
+        }
+        http::response answer = answer_of(refusal);
+        co_await send(std::move(answer));
+    }
+
+    void log_dispatch(const execution::dispatch_attempt& attempt) const {
+        const base::monotonic_time now = m_with.scheduler.now();
+        runtime::log(
+            runtime::log_level::info, component, "dispatched",
+            {{"request_id", m_plan.call->id.value},
+             {"attempt", std::to_string(attempt.attempt.value)},
+             {"engine", m_selected.target.name.value},
+             {"candidates", std::to_string(m_selected.candidates)},
+             {"cost_ms", std::to_string(static_cast<std::int64_t>(m_selected.cost_ms))},
+             {"warm_tokens", std::to_string(m_selected.warm_tokens)},
+             {"policy", std::to_string(m_plan.policy->version())},
+             {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))},
+             {"left_ms", std::to_string(base::to_milliseconds(m_plan.deadline - now))}});
+    }
+
+    relay_collaborators<Upstream> m_with;
+    relay_plan m_plan;
+    core::admission::retry_budget& m_budget;
+    http::response_writer& m_writer;
+    driver_tunables m_tunables;
+    core::execution::request_execution m_machine;
+    std::deque<execution::action> m_pending;
+    selected_engine m_selected;
+    std::optional<engine_load> m_load;
+    execution::exchange_number m_exchange;
+    base::monotonic_time m_exchange_began{};
+    std::optional<opened_answer> m_answer;
+    core::stream::event_splitter m_splitter;
+    std::string m_whole;                   ///< Of an answer that is no stream, so far.
+    std::optional<http::response> m_kept;  ///< The last whole answer of an engine.
+    std::string m_outbox;                  ///< Events not yet passed on.
+    std::optional<std::uint64_t> m_last_id;
+    bool m_begun = false;  ///< The caller has the answer's head.
+    relay_outcome m_outcome;
+};
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -0,0 +1,162 @@
+/// @file
+/// Serves relayed calls: resolves each by the policy in force, runs it within its time, and
+/// sees its caller leave.
+#pragma once
+
+#include "ferryroad/relay/relay_driver.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace ferryroad::relay {
+
+/// Retries towards one pool, as a share of what the pool answers.
+struct retry_settings {
+    double share = 0.1;
+    double reserve = 4;  ///< Retries beyond the share, saved up while none are needed.
+};
+
+struct relay_settings {
+    driver_tunables driver;
+    retry_settings retries;
+    /// When to come back where the policy isn't known or not fresh.
+    base::duration policy_retry_after = std::chrono::milliseconds(300);
+};
+
+/// Where finished requests are told, for logs and metrics.
+using outcome_sink = std::function<void(const relay_plan&, const relay_outcome&)>;
+
+/// Used from the event loop's thread; collaborators outlive it, and it outlives its requests.
+template <upstream Upstream>
+class relay_service {
+  public:
+    relay_service(relay_collaborators<Upstream> with, relay_settings settings, outcome_sink told)
+        : m_with(with), m_settings(settings), m_told(std::move(told)) {}
+
+    /// Gives the call its final answer. @param writer outlives the returned coroutine.
+    runtime::task<void> handle(relay_call call, http::response_writer& writer) {
+        auto shared = std::make_shared<const relay_call>(std::move(call));
+        const auto resolved = resolve(shared);
+        if (const auto* refusal = std::get_if<relay_refusal>(&resolved)) {
+            log_refusal(*shared, *refusal);
+            http::response answer = answer_of(*refusal);
+            co_await writer.send(std::move(answer));
+            co_return;
+        }
+        relay_plan plan = std::get<relay_plan>(resolved);
+        co_await serve(std::move(plan), writer);
+    }
+
+    void change_settings(relay_settings settings) { m_settings = settings; }
+    /// @return requests now being served.
+    std::size_t active() const { return m_active; }
+
+  private:
+    using resolution = std::variant<relay_plan, relay_refusal>;
+    static constexpr std::string_view component = "relay.service";
+
+    relay_refusal refusal_of(refusal_cause cause) const {
+        return {cause, core::execution::execution_report::not_run, m_settings.policy_retry_after};
+    }
+
+    resolution resolve(const std::shared_ptr<const relay_call>& call) {
+        const base::monotonic_time now = m_with.scheduler.now();
+        relay_plan plan;
+        plan.call = call;
+        plan.policy = m_with.policies.current();
+        if (!plan.policy) {
+            return refusal_of(refusal_cause::no_policy);
+        }
+        // Without a fresh confirmation, what seems wrong may have been put right.
+        const bool certain = m_with.policies.refusals_hold(now);
+        plan.on = plan.policy->find_route(call->host, call->message.path());
+        if (plan.on == nullptr) {
+            return refusal_of(certain ? refusal_cause::no_route : refusal_cause::policy_not_fresh);
+        }
+        if (plan.policy->needs_key(*plan.on)) {
+            plan.tenant = call->api_key ? plan.policy->find_tenant(*call->api_key) : nullptr;
+            if (plan.tenant == nullptr) {
+                return refusal_of(certain ? refusal_cause::unknown_key
+                                          : refusal_cause::policy_not_fresh);
+            }
+            if (!m_with.policies.keys_hold(now)) {
+                return refusal_of(refusal_cause::policy_not_fresh);
+            }
+        }
+        plan.pool = m_rotations[plan.on->name].next(plan.on->pools);
+        const base::duration allowed =
+            std::min(call->time_left.value_or(plan.on->timeout), plan.on->timeout);
+        plan.deadline = call->arrived + allowed;
+        const bool own_priority = plan.tenant != nullptr && plan.tenant->priority;
+        plan.priority = own_priority ? *plan.tenant->priority : plan.on->priority;
+        return plan;
+    }
+
+    core::admission::retry_budget& budget_of(const base::pool_name& pool) {
+        const auto [place, added] = m_budgets.try_emplace(pool, m_settings.retries.share,
+                                                          m_settings.retries.reserve);
+        return place->second;
+    }
+
+    runtime::task<void> serve(relay_plan plan, http::response_writer& writer) {
+        using boost::asio::experimental::awaitable_operators::operator||;
+        ++m_active;
+        const base::monotonic_time deadline = plan.deadline;
+        relay_driver<Upstream> driver(m_with, plan, budget_of(plan.pool), writer,
+                                      m_settings.driver);
+        const auto first = co_await (driver.run() || m_with.scheduler.sleep_until(deadline) ||
+                                     writer.wait_closed());
+        core::execution::event ended = core::execution::caller_gone{};
+        if (first.index() == 1) {
+            ended = core::execution::deadline_passed{};
+        }
+        if (first.index() != 0) {
+            co_await driver.interrupt(std::move(ended));
+        }
+        --m_active;
+        log_end(plan, driver.outcome());
+        m_told(plan, driver.outcome());
+    }
+
+    void log_refusal(const relay_call& call, const relay_refusal& refusal) const {
+        const base::monotonic_time now = m_with.scheduler.now();
+        const auto policy = m_with.policies.current();
+        runtime::log(
+            runtime::log_level::info, component, "refused",
+            {{"request_id", call.id.value},
+             {"cause", std::string(to_string(refusal.cause))},
+             {"policy", policy ? std::to_string(policy->version()) : "none"},
+             {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))}});
+    }
+
+    void log_end(const relay_plan& plan, const relay_outcome& outcome) const {
+        const base::duration taken = m_with.scheduler.now() - plan.call->arrived;
+        const auto first = outcome.first_event.value_or(base::duration{});
+        runtime::log(runtime::log_level::info, component, "ended",
+                     {{"request_id", plan.call->id.value},
+                      {"route", plan.on->name.value},
+                      {"status", std::to_string(outcome.status)},
+                      {"cause", outcome.refusal ? std::string(to_string(outcome.refusal->cause))
+                                                : std::string("answered")},
+                      {"engine", outcome.engine},
+                      {"dispatches", std::to_string(outcome.dispatches)},
+                      {"events", std::to_string(outcome.events)},
+                      {"first_event_ms", std::to_string(base::to_milliseconds(first))},
+                      {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
+    }
+
+    relay_collaborators<Upstream> m_with;
+    relay_settings m_settings;
+    outcome_sink m_told;
+    std::map<base::route_name, core::traffic::weighted_rotation> m_rotations;
+    std::map<base::pool_name, core::admission::retry_budget> m_budgets;
+    std::size_t m_active = 0;
+};
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -0,0 +1,180 @@
+/// @file
+/// Carries out the steps of a weights rollout while this router holds its lease.
+#pragma once
+
+#include "ferryroad/coordination/rollout/weights_rollout.hpp"
+#include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/policy_source.hpp"
+#include "ferryroad/relay/upstream.hpp"
+#include "ferryroad/runtime/log.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ferryroad::relay {
+
+/// `token` is asked right before each act: nothing where this process may not act.
+template <typename T>
+concept fenced_lease = requires(const T& lease) {
+    { lease.token() } -> std::same_as<std::optional<base::fencing_token>>;
+};
+
+struct rollout_settings {
+    coordination::rollout::rollout_tunables rollout;
+    std::string holder;  ///< This router's name.
+    base::duration period = std::chrono::milliseconds(50);
+    base::duration call_limit = std::chrono::milliseconds(700);
+    /// After the lease was taken from another holder, whose last order may be as young as
+    /// the lease.
+    base::duration settle{};
+};
+
+/// What it stands on; everything outlives it.
+template <upstream Upstream, fenced_lease Lease>
+struct rollout_ports {
+    runtime::scheduler& scheduler;
+    Upstream& engines;
+    engine_registry& registry;
+    const policy_source& policies;
+    const Lease& lease;
+};
+
+/// Used from the event loop's thread; kept until the loop has ended.
+template <upstream Upstream, fenced_lease Lease>
+class rollout_service {
+  public:
+    rollout_service(rollout_ports<Upstream, Lease> ports, rollout_settings settings)
+        : m_ports(ports), m_settings(std::move(settings)), m_rollout(m_settings.rollout) {}
+
+    /// Called once.
+    void start() { m_ports.scheduler.spawn(component, run()); }
+    void stop() { m_stopped = true; }
+    /// @return whether an order to the engine may be under way.
+    bool under_way(const base::engine_name& engine) const { return m_rollout.under_way(engine); }
+    std::uint64_t orders_sent() const { return m_orders_sent; }
+
+  private:
+    static constexpr std::string_view component = "relay.rollout";
+
+    runtime::task<void> run() {
+        while (!m_stopped) {
+            co_await m_ports.scheduler.sleep_for(m_settings.period);
+            const auto token = m_ports.lease.token();
+            note_holding(token);
+            if (token && m_ports.scheduler.now() >= m_act_from) {
+                step();
+            }
+        }
+    }
+
+    void note_holding(const std::optional<base::fencing_token>& token) {
+        if (token == m_last_token) {
+            return;
+        }
+        m_last_token = token;
+        m_rollout.reset();
+        // The very first holder follows nobody.
+        const bool first_ever = token && token->value == 1;
+        m_act_from =
+            m_ports.scheduler.now() + (first_ever ? base::duration{} : m_settings.settle);
+    }
+
+    void step() {
+        const base::monotonic_time now = m_ports.scheduler.now();
+        for (const auto& [model, named] : m_ports.policies.versions()) {
+            m_rollout.want(model, named.version);
+        }
+        const auto steps = m_rollout.next(views(), now);
+        for (const auto& wanted : steps.reports) {
+            m_ports.scheduler.spawn(component, ask(wanted.engine));
+        }
+        for (const auto& wanted : steps.orders) {
+            m_ports.scheduler.spawn(component, order(wanted));
+        }
+    }
+
+    std::vector<coordination::rollout::engine_view> views() const {
+        std::vector<coordination::rollout::engine_view> engines;
+        for (const auto& [name, engine] : m_ports.registry.engines()) {
+            if (engine.listed.leaving) {
+                continue;
+            }
+            for (const auto& [model, version] : engine.versions) {
+                engines.push_back({name, model, version, engine.running});
+            }
+        }
+        return engines;
+    }
+
+    std::optional<engine_target> target_of(const base::engine_name& name) const {
+        const known_engine* engine = m_ports.registry.find(name);
+        if (engine == nullptr) {
+            return std::nullopt;
+        }
+        return engine_target{name, engine->listed.address};
+    }
+
+    std::string model_of(const base::engine_name& name) const {
+        const known_engine* engine = m_ports.registry.find(name);
+        const bool known = engine != nullptr && !engine->versions.empty();
+        return known ? engine->versions.begin()->first : std::string();
+    }
+
+    runtime::task<void> ask(base::engine_name name) {
+        const auto target = target_of(name);
+        const std::string model = model_of(name);
+        std::optional<coordination::rollout::engine_report> report;
+        if (target) {
+            engine_target engine = *target;
+            std::string asked = model;
+            report = co_await m_ports.engines.report(std::move(engine), std::move(asked),
+                                                     m_settings.call_limit);
+        }
+        const base::monotonic_time now = m_ports.scheduler.now();
+        if (!report) {
+            m_rollout.report_lost(name, now);
+            co_return;
+        }
+        m_ports.registry.saw_version(name, model, report->version);
+        m_rollout.reported(name, *report, now);
+    }
+
+    runtime::task<void> order(coordination::rollout::send_order wanted) {
+        const auto target = target_of(wanted.engine);
+        const auto token = m_ports.lease.token();  // Asked last: time may have passed.
+        if (!target || !token) {
+            m_rollout.ordered(wanted.engine, coordination::rollout::order_answer::refused,
+                              m_ports.scheduler.now());
+            co_return;
+        }
+        ++m_orders_sent;
+        engine_target engine = *target;
+        weights_order sent{wanted.model, wanted.version, wanted.expected_orders,
+                           m_settings.holder, *token};
+        const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
+                                                           m_settings.call_limit);
+        runtime::log(runtime::log_level::info, component, "weights ordered",
+                     {{"engine", wanted.engine.value},
+                      {"model", wanted.model},
+                      {"version", std::to_string(wanted.version)},
+                      {"expected_orders", std::to_string(wanted.expected_orders)},
+                      {"token", std::to_string(token->value)},
+                      {"answer", std::to_string(static_cast<int>(answer))}});
+        m_rollout.ordered(wanted.engine, answer, m_ports.scheduler.now());
+    }
+
+    rollout_ports<Upstream, Lease> m_ports;
+    rollout_settings m_settings;
+    coordination::rollout::weights_rollout m_rollout;
+    std::optional<base::fencing_token> m_last_token;
+    base::monotonic_time m_act_from{};
+    std::uint64_t m_orders_sent = 0;
+    bool m_stopped = false;
+};
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/selection.cpp
@@ -0,0 +1,148 @@
+#include "ferryroad/relay/selection.hpp"
+
+#include "ferryroad/base/hash.hpp"
+
+#include <algorithm>
+
+namespace ferryroad::relay {
+
+namespace placement = core::placement;
+
+std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version) {
+    const bool isolated = tenant != nullptr && tenant->isolated;
+    return (isolated ? "t-" + tenant->name.value : std::string("shared")) + "/" +
+           std::to_string(version);
+}
+
+bool engine_selection::may_serve(const known_engine& engine, const selection_query& query,
+                                 base::monotonic_time now) const {
+    if (engine.listed.pool != query.pool || engine.listed.leaving) {
+        return false;
+    }
+    const auto& excluded = query.excluded;
+    if (std::find(excluded.begin(), excluded.end(), engine.listed.name) != excluded.end()) {
+        return false;
+    }
+    if (!query.call.prompt || !m_settings.outdated_limit) {
+        return true;
+    }
+    const std::string& model = query.call.prompt->model;
+    const named_version newest = m_policies.newest(model);
+    const bool outdated = engine.version_of(model) < newest.version;
+    return !outdated || now - newest.accepted_after < *m_settings.outdated_limit;
+}
+
+std::vector<engine_selection::weighed> engine_selection::eligible(const selection_query& query,
+                                                                  base::monotonic_time now) const {
+    std::vector<weighed> engines;
+    for (const auto& [name, engine] : m_registry.engines()) {
+        if (!may_serve(engine, query, now)) {
+            continue;
+        }
+        weighed one{&engine, {}};
+        if (query.call.prompt) {
+            const std::uint64_t version = engine.version_of(query.call.prompt->model);
+            one.scope = cache_scope_of(query.tenant, version);
+        }
+        engines.push_back(std::move(one));
+    }
+    return engines;
+}
+
+placement::engine_candidate engine_selection::candidate_of(const weighed& one,
+                                                           const selection_query& query,
+                                                           base::monotonic_time now) const {
+    const known_engine& engine = *one.engine;
+    placement::engine_candidate candidate;
+    candidate.name = engine.listed.name;
+    candidate.same_zone = engine.listed.zone == m_settings.zone;
+    candidate.suspended = engine.health.suspended(now) || now < engine.refuses_until;
+    candidate.running = engine.running;
+    candidate.slots = engine.listed.slots;
+    candidate.pending_prefill_tokens = engine.pending_prefill_tokens;
+    if (query.call.prompt) {
+        const std::string& model = query.call.prompt->model;
+        const named_version newest = m_policies.newest(model);
+        candidate.outdated = engine.version_of(model) < newest.version &&
+                             now - newest.accepted_after > m_settings.outdated_grace;
+        const auto chain = core::prefix::chain_of(*query.call.prompt, one.scope);
+        candidate.warm_tokens = m_warm.tokens_held(chain, candidate.name, now);
+    }
+    return candidate;
+}
+
+void engine_selection::mark_homes(const std::vector<weighed>& engines,
+                                  const std::vector<core::prefix::prompt_part>& parts,
+                                  placement::placement_query& placed) const {
+    if (parts.empty()) {
+        return;
+    }
+    const std::uint64_t key = base::hash_bytes(parts.back().id);
+    std::optional<std::size_t> home;
+    std::uint64_t best = 0;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const placement::engine_candidate& candidate = placed.candidates[index];
+        const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
+        if (candidate.same_zone && !candidate.suspended && (!home || score > best)) {
+            home = index;
+            best = score;
+        }
+    }
+    if (home) {
+        placed.candidates[*home].home = true;
+    }
+}
+
+std::optional<selected_engine> engine_selection::select(const selection_query& query,
+                                                        base::monotonic_time now) {
+    const std::vector<weighed> engines = eligible(query, now);
+    placement::placement_query placed;
+    for (const weighed& one : engines) {
+        placed.candidates.push_back(candidate_of(one, query, now));
+    }
+    if (query.call.prompt) {
+        placed.input_tokens = query.call.prompt->input_tokens;
+        for (const core::prefix::prompt_part& part : query.call.prompt->parts) {
+            placed.shared_tokens += part.tokens;
+        }
+        mark_homes(engines, query.call.prompt->parts, placed);
+    }
+    const auto choice = placement::choose_engine(placed, m_settings.placement);
+    if (!choice) {
+        return std::nullopt;
+    }
+    const weighed& one = engines[choice->candidate];
+    selected_engine chosen;
+    chosen.target = {one.engine->listed.name, one.engine->listed.address};
+    chosen.cost_ms = choice->cost_ms;
+    chosen.candidates = engines.size();
+    chosen.warm_tokens = placed.candidates[choice->candidate].warm_tokens;
+    if (query.call.prompt) {
+        chosen.expected_version = one.engine->version_of(query.call.prompt->model);
+        chosen.cache_scope = one.scope;
+        chosen.prefill_tokens =
+            placed.input_tokens - std::min(chosen.warm_tokens, placed.input_tokens);
+        add_state_terms(query, chosen);
+    }
+    return chosen;
+}
+
+void engine_selection::add_state_terms(const selection_query& query,
+                                       selected_engine& chosen) const {
+    const auto& stores = query.policy.declared().stores;
+    if (stores.empty()) {
+        return;
+    }
+    chosen.fetch_state_from = stores.front().address;
+    chosen.save_state_to = stores.front().address;
+}
+
+void engine_selection::record_dispatch(const relay_call& call, const selected_engine& chosen,
+                                       base::monotonic_time now) {
+    if (call.prompt && chosen.cache_scope) {
+        const auto chain = core::prefix::chain_of(*call.prompt, *chosen.cache_scope);
+        m_warm.record(chain, chosen.target.name, now);
+    }
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/selection.hpp
@@ -0,0 +1,91 @@
+/// @file
+/// Joins the registry, the named weights and the beliefs on warm state into one question to
+/// `core/placement`, and turns the answer into the terms of a dispatch.
+#pragma once
+
+#include "ferryroad/core/placement/placement.hpp"
+#include "ferryroad/core/placement/warm_state.hpp"
+#include "ferryroad/core/traffic/traffic_policy.hpp"
+#include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/policy_source.hpp"
+#include "ferryroad/relay/types.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace ferryroad::relay {
+
+struct selection_settings {
+    base::zone_name zone;
+    core::placement::placement_tunables placement;
+    /// An engine with older weights gets no request later than this after newer ones were
+    /// named; nothing where old weights serve for ever.
+    std::optional<base::duration> outdated_limit;
+    /// From then on older weights cost worth, so that newer ones are preferred.
+    base::duration outdated_grace = std::chrono::milliseconds(1000);
+};
+
+/// What is to be placed.
+struct selection_query {
+    const relay_call& call;
+    const core::traffic::traffic_policy& policy;
+    base::pool_name pool;
+    const core::traffic::tenant* tenant = nullptr;
+    std::vector<base::engine_name> excluded;
+};
+
+struct selected_engine {
+    engine_target target;
+    std::optional<std::uint64_t> expected_version;
+    std::optional<std::string> cache_scope;
+    std::optional<base::endpoint> fetch_state_from;
+    std::optional<base::endpoint> save_state_to;
+    std::uint64_t warm_tokens = 0;     ///< Believed to be held by the engine.
+    std::uint64_t prefill_tokens = 0;  ///< Expected to be read anew.
+    double cost_ms = 0;
+    std::size_t candidates = 0;
+};
+
+/// Used from the event loop's thread. Collaborators outlive it.
+class engine_selection {
+  public:
+    engine_selection(engine_registry& registry, const policy_source& policies,
+                     selection_settings settings)
+        : m_registry(registry), m_policies(policies), m_settings(std::move(settings)) {}
+
+    /// @return nothing where no engine may get the request now.
+    std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
+    /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
+    void record_dispatch(const relay_call& call, const selected_engine& chosen,
+                         base::monotonic_time now);
+    void forget(const base::engine_name& engine) { m_warm.forget(engine); }
+    std::size_t remembered_prefixes() const { return m_warm.size(); }
+
+  private:
+    struct weighed {
+        const known_engine* engine = nullptr;
+        std::string scope;
+    };
+
+    bool may_serve(const known_engine& engine, const selection_query& query,
+                   base::monotonic_time now) const;
+    std::vector<weighed> eligible(const selection_query& query, base::monotonic_time now) const;
+    void mark_homes(const std::vector<weighed>& engines,
+                    const std::vector<core::prefix::prompt_part>& parts,
+                    core::placement::placement_query& placed) const;
+    core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
+                                                   base::monotonic_time now) const;
+    void add_state_terms(const selection_query& query, selected_engine& chosen) const;
+
+    engine_registry& m_registry;
+    const policy_source& m_policies;
+    selection_settings m_settings;
+    core::placement::warm_state m_warm;
+};
+
+/// @return the scope in which prompt state may be shared: by tenant where it is isolated, and
+/// always by the version of the weights.
+std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version);
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/router/leases/model_placement.hpp
+++ b/src/ferryroad/router/leases/model_placement.hpp
@@ -8,7 +8,7 @@
 #include "ferryroad/engine/client.hpp"
 #include "ferryroad/router/configuration_view.hpp"
 #include "ferryroad/router/engine_directory.hpp"
-#include "ferryroad/router/leases/lease_service.hpp"
+#include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
@@ -19,6 +19,10 @@
 
 namespace ferryroad::router::leases {
 
+
+using ferryroad::leases::lease_name;
+using ferryroad::leases::lease_service;
+
 /// The one lease for orders to engines.
 inline const lease_name placement_lease("engine-placement");
 
--- a/src/ferryroad/runtime/log.cpp
+++ b/src/ferryroad/runtime/log.cpp
@@ -37,11 +37,13 @@
 
 }  // namespace
 
-void start_logging(std::string_view process_name, log_level lowest) {
+void start_logging(std::string_view process_name, log_level lowest, log_output output) {
     process_name_storage() = process_name;
+    const bool to_output = output == log_output::standard_output;
     auto layout = std::make_shared<log4cxx::JSONLayout>();
     auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, to_output ? log4cxx::ConsoleAppender::getSystemOut()
+                          : log4cxx::ConsoleAppender::getSystemErr());
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(level_of(lowest));
 }
--- a/src/ferryroad/runtime/log.hpp
+++ b/src/ferryroad/runtime/log.hpp
@@ -12,6 +12,8 @@
 
 enum class log_level { debug, info, warning, error };
 
+enum class log_output { standard_error, standard_output };
+
 /// One named value of a log entry, such as `{"request_id", id.value}`.
 struct log_field {
     std::string_view name;
@@ -20,7 +22,8 @@
 
 /// Sets up the process's logger. Call once, before any thread starts.
 /// @param process_name written into every entry as `process`.
-void start_logging(std::string_view process_name, log_level lowest);
+void start_logging(std::string_view process_name, log_level lowest,
+                   log_output output = log_output::standard_error);
 
 /// Writes one entry. Thread-safe.
 /// @param component the folder that speaks, such as "router.request".
--- a/test/router/leases/lease_test.cpp
+++ b/test/router/leases/lease_test.cpp
@@ -3,7 +3,7 @@
 #include "bench/simulation/faults/fault_counts.hpp"
 #include "emulator/platform/model_services.hpp"
 #include "ferryroad/platform/json_codec.hpp"
-#include "ferryroad/router/leases/lease_service.hpp"
+#include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/router/leases/model_placement.hpp"
 #include "test/router/backends/directory_fixture.hpp"
 
@@ -20,6 +20,7 @@
 
 using namespace ferryroad;
 using namespace ferryroad::router;
+using namespace ferryroad::leases;
 using namespace ferryroad::router::leases;
 using namespace ferryroad::bench::simulation;
 using namespace std::chrono_literals;
