Relay: weights count as outdated since the first newer version was named

Cause: with v2 and v3 named, an engine on v1 counted as outdated since v3. Change: a history of named versions; rollout takes the oldest weights first.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/coordination/rollout/weights_rollout.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ferryroad::coordination::rollout {
 
@@ -58,9 +59,11 @@
             outdated.push_back(&one);
         }
     }
-    // The least loaded first: it is free the soonest, and its loss is felt the least.
+    // The oldest weights first; of equals the least loaded, which is free the soonest.
     std::stable_sort(outdated.begin(), outdated.end(),
-                     [](const engine_view* a, const engine_view* b) { return a->load < b->load; });
+                     [](const engine_view* a, const engine_view* b) {
+                         return std::pair(a->version, a->load) < std::pair(b->version, b->load);
+                     });
     for (const engine_view* one : outdated) {
         if (room_for(one->model, engines) == 0) {
             continue;
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -65,7 +65,7 @@
 
 struct rollout_tunables {
     /// Engines with an order under way; the rest serve.
-    std::size_t at_once = 3;
+    std::size_t at_once = 64;
     /// Never more than this share of a model's engines at once (but always one).
     double share_at_once = 0.34;
     /// From an accepted order to the first question whether it is done.
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -42,7 +42,10 @@
                                   std::uint64_t version) {
     if (known_engine* engine = find(name)) {
         std::uint64_t& newest = engine->versions[model];
-        newest = std::max(newest, version);
+        if (version > newest) {
+            newest = version;
+            engine->refuses_until = {};  // What it was busy with has ended.
+        }
     }
 }
 
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -37,22 +37,36 @@
 }
 
 bool policy_source::name_version(const std::string& model, std::uint64_t version) {
-    named_version& newest = m_versions[model];
-    if (version <= newest.version) {
+    return m_versions[model].add({version, m_confirmed_at.value_or(base::monotonic_time{})});
+}
+
+bool version_history::add(named_version named) {
+    if (named.version <= newest()) {
         return false;
     }
-    newest.version = version;
-    newest.accepted_after = m_confirmed_at.value_or(base::monotonic_time{});
+    m_named.push_back(named);
+    if (m_named.size() > most_kept) {
+        m_named[1].accepted_after = m_named[0].accepted_after;
+        m_named.erase(m_named.begin());
+    }
     return true;
 }
 
+std::optional<base::monotonic_time> version_history::outdated_since(std::uint64_t version) const {
+    const auto newer = std::find_if(m_named.begin(), m_named.end(), [&](const named_version& one) {
+        return one.version > version;
+    });
+    return newer == m_named.end() ? std::nullopt : std::optional(newer->accepted_after);
+}
+
 void policy_source::confirm(base::monotonic_time asked_at) {
     m_confirmed_at = std::max(asked_at, m_confirmed_at.value_or(asked_at));
 }
 
-named_version policy_source::newest(const std::string& model) const {
+const version_history& policy_source::versions_of(const std::string& model) const {
+    static const version_history none;
     const auto found = m_versions.find(model);
-    return found == m_versions.end() ? named_version{} : found->second;
+    return found == m_versions.end() ? none : found->second;
 }
 
 base::duration policy_source::age(base::monotonic_time now) const {
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -6,15 +6,17 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace ferryroad::relay {
 
-/// A model's newest named weights.
+/// Weights of a model, as they were named.
 struct named_version {
     std::uint64_t version = 0;
     /// The owner may have accepted it as early as this.
@@ -23,6 +25,24 @@
     friend bool operator==(const named_version&, const named_version&) = default;
 };
 
+/// The versions named of one model. Not thread-safe.
+class version_history {
+  public:
+    /// @return whether the version is newer than any known.
+    bool add(named_version named);
+    /// @return the newest version, 0 where none was named.
+    std::uint64_t newest() const { return m_named.empty() ? 0 : m_named.back().version; }
+    /// @return when weights of `version` may have become outdated: the moment after which the
+    /// first newer ones were named; nothing where they are the newest.
+    std::optional<base::monotonic_time> outdated_since(std::uint64_t version) const;
+
+  private:
+    /// Older ones are forgotten: what is outdated by them is so by the next one, too, and the
+    /// earliest moment is kept.
+    static constexpr std::size_t most_kept = 32;
+    std::vector<named_version> m_named;  ///< Rising.
+};
+
 struct policy_bounds {
     /// A key may be relied on while the policy was confirmed no longer ago than this; nothing
     /// where keys stay good without a confirmation.
@@ -55,9 +75,9 @@
 
     /// @return the policy in force, or null while none is known.
     std::shared_ptr<const core::traffic::traffic_policy> current() const { return m_current; }
-    /// @return the newest weights named for a model; version 0 where none are.
-    named_version newest(const std::string& model) const;
-    const std::map<std::string, named_version>& versions() const { return m_versions; }
+    /// @return the versions named of a model; an empty history where none were.
+    const version_history& versions_of(const std::string& model) const;
+    const std::map<std::string, version_history>& versions() const { return m_versions; }
 
     /// @return time since the policy was last confirmed; the greatest while it never was.
     base::duration age(base::monotonic_time now) const;
@@ -67,7 +87,7 @@
   private:
     policy_bounds m_bounds;
     std::shared_ptr<const core::traffic::traffic_policy> m_current;
-    std::map<std::string, named_version> m_versions;
+    std::map<std::string, version_history> m_versions;
     std::optional<base::monotonic_time> m_confirmed_at;
 };
 
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -40,6 +40,8 @@
     base::duration least_silence = std::chrono::milliseconds(250);
     /// An engine that said it takes no work for now is passed over this long.
     base::duration refusal_pause = std::chrono::milliseconds(150);
+    /// The same, where it is most likely loading new weights.
+    base::duration loading_pause = std::chrono::milliseconds(1000);
     /// An address that another process answered on is passed over this long.
     base::duration misdirected_pause = std::chrono::seconds(3);
     /// Bytes of a whole answer, and of one event.
@@ -295,7 +297,7 @@
     void blame(known_engine& engine, const dispatch_failure& failure, base::monotonic_time now) {
         switch (failure.kind) {
             case execution::failure_kind::overloaded:
-                engine.refuses_until = now + m_tunables.refusal_pause;
+                engine.refuses_until = now + pause_after_refusal(engine);
                 return;
             case execution::failure_kind::stale_target:
                 if (!failure.version) {
@@ -310,6 +312,16 @@
         }
     }
 
+    /// An engine with outdated weights most likely refuses because it is taking newer ones.
+    base::duration pause_after_refusal(const known_engine& engine) const {
+        if (!m_plan.call->prompt) {
+            return m_tunables.refusal_pause;
+        }
+        const std::string& model = m_plan.call->prompt->model;
+        const bool outdated = engine.version_of(model) < m_with.policies.versions_of(model).newest();
+        return outdated ? m_tunables.loading_pause : m_tunables.refusal_pause;
+    }
+
     void fail_exchange(execution::failure_kind kind, std::string message) {
         note_failure({kind, execution::failure_proof::unknown, std::nullopt, std::nullopt,
                       std::move(message)});
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -87,7 +87,7 @@
     void step() {
         const base::monotonic_time now = m_ports.scheduler.now();
         for (const auto& [model, named] : m_ports.policies.versions()) {
-            m_rollout.want(model, named.version);
+            m_rollout.want(model, named.newest());
         }
         const auto steps = m_rollout.next(views(), now);
         for (const auto& wanted : steps.reports) {
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -27,9 +27,8 @@
         return true;
     }
     const std::string& model = query.call.prompt->model;
-    const named_version newest = m_policies.newest(model);
-    const bool outdated = engine.version_of(model) < newest.version;
-    return !outdated || now - newest.accepted_after < *m_settings.outdated_limit;
+    const auto outdated = m_policies.versions_of(model).outdated_since(engine.version_of(model));
+    return !outdated || now - *outdated < *m_settings.outdated_limit;
 }
 
 std::vector<engine_selection::weighed> engine_selection::eligible(const selection_query& query,
@@ -62,9 +61,9 @@
     candidate.pending_prefill_tokens = engine.pending_prefill_tokens;
     if (query.call.prompt) {
         const std::string& model = query.call.prompt->model;
-        const named_version newest = m_policies.newest(model);
-        candidate.outdated = engine.version_of(model) < newest.version &&
-                             now - newest.accepted_after > m_settings.outdated_grace;
+        const auto outdated =
+            m_policies.versions_of(model).outdated_since(engine.version_of(model));
+        candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
         const auto chain = core::prefix::chain_of(*query.call.prompt, one.scope);
         candidate.warm_tokens = m_warm.tokens_held(chain, candidate.name, now);
     }
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -23,7 +23,7 @@
     /// named; nothing where old weights serve for ever.
     std::optional<base::duration> outdated_limit;
     /// From then on older weights cost worth, so that newer ones are preferred.
-    base::duration outdated_grace = std::chrono::milliseconds(1000);
+    base::duration outdated_grace{};
 };
 
 /// What is to be placed.
