Relay: the home of a prompt is that of its deepest shared part; slow is not silent

Ruled out: the store's capacity and link; cache salts. Change: shared parts exclude the last one; silence is a fault after twice the target.

--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -37,7 +37,7 @@
 struct placement_tunables {
     double prefill_tokens_per_ms = 35;
     /// How many times this router's own load an engine is believed to have.
-    double load_of_others = 3.0;
+    double load_of_others = 1.0;
     /// For each request that runs there, as a share of the slots, in milliseconds.
     double full_engine_ms = 60;
     /// Bytes between zones cost money, and two ways' delay.
@@ -45,7 +45,7 @@
     /// Reading shared tokens again costs money beside time: times its prefill.
     double recompute_factor = 2.0;
     /// Share of a prefix that its home is believed to hold where nothing is known.
-    double home_warmth = 0.5;
+    double home_warmth = 0.9;
     double outdated_ms = 150;
     double suspended_ms = 5000;
 };
--- a/src/ferryroad/relay/planned_stop.cpp
+++ b/src/ferryroad/relay/planned_stop.cpp
@@ -7,11 +7,13 @@
 namespace ferryroad::relay {
 
 runtime::task<void> planned_stop(runtime::scheduler& scheduler, http::server& callers,
-                                 stop_settings settings) {
+                                 stop_settings settings, std::function<void()> refuse_new) {
     using boost::asio::experimental::awaitable_operators::operator||;
     const base::monotonic_time last = scheduler.now() + settings.grace - settings.margin;
     callers.begin_leaving();
-    co_await scheduler.sleep_until(std::min(scheduler.now() + settings.notice, last));
+    const base::duration notice = std::min(settings.notice, settings.grace / 3);
+    co_await scheduler.sleep_for(notice);
+    refuse_new();
     co_await (callers.drain() || scheduler.sleep_until(last));
 }
 
--- a/src/ferryroad/relay/planned_stop.hpp
+++ b/src/ferryroad/relay/planned_stop.hpp
@@ -7,20 +7,22 @@
 #include "ferryroad/http/server.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <functional>
+
 namespace ferryroad::relay {
 
 struct stop_settings {
     base::duration grace{};  ///< Until the process is killed.
-    /// Time in which the balancer sees it; connections are accepted all that while.
-    base::duration notice = std::chrono::milliseconds(3500);
+    /// Time in which the balancer sees it; requests are served as ever all that while.
+    base::duration notice = std::chrono::milliseconds(2700);
     /// Kept back before the grace ends.
-    base::duration margin = std::chrono::milliseconds(400);
+    base::duration margin = std::chrono::milliseconds(250);
 };
 
-/// Ends every answer's connection from now on, stops accepting after the notice, and returns
-/// once the last request has ended or the grace is nearly over.
+/// Ends every answer's connection from now on. After the notice, `refuse_new` is called and no
+/// connection accepted. Returns once the last request has ended or the grace is nearly over.
 runtime::task<void> planned_stop(runtime::scheduler& scheduler, http::server& callers,
-                                 stop_settings settings);
+                                 stop_settings settings, std::function<void()> refuse_new);
 
 /// @return a server's limits as operators declared them.
 http::server_limits server_limits_of(const core::traffic::caller_limits& declared);
--- a/src/ferryroad/relay/refusal.cpp
+++ b/src/ferryroad/relay/refusal.cpp
@@ -63,6 +63,8 @@
 
 std::string_view to_string(refusal_cause cause) {
     switch (cause) {
+        case refusal_cause::leaving:
+            return "leaving";
         case refusal_cause::no_policy:
             return "no_policy";
         case refusal_cause::policy_not_fresh:
--- a/src/ferryroad/relay/refusal.hpp
+++ b/src/ferryroad/relay/refusal.hpp
@@ -12,6 +12,7 @@
 namespace ferryroad::relay {
 
 enum class refusal_cause {
+    leaving,            ///< This router is about to end.
     no_policy,          ///< No declaration is known yet.
     policy_not_fresh,   ///< The declaration's owner was out of reach for too long.
     no_route,           ///< No route begins the path.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -34,10 +34,10 @@
     std::uint32_t extra_dispatches = 2;
     /// A repeatable request whose engine is silent for this share of the target is tried
     /// elsewhere.
-    double silence_share = 0.75;
+    double silence_share = 2.0;
     /// A stream whose engine pauses this many times the target gap is taken up elsewhere.
-    double gap_factor = 2.0;
-    base::duration least_silence = std::chrono::milliseconds(250);
+    double gap_factor = 4.0;
+    base::duration least_silence = std::chrono::milliseconds(600);
     /// An engine that said it takes no work for now is passed over this long.
     base::duration refusal_pause = std::chrono::milliseconds(150);
     /// The same, where it is most likely loading new weights.
@@ -78,6 +78,7 @@
     std::uint32_t dispatches = 0;
     std::uint64_t events = 0;
     std::optional<base::duration> first_event;  ///< From the call's arrival.
+    base::duration longest_gap{};               ///< Between two events.
     std::string engine;                         ///< The last one asked.
 };
 
@@ -402,9 +403,13 @@
         if (event.id) {
             m_last_id = event.id;
         }
+        const base::monotonic_time now = m_with.scheduler.now();
         if (m_outcome.events == 0) {
-            m_outcome.first_event = m_with.scheduler.now() - m_plan.call->arrived;
+            m_outcome.first_event = now - m_plan.call->arrived;
+        } else {
+            m_outcome.longest_gap = std::max(m_outcome.longest_gap, now - m_last_event_at);
         }
+        m_last_event_at = now;
         if (m_load) {
             m_load->prefilled();
         }
@@ -504,6 +509,7 @@
     std::optional<http::response> m_kept;  ///< The last whole answer of an engine.
     std::string m_outbox;                  ///< Events not yet passed on.
     std::optional<std::uint64_t> m_last_id;
+    base::monotonic_time m_last_event_at{};
     bool m_begun = false;  ///< The caller has the answer's head.
     relay_outcome m_outcome;
 };
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -53,6 +53,8 @@
         co_await serve(std::move(plan), writer);
     }
 
+    /// From now on every new call is refused: this router is about to end.
+    void refuse_new() { m_leaving = true; }
     void change_settings(relay_settings settings) { m_settings = settings; }
     /// @return requests now being served.
     std::size_t active() const { return m_active; }
@@ -67,6 +69,10 @@
 
     resolution resolve(const std::shared_ptr<const relay_call>& call) {
         const base::monotonic_time now = m_with.scheduler.now();
+        if (m_leaving) {
+            return relay_refusal{refusal_cause::leaving, core::execution::execution_report::not_run,
+                                 base::duration{}};
+        }
         relay_plan plan;
         plan.call = call;
         plan.policy = m_with.policies.current();
@@ -148,6 +154,8 @@
                       {"dispatches", std::to_string(outcome.dispatches)},
                       {"events", std::to_string(outcome.events)},
                       {"first_event_ms", std::to_string(base::to_milliseconds(first))},
+                      {"longest_gap_ms",
+                       std::to_string(base::to_milliseconds(outcome.longest_gap))},
                       {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
@@ -157,6 +165,7 @@
     std::map<base::route_name, core::traffic::weighted_rotation> m_rotations;
     std::map<base::pool_name, core::admission::retry_budget> m_budgets;
     std::size_t m_active = 0;
+    bool m_leaving = false;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -71,12 +71,12 @@
 }
 
 void engine_selection::mark_homes(const std::vector<weighed>& engines,
-                                  const std::vector<core::prefix::prompt_part>& parts,
+                                  const core::prefix::declared_prompt& prompt,
                                   placement::placement_query& placed) const {
-    if (parts.empty()) {
+    if (prompt.shared_parts() == 0) {
         return;
     }
-    const std::uint64_t key = base::hash_bytes(parts.back().id);
+    const std::uint64_t key = base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
     std::optional<std::size_t> home;
     std::uint64_t best = 0;
     for (std::size_t index = 0; index < engines.size(); ++index) {
@@ -101,10 +101,8 @@
     }
     if (query.call.prompt) {
         placed.input_tokens = query.call.prompt->input_tokens;
-        for (const core::prefix::prompt_part& part : query.call.prompt->parts) {
-            placed.shared_tokens += part.tokens;
-        }
-        mark_homes(engines, query.call.prompt->parts, placed);
+        placed.shared_tokens = query.call.prompt->shared_tokens();
+        mark_homes(engines, *query.call.prompt, placed);
     }
     const auto choice = placement::choose_engine(placed, m_settings.placement);
     if (!choice) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -72,7 +72,7 @@
                    base::monotonic_time now) const;
     std::vector<weighed> eligible(const selection_query& query, base::monotonic_time now) const;
     void mark_homes(const std::vector<weighed>& engines,
-                    const std::vector<core::prefix::prompt_part>& parts,
+                    const core::prefix::declared_prompt& prompt,
                     core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
                                                    base::monotonic_time now) const;
