Relay: warm state from the holders' event streams; fetch from the best holder

Cause: only the store was named as a source, and its link is narrow: shared parts were read again though an engine held them. Change: routers follow the event streams of engines and state stores; placement weighs true holdings, and a dispatch names the holder with the most of the prompt, near ones first.

--- a/src/ferryroad/core/placement/warm_state.cpp
+++ b/src/ferryroad/core/placement/warm_state.cpp
@@ -4,70 +4,110 @@
 
 namespace ferryroad::core::placement {
 
-warm_state::entry& warm_state::touch(std::uint64_t hash) {
-    const auto found = m_prefixes.find(hash);
-    if (found != m_prefixes.end()) {
+warm_state::entry& warm_state::touch(prefix::part_key part) {
+    const auto found = m_parts.find(part.value);
+    if (found != m_parts.end()) {
         m_by_use.splice(m_by_use.begin(), m_by_use, found->second.place);
         return found->second;
     }
-    if (m_prefixes.size() >= m_tunables.prefixes) {
-        m_prefixes.erase(m_by_use.back());
+    if (m_parts.size() >= m_tunables.parts) {
+        m_parts.erase(m_by_use.back());
         m_by_use.pop_back();
     }
-    m_by_use.push_front(hash);
-    entry& added = m_prefixes[hash];
+    m_by_use.push_front(part.value);
+    entry& added = m_parts[part.value];
     added.place = m_by_use.begin();
     return added;
 }
 
-void warm_state::record(const std::vector<prefix::prefix_link>& chain,
-                        const base::engine_name& engine, base::monotonic_time now) {
-    for (const prefix::prefix_link& link : chain) {
-        std::vector<holder>& holders = touch(link.hash.value).holders;
-        const auto known = std::find_if(holders.begin(), holders.end(), [&](const holder& one) {
-            return one.engine == engine;
-        });
-        if (known != holders.end()) {
-            known->used = now;
-            continue;
-        }
-        if (holders.size() < m_tunables.holders) {
-            holders.push_back({engine, now});
-            continue;
-        }
+warm_state::belief& warm_state::belief_of(entry& part, const holder_name& holder) {
+    std::vector<belief>& beliefs = part.beliefs;
+    const auto known = std::find_if(beliefs.begin(), beliefs.end(),
+                                    [&](const belief& one) { return one.holder == holder; });
+    if (known != beliefs.end()) {
+        return *known;
+    }
+    if (beliefs.size() >= m_tunables.holders) {
         const auto oldest =
-            std::min_element(holders.begin(), holders.end(), [](const holder& a, const holder& b) {
-                return a.used < b.used;
+            std::min_element(beliefs.begin(), beliefs.end(), [](const belief& a, const belief& b) {
+                return a.since < b.since;
             });
-        *oldest = {engine, now};
+        beliefs.erase(oldest);
+    }
+    beliefs.push_back(belief{holder, 0, false, {}});
+    return beliefs.back();
+}
+
+void warm_state::expect(const std::vector<prefix::scoped_part>& parts, const holder_name& holder,
+                        base::monotonic_time now) {
+    for (const prefix::scoped_part& part : parts) {
+        belief& one = belief_of(touch(part.key), holder);
+        const bool known = one.confirmed && one.tokens >= part.tokens;
+        if (!known) {
+            one.tokens = std::max(one.tokens, part.tokens);
+            one.confirmed = false;
+            one.since = now;
+        }
     }
 }
 
-std::uint64_t warm_state::tokens_held(const std::vector<prefix::prefix_link>& chain,
-                                      const base::engine_name& engine,
-                                      base::monotonic_time now) const {
+void warm_state::told(prefix::part_key part, const holder_name& holder, std::uint64_t tokens,
+                      base::monotonic_time now) {
+    if (tokens == 0) {
+        const auto found = m_parts.find(part.value);
+        if (found != m_parts.end()) {
+            std::erase_if(found->second.beliefs,
+                          [&](const belief& one) { return one.holder == holder; });
+        }
+        return;
+    }
+    belief& one = belief_of(touch(part), holder);
+    one = {holder, tokens, true, now};
+}
+
+void warm_state::follow(const holder_name& holder, bool followed) {
+    if (followed) {
+        m_followed.insert(holder);
+    } else {
+        m_followed.erase(holder);
+    }
+}
+
+void warm_state::forget(const holder_name& holder) {
+    m_followed.erase(holder);
+    for (auto& [key, part] : m_parts) {
+        std::erase_if(part.beliefs, [&](const belief& one) { return one.holder == holder; });
+    }
+}
+
+bool warm_state::holds(const belief& one, base::monotonic_time now) const {
+    if (one.confirmed && m_followed.contains(one.holder)) {
+        return true;
+    }
+    const bool followed = m_followed.contains(one.holder);
+    return now - one.since < (followed ? m_tunables.expectation : m_tunables.unfollowed_lifetime);
+}
+
+std::uint64_t warm_state::tokens_held(const std::vector<prefix::scoped_part>& parts,
+                                      const holder_name& holder, base::monotonic_time now) const {
     std::uint64_t tokens = 0;
-    for (const prefix::prefix_link& link : chain) {
-        const auto found = m_prefixes.find(link.hash.value);
-        if (found == m_prefixes.end()) {
+    for (const prefix::scoped_part& part : parts) {
+        const auto found = m_parts.find(part.key.value);
+        if (found == m_parts.end()) {
+            break;
+        }
+        const auto& beliefs = found->second.beliefs;
+        const auto known = std::find_if(beliefs.begin(), beliefs.end(),
+                                        [&](const belief& one) { return one.holder == holder; });
+        if (known == beliefs.end() || !holds(*known, now)) {
             break;
         }
-        const auto& holders = found->second.holders;
-        const bool held = std::any_of(holders.begin(), holders.end(), [&](const holder& one) {
-            return one.engine == engine && now - one.used < m_tunables.lifetime;
-        });
-        if (!held) {
+        tokens += std::min(known->tokens, part.tokens);
+        if (known->tokens < part.tokens) {
             break;
         }
-        tokens = link.tokens;
     }
     return tokens;
 }
 
-void warm_state::forget(const base::engine_name& engine) {
-    for (auto& [hash, one] : m_prefixes) {
-        std::erase_if(one.holders, [&](const holder& each) { return each.engine == engine; });
-    }
-}
-
 }  // namespace ferryroad::core::placement
--- a/src/ferryroad/core/placement/warm_state.hpp
+++ b/src/ferryroad/core/placement/warm_state.hpp
@@ -1,6 +1,6 @@
 /// @file
-/// What this router believes of prompt state in engines: learned from its own dispatches and
-/// from engines' events, forgotten by age, bounded in number.
+/// What this router believes of prompt state in engines and state stores: told by their event
+/// streams, and expected from its own dispatches until the events catch up. Bounded.
 #pragma once
 
 #include "ferryroad/base/ids.hpp"
@@ -10,50 +10,67 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 namespace ferryroad::core::placement {
 
 struct warm_state_tunables {
-    /// Prefixes remembered; the one used longest ago is forgotten first.
-    std::size_t prefixes = 4096;
-    /// Engines remembered for each prefix.
-    std::size_t holders = 8;
-    /// An engine that nobody asked for a prefix this long is taken to have dropped it.
-    base::duration lifetime = std::chrono::seconds(20);
+    /// Parts remembered; the one used longest ago is forgotten first.
+    std::size_t parts = 6144;
+    /// Holders remembered for each part.
+    std::size_t holders = 24;
+    /// A part that a followed holder was asked to read, and hasn't told of since, isn't there.
+    base::duration expectation = std::chrono::milliseconds(1500);
+    /// The same where the holder's events aren't followed: it is taken to have dropped it.
+    base::duration unfollowed_lifetime = std::chrono::seconds(20);
 };
 
 /// Not thread-safe.
 class warm_state {
   public:
+    /// Whoever holds state: an engine or a store, by its name.
+    using holder_name = base::engine_name;
+
     explicit warm_state(warm_state_tunables tunables = {}) : m_tunables(tunables) {}
 
-    /// The engine now holds every prefix of the chain.
-    void record(const std::vector<prefix::prefix_link>& chain, const base::engine_name& engine,
+    /// The holder will hold the parts, for it was asked to read them.
+    void expect(const std::vector<prefix::scoped_part>& parts, const holder_name& holder,
                 base::monotonic_time now);
-    /// @return tokens of the longest prefix of the chain that the engine is believed to hold.
-    std::uint64_t tokens_held(const std::vector<prefix::prefix_link>& chain,
-                              const base::engine_name& engine, base::monotonic_time now) const;
-    /// The engine ended, or lost what it held.
-    void forget(const base::engine_name& engine);
-    std::size_t size() const { return m_prefixes.size(); }
+    /// The holder told that it holds `tokens` of a part now; 0: none.
+    void told(prefix::part_key part, const holder_name& holder, std::uint64_t tokens,
+              base::monotonic_time now);
+    /// The holder's events are followed without a gap from now on, or no longer.
+    void follow(const holder_name& holder, bool followed);
+    /// The holder ended, or lost what it held.
+    void forget(const holder_name& holder);
+
+    /// @return tokens at the start of the prompt that the holder is believed to hold.
+    std::uint64_t tokens_held(const std::vector<prefix::scoped_part>& parts,
+                              const holder_name& holder, base::monotonic_time now) const;
+    std::size_t size() const { return m_parts.size(); }
 
   private:
-    struct holder {
-        base::engine_name engine;
-        base::monotonic_time used;
+    struct belief {
+        holder_name holder;
+        std::uint64_t tokens = 0;
+        bool confirmed = false;  ///< By the holder's own events.
+        base::monotonic_time since{};
     };
     struct entry {
-        std::vector<holder> holders;
+        std::vector<belief> beliefs;
         std::list<std::uint64_t>::iterator place;  ///< In `m_by_use`.
     };
 
-    entry& touch(std::uint64_t hash);
+    entry& touch(prefix::part_key part);
+    belief& belief_of(entry& part, const holder_name& holder);
+    bool holds(const belief& one, base::monotonic_time now) const;
 
     warm_state_tunables m_tunables;
-    std::unordered_map<std::uint64_t, entry> m_prefixes;
+    std::unordered_map<std::uint64_t, entry> m_parts;
     std::list<std::uint64_t> m_by_use;  ///< Used last first.
+    std::set<holder_name> m_followed;
 };
 
 }  // namespace ferryroad::core::placement
--- a/src/ferryroad/core/prefix/declared_prompt.hpp
+++ b/src/ferryroad/core/prefix/declared_prompt.hpp
@@ -43,28 +43,33 @@
     friend bool operator==(const declared_prompt&, const declared_prompt&) = default;
 };
 
-/// One link of a prefix chain: names the parts up to and including one, within a scope.
-struct prefix_link {
-    base::piece_hash hash;
-    std::uint64_t tokens = 0;  ///< Of all parts up to here.
-
-    friend bool operator==(const prefix_link&, const prefix_link&) = default;
-};
+/// Names one part's state within a scope.
+using part_key = base::strong_id<struct part_key_tag, std::uint64_t>;
 
 /// @param scope text that separates state that must never be shared.
-/// @return one link a shared part, root first.
-inline std::vector<prefix_link> chain_of(const declared_prompt& prompt, std::string_view scope) {
-    std::vector<prefix_link> chain;
-    chain.reserve(prompt.shared_parts());
-    std::uint64_t hash = base::hash_bytes(scope, base::hash_bytes(prompt.model));
+inline part_key key_of(std::string_view scope, std::string_view model, std::string_view part) {
+    return part_key(base::hash_bytes(part, base::hash_bytes(model, base::hash_bytes(scope))));
+}
+
+/// One shared part, named within a scope.
+struct scoped_part {
+    part_key key;
     std::uint64_t tokens = 0;
+
+    friend bool operator==(const scoped_part&, const scoped_part&) = default;
+};
+
+/// @return the shared parts, root first. State of a part is of use only together with that of
+/// all parts before it.
+inline std::vector<scoped_part> scoped_parts_of(const declared_prompt& prompt,
+                                                std::string_view scope) {
+    std::vector<scoped_part> scoped;
+    scoped.reserve(prompt.shared_parts());
     for (std::size_t index = 0; index < prompt.shared_parts(); ++index) {
         const prompt_part& part = prompt.parts[index];
-        hash = base::hash_bytes(part.id, hash);
-        tokens += part.tokens;
-        chain.push_back({base::piece_hash(hash), tokens});
+        scoped.push_back({key_of(scope, prompt.model, part.id), part.tokens});
     }
-    return chain;
+    return scoped;
 }
 
 }  // namespace ferryroad::core::prefix
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -3,6 +3,7 @@
 #include "ferryroad/base/hash.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ferryroad::relay {
 
@@ -64,8 +65,8 @@
         const auto outdated =
             m_policies.versions_of(model).outdated_since(engine.version_of(model));
         candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
-        const auto chain = core::prefix::chain_of(*query.call.prompt, one.scope);
-        candidate.warm_tokens = m_warm.tokens_held(chain, candidate.name, now);
+        const auto parts = core::prefix::scoped_parts_of(*query.call.prompt, one.scope);
+        candidate.warm_tokens = m_warm.tokens_held(parts, candidate.name, now);
     }
     return candidate;
 }
@@ -119,27 +120,67 @@
         chosen.cache_scope = one.scope;
         chosen.prefill_tokens =
             placed.input_tokens - std::min(chosen.warm_tokens, placed.input_tokens);
-        add_state_terms(query, chosen);
+        chosen.zone = one.engine->listed.zone;
+        add_state_terms(query, placed, now, chosen);
     }
     return chosen;
 }
 
 void engine_selection::add_state_terms(const selection_query& query,
-                                       selected_engine& chosen) const {
+                                       const placement::placement_query& placed,
+                                       base::monotonic_time now, selected_engine& chosen) const {
     const auto& stores = query.policy.declared().stores;
-    if (stores.empty()) {
+    const std::uint64_t shared = placed.shared_tokens;
+    if (shared == 0) {
         return;
     }
-    chosen.fetch_state_from = stores.front().address;
-    chosen.save_state_to = stores.front().address;
+    const auto parts = core::prefix::scoped_parts_of(*query.call.prompt, *chosen.cache_scope);
+    std::uint64_t in_store = 0;
+    if (!stores.empty()) {
+        const core::traffic::state_store& store = stores.front();
+        in_store = m_warm.tokens_held(parts, holder_of(store), now);
+        chosen.fetch_state_from = store.address;
+        chosen.save_state_to = store.address;
+    }
+    if (chosen.warm_tokens >= shared) {
+        return;
+    }
+    const auto source = best_source(query, parts, chosen, now);
+    if (source && source->tokens >= in_store && source->tokens > chosen.warm_tokens) {
+        chosen.fetch_state_from = source->address;
+    }
+}
+
+std::optional<engine_selection::state_source> engine_selection::best_source(
+    const selection_query& query, const std::vector<core::prefix::scoped_part>& parts,
+    const selected_engine& chosen, base::monotonic_time now) const {
+    std::optional<state_source> best;
+    for (const auto& [name, engine] : m_registry.engines()) {
+        const bool sound = engine.listed.pool == query.pool && !engine.health.suspended(now) &&
+                           name != chosen.target.name;
+        if (!sound) {
+            continue;
+        }
+        const std::uint64_t tokens = m_warm.tokens_held(parts, name, now);
+        const bool near = engine.listed.zone == chosen.zone;
+        const bool better = !best || std::pair(tokens, near) > std::pair(best->tokens, best->near);
+        if (tokens > 0 && better) {
+            best = state_source{engine.listed.address, tokens, near};
+        }
+    }
+    return best;
 }
 
 void engine_selection::record_dispatch(const relay_call& call, const selected_engine& chosen,
                                        base::monotonic_time now) {
     if (call.prompt && chosen.cache_scope) {
-        const auto chain = core::prefix::chain_of(*call.prompt, *chosen.cache_scope);
-        m_warm.record(chain, chosen.target.name, now);
+        const auto parts = core::prefix::scoped_parts_of(*call.prompt, *chosen.cache_scope);
+        m_warm.expect(parts, chosen.target.name, now);
     }
 }
 
+base::engine_name holder_of(const core::traffic::state_store& store) {
+    return base::engine_name("store/" + store.address.to_string());
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -37,6 +37,7 @@
 
 struct selected_engine {
     engine_target target;
+    base::zone_name zone;
     std::optional<std::uint64_t> expected_version;
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
@@ -51,18 +52,25 @@
 class engine_selection {
   public:
     engine_selection(engine_registry& registry, const policy_source& policies,
-                     selection_settings settings)
-        : m_registry(registry), m_policies(policies), m_settings(std::move(settings)) {}
+                     core::placement::warm_state& warm, selection_settings settings)
+        : m_registry(registry),
+          m_policies(policies),
+          m_warm(warm),
+          m_settings(std::move(settings)) {}
 
     /// @return nothing where no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
     /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
     void record_dispatch(const relay_call& call, const selected_engine& chosen,
                          base::monotonic_time now);
-    void forget(const base::engine_name& engine) { m_warm.forget(engine); }
-    std::size_t remembered_prefixes() const { return m_warm.size(); }
 
   private:
+    /// An engine that could give prompt state to another.
+    struct state_source {
+        base::endpoint address;
+        std::uint64_t tokens = 0;
+        bool near = false;  ///< In the zone of the engine that would fetch.
+    };
     struct weighed {
         const known_engine* engine = nullptr;
         std::string scope;
@@ -76,14 +84,23 @@
                     core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
                                                    base::monotonic_time now) const;
-    void add_state_terms(const selection_query& query, selected_engine& chosen) const;
+    void add_state_terms(const selection_query& query,
+                         const core::placement::placement_query& placed, base::monotonic_time now,
+                         selected_engine& chosen) const;
+    std::optional<state_source> best_source(const selection_query& query,
+                                            const std::vector<core::prefix::scoped_part>& parts,
+                                            const selected_engine& chosen,
+                                            base::monotonic_time now) const;
 
     engine_registry& m_registry;
     const policy_source& m_policies;
+    core::placement::warm_state& m_warm;
     selection_settings m_settings;
-    core::placement::warm_state m_warm;
 };
 
+/// @return the name by which a store's state is remembered.
+base::engine_name holder_of(const core::traffic::state_store& store);
+
 /// @return the scope in which prompt state may be shared: by tenant where it is isolated, and
 /// always by the version of the weights.
 std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version);
