--- /dev/null
+++ b/src/ferryroad/relay/naming_journal.cpp
@@ -0,0 +1,116 @@
+#include "ferryroad/relay/naming_journal.hpp"
+
+#include "ferryroad/runtime/log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::relay {
+
+namespace {
+
+namespace rollout = coordination::rollout;
+
+constexpr std::string_view component = "relay.naming";
+const platform::row_key record_key("rollout/named-weights");
+
+}  // namespace
+
+void owner_clock::observe(base::monotonic_time asked_at, base::monotonic_time answered_at,
+                          std::chrono::milliseconds owner_time) {
+    const base::duration least = owner_time - answered_at.time_since_epoch();
+    const base::duration most = owner_time - asked_at.time_since_epoch();
+    m_least_difference = m_known ? std::max(m_least_difference, least) : least;
+    m_most_difference = m_known ? std::min(m_most_difference, most) : most;
+    m_known = true;
+}
+
+rollout::keeper_milliseconds owner_clock::to_owner(base::monotonic_time local) const {
+    return base::to_milliseconds(local.time_since_epoch() + m_least_difference);
+}
+
+base::monotonic_time owner_clock::to_local(rollout::keeper_milliseconds owner) const {
+    return base::monotonic_time(std::chrono::milliseconds(owner) - m_most_difference);
+}
+
+naming_journal::naming_journal(runtime::scheduler& scheduler, platform::table& table,
+                               policy_source& policies, std::function<bool()> leads,
+                               journal_settings settings)
+    : m_scheduler(scheduler),
+      m_table(table),
+      m_policies(policies),
+      m_leads(std::move(leads)),
+      m_settings(settings) {}
+
+void naming_journal::start() {
+    m_scheduler.spawn(component, run());
+}
+
+runtime::task<void> naming_journal::run() {
+    bool is_read = false;
+    while (!m_stopped && !is_read) {
+        is_read = co_await read_record();
+        if (!is_read) {
+            co_await m_scheduler.sleep_for(m_settings.retry);
+        }
+    }
+    while (!m_stopped) {
+        if (m_leads() && m_clock.known() && m_policies.confirmed_at()) {
+            co_await write_record();
+        }
+        co_await m_scheduler.sleep_for(m_settings.period);
+    }
+}
+
+runtime::task<bool> naming_journal::read_record() {
+    if (!m_clock.known()) {
+        co_return false;
+    }
+    std::vector<platform::row_key> keys{record_key};
+    const auto rows = co_await m_table.read(std::move(keys));
+    if (!rows) {
+        co_return false;
+    }
+    const auto record = rows->empty() ? std::nullopt
+                                      : rollout::decode_naming_record(rows->front().value);
+    if (!record) {
+        co_return true;  // Nobody has written it yet.
+    }
+    std::map<std::string, std::uint64_t> recorded;
+    for (const auto& [model, versions] : record->models) {
+        for (const rollout::named_weights& one : versions) {
+            m_policies.learn_naming(model, one.version, m_clock.to_local(one.accepted_after));
+            recorded[model] = one.version;
+        }
+    }
+    m_policies.learn_newer(recorded, m_clock.to_local(record->confirmed_at));
+    runtime::log(runtime::log_level::info, component, "naming record read",
+                 {{"models", std::to_string(record->models.size())}});
+    co_return true;
+}
+
+rollout::naming_record naming_journal::current_record() const {
+    rollout::naming_record record;
+    record.confirmed_at = m_clock.to_owner(*m_policies.confirmed_at());
+    for (const auto& [model, history] : m_policies.versions()) {
+        auto& versions = record.models[model];
+        for (const named_version& one : history.named()) {
+            versions.push_back({one.version, m_clock.to_owner(one.accepted_after)});
+        }
+    }
+    return record;
+}
+
+runtime::task<void> naming_journal::write_record() {
+    platform::transaction change;
+    change.writes.push_back({record_key, rollout::encode(current_record())});
+    std::vector<platform::transaction> changes;
+    changes.push_back(std::move(change));
+    const auto outcome = co_await m_table.transact(std::move(changes));
+    if (!outcome) {
+        runtime::log(runtime::log_level::debug, component, "naming record not written",
+                     {{"error", outcome.error().message}});
+    }
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/relay/policy_source.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace ferryroad::relay {
@@ -52,6 +53,29 @@
     return true;
 }
 
+void version_history::learn(std::uint64_t older_than, std::uint64_t up_to,
+                            base::monotonic_time moment) {
+    for (named_version& one : m_named) {
+        if (one.version > older_than && one.version <= up_to) {
+            one.accepted_after = std::max(one.accepted_after, moment);
+        }
+    }
+}
+
+void policy_source::learn_naming(const std::string& model, std::uint64_t version,
+                                 base::monotonic_time moment) {
+    m_versions[model].learn(version - 1, version, moment);
+}
+
+void policy_source::learn_newer(const std::map<std::string, std::uint64_t>& known,
+                                base::monotonic_time moment) {
+    for (auto& [model, history] : m_versions) {
+        const auto found = known.find(model);
+        const std::uint64_t newest = found == known.end() ? 0 : found->second;
+        history.learn(newest, std::numeric_limits<std::uint64_t>::max(), moment);
+    }
+}
+
 std::optional<base::monotonic_time> version_history::outdated_since(std::uint64_t version) const {
     const auto newer = std::find_if(m_named.begin(), m_named.end(), [&](const named_version& one) {
         return one.version > version;
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -35,6 +35,10 @@
     /// @return when weights of `version` may have become outdated: the moment after which the
     /// first newer ones were named; nothing where they are the newest.
     std::optional<base::monotonic_time> outdated_since(std::uint64_t version) const;
+    /// Every version after `older_than`, up to `up_to`, was named after `moment`: what was not
+    /// known before is known better now.
+    void learn(std::uint64_t older_than, std::uint64_t up_to, base::monotonic_time moment);
+    const std::vector<named_version>& named() const { return m_named; }
 
   private:
     /// Older ones are forgotten: what is outdated by them is so by the next one, too, and the
@@ -70,6 +74,11 @@
     bool offer(core::traffic::declaration declared);
     /// A model's weights were named. @return whether the version is newer than any known.
     bool name_version(const std::string& model, std::uint64_t version);
+    /// A version was named after `moment`, as was recorded while this process wasn't there.
+    void learn_naming(const std::string& model, std::uint64_t version, base::monotonic_time moment);
+    /// The same of every version, of any model, that is newer than the one given for the model.
+    void learn_newer(const std::map<std::string, std::uint64_t>& known,
+                     base::monotonic_time moment);
     /// Everything accepted by the owner before `asked_at` has been offered.
     void confirm(base::monotonic_time asked_at);
 
@@ -79,6 +88,8 @@
     const version_history& versions_of(const std::string& model) const;
     const std::map<std::string, version_history>& versions() const { return m_versions; }
 
+    /// @return the moment before which everything accepted is known here.
+    std::optional<base::monotonic_time> confirmed_at() const { return m_confirmed_at; }
     /// @return time since the policy was last confirmed; the greatest while it never was.
     base::duration age(base::monotonic_time now) const;
     bool keys_hold(base::monotonic_time now) const;
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -25,8 +25,11 @@
 struct relay_settings {
     driver_tunables driver;
     retry_settings retries;
-    /// When to come back where the policy isn't known or not fresh.
-    base::duration policy_retry_after = std::chrono::milliseconds(300);
+    /// When to come back where no policy is known: an outage of the owner lasts seconds, and a
+    /// caller that comes back too soon is refused again.
+    base::duration unknown_policy_retry_after = std::chrono::milliseconds(2500);
+    /// The same where the policy is not fresh: another router may still have it fresh.
+    base::duration stale_policy_retry_after = std::chrono::milliseconds(1000);
 };
 
 /// Where finished requests are told, for logs and metrics.
@@ -64,7 +67,10 @@
     static constexpr std::string_view component = "relay.service";
 
     relay_refusal refusal_of(refusal_cause cause) const {
-        return {cause, core::execution::execution_report::not_run, m_settings.policy_retry_after};
+        const bool unknown = cause == refusal_cause::no_policy;
+        return {cause, core::execution::execution_report::not_run,
+                unknown ? m_settings.unknown_policy_retry_after
+                        : m_settings.stale_policy_retry_after};
     }
 
     resolution resolve(const std::shared_ptr<const relay_call>& call) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -58,6 +58,8 @@
           m_warm(warm),
           m_settings(std::move(settings)) {}
 
+    void change_settings(selection_settings settings) { m_settings = std::move(settings); }
+
     /// @return nothing where no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
     /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
--- a/src/ferryroad/relay/table_follower.hpp
+++ b/src/ferryroad/relay/table_follower.hpp
@@ -31,6 +31,7 @@
 struct record_batch {
     std::vector<record> records;
     std::uint64_t version = 0;
+    std::chrono::milliseconds owner_time{};  ///< The owner's steady clock, as it answered.
 
     friend bool operator==(const record_batch&, const record_batch&) = default;
 };
@@ -58,9 +59,9 @@
     std::string table;
     base::duration wait{};  ///< For changes, in one call.
     base::duration pace{};  ///< Between the starts of two calls, at least.
-    base::duration call_limit = std::chrono::milliseconds(800);  ///< Beyond `wait`.
+    base::duration call_limit = std::chrono::milliseconds(500);  ///< Beyond `wait`.
     base::duration first_backoff = std::chrono::milliseconds(100);
-    base::duration longest_backoff = std::chrono::milliseconds(1000);
+    base::duration longest_backoff = std::chrono::milliseconds(400);
     /// Consecutive faults after which the dependency counts as lost.
     std::uint32_t faults_until_lost = 2;
 };
@@ -69,8 +70,10 @@
 struct follower_events {
     std::function<void(const std::vector<record>&)> whole;  ///< All there is.
     std::function<void(const record&)> changed;             ///< Put or deleted.
-    /// Everything accepted before `asked_at` has been told.
-    std::function<void(base::monotonic_time asked_at)> confirmed;
+    /// Everything accepted before `asked_at` has been told; the owner's clock showed `owner_time`
+    /// between then and now.
+    std::function<void(base::monotonic_time asked_at, std::chrono::milliseconds owner_time)>
+        confirmed;
 };
 
 /// Kept until the loop has ended. Feed and scheduler outlive it.
@@ -153,7 +156,7 @@
                          {{"table", m_settings.table}, {"version", std::to_string(m_version)}});
         }
         m_faults = 0;
-        m_events.confirmed(asked_at);
+        m_events.confirmed(asked_at, batch.owner_time);
     }
 
     void note_fault(feed_fault fault) {
--- a/src/ferryroad/settings/schema.cpp
+++ b/src/ferryroad/settings/schema.cpp
@@ -123,37 +123,23 @@
         std::cerr << refused.to_string() << '\n';
         return outcome{exit_bad_settings};
     };
-    std::map<std::string, bool> given;
+    given_fields given;
     if (!file.empty()) {
-        std::ifstream stream(file);
-        const std::string text{std::istreambuf_iterator<char>(stream), {}};
-        if (!stream) {
-            return refuse({file, "", "", "a readable file"});
-        }
-        boost::system::error_code failure;
-        const json::value parsed = json::parse(text, failure);
-        if (failure || !parsed.is_object()) {
-            return refuse({file, "", "", "a JSON object"});
-        }
-        if (const auto refused = apply(file, parsed.get_object())) {
+        if (const auto refused = take_file(file, given)) {
             return refuse(*refused);
         }
-        for (const auto& entry : parsed.get_object()) {
-            given[std::string(entry.key())] = true;
-        }
     }
     for (const field& known : fields_) {
         if (application.count(known.flag()) > 0) {
             if (const auto refused = take_flag(known, flags[known.name])) {
                 return refuse(*refused);
             }
-            given[known.name] = true;
-        }
-        if (known.need == presence::required && !given[known.name]) {
-            return refuse({file.empty() ? command_line_source : file, known.name, "",
-                           known.type + " (required)"});
+            given.insert(known.name);
         }
     }
+    if (const auto missing = first_missing(file.empty() ? command_line_source : file, given)) {
+        return refuse(*missing);
+    }
     if (check) {
         std::cout << "settings are valid\n";
         return {0};
@@ -161,6 +147,41 @@
     return {};
 }
 
+std::optional<error> schema::take_file(const std::string& file, given_fields& given) {
+    std::ifstream stream(file);
+    const std::string text{std::istreambuf_iterator<char>(stream), {}};
+    if (!stream) {
+        return error{file, "", "", "a readable file"};
+    }
+    boost::system::error_code failure;
+    const json::value parsed = json::parse(text, failure);
+    if (failure || !parsed.is_object()) {
+        return error{file, "", "", "a JSON object"};
+    }
+    for (const auto& entry : parsed.get_object()) {
+        given.insert(std::string(entry.key()));
+    }
+    return apply(file, parsed.get_object());
+}
+
+std::optional<error> schema::first_missing(const std::string& source,
+                                           const given_fields& given) const {
+    for (const field& known : fields_) {
+        if (known.need == presence::required && !given.contains(known.name)) {
+            return error{source, known.name, "", known.type + " (required)"};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<error> schema::load(const std::string& file) {
+    given_fields given;
+    if (auto refused = take_file(file, given)) {
+        return refused;
+    }
+    return first_missing(file, given);
+}
+
 std::string schema::reference() const {
     std::ostringstream text;
     text << "| setting | flag | type | default | meaning |\n|---|---|---|---|---|\n";
--- a/src/ferryroad/settings/schema.hpp
+++ b/src/ferryroad/settings/schema.hpp
@@ -10,6 +10,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,12 +64,21 @@
     /// @return the first refusal, or nothing.
     std::optional<error> apply(const std::string& source, const boost::json::object& values);
 
+    /// Reads a file again, as a whole: every field known and sound, none required missing.
+    /// @return the first refusal, or nothing.
+    std::optional<error> load(const std::string& file);
+
     /// @return the reference of this program's settings as a Markdown table.
     std::string reference() const;
 
     const std::vector<field>& fields() const { return fields_; }
 
   private:
+    using given_fields = std::set<std::string>;
+
+    /// Takes a file's fields and notes which it gave. @return the first refusal, or nothing.
+    std::optional<error> take_file(const std::string& file, given_fields& given);
+    std::optional<error> first_missing(const std::string& source, const given_fields& given) const;
     void append(field added, presence need);
     const field* find(std::string_view name) const;
 
