--- a/cmake/ferryroad_targets.cmake
+++ b/cmake/ferryroad_targets.cmake
@@ -19,14 +19,17 @@
 
 # ferryroad_tests(DEPENDS target...): one program and one CTest entry for each
 # *_test.cpp of the calling folder. Its CTest name is its path below test/ with
-# dots, as in coordination.membership.failure_detector.
+# dots, as in coordination.membership.failure_detector; NAMED puts another name for the path.
 function(ferryroad_tests)
-  cmake_parse_arguments(ARG "" "TIMEOUT" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "TIMEOUT;NAMED" "DEPENDS" ${ARGN})
   if(NOT ARG_TIMEOUT)
     set(ARG_TIMEOUT 120)
   endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*_test.cpp)
   file(RELATIVE_PATH folder ${PROJECT_SOURCE_DIR}/test ${CMAKE_CURRENT_SOURCE_DIR})
+  if(ARG_NAMED)
+    set(folder ${ARG_NAMED})
+  endif()
   foreach(source ${sources})
     get_filename_component(stem ${source} NAME_WE)
     string(REGEX REPLACE "_test$" "" stem ${stem})
--- a/src/ferryroad/core/admission/retry_budget.cpp
+++ b/src/ferryroad/core/admission/retry_budget.cpp
@@ -11,6 +11,10 @@
     balance_ = std::min(reserve_, balance_ + share_);
 }
 
+void retry_budget::give_back() {
+    balance_ = std::min(reserve_, balance_ + 1);
+}
+
 bool retry_budget::try_retry() {
     if (balance_ < 1) {
         return false;
--- a/src/ferryroad/core/admission/retry_budget.hpp
+++ b/src/ferryroad/core/admission/retry_budget.hpp
@@ -16,6 +16,8 @@
     void record_success();
     /// @return true where a retry may be made; it is then spent.
     bool try_retry();
+    /// A retry that was allowed was not made after all.
+    void give_back();
     /// The share in force from now on.
     void change_share(double share) { share_ = share; }
 
--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -102,15 +102,20 @@
     }
     const attempt_number number(static_cast<std::uint32_t>(attempts_.size()) + 1);
     attempts_.push_back({number, selected.engine, attempt_state::sent});
+    retry_paid_ = false;
     ++last_exchange_.value;
     phase_ = phase::exchanging;
     return {dispatch_attempt{last_exchange_, number, selected.engine, next_token_}};
 }
 
-action_list request_execution::on(const selection_failed& failed, context&) {
+action_list request_execution::on(const selection_failed& failed, context& at) {
     if (phase_ != phase::selecting) {
         return drop();
     }
+    if (retry_paid_) {
+        at.budget.give_back();  // Nothing was sent for it.
+        retry_paid_ = false;
+    }
     if (failed.problem == selection_problem::deadline_too_near || overloaded_refusals_ > 0) {
         return end_with_refusal(refusal_reason::overloaded, failed.retry_after);
     }
@@ -260,7 +265,8 @@
     if (!rules_.repeatable && !surely_not_run(attempts_.back())) {
         return false;
     }
-    return !spends_budget(failed.kind, limits_) || at.budget.try_retry();
+    retry_paid_ = spends_budget(failed.kind, limits_);
+    return !retry_paid_ || at.budget.try_retry();
 }
 
 action_list request_execution::retry() {
--- a/src/ferryroad/core/execution/request_execution.hpp
+++ b/src/ferryroad/core/execution/request_execution.hpp
@@ -101,6 +101,7 @@
     exchange_number last_exchange_;
     std::uint32_t next_token_ = 0;
     std::uint32_t overloaded_refusals_ = 0;
+    bool retry_paid_ = false;  ///< The budget paid for a retry that wasn't sent yet.
     std::uint32_t dropped_ = 0;
 };
 
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -46,7 +46,7 @@
     double recompute_factor = 2.0;
     /// Share of a prefix that its home is believed to hold where nothing is known.
     double home_warmth = 0.9;
-    double outdated_ms = 150;
+    double outdated_ms = 600;
     double suspended_ms = 5000;
 };
 
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/error.hpp>
 #include <boost/system/system_error.hpp>
 
+#include <algorithm>
+
 namespace ferryroad::http {
 
 namespace {
@@ -72,7 +74,7 @@
         }
     }
     phase_ = phase::reading;
-    link_->set_limit(shared_->limits.header_read);
+    link_->set_limit(std::min(shared_->limits.header_read, shared_->limits.request_read));
     bool continue_sent = false;
     bool reading_body = false;
     for (;;) {
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -463,6 +463,10 @@
     }
 
     runtime::task<void> refuse(relay_refusal refusal) {
+        const bool out_of_time = m_with.scheduler.now() >= m_plan.deadline;
+        if (out_of_time && refusal.cause == refusal_cause::engine_failed) {
+            refusal.cause = refusal_cause::deadline_exceeded;
+        }
         m_outcome.refusal = refusal;
         if (refusal.cause == refusal_cause::caller_gone || m_begun) {
             m_writer.abort();  // A stream that was cut short must not look complete.
--- /dev/null
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -0,0 +1,214 @@
+/// A rollout brings every engine to the newest weights, a few at a time, whatever answers are
+/// lost, and never orders twice what may still be carried out under the same expectation.
+#include "ferryroad/coordination/rollout/weights_rollout.hpp"
+
+#include "ferryroad/base/random.hpp"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace ferryroad;
+using namespace ferryroad::coordination::rollout;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::monotonic_time start{100s};
+const std::string model = "m";
+
+/// An engine that takes orders as the platform's do.
+struct simulated_engine {
+    std::uint64_t version = 1;
+    std::uint64_t orders_taken = 0;
+    std::uint64_t loading = 0;  ///< Version being loaded; 0: none.
+    base::monotonic_time loaded_at{};
+    std::uint64_t loads = 0;
+
+    void settle(base::monotonic_time now) {
+        if (loading != 0 && now >= loaded_at) {
+            version = loading;
+            loading = 0;
+        }
+    }
+    order_answer take(const send_order& order, base::monotonic_time now) {
+        settle(now);
+        if (loading != 0 || order.expected_orders != orders_taken) {
+            return order_answer::refused;
+        }
+        ++orders_taken;
+        ++loads;
+        loading = order.version;
+        loaded_at = now + 700ms;
+        return order_answer::accepted;
+    }
+};
+
+struct fleet {
+    fleet(std::size_t size, std::uint64_t seed) : random(seed) {
+        for (std::size_t index = 0; index < size; ++index) {
+            engines[base::engine_name("e" + std::to_string(index))] = {};
+        }
+    }
+
+    std::vector<engine_view> views() const {
+        std::vector<engine_view> seen;
+        for (const auto& [name, engine] : engines) {
+            seen.push_back({name, model, listed.contains(name) ? listed.at(name) : 1, 0});
+        }
+        return seen;
+    }
+
+    /// One step of the rollout, with answers lost in `loss` of the calls.
+    void step(weights_rollout& rollout, double loss) {
+        for (auto& [name, engine] : engines) {
+            engine.settle(now);
+        }
+        const auto steps = rollout.next(views(), now);
+        for (const auto& wanted : steps.reports) {
+            simulated_engine& engine = engines[wanted.engine];
+            if (random.unit() < loss) {
+                rollout.report_lost(wanted.engine, now);
+                continue;
+            }
+            listed[wanted.engine] = engine.version;
+            rollout.reported(wanted.engine,
+                             {engine.version, engine.orders_taken, engine.loading != 0}, now);
+        }
+        for (const auto& wanted : steps.orders) {
+            const auto answer = engines[wanted.engine].take(wanted, now);
+            const bool lost = random.unit() < loss;
+            rollout.ordered(wanted.engine, lost ? order_answer::lost : answer, now);
+        }
+        const auto loading = std::count_if(engines.begin(), engines.end(), [](const auto& entry) {
+            return entry.second.loading != 0;
+        });
+        most_loading = std::max<std::size_t>(most_loading, static_cast<std::size_t>(loading));
+        now += 50ms;
+    }
+
+    bool all_at(std::uint64_t version) const {
+        return std::all_of(engines.begin(), engines.end(), [&](const auto& entry) {
+            return entry.second.version == version;
+        });
+    }
+
+    base::seeded_random random;
+    base::monotonic_time now = start;
+    std::map<base::engine_name, simulated_engine> engines;
+    std::map<base::engine_name, std::uint64_t> listed;
+    std::size_t most_loading = 0;
+};
+
+}  // namespace
+
+Test(weights_rollout, orders_nothing_where_nothing_is_named) {
+    fleet engines(3, 1);
+    weights_rollout rollout;
+    const auto steps = rollout.next(engines.views(), start);
+    cr_assert(steps.reports.empty());
+    cr_assert(steps.orders.empty());
+}
+
+Test(weights_rollout, asks_an_engine_before_it_orders) {
+    fleet engines(1, 1);
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    const auto first = rollout.next(engines.views(), start);
+    cr_assert_eq(first.reports.size(), 1);
+    cr_assert(first.orders.empty());
+    cr_assert(rollout.next(engines.views(), start).reports.empty());
+    rollout.reported(base::engine_name("e0"), {1, 3, false}, start);
+    const auto second = rollout.next(engines.views(), start);
+    cr_assert_eq(second.orders.size(), 1);
+    const struct send_order expected{base::engine_name("e0"), model, 2, 3};
+    cr_assert(second.orders[0] == expected);
+}
+
+Test(weights_rollout, brings_all_to_the_newest_a_share_at_a_time) {
+    fleet engines(12, 1);
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    for (int index = 0; index < 200 && !engines.all_at(2); ++index) {
+        engines.step(rollout, 0);
+    }
+    cr_assert(engines.all_at(2));
+    cr_assert_leq(engines.most_loading, 4);
+    for (const auto& [name, engine] : engines.engines) {
+        cr_assert_eq(engine.loads, 1);
+    }
+}
+
+Test(weights_rollout, versions_named_meanwhile_are_skipped) {
+    fleet engines(12, 1);
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engines.step(rollout, 0);
+    rollout.want(model, 3);
+    rollout.want(model, 2);
+    for (int index = 0; index < 400 && !engines.all_at(3); ++index) {
+        engines.step(rollout, 0);
+    }
+    cr_assert(engines.all_at(3));
+    std::uint64_t loads = 0;
+    for (const auto& [name, engine] : engines.engines) {
+        loads += engine.loads;
+    }
+    cr_assert_leq(loads, 16, "%lu loads for 12 engines", loads);
+}
+
+Test(weights_rollout, the_oldest_weights_go_first) {
+    weights_rollout rollout;
+    rollout.want(model, 3);
+    std::vector<engine_view> seen;
+    for (int index = 0; index < 6; ++index) {
+        const std::uint64_t version = index < 3 ? 2 : 1;
+        seen.push_back({base::engine_name("e" + std::to_string(index)), model, version, 0});
+    }
+    for (const auto& wanted : rollout.next(seen, start).reports) {
+        cr_assert(wanted.engine >= base::engine_name("e3"));
+    }
+}
+
+Test(weights_rollout, an_engine_that_left_is_dropped) {
+    fleet engines(1, 1);
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    rollout.next(engines.views(), start);
+    cr_assert(rollout.under_way(base::engine_name("e0")));
+    rollout.next({}, start);
+    cr_assert_not(rollout.under_way(base::engine_name("e0")));
+    rollout.reported(base::engine_name("e0"), {1, 0, false}, start);
+}
+
+Test(weights_rollout, a_silent_engine_makes_room_for_others) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    const std::vector<engine_view> seen = {{base::engine_name("e0"), model, 1, 0},
+                                           {base::engine_name("e1"), model, 1, 1}};
+    cr_assert(rollout.next(seen, start).reports[0].engine == base::engine_name("e0"));
+    rollout.report_lost(base::engine_name("e0"), start);
+    rollout.next(seen, start + 7s);
+    cr_assert(rollout.under_way(base::engine_name("e0")) !=
+              rollout.under_way(base::engine_name("e1")));
+}
+
+Test(weights_rollout, lost_answers_delay_but_never_stop_it) {
+    const bool held = rc::check("lost answers", [](std::uint64_t seed) {
+        fleet engines(1 + seed % 13, seed);
+        weights_rollout rollout;
+        rollout.want(model, 2 + seed % 5);
+        for (int index = 0; index < 4000 && !engines.all_at(2 + seed % 5); ++index) {
+            engines.step(rollout, 0.3);
+        }
+        RC_ASSERT(engines.all_at(2 + seed % 5));
+        for (const auto& [name, engine] : engines.engines) {
+            RC_ASSERT(engine.loads == 1U);
+        }
+    });
+    cr_assert(held);
+}
--- /dev/null
+++ b/test/core/placement/placement_test.cpp
@@ -0,0 +1,81 @@
+/// Which engine wins, row by row.
+#include "ferryroad/core/placement/placement.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace ferryroad;
+using namespace ferryroad::core::placement;
+
+namespace {
+
+engine_candidate engine(const char* name) {
+    engine_candidate one;
+    one.name.value = name;
+    one.slots = 32;
+    return one;
+}
+
+placement_query long_prompt(std::vector<engine_candidate> candidates) {
+    return {12000, 9000, std::move(candidates)};
+}
+
+std::string winner(const placement_query& query) {
+    const auto choice = choose_engine(query, placement_tunables{});
+    return choice ? query.candidates[choice->candidate].name.value : "";
+}
+
+}  // namespace
+
+Test(placement, nothing_to_choose_from) {
+    cr_assert_not(choose_engine(placement_query{}, placement_tunables{}).has_value());
+}
+
+Test(placement, the_holder_of_the_prompt_wins) {
+    auto holder = engine("b");
+    holder.warm_tokens = 9000;
+    cr_assert_str_eq(winner(long_prompt({engine("a"), holder})).c_str(), "b");
+}
+
+Test(placement, the_home_wins_where_nothing_is_known) {
+    auto home = engine("b");
+    home.home = true;
+    cr_assert_str_eq(winner(long_prompt({engine("a"), home})).c_str(), "b");
+}
+
+Test(placement, a_crowded_holder_loses_in_the_end) {
+    auto holder = engine("b");
+    holder.warm_tokens = 9000;
+    holder.pending_prefill_tokens = 60000;
+    cr_assert_str_eq(winner(long_prompt({engine("a"), holder})).c_str(), "a");
+}
+
+Test(placement, short_requests_go_to_the_least_busy) {
+    auto busy = engine("a");
+    busy.running = 6;
+    cr_assert_str_eq(winner({0, 0, {busy, engine("b")}}).c_str(), "b");
+}
+
+Test(placement, the_own_zone_wins_among_equals) {
+    auto far = engine("a");
+    far.same_zone = false;
+    cr_assert_str_eq(winner({100, 0, {far, engine("b")}}).c_str(), "b");
+}
+
+Test(placement, newer_weights_win_unless_crowded) {
+    auto outdated = engine("a");
+    outdated.outdated = true;
+    auto current = engine("b");
+    cr_assert_str_eq(winner({100, 0, {outdated, current}}).c_str(), "b");
+    current.pending_prefill_tokens = 100000;
+    cr_assert_str_eq(winner({100, 0, {outdated, current}}).c_str(), "a");
+}
+
+Test(placement, a_suspended_engine_is_the_last_resort) {
+    auto suspended = engine("a");
+    suspended.suspended = true;
+    suspended.warm_tokens = 9000;
+    cr_assert_str_eq(winner(long_prompt({suspended, engine("b")})).c_str(), "b");
+    cr_assert_str_eq(winner(long_prompt({suspended})).c_str(), "a");
+}
--- /dev/null
+++ b/test/core/placement/warm_state_test.cpp
@@ -0,0 +1,114 @@
+/// Beliefs on prompt state: expected, told, taken back, forgotten, bounded.
+#include "ferryroad/core/placement/warm_state.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace ferryroad;
+using namespace ferryroad::core::placement;
+using namespace std::chrono_literals;
+using core::prefix::key_of;
+using core::prefix::part_key;
+using core::prefix::scoped_part;
+
+namespace {
+
+constexpr base::monotonic_time start{100s};
+const base::engine_name a("a");
+const base::engine_name b("b");
+
+std::vector<scoped_part> prompt() {
+    return {{key_of("s", "m", "p1"), 100}, {key_of("s", "m", "p2"), 50}};
+}
+
+}  // namespace
+
+Test(warm_state, an_expected_prompt_is_held_until_it_should_have_been_told) {
+    warm_state warm;
+    warm.expect(prompt(), a, start);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 1s), 150);
+    cr_assert_eq(warm.tokens_held(prompt(), b, start + 1s), 0);
+    warm.follow(a, true);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 2s), 0);
+}
+
+Test(warm_state, without_events_an_expectation_lasts_longer) {
+    warm_state warm;
+    warm.expect(prompt(), a, start);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 10s), 150);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 30s), 0);
+}
+
+Test(warm_state, what_a_followed_holder_told_holds_until_taken_back) {
+    warm_state warm;
+    warm.follow(a, true);
+    for (const scoped_part& part : prompt()) {
+        warm.told(part.key, a, part.tokens, start);
+    }
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 1h), 150);
+    warm.told(prompt()[1].key, a, 0, start + 1h);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 1h), 100);
+    warm.told(prompt()[0].key, a, 0, start + 1h);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 1h), 0);
+}
+
+Test(warm_state, a_part_is_of_no_use_without_those_before_it) {
+    warm_state warm;
+    warm.follow(a, true);
+    warm.told(prompt()[1].key, a, 50, start);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start), 0);
+}
+
+Test(warm_state, a_part_held_in_part_ends_the_prefix) {
+    warm_state warm;
+    warm.follow(a, true);
+    warm.told(prompt()[0].key, a, 60, start);
+    warm.told(prompt()[1].key, a, 50, start);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start), 60);
+}
+
+Test(warm_state, a_holder_that_ended_holds_nothing) {
+    warm_state warm;
+    warm.expect(prompt(), a, start);
+    warm.expect(prompt(), b, start);
+    warm.forget(a);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start), 0);
+    cr_assert_eq(warm.tokens_held(prompt(), b, start), 150);
+}
+
+Test(warm_state, a_lost_feed_turns_what_was_told_into_what_may_be) {
+    warm_state warm;
+    warm.follow(a, true);
+    warm.told(prompt()[0].key, a, 100, start);
+    warm.follow(a, false);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 10s), 100);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 30s), 0);
+}
+
+Test(warm_state, scopes_never_mix) {
+    cr_assert_neq(key_of("t-1/1", "m", "p").value, key_of("t-2/1", "m", "p").value);
+    cr_assert_neq(key_of("s/1", "m", "p").value, key_of("s/2", "m", "p").value);
+    cr_assert_neq(key_of("s", "m1", "p").value, key_of("s", "m2", "p").value);
+}
+
+Test(warm_state, is_bounded_and_forgets_what_was_used_longest_ago) {
+    warm_state_tunables tunables;
+    tunables.parts = 10;
+    warm_state warm(tunables);
+    for (int index = 0; index < 100; ++index) {
+        warm.expect({{part_key(1000U + static_cast<unsigned>(index)), 1}}, a, start);
+        cr_assert_leq(warm.size(), 10);
+    }
+    cr_assert_eq(warm.tokens_held({{part_key(1000), 1}}, a, start), 0);
+    cr_assert_eq(warm.tokens_held({{part_key(1099), 1}}, a, start), 1);
+}
+
+Test(warm_state, remembers_a_bounded_number_of_holders) {
+    warm_state_tunables tunables;
+    tunables.holders = 2;
+    warm_state warm(tunables);
+    warm.expect(prompt(), a, start);
+    warm.expect(prompt(), b, start + 1ms);
+    warm.expect(prompt(), base::engine_name("c"), start + 2ms);
+    cr_assert_eq(warm.tokens_held(prompt(), a, start + 3ms), 0);
+    cr_assert_eq(warm.tokens_held(prompt(), b, start + 3ms), 150);
+}
--- /dev/null
+++ b/test/relay/naming_journal_test.cpp
@@ -0,0 +1,113 @@
+/// The record of naming times crosses from one router to the next by the table's clock.
+#include "ferryroad/relay/naming_journal.hpp"
+
+#include "test/http/loopback.hpp"
+
+#include <map>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+class kept_rows final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        for (const platform::transaction& one : transactions) {
+            for (const platform::row_write& write : one.writes) {
+                rows[write.key.value] = *write.value;
+            }
+        }
+        co_return std::vector<platform::transaction_outcome>(transactions.size());
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key> keys) override {
+        std::vector<platform::row> found;
+        if (down) {
+            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
+        }
+        for (const platform::row_key& key : keys) {
+            if (rows.contains(key.value)) {
+                found.push_back({key, rows[key.value], platform::row_version(1)});
+            }
+        }
+        co_return found;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        co_return std::vector<platform::row>{};
+    }
+    std::map<std::string, std::string> rows;
+    bool down = false;
+};
+
+struct router {
+    router(ferryroad::test::loopback& loop, platform::table& table, bool leads)
+        : journal(loop.scheduler, table, policies, [leads] { return leads; }, {5ms, 2ms}) {}
+    policy_source policies{policy_bounds{}};
+    naming_journal journal;
+};
+
+void run_for(ferryroad::test::loopback& loop, base::duration time) {
+    loop.context.restart();
+    cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
+}
+
+}  // namespace
+
+Test(owner_clock, errs_towards_earlier_moments) {
+    owner_clock clock;
+    const base::monotonic_time asked(100s);
+    clock.observe(asked, asked + 10ms, 5000ms);
+    cr_assert_leq(clock.to_owner(asked), 5000);
+    cr_assert_geq(clock.to_owner(asked), 4990);
+    cr_assert(clock.to_local(5000) <= asked);
+    clock.observe(asked + 1s, asked + 1s, 6000ms);
+    cr_assert_eq(clock.to_owner(asked), 5000);
+    cr_assert(clock.to_local(5000) == asked);
+}
+
+Test(naming_journal, a_router_that_starts_later_learns_when_weights_were_named) {
+    ferryroad::test::loopback loop;
+    kept_rows table;
+    router first(loop, table, true);
+    const base::monotonic_time now = loop.scheduler.now();
+    first.journal.clock().observe(now, now, 70s);
+    first.policies.confirm(now - 4s);
+    first.policies.name_version("m", 2);
+    first.policies.confirm(now - 1s);
+    first.journal.start();
+    run_for(loop, 30ms);
+    cr_assert_eq(table.rows.size(), 1);
+
+    router second(loop, table, false);
+    const base::monotonic_time later = loop.scheduler.now();
+    second.policies.name_version("m", 2);
+    second.policies.name_version("m", 3);
+    cr_assert(second.policies.versions_of("m").outdated_since(1) == base::monotonic_time{});
+    second.journal.clock().observe(later, later, 70s + (later - now) / 1ms * 1ms);
+    second.journal.start();
+    run_for(loop, 30ms);
+    const auto of_first = *second.policies.versions_of("m").outdated_since(1);
+    const auto of_second = *second.policies.versions_of("m").outdated_since(2);
+    cr_assert(of_first <= now - 4s + 2ms);
+    cr_assert(of_first >= now - 4s - 10ms);
+    cr_assert(of_second <= now - 1s + 2ms);
+    cr_assert(of_second >= now - 1s - 10ms);
+}
+
+Test(naming_journal, waits_for_a_table_that_is_down_and_never_writes_unless_it_leads) {
+    ferryroad::test::loopback loop;
+    kept_rows table;
+    table.down = true;
+    router one(loop, table, false);
+    one.journal.clock().observe(loop.scheduler.now(), loop.scheduler.now(), 1s);
+    one.policies.confirm(loop.scheduler.now());
+    one.journal.start();
+    run_for(loop, 30ms);
+    table.down = false;
+    run_for(loop, 30ms);
+    cr_assert(table.rows.empty());
+}
--- /dev/null
+++ b/test/relay/relay_service_test.cpp
@@ -0,0 +1,297 @@
+/// What a caller gets, and what engines are sent, for each way in which exchanges end.
+#include "test/relay/fake_upstream.hpp"
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+using core::execution::failure_kind;
+using core::execution::failure_proof;
+
+namespace {
+
+scripted_answer whole(unsigned status, std::string text) {
+    scripted_answer one;
+    one.status = status;
+    one.stream = false;
+    one.body = {bytes(std::move(text)), body_end};
+    return one;
+}
+
+scripted_answer stream(std::vector<body_step> steps, std::string signature = "sig") {
+    scripted_answer one;
+    one.body = std::move(steps);
+    one.signature = std::move(signature);
+    return one;
+}
+
+scripted_answer fails(failure_kind kind, failure_proof proof) {
+    scripted_answer one;
+    one.failure = failure(kind, proof);
+    return one;
+}
+
+runtime::task<void> leave_once_open(relay_fixture& at) {
+    co_await at.loop.until([&at] { return *at.upstream.open_bodies == 1; });
+    at.writer.closed = true;
+}
+
+runtime::task<void> take_key_away_once_sent(relay_fixture& at) {
+    co_await at.loop.until([&at] { return !at.upstream.dispatches.empty(); });
+    auto changed = relay_fixture::declared(2);
+    changed.tenants[0].keys = {"another"};
+    at.policies.offer(std::move(changed));
+}
+
+std::string header(const recorded_writer& writer, std::string_view name) {
+    return std::string(writer.headers.find(name).value_or(""));
+}
+
+}  // namespace
+
+Test(relay_service, passes_a_whole_answer_on_unchanged) {
+    relay_fixture fixture;
+    fixture.answer(whole(200, "hello"));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 200);
+    cr_assert_str_eq(fixture.writer.body.c_str(), "hello");
+    cr_assert(header(fixture.writer, "X-Response-Signature") == "sig");
+    cr_assert_eq(fixture.writer.final_answers, 1);
+    cr_assert_str_eq(fixture.upstream.dispatches[0].tenant->value.c_str(), "t");
+}
+
+Test(relay_service, passes_events_on_and_ends_only_with_the_engine) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1) + "id: 2\n"), bytes("data: x\n\n"), body_end}));
+    fixture.serve(fixture.call("/stream/"));
+    cr_assert(fixture.writer.body == event(1) + event(2));
+    cr_assert_eq(fixture.writer.final_answers, 1);
+    cr_assert_not(fixture.writer.aborted);
+}
+
+Test(relay_service, a_broken_stream_that_may_not_be_resumed_never_looks_complete) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1)), body_broken}));
+    fixture.serve(fixture.call("/stream/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert(fixture.writer.aborted);
+    cr_assert_eq(fixture.writer.final_answers, 0);
+}
+
+Test(relay_service, half_an_event_at_the_end_is_a_break) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1) + "id: 2\nda"), body_end}));
+    fixture.serve(fixture.call("/stream/"));
+    cr_assert(fixture.writer.aborted);
+    cr_assert(fixture.writer.body == event(1));
+}
+
+Test(relay_service, a_resumable_stream_goes_on_elsewhere_in_the_same_answer) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1) + event(2) + "id: 3\n"), body_broken}, "first"));
+    fixture.answer(stream({bytes(event(3)), bytes(event(4)), body_end}, "second"));
+    fixture.serve(fixture.call("/resumable/"));
+    cr_assert(fixture.writer.body == event(1) + event(2) + event(3) + event(4));
+    cr_assert_eq(fixture.writer.streams, 1);
+    cr_assert_eq(fixture.writer.final_answers, 1);
+    cr_assert(header(fixture.writer, "X-Response-Signature") == "first");
+    cr_assert_neq(fixture.upstream.engines[0], fixture.upstream.engines[1]);
+    cr_assert_eq(fixture.upstream.dispatches[1].resume_after, 2U);
+}
+
+Test(relay_service, events_out_of_order_are_a_break) {
+    for (const std::uint64_t wrong : {1U, 3U}) {
+        relay_fixture fixture;
+        fixture.answer(stream({bytes(event(1) + event(wrong)), body_end}));
+        fixture.serve(fixture.call("/stream/"));
+        cr_assert(fixture.writer.aborted);
+        cr_assert(fixture.writer.body == event(1));
+    }
+}
+
+Test(relay_service, a_caller_that_resumes_gets_what_follows) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(8)), body_end}));
+    relay_call call = fixture.call("/resumable/");
+    call.last_event_id = 7;
+    fixture.serve(std::move(call));
+    cr_assert_eq(fixture.upstream.dispatches[0].resume_after, 7U);
+    cr_assert(fixture.writer.body == event(8));
+}
+
+Test(relay_service, what_may_not_be_repeated_is_sent_once_unless_proven_not_run) {
+    relay_fixture fixture;
+    fixture.answer(fails(failure_kind::broken, failure_proof::unknown));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert_eq(fixture.writer.status, 502);
+    cr_assert(header(fixture.writer, "Retry-After").empty());
+}
+
+Test(relay_service, a_proven_refusal_is_tried_elsewhere) {
+    relay_fixture fixture;
+    fixture.answer(fails(failure_kind::overloaded, failure_proof::not_run));
+    fixture.answer(whole(200, "ok"));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 200);
+    cr_assert_neq(fixture.upstream.engines[0], fixture.upstream.engines[1]);
+}
+
+Test(relay_service, a_refusal_says_not_run_and_when_to_come_back) {
+    relay_fixture fixture;
+    fixture.answer(fails(failure_kind::overloaded, failure_proof::not_run));
+    fixture.answer(fails(failure_kind::overloaded, failure_proof::not_run));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert(!header(fixture.writer, "Retry-After").empty());
+}
+
+Test(relay_service, a_mixed_history_makes_no_promise) {
+    relay_fixture fixture;
+    fixture.answer(fails(failure_kind::broken, failure_proof::unknown));
+    fixture.answer(fails(failure_kind::overloaded, failure_proof::not_run));
+    fixture.serve(fixture.call("/safe/"));
+    cr_assert_eq(fixture.writer.status, 502);
+}
+
+Test(relay_service, an_engines_own_failure_is_tried_again_where_it_may_and_passed_on_at_last) {
+    relay_fixture fixture;
+    fixture.answer(whole(500, "bad"));
+    fixture.answer(whole(500, "worse"));
+    fixture.serve(fixture.call("/safe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 2);
+    cr_assert_eq(fixture.writer.status, 500);
+    cr_assert_str_eq(fixture.writer.body.c_str(), "worse");
+}
+
+Test(relay_service, an_engines_own_failure_of_what_may_not_be_repeated_is_passed_on) {
+    relay_fixture fixture;
+    fixture.answer(whole(500, "bad"));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert_eq(fixture.writer.status, 500);
+}
+
+Test(relay_service, never_runs_on_more_engines_than_the_route_allows) {
+    relay_fixture fixture;
+    for (int index = 0; index < 6; ++index) {
+        fixture.answer(fails(failure_kind::broken, failure_proof::unknown));
+    }
+    fixture.serve(fixture.call("/safe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 2);
+}
+
+Test(relay_service, a_silent_engine_is_answered_for_at_the_routes_timeout) {
+    relay_fixture fixture;
+    const auto began = fixture.loop.scheduler.now();
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 504);
+    cr_assert(fixture.loop.scheduler.now() - began >= 290ms);
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+}
+
+Test(relay_service, a_silent_engine_is_left_for_another_where_the_request_may_be_repeated) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1)), body_silence}));
+    fixture.answer(stream({bytes(event(2)), body_end}));
+    fixture.serve(fixture.call("/resumable/"));
+    cr_assert(fixture.writer.body == event(1) + event(2));
+    cr_assert_eq(*fixture.upstream.open_bodies, 0);
+}
+
+Test(relay_service, a_caller_that_leaves_ends_the_engines_work) {
+    relay_fixture fixture;
+    fixture.answer(stream({bytes(event(1)), body_silence}));
+    fixture.loop.scheduler.spawn("leave", leave_once_open(fixture));
+    fixture.serve(fixture.call("/stream/"));
+    cr_assert_eq(*fixture.upstream.open_bodies, 0);
+    cr_assert_eq(fixture.writer.final_answers, 0);
+    cr_assert(fixture.outcomes.at(0).refusal->cause == refusal_cause::caller_gone);
+}
+
+Test(relay_service, the_deadline_is_the_callers_or_the_routes_whichever_is_first) {
+    relay_fixture fixture;
+    fixture.answer(whole(200, "ok"));
+    relay_call call = fixture.call("/unsafe/");
+    call.time_left = 50ms;
+    fixture.serve(std::move(call));
+    cr_assert(fixture.upstream.dispatches[0].time_left <= 50ms);
+    relay_fixture other;
+    other.answer(whole(200, "ok"));
+    other.serve(other.call("/unsafe/"));
+    cr_assert(other.upstream.dispatches[0].time_left <= 300ms);
+}
+
+struct unresolved_row {
+    const char* name;
+    const char* path;
+    const char* key;
+    base::duration age;  ///< Of the policy's confirmation.
+    unsigned status;
+};
+const unresolved_row unresolved_rows[] = {
+    {"no such route", "/none/", "key", 0ms, 404},
+    {"no such route, perhaps", "/none/", "key", 2500ms, 503},
+    {"no such key", "/safe/", "other", 0ms, 401},
+    {"no such key, perhaps", "/safe/", "other", 2500ms, 503},
+    {"keys not confirmed", "/safe/", "key", 3500ms, 503},
+};
+
+Test(relay_service, calls_that_fit_no_route_or_key) {
+    for (const unresolved_row& row : unresolved_rows) {
+        relay_fixture fixture;
+        policy_source& policies = fixture.policies;
+        policies = policy_source(policy_bounds{3s, 2s});
+        policies.offer(relay_fixture::declared());
+        policies.confirm(fixture.loop.scheduler.now() - row.age);
+        relay_call call = fixture.call(row.path);
+        call.api_key = row.key;
+        fixture.serve(std::move(call));
+        cr_assert_eq(fixture.writer.status, row.status, "%s: %u", row.name, fixture.writer.status);
+        cr_assert(fixture.upstream.dispatches.empty(), "%s", row.name);
+    }
+}
+
+Test(relay_service, without_a_policy_it_answers_503) {
+    relay_fixture fixture;
+    fixture.policies = policy_source(policy_bounds{3s, 2s});
+    fixture.serve(fixture.call("/safe/"));
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert(!header(fixture.writer, "Retry-After").empty());
+}
+
+Test(relay_service, a_key_taken_away_while_a_retry_waits_stops_to_hold) {
+    relay_fixture fixture;
+    scripted_answer refused = fails(failure_kind::overloaded, failure_proof::not_run);
+    refused.delay = 20ms;
+    fixture.answer(std::move(refused));
+    fixture.answer(whole(200, "ok"));
+    fixture.loop.scheduler.spawn("revoke", take_key_away_once_sent(fixture));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert_eq(fixture.writer.status, 503);
+}
+
+Test(relay_service, a_leaving_router_refuses_at_once) {
+    relay_fixture fixture;
+    fixture.service.refuse_new();
+    fixture.serve(fixture.call("/safe/"));
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert(fixture.upstream.dispatches.empty());
+}
+
+Test(relay_service, retries_stay_within_the_budget) {
+    relay_fixture fixture;
+    relay_settings settings = relay_fixture::settings_of();
+    settings.retries = {0.0, 3};
+    fixture.service.change_settings(settings);
+    for (int request = 0; request < 8; ++request) {
+        fixture.upstream.answers.clear();
+        for (int index = 0; index < 4; ++index) {
+            fixture.answer(fails(failure_kind::overloaded, failure_proof::not_run));
+        }
+        fixture.loop.context.restart();
+        fixture.serve(fixture.call("/safe/"));
+    }
+    cr_assert_eq(fixture.upstream.dispatches.size(), 8 + 3, "%zu", fixture.upstream.dispatches.size());
+}
--- /dev/null
+++ b/test/relay/rollout_service_test.cpp
@@ -0,0 +1,82 @@
+/// Orders go out only under the lease, with its token, and not before another holder's last
+/// order is old enough.
+#include "ferryroad/relay/rollout_service.hpp"
+
+#include "test/relay/fake_upstream.hpp"
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct fake_lease {
+    std::optional<base::fencing_token> held;
+    std::optional<base::fencing_token> token() const { return held; }
+};
+
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_upstream upstream{loop.scheduler};
+    engine_registry registry;
+    policy_source policies{policy_bounds{}};
+    fake_lease lease;
+    rollout_service<fake_upstream, fake_lease> service{
+        {loop.scheduler, upstream, registry, policies, lease}, settings()};
+
+    fixture() {
+        for (const char* name : {"e1", "e2", "e3"}) {
+            listed_engine one;
+            one.name.value = name;
+            one.versions["m"] = 1;
+            registry.put(one);
+            upstream.reports[name] = {1, 4, false};
+        }
+        policies.name_version("m", 2);
+    }
+    static rollout_settings settings() {
+        rollout_settings all;
+        all.holder = "router-1";
+        all.period = 2ms;
+        all.settle = 120ms;
+        all.rollout.first_look = 2ms;
+        all.rollout.look_period = 2ms;
+        return all;
+    }
+    void run_for(base::duration time) {
+        loop.context.restart();
+        cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
+    }
+};
+
+}  // namespace
+
+Test(rollout_service, orders_nothing_without_the_lease) {
+    fixture at;
+    at.service.start();
+    at.run_for(60ms);
+    cr_assert(at.upstream.orders.empty());
+}
+
+Test(rollout_service, the_first_holder_brings_all_engines_to_the_newest_weights) {
+    fixture at;
+    at.lease.held = base::fencing_token(1);
+    at.service.start();
+    at.run_for(100ms);
+    cr_assert_eq(at.upstream.orders.size(), 3);
+    for (const weights_order& order : at.upstream.orders) {
+        cr_assert(order == (weights_order{"m", 2, 4, "router-1", base::fencing_token(1)}));
+    }
+    cr_assert_eq(at.registry.find(base::engine_name("e2"))->version_of("m"), 2);
+}
+
+Test(rollout_service, a_later_holder_waits_until_the_one_before_is_surely_silent) {
+    fixture at;
+    at.lease.held = base::fencing_token(7);
+    at.service.start();
+    at.run_for(60ms);
+    cr_assert(at.upstream.orders.empty());
+    at.run_for(150ms);
+    cr_assert_eq(at.upstream.orders.size(), 3);
+}
--- /dev/null
+++ b/test/relay/selection_test.cpp
@@ -0,0 +1,152 @@
+/// Which engines may get a request, and the terms of its dispatch.
+#include "ferryroad/relay/selection.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::monotonic_time start{100s};
+
+struct fixture {
+    engine_registry registry;
+    policy_source policies{policy_bounds{}};
+    core::placement::warm_state warm;
+    engine_selection selection{registry, policies, warm, settings()};
+    core::traffic::tenant open_tenant{base::tenant_name("t"), {}, std::nullopt, false};
+    core::traffic::tenant isolated_tenant{base::tenant_name("i"), {}, std::nullopt, true};
+    relay_call call;
+
+    fixture() {
+        core::traffic::declaration declared;
+        declared.version = 1;
+        declared.stores = {{{"10.0.0.9", 9}, base::zone_name("z1")}};
+        policies.offer(std::move(declared));
+        policies.confirm(start);
+        for (const char* name : {"e1", "e2", "e3"}) {
+            add(name, name == std::string("e3") ? "z2" : "z1", 1);
+        }
+        call.prompt = core::prefix::declared_prompt{
+            "m", {{"a", 1000}, {"b", 8000}, {"own", 500}}, 9500, 20};
+    }
+    static selection_settings settings() {
+        selection_settings all;
+        all.zone = base::zone_name("z1");
+        all.outdated_limit = 7s;
+        return all;
+    }
+    void add(const char* name, const char* zone, std::uint64_t version) {
+        listed_engine one;
+        one.name.value = name;
+        one.pool.value = "p";
+        one.zone.value = zone;
+        one.address = {"10.0.0." + std::string(name + 1), 1};
+        one.slots = 8;
+        one.versions["m"] = version;
+        registry.put(one);
+    }
+    std::optional<selected_engine> select(const core::traffic::tenant* tenant = nullptr,
+                                          std::vector<base::engine_name> excluded = {},
+                                          base::monotonic_time now = start) {
+        const selection_query query{call, *policies.current(), base::pool_name("p"), tenant,
+                                    std::move(excluded)};
+        return selection.select(query, now);
+    }
+};
+
+}  // namespace
+
+Test(selection, leaving_and_excluded_engines_and_other_pools_get_nothing) {
+    fixture at;
+    listed_engine leaving = at.registry.find(base::engine_name("e1"))->listed;
+    leaving.leaving = true;
+    at.registry.put(leaving);
+    listed_engine other = at.registry.find(base::engine_name("e2"))->listed;
+    other.pool.value = "q";
+    at.registry.put(other);
+    cr_assert(at.select()->target.name == base::engine_name("e3"));
+    cr_assert_not(at.select(nullptr, {base::engine_name("e3")}).has_value());
+}
+
+Test(selection, the_scope_is_that_of_the_weights_and_of_isolated_tenants) {
+    fixture at;
+    cr_assert(*at.select(&at.open_tenant)->cache_scope == "shared/1");
+    cr_assert(*at.select(&at.isolated_tenant)->cache_scope == "t-i/1");
+    cr_assert_eq(at.select()->expected_version, 1U);
+}
+
+Test(selection, outdated_engines_are_avoided_and_then_excluded) {
+    fixture at;
+    at.policies.name_version("m", 2);
+    at.add("e3", "z2", 2);
+    cr_assert(at.select(nullptr, {}, start + 100ms)->target.name == base::engine_name("e3"));
+    cr_assert(at.select(nullptr, {base::engine_name("e3")}, start + 6900ms).has_value());
+    cr_assert_not(at.select(nullptr, {base::engine_name("e3")}, start + 7s).has_value());
+}
+
+Test(selection, requests_of_one_prefix_meet_at_one_engine) {
+    fixture at;
+    const std::string first = at.select()->target.name.value;
+    for (int index = 0; index < 20; ++index) {
+        at.call.prompt->parts.back().id = "own" + std::to_string(index);
+        cr_assert(at.select()->target.name.value == first);
+    }
+}
+
+Test(selection, state_is_fetched_from_the_best_holder_and_else_from_the_store) {
+    fixture at;
+    const auto cold = at.select();
+    cr_assert(cold->fetch_state_from->to_string() == "10.0.0.9:9");
+    cr_assert(cold->save_state_to->to_string() == "10.0.0.9:9");
+    selected_engine elsewhere = *cold;
+    elsewhere.target.name.value = "e3";
+    at.selection.record_dispatch(at.call, elsewhere, start);
+    const auto warm = at.select(nullptr, {base::engine_name("e3")}, start + 10ms);
+    cr_assert(warm->fetch_state_from->to_string() == "10.0.0.3:1");
+}
+
+Test(selection, state_of_another_scope_is_no_source) {
+    fixture at;
+    selected_engine isolated = *at.select(&at.isolated_tenant);
+    isolated.target.name.value = "e3";
+    at.selection.record_dispatch(at.call, isolated, start);
+    const auto other = at.select(&at.open_tenant, {base::engine_name("e3")});
+    cr_assert(other->fetch_state_from->to_string() == "10.0.0.9:9");
+    cr_assert_eq(other->warm_tokens, 0);
+}
+
+Test(selection, an_engine_that_refuses_for_now_is_passed_over) {
+    fixture at;
+    const std::string home = at.select()->target.name.value;
+    at.registry.find(base::engine_name(home))->refuses_until = start + 1s;
+    cr_assert(at.select()->target.name.value != home);
+    at.registry.saw_version(base::engine_name(home), "m", 2);
+    cr_assert(at.registry.find(base::engine_name(home))->refuses_until < start);
+}
+
+Test(engine_registry, loads_are_counted_while_requests_live) {
+    fixture at;
+    const base::engine_name name("e1");
+    {
+        engine_load load(at.registry, name, 700);
+        cr_assert_eq(at.registry.find(name)->running, 1);
+        cr_assert_eq(at.registry.find(name)->pending_prefill_tokens, 700);
+        load.prefilled();
+        cr_assert_eq(at.registry.find(name)->pending_prefill_tokens, 0);
+    }
+    cr_assert_eq(at.registry.find(name)->running, 0);
+    engine_load orphan(at.registry, name, 5);
+    at.registry.remove(name);
+}
+
+Test(engine_registry, a_whole_list_removes_what_it_lacks) {
+    fixture at;
+    cr_assert_not(at.registry.known());
+    const listed_engine kept = at.registry.find(base::engine_name("e2"))->listed;
+    at.registry.replace_all({kept});
+    cr_assert(at.registry.known());
+    cr_assert_eq(at.registry.engines().size(), 1);
+}
