Leases carry a note: a rollout's holder that wasn't acting is followed at once

Change: lease rows carry a note; a holder says that it acts before it does, and since when it does not; the next one waits only as long as that asks. Old rows are still read.

--- a/src/ferryroad/coordination/lease/lease_holder.cpp
+++ b/src/ferryroad/coordination/lease/lease_holder.cpp
@@ -22,6 +22,11 @@
     return valid ? std::optional(hold_->token) : std::nullopt;
 }
 
+std::optional<std::uint64_t> lease_holder::stored_note(base::monotonic_time now) const {
+    const bool known = token(now) && !pending_ && row_ && row_->record;
+    return known ? std::optional(row_->record->note) : std::nullopt;
+}
+
 std::optional<lease_identity> lease_holder::seen_holder() const {
     return row_ && row_->record ? row_->record->holder : std::nullopt;
 }
@@ -58,8 +63,10 @@
 
 action lease_holder::start_write(lease_record record, base::monotonic_time now) {
     record.write_id = random_.next();
+    record.note = note_;
     under_way_ = true;
-    pending_ = pending_write{record, now};
+    const std::uint64_t replaced = row_->record ? row_->record->note : 0;
+    pending_ = pending_write{record, now, replaced};
     return write_row{row_->version, encode(record)};
 }
 
@@ -97,7 +104,8 @@
 }
 
 action lease_holder::keep(base::monotonic_time now) {
-    if (now < hold_->renew_at) {
+    const bool note_due = row_->record && row_->record->note != note_;
+    if (now < hold_->renew_at && !note_due) {
         return wait_until{std::min(hold_->renew_at, hold_->valid_until)};
     }
     lease_record record;
@@ -175,6 +183,10 @@
     if (!written.record.holder) {
         return;  // Released.
     }
+    const bool taken_anew = !hold_ || hold_->token != written.record.token;
+    if (taken_anew) {
+        predecessor_note_ = written.predecessor_note;
+    }
     const base::duration counted =
         scaled(settings_.duration, 1.0 - settings_.drift_bound) - settings_.margin;
     hold_ = hold{written.record.token, written.sent_at + counted,
--- a/src/ferryroad/coordination/lease/lease_holder.hpp
+++ b/src/ferryroad/coordination/lease/lease_holder.hpp
@@ -55,6 +55,15 @@
     /// nothing where this process may not act.
     std::optional<base::fencing_token> token(base::monotonic_time now) const;
 
+    /// What the row is to say to the next holder; written with the next renewal, which is due at
+    /// once where the row says something else.
+    void set_note(std::uint64_t note) { note_ = note; }
+    /// @return the note that the row surely holds while this process holds the lease; nothing
+    /// where it doesn't hold it, or a write is not yet known to have taken effect.
+    std::optional<std::uint64_t> stored_note(base::monotonic_time now) const;
+    /// @return what the holder before this one had left in the row; 0 where there was none.
+    std::uint64_t predecessor_note() const { return predecessor_note_; }
+
     /// @return the holder as last seen, for operators; nothing while free or not known.
     std::optional<lease_identity> seen_holder() const;
     /// @return whether the row holds what is no lease: nobody can take it.
@@ -76,6 +85,7 @@
     struct pending_write {
         lease_record record;
         base::monotonic_time sent_at;
+        std::uint64_t predecessor_note = 0;  ///< In the row that it replaces.
     };
 
     action start_read();
@@ -106,6 +116,8 @@
     std::optional<seen_row> row_;
     std::optional<hold> hold_;
     std::optional<pending_write> pending_;
+    std::uint64_t note_ = 0;
+    std::uint64_t predecessor_note_ = 0;
     base::duration delay_;
     base::monotonic_time not_before_{};
     base::monotonic_time next_poll_{};
--- a/src/ferryroad/coordination/lease/lease_record.cpp
+++ b/src/ferryroad/coordination/lease/lease_record.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// Form and version of the row; the holder's name is the rest, so that it may be any text.
-constexpr std::string_view prefix = "lease1 ";
+constexpr std::string_view prefix = "lease2 ";
+/// The form before notes: still read while routers of both kinds run.
+constexpr std::string_view prefix_without_note = "lease1 ";
 
 /// Takes a number and the space behind it off the front of `text`.
 std::optional<std::uint64_t> take_number(std::string_view& text) {
@@ -28,24 +30,27 @@
     std::string text(prefix);
     for (const std::uint64_t number :
          {record.token.value, static_cast<std::uint64_t>(base::to_milliseconds(record.duration)),
-          record.write_id, std::uint64_t{record.holder.has_value()}, holder.process.value}) {
+          record.write_id, record.note, std::uint64_t{record.holder.has_value()},
+          holder.process.value}) {
         text += std::to_string(number) + ' ';
     }
     return text + holder.name;
 }
 
 std::optional<lease_record> decode(std::string_view text) {
-    if (!text.starts_with(prefix)) {
+    const bool has_note = text.starts_with(prefix);
+    if (!has_note && !text.starts_with(prefix_without_note)) {
         return std::nullopt;
     }
     text.remove_prefix(prefix.size());
     const auto token = take_number(text);
     const auto milliseconds = take_number(text);
     const auto write_id = take_number(text);
+    const auto note = has_note ? take_number(text) : std::optional<std::uint64_t>(0);
     const auto held = take_number(text);
     const auto process = take_number(text);
     constexpr std::uint64_t longest = 24ULL * 3600 * 1000;
-    if (!token || !milliseconds || *milliseconds > longest || !write_id || !held || *held > 1 ||
+    if (!token || !milliseconds || *milliseconds > longest || !write_id || !note || !held || *held > 1 ||
         !process) {
         return std::nullopt;
     }
@@ -53,6 +58,7 @@
     record.token = base::fencing_token(*token);
     record.duration = std::chrono::milliseconds(*milliseconds);
     record.write_id = *write_id;
+    record.note = *note;
     if (*held == 1) {
         record.holder = lease_identity{std::string(text), base::incarnation(*process)};
     }
--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -25,6 +25,13 @@
     return found == m_wanted.end() ? 0 : found->second;
 }
 
+bool weights_rollout::has_work(const std::vector<engine_view>& engines) const {
+    const bool outdated =
+        std::any_of(engines.begin(), engines.end(),
+                    [&](const engine_view& one) { return one.version < wanted(one.model); });
+    return outdated || !m_engines.empty();
+}
+
 void weights_rollout::drop_ended(const std::vector<engine_view>& engines,
                                  base::monotonic_time now) {
     std::erase_if(m_engines, [&](const auto& entry) {
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -89,6 +89,9 @@
     /// @return whether the engine is being brought to another version.
     bool under_way(const base::engine_name& engine) const { return m_engines.contains(engine); }
 
+    /// @return whether an engine has older weights than the newest, or an order is under way.
+    bool has_work(const std::vector<engine_view>& engines) const;
+
     /// @param engines all that may be ordered now. @return the steps that are due.
     rollout_steps next(const std::vector<engine_view>& engines, base::monotonic_time now);
 
--- a/src/ferryroad/leases/lease_service.cpp
+++ b/src/ferryroad/leases/lease_service.cpp
@@ -53,6 +53,24 @@
     return held ? found->second.holder.token(scheduler_.now()) : std::nullopt;
 }
 
+void lease_service::set_note(const lease_name& name, std::uint64_t note) {
+    const auto found = leases_.find(name);
+    if (found != leases_.end()) {
+        found->second.holder.set_note(note);
+    }
+}
+
+std::optional<std::uint64_t> lease_service::stored_note(const lease_name& name) const {
+    const auto found = leases_.find(name);
+    return found == leases_.end() ? std::nullopt
+                                  : found->second.holder.stored_note(scheduler_.now());
+}
+
+std::uint64_t lease_service::predecessor_note(const lease_name& name) const {
+    const auto found = leases_.find(name);
+    return found == leases_.end() ? 0 : found->second.holder.predecessor_note();
+}
+
 runtime::task<void> lease_service::run(lease_name name, contended& lease) {
     const platform::row_key key("lease/" + name.value);
     std::optional<base::fencing_token> last;
--- a/src/ferryroad/leases/lease_service.hpp
+++ b/src/ferryroad/leases/lease_service.hpp
@@ -37,6 +37,13 @@
     /// nothing where this router may not act.
     std::optional<base::fencing_token> token(const lease_name& name) const;
 
+    /// What the lease's row is to say to the next holder.
+    void set_note(const lease_name& name, std::uint64_t note);
+    /// @return the note surely stored while this router holds the lease, or nothing.
+    std::optional<std::uint64_t> stored_note(const lease_name& name) const;
+    /// @return what the holder before had left.
+    std::uint64_t predecessor_note(const lease_name& name) const;
+
     /// @return calls made to the table for leases so far.
     std::uint64_t table_calls() const { return table_calls_; }
 
--- a/src/ferryroad/relay/naming_journal.cpp
+++ b/src/ferryroad/relay/naming_journal.cpp
@@ -33,6 +33,14 @@
     return base::monotonic_time(std::chrono::milliseconds(owner) - m_most_difference);
 }
 
+rollout::keeper_milliseconds owner_clock::to_owner_latest(base::monotonic_time local) const {
+    return base::to_milliseconds(local.time_since_epoch() + m_most_difference) + 1;
+}
+
+base::monotonic_time owner_clock::to_local_latest(rollout::keeper_milliseconds owner) const {
+    return base::monotonic_time(std::chrono::milliseconds(owner) - m_least_difference);
+}
+
 naming_journal::naming_journal(runtime::scheduler& scheduler, platform::table& table,
                                policy_source& policies, std::function<bool()> leads,
                                journal_settings settings)
--- a/src/ferryroad/relay/naming_journal.hpp
+++ b/src/ferryroad/relay/naming_journal.hpp
@@ -24,6 +24,9 @@
     coordination::rollout::keeper_milliseconds to_owner(base::monotonic_time local) const;
     /// @return a moment on this clock, no later than the true one. Known only.
     base::monotonic_time to_local(coordination::rollout::keeper_milliseconds owner) const;
+    /// The same two, no earlier than the true moments.
+    coordination::rollout::keeper_milliseconds to_owner_latest(base::monotonic_time local) const;
+    base::monotonic_time to_local_latest(coordination::rollout::keeper_milliseconds owner) const;
 
   private:
     bool m_known = false;
--- /dev/null
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -0,0 +1,68 @@
+#include "ferryroad/relay/rollout_lease.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::relay {
+
+rollout_lease::rollout_lease(const runtime::scheduler& scheduler, leases::lease_service& leases,
+                             const owner_clock& clock, leases::lease_name name, base::duration turn)
+    : m_scheduler(scheduler),
+      m_leases(leases),
+      m_clock(clock),
+      m_name(std::move(name)),
+      m_turn(turn) {}
+
+void rollout_lease::intend(bool acting) {
+    note_new_hold();
+    if (!m_last_token) {
+        return;
+    }
+    if (acting) {
+        m_leases.set_note(m_name, note_acting);
+        return;
+    }
+    // Whoever never acted says since when it is known that nobody does.
+    const base::monotonic_time since = m_last_act.value_or(m_act_from - m_turn);
+    const auto told = m_clock.known() ? m_clock.to_owner_latest(since) : 0;
+    m_leases.set_note(m_name, std::max<std::int64_t>(told, note_acting + 1));
+}
+
+void rollout_lease::note_new_hold() {
+    const auto token = m_leases.token(m_name);
+    if (token == m_last_token) {
+        return;
+    }
+    m_last_token = token;
+    m_last_act.reset();
+    if (token) {
+        m_act_from = end_of_turn(m_leases.predecessor_note(m_name));
+    }
+}
+
+base::monotonic_time rollout_lease::end_of_turn(std::uint64_t predecessor_note) const {
+    const base::monotonic_time now = m_scheduler.now();
+    const bool first_ever = m_last_token->value == 1;
+    if (first_ever) {
+        return now;
+    }
+    const bool told = predecessor_note > note_acting && m_clock.known();
+    if (!told) {
+        return now + m_turn;
+    }
+    const auto last_act = m_clock.to_local_latest(static_cast<std::int64_t>(predecessor_note));
+    return std::clamp(last_act + m_turn, now, now + m_turn);
+}
+
+std::optional<base::fencing_token> rollout_lease::token() {
+    note_new_hold();
+    const base::monotonic_time now = m_scheduler.now();
+    const bool said = m_leases.stored_note(m_name) == note_acting;
+    if (!m_last_token || !said || now < m_act_from) {
+        return std::nullopt;
+    }
+    m_last_act = now;
+    return m_last_token;
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/rollout_lease.hpp
@@ -0,0 +1,48 @@
+/// @file
+/// The rollout's right to act: its lease, and the word that its holders leave in it. A holder
+/// that means to act says so first; one that has done acting says since when. So the next
+/// holder waits only after one that may have acted just now.
+#pragma once
+
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/leases/lease_service.hpp"
+#include "ferryroad/relay/naming_journal.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace ferryroad::relay {
+
+/// Used from the event loop's thread. Collaborators outlive it.
+class rollout_lease {
+  public:
+    /// @param turn least time between the acts of two holders.
+    rollout_lease(const runtime::scheduler& scheduler, leases::lease_service& leases,
+                  const owner_clock& clock, leases::lease_name name, base::duration turn);
+
+    /// Called often. @param acting whether there is something to do.
+    void intend(bool acting);
+    /// To be asked right before each act. @return the token that it must carry, or nothing
+    /// where this router may not act now.
+    std::optional<base::fencing_token> token();
+    /// @return whether this router holds the lease, acting or not.
+    bool held() const { return m_leases.token(m_name).has_value(); }
+
+  private:
+    static constexpr std::uint64_t note_acting = 1;
+
+    void note_new_hold();
+    base::monotonic_time end_of_turn(std::uint64_t predecessor_note) const;
+
+    const runtime::scheduler& m_scheduler;
+    leases::lease_service& m_leases;
+    const owner_clock& m_clock;
+    leases::lease_name m_name;
+    base::duration m_turn;
+    std::optional<base::fencing_token> m_last_token;
+    base::monotonic_time m_act_from{};
+    std::optional<base::monotonic_time> m_last_act;
+};
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -18,10 +18,13 @@
 
 namespace ferryroad::relay {
 
-/// `token` is asked right before each act: nothing where this process may not act.
+/// `token` is asked right before each act: nothing where this process may not act. `intend`
+/// says whether there is something to do; `held` whether acts may follow once that was said.
 template <typename T>
-concept fenced_lease = requires(const T& lease) {
+concept fenced_lease = requires(T& lease, bool acting) {
     { lease.token() } -> std::same_as<std::optional<base::fencing_token>>;
+    { lease.held() } -> std::same_as<bool>;
+    lease.intend(acting);
 };
 
 struct rollout_settings {
@@ -29,9 +32,6 @@
     std::string holder;  ///< This router's name.
     base::duration period = std::chrono::milliseconds(50);
     base::duration call_limit = std::chrono::milliseconds(700);
-    /// After the lease was taken from another holder, whose last order may be as young as
-    /// the lease.
-    base::duration settle{};
 };
 
 /// What it stands on; everything outlives it.
@@ -41,7 +41,7 @@
     Upstream& engines;
     engine_registry& registry;
     const policy_source& policies;
-    const Lease& lease;
+    Lease& lease;
 };
 
 /// Used from the event loop's thread; kept until the loop has ended.
@@ -64,32 +64,22 @@
     runtime::task<void> run() {
         while (!m_stopped) {
             co_await m_ports.scheduler.sleep_for(m_settings.period);
-            const auto token = m_ports.lease.token();
-            note_holding(token);
-            if (token && m_ports.scheduler.now() >= m_act_from) {
-                step();
+            for (const auto& [model, named] : m_ports.policies.versions()) {
+                m_rollout.want(model, named.newest());
             }
+            if (!m_ports.lease.held()) {
+                m_rollout.reset();
+                continue;
+            }
+            const auto engines = views();
+            m_ports.lease.intend(m_rollout.has_work(engines));
+            step(engines);
         }
     }
 
-    void note_holding(const std::optional<base::fencing_token>& token) {
-        if (token == m_last_token) {
-            return;
-        }
-        m_last_token = token;
-        m_rollout.reset();
-        // The very first holder follows nobody.
-        const bool first_ever = token && token->value == 1;
-        m_act_from =
-            m_ports.scheduler.now() + (first_ever ? base::duration{} : m_settings.settle);
-    }
-
-    void step() {
+    void step(const std::vector<coordination::rollout::engine_view>& engines) {
         const base::monotonic_time now = m_ports.scheduler.now();
-        for (const auto& [model, named] : m_ports.policies.versions()) {
-            m_rollout.want(model, named.newest());
-        }
-        const auto steps = m_rollout.next(views(), now);
+        const auto steps = m_rollout.next(engines, now);
         for (const auto& wanted : steps.reports) {
             m_ports.scheduler.spawn(component, ask(wanted.engine));
         }
@@ -171,8 +161,6 @@
     rollout_ports<Upstream, Lease> m_ports;
     rollout_settings m_settings;
     coordination::rollout::weights_rollout m_rollout;
-    std::optional<base::fencing_token> m_last_token;
-    base::monotonic_time m_act_from{};
     std::uint64_t m_orders_sent = 0;
     bool m_stopped = false;
 };
--- a/test/coordination/lease/lease_holder_test.cpp
+++ b/test/coordination/lease/lease_holder_test.cpp
@@ -178,3 +178,45 @@
     test.expect<wait_until>();
     cr_assert(test.holder.malformed());
 }
+
+Test(lease_record, rows_without_a_note_are_still_read) {
+    const auto record = decode("lease1 4 10000 99 1 7 router 1");
+    cr_assert(record.has_value());
+    cr_assert_eq(record->note, 0);
+    cr_assert_eq(record->token.value, 4);
+    cr_assert(record->holder == self);
+    lease_record noted{self, base::fencing_token(4), 10s, 99, 123456};
+    cr_assert(decode(encode(noted)) == noted);
+}
+
+Test(lease_holder, a_note_is_written_at_once_and_known_only_when_it_is_stored) {
+    bench at;
+    at.acquire();
+    at.answer(write_committed{row_version(1)});
+    cr_assert_eq(at.holder.stored_note(at.now), 0U);
+    at.holder.set_note(1);
+    const auto written = at.expect<write_row>();
+    cr_assert_eq(decode(written.value)->note, 1);
+    cr_assert_not(at.holder.stored_note(at.now).has_value());
+    at.answer(write_lost{});
+    cr_assert_not(at.holder.stored_note(at.now).has_value());
+    at.now += 1s;
+    at.expect<read_row>();
+    at.answer(row_read{{row_version(2), written.value}});
+    cr_assert_eq(at.holder.stored_note(at.now), 1U);
+}
+
+Test(lease_holder, the_next_holder_reads_what_the_one_before_left) {
+    bench at;
+    at.expect<read_row>();
+    const lease_record left{std::nullopt, base::fencing_token(4), 10s, 99, 777};
+    at.answer(row_read{{row_version(5), encode(left)}});
+    at.expect<write_row>();
+    at.answer(write_committed{row_version(6)});
+    cr_assert_eq(at.holder.token(at.now)->value, 5);
+    cr_assert_eq(at.holder.predecessor_note(), 777);
+    at.holder.set_note(1);
+    at.expect<write_row>();
+    at.answer(write_committed{row_version(7)});
+    cr_assert_eq(at.holder.predecessor_note(), 777);
+}
--- /dev/null
+++ b/test/relay/rollout_lease_test.cpp
@@ -0,0 +1,127 @@
+/// A holder acts only after it said so, and waits only after one that may have acted just now.
+#include "ferryroad/relay/rollout_lease.hpp"
+
+#include "test/http/loopback.hpp"
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One row under conditions.
+class one_row final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        std::vector<platform::transaction_outcome> outcomes;
+        for (const platform::transaction& wanted : transactions) {
+            platform::transaction_outcome outcome;
+            outcome.committed = wanted.conditions.at(0).version == row.version;
+            if (outcome.committed) {
+                row = {wanted.writes.at(0).key, *wanted.writes.at(0).value,
+                       platform::row_version(row.version.value + 1)};
+                outcome.version = row.version;
+            } else {
+                outcome.conflicting = row;
+            }
+            outcomes.push_back(outcome);
+        }
+        co_return outcomes;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key>) override {
+        std::vector<platform::row> rows;
+        if (row.version.value > 0) {
+            rows.push_back(row);
+        }
+        co_return rows;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        co_return std::vector<platform::row>{};
+    }
+    platform::row row;
+};
+
+struct router {
+    router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process)
+        : leases(loop.scheduler, table, {"router", base::incarnation(process)}, settings()),
+          lease(loop.scheduler, leases, clock, leases::lease_name("x"), 200ms) {
+        clock.observe(loop.scheduler.now(), loop.scheduler.now(),
+                      std::chrono::milliseconds(
+                          base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
+        leases.contend(leases::lease_name("x"), [] { return true; });
+    }
+    static leases::lease_service_settings settings() {
+        leases::lease_service_settings all;
+        all.lease.duration = 60ms;
+        all.lease.margin = 5ms;
+        all.lease.renew_after = 15ms;
+        all.lease.poll_period = 20ms;
+        all.lease.first_delay = 5ms;
+        all.look_period = 2ms;
+        return all;
+    }
+    owner_clock clock;
+    leases::lease_service leases;
+    rollout_lease lease;
+};
+
+/// Runs until the router may act, meaning to all the while. @return how long it took.
+base::duration time_to_act(ferryroad::test::loopback& loop, router& one) {
+    const base::monotonic_time began = loop.scheduler.now();
+    loop.context.restart();
+    cr_assert(loop.run([&]() -> runtime::task<void> {
+        co_await loop.until([&] {
+            one.lease.intend(true);
+            return one.lease.token().has_value();
+        });
+    }));
+    return loop.scheduler.now() - began;
+}
+
+void run_for(ferryroad::test::loopback& loop, base::duration time) {
+    loop.context.restart();
+    cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
+}
+
+}  // namespace
+
+Test(rollout_lease, the_first_holder_acts_once_it_has_said_so) {
+    ferryroad::test::loopback loop;
+    one_row table;
+    router first(loop, table, 1);
+    run_for(loop, 30ms);
+    cr_assert(first.lease.held());
+    cr_assert_not(first.lease.token().has_value());
+    cr_assert(time_to_act(loop, first) < 150ms);
+    cr_assert_eq(first.lease.token()->value, 1);
+}
+
+Test(rollout_lease, waits_a_whole_turn_after_one_that_was_acting) {
+    ferryroad::test::loopback loop;
+    one_row table;
+    router first(loop, table, 1);
+    time_to_act(loop, first);
+    first.leases.stop();
+    router second(loop, table, 2);
+    const base::duration waited = time_to_act(loop, second);
+    cr_assert(waited >= 200ms);
+    cr_assert_eq(second.lease.token()->value, 2);
+}
+
+Test(rollout_lease, follows_at_once_one_that_had_done_acting_long_ago) {
+    ferryroad::test::loopback loop;
+    one_row table;
+    router first(loop, table, 1);
+    time_to_act(loop, first);
+    first.lease.intend(false);
+    run_for(loop, 250ms);
+    cr_assert_not(first.lease.token().has_value());
+    first.leases.stop();
+    run_for(loop, 30ms);
+    router second(loop, table, 2);
+    const base::duration waited = time_to_act(loop, second);
+    cr_assert(waited < 200ms, "%ld ms", static_cast<long>(base::to_milliseconds(waited)));
+}
