--- a/src/ferryroad/coordination/lease/lease_record.cpp
+++ b/src/ferryroad/coordination/lease/lease_record.cpp
@@ -50,8 +50,8 @@
     const auto held = take_number(text);
     const auto process = take_number(text);
     constexpr std::uint64_t longest = 24ULL * 3600 * 1000;
-    if (!token || !milliseconds || *milliseconds > longest || !write_id || !note || !held || *held > 1 ||
-        !process) {
+    if (!token || !milliseconds || *milliseconds > longest || !write_id || !note || !held ||
+        *held > 1 || !process) {
         return std::nullopt;
     }
     lease_record record;
--- a/src/ferryroad/coordination/lease/lease_record.hpp
+++ b/src/ferryroad/coordination/lease/lease_record.hpp
@@ -26,7 +26,7 @@
     base::fencing_token token;             ///< Rises with each acquisition.
     base::duration duration{};             ///< That the holder counts with; whole milliseconds.
     std::uint64_t write_id = 0;            ///< Tells the writer that this write is its own.
-    std::uint64_t note = 0;  ///< The holder's word to the next one; 0: none.
+    std::uint64_t note = 0;                ///< The holder's word to the next one; 0: none.
 
     friend bool operator==(const lease_record&, const lease_record&) = default;
 };
--- a/src/ferryroad/coordination/rollout/naming_record.cpp
+++ b/src/ferryroad/coordination/rollout/naming_record.cpp
@@ -45,8 +45,8 @@
     for (const auto& [model, versions] : record.models) {
         json::array list;
         for (const named_weights& one : versions) {
-            list.push_back(json::object{{"version", one.version},
-                                        {"accepted_after_ms", one.accepted_after}});
+            list.push_back(
+                json::object{{"version", one.version}, {"accepted_after_ms", one.accepted_after}});
         }
         models[model] = std::move(list);
     }
--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -26,9 +26,9 @@
 }
 
 bool weights_rollout::has_work(const std::vector<engine_view>& engines) const {
-    const bool outdated =
-        std::any_of(engines.begin(), engines.end(),
-                    [&](const engine_view& one) { return one.version < wanted(one.model); });
+    const bool outdated = std::any_of(engines.begin(), engines.end(), [&](const engine_view& one) {
+        return one.version < wanted(one.model);
+    });
     return outdated || !m_engines.empty();
 }
 
@@ -52,8 +52,8 @@
             busy += m_engines.contains(one.name) ? 1 : 0;
         }
     }
-    const auto share = static_cast<std::size_t>(static_cast<double>(total) *
-                                                m_tunables.share_at_once);
+    const auto share =
+        static_cast<std::size_t>(static_cast<double>(total) * m_tunables.share_at_once);
     const std::size_t allowed = std::clamp<std::size_t>(share, 1, m_tunables.at_once);
     return allowed > busy ? allowed - busy : 0;
 }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -104,10 +104,10 @@
 
   private:
     enum class phase {
-        asking,   ///< Its report is wanted before an order.
-        ready,    ///< Its report is in: the order may go out.
-        ordering, ///< The order is on its way.
-        loading   ///< The order was accepted.
+        asking,    ///< Its report is wanted before an order.
+        ready,     ///< Its report is in: the order may go out.
+        ordering,  ///< The order is on its way.
+        loading    ///< The order was accepted.
     };
     struct progress {
         phase stage = phase::asking;
--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -12,10 +12,9 @@
     if (engine.home) {
         warm = std::max(warm, tunables.home_warmth * static_cast<double>(query.shared_tokens));
     }
-    const double shared_missing =
-        std::max(0.0, static_cast<double>(query.shared_tokens) - warm);
-    const double own = static_cast<double>(query.input_tokens - std::min(query.shared_tokens,
-                                                                         query.input_tokens));
+    const double shared_missing = std::max(0.0, static_cast<double>(query.shared_tokens) - warm);
+    const double own =
+        static_cast<double>(query.input_tokens - std::min(query.shared_tokens, query.input_tokens));
     return (own + shared_missing * tunables.recompute_factor) / tunables.prefill_tokens_per_ms;
 }
 
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -17,9 +17,9 @@
 struct engine_candidate {
     base::engine_name name;
     bool same_zone = true;
-    bool home = false;       ///< Where all routers of the zone send this prompt's prefix.
-    bool suspended = false;  ///< Taken only where no other is left.
-    bool outdated = false;   ///< Runs weights older than the newest named, and not yet too old.
+    bool home = false;          ///< Where all routers of the zone send this prompt's prefix.
+    bool suspended = false;     ///< Taken only where no other is left.
+    bool outdated = false;      ///< Runs weights older than the newest named, and not yet too old.
     std::uint32_t running = 0;  ///< Of this router's requests.
     std::uint32_t slots = 1;
     std::uint64_t pending_prefill_tokens = 0;  ///< Of this router's, before their first event.
@@ -46,7 +46,7 @@
     double recompute_factor = 2.0;
     /// Share of a prefix that its home is believed to hold where nothing is known.
     double home_warmth = 0.9;
-    double outdated_ms = 600;
+    double outdated_ms = 150;
     double suspended_ms = 5000;
 };
 
--- a/src/ferryroad/core/placement/warm_state.cpp
+++ b/src/ferryroad/core/placement/warm_state.cpp
@@ -29,9 +29,8 @@
     }
     if (beliefs.size() >= m_tunables.holders) {
         const auto oldest =
-            std::min_element(beliefs.begin(), beliefs.end(), [](const belief& a, const belief& b) {
-                return a.since < b.since;
-            });
+            std::min_element(beliefs.begin(), beliefs.end(),
+                             [](const belief& a, const belief& b) { return a.since < b.since; });
         beliefs.erase(oldest);
     }
     beliefs.push_back(belief{holder, 0, false, {}});
--- a/src/ferryroad/core/traffic/traffic_policy.cpp
+++ b/src/ferryroad/core/traffic/traffic_policy.cpp
@@ -10,10 +10,11 @@
         m_routes_of_host[m_declared.routes[index].host].push_back(index);
     }
     for (auto& [host, indexes] : m_routes_of_host) {
-        std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t left, std::size_t right) {
-            return m_declared.routes[left].path_prefix.size() >
-                   m_declared.routes[right].path_prefix.size();
-        });
+        std::stable_sort(indexes.begin(), indexes.end(),
+                         [this](std::size_t left, std::size_t right) {
+                             return m_declared.routes[left].path_prefix.size() >
+                                    m_declared.routes[right].path_prefix.size();
+                         });
     }
     for (std::size_t index = 0; index < m_declared.tenants.size(); ++index) {
         for (const std::string& key : m_declared.tenants[index].keys) {
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -14,7 +14,7 @@
     server_limits limits;
     server::handler handle;
     server::refusal_completion complete_refusal;  ///< May be empty.
-    bool leaving = false;   ///< Every answer ends its connection.
+    bool leaving = false;                         ///< Every answer ends its connection.
     bool draining = false;  ///< No connection is accepted, idle ones are closed.
     std::size_t active_requests = 0;
 };
--- a/src/ferryroad/relay/naming_journal.cpp
+++ b/src/ferryroad/relay/naming_journal.cpp
@@ -79,8 +79,8 @@
     if (!rows) {
         co_return false;
     }
-    const auto record = rows->empty() ? std::nullopt
-                                      : rollout::decode_naming_record(rows->front().value);
+    const auto record =
+        rows->empty() ? std::nullopt : rollout::decode_naming_record(rows->front().value);
     if (!record) {
         co_return true;  // Nobody has written it yet.
     }
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -80,6 +80,7 @@
     std::optional<base::duration> first_event;  ///< From the call's arrival.
     base::duration longest_gap{};               ///< Between two events.
     std::string engine;                         ///< The last one asked.
+    double predicted_ms = 0;                    ///< What choosing it was estimated to cost.
 };
 
 /// One request, from its selection to its final answer. Used from the event loop's thread.
@@ -238,6 +239,7 @@
         m_exchange_began = now;
         ++m_outcome.dispatches;
         m_outcome.engine = m_selected.target.name.value;
+        m_outcome.predicted_ms = m_selected.cost_ms;
         m_with.selection.record_dispatch(*m_plan.call, m_selected, now);
         m_load.emplace(m_with.registry, m_selected.target.name, m_selected.prefill_tokens);
         log_dispatch(attempt);
@@ -260,8 +262,8 @@
     base::duration silence_limit() const {
         const base::duration left =
             std::max(m_plan.deadline - m_with.scheduler.now(), base::duration{});
-        const bool may_go_elsewhere = is_repeatable(*m_plan.on) &&
-                                      m_outcome.dispatches < m_plan.on->attempts;
+        const bool may_go_elsewhere =
+            is_repeatable(*m_plan.on) && m_outcome.dispatches < m_plan.on->attempts;
         if (!may_go_elsewhere) {
             return left;
         }
@@ -285,7 +287,7 @@
         if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
             blame(*engine, failure, now);
         }
-        runtime::log(runtime::log_level::info, component, "dispatch failed",
+        runtime::log(runtime::log_level::warning, component, "dispatch failed",
                      {{"request_id", m_plan.call->id.value},
                       {"engine", m_selected.target.name.value},
                       {"reason", failure.message},
@@ -308,8 +310,8 @@
             case execution::failure_kind::rejected:
                 return;
             default:
-                engine.health.record_failure(
-                    failure.kind == execution::failure_kind::unreachable, now);
+                engine.health.record_failure(failure.kind == execution::failure_kind::unreachable,
+                                             now);
         }
     }
 
@@ -319,7 +321,8 @@
             return m_tunables.refusal_pause;
         }
         const std::string& model = m_plan.call->prompt->model;
-        const bool outdated = engine.version_of(model) < m_with.policies.versions_of(model).newest();
+        const bool outdated =
+            engine.version_of(model) < m_with.policies.versions_of(model).newest();
         return outdated ? m_tunables.loading_pause : m_tunables.refusal_pause;
     }
 
@@ -426,8 +429,7 @@
             m_begun = true;
             m_outcome.status = m_answer->status;
             http::header_list headers = m_answer->headers;
-            const auto begun =
-                co_await m_writer.begin_stream(m_answer->status, std::move(headers));
+            const auto begun = co_await m_writer.begin_stream(m_answer->status, std::move(headers));
             if (!begun) {
                 feed(execution::caller_gone{});
                 co_return;
--- /dev/null
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -0,0 +1,81 @@
+#include "ferryroad/relay/relay_metrics.hpp"
+
+namespace ferryroad::relay {
+
+namespace {
+
+const std::vector<double> second_bounds = {0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 16};
+
+std::string kind_of(core::traffic::request_kind kind) {
+    switch (kind) {
+        case core::traffic::request_kind::safe:
+            return "safe";
+        case core::traffic::request_kind::unsafe:
+            return "unsafe";
+        case core::traffic::request_kind::streaming:
+            break;
+    }
+    return "streaming";
+}
+
+}  // namespace
+
+void relay_metrics::request_ended(const relay_plan& plan, const relay_outcome& outcome) {
+    const std::string kind = kind_of(plan.on->kind);
+    const std::string cause =
+        outcome.refusal ? std::string(to_string(outcome.refusal->cause)) : "answered";
+    m_registry
+        .counter_of("ferryroad_relay_requests_total", "Requests that ended, by kind and outcome.",
+                    {{"kind", kind}, {"outcome", cause}})
+        .add();
+    if (outcome.dispatches > 1) {
+        m_registry
+            .counter_of("ferryroad_relay_retries_total", "Dispatches after a request's first.",
+                        {{"kind", kind}})
+            .add(outcome.dispatches - 1);
+    }
+    if (!outcome.first_event) {
+        return;
+    }
+    m_registry
+        .histogram_of("ferryroad_relay_first_event_seconds", "From arrival to the first event.",
+                      second_bounds)
+        .observe(base::to_seconds(*outcome.first_event));
+    m_registry
+        .histogram_of("ferryroad_relay_predicted_first_event_seconds",
+                      "The same, as estimated when the engine was chosen.", second_bounds)
+        .observe(outcome.predicted_ms / 1e3);
+    m_registry
+        .histogram_of("ferryroad_relay_longest_gap_seconds", "Longest pause between two events.",
+                      second_bounds)
+        .observe(base::to_seconds(outcome.longest_gap));
+}
+
+std::string relay_metrics::to_text(const relay_gauges& now) {
+    const auto set = [this](const char* name, const char* help, double value) {
+        m_registry.gauge_of(name, help).set(value);
+    };
+    set("ferryroad_relay_policy_age_seconds", "Since the policy was confirmed.",
+        now.policy_age_seconds);
+    set("ferryroad_relay_policy_version", "Version in force.",
+        static_cast<double>(now.policy_version));
+    set("ferryroad_relay_engines_ready", "Engines that may get work.",
+        static_cast<double>(now.engines_ready));
+    set("ferryroad_relay_engines_leaving", "Engines that are leaving.",
+        static_cast<double>(now.engines_leaving));
+    set("ferryroad_relay_engines_suspended", "Engines passed over for their failures.",
+        static_cast<double>(now.engines_suspended));
+    set("ferryroad_relay_active_requests", "Requests being served.",
+        static_cast<double>(now.active_requests));
+    set("ferryroad_relay_remembered_parts", "Prompt parts whose holders are remembered.",
+        static_cast<double>(now.remembered_parts));
+    set("ferryroad_relay_holds_rollout_lease", "1 while this router leads the rollout.",
+        now.holds_rollout_lease ? 1 : 0);
+    set("ferryroad_relay_orders_sent", "Orders sent to engines by this process.",
+        static_cast<double>(now.orders_sent));
+    set("ferryroad_relay_store_calls", "Calls to follow the store's tables.",
+        static_cast<double>(now.store_calls));
+    return m_registry.to_text();
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -0,0 +1,43 @@
+/// @file
+/// Counters and histograms of relayed traffic.
+#pragma once
+
+#include "ferryroad/relay/policy_source.hpp"
+#include "ferryroad/relay/relay_driver.hpp"
+#include "ferryroad/runtime/metrics.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace ferryroad::relay {
+
+/// What is read off the parts of a router when its metrics are asked for.
+struct relay_gauges {
+    double policy_age_seconds = 0;
+    std::uint64_t policy_version = 0;
+    std::size_t engines_ready = 0;
+    std::size_t engines_leaving = 0;
+    std::size_t engines_suspended = 0;
+    std::size_t active_requests = 0;
+    std::size_t remembered_parts = 0;
+    bool holds_rollout_lease = false;
+    std::uint64_t orders_sent = 0;
+    std::uint64_t store_calls = 0;
+};
+
+/// Used from the event loop's thread; the registry outlives it.
+class relay_metrics {
+  public:
+    explicit relay_metrics(runtime::metrics& registry) : m_registry(registry) {}
+
+    /// A request has its final answer.
+    void request_ended(const relay_plan& plan, const relay_outcome& outcome);
+    /// Sets the gauges. @return everything in Prometheus's text format.
+    std::string to_text(const relay_gauges& now);
+
+  private:
+    runtime::metrics& m_registry;
+};
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -68,9 +68,9 @@
 
     relay_refusal refusal_of(refusal_cause cause) const {
         const bool unknown = cause == refusal_cause::no_policy;
-        return {cause, core::execution::execution_report::not_run,
-                unknown ? m_settings.unknown_policy_retry_after
-                        : m_settings.stale_policy_retry_after};
+        return {
+            cause, core::execution::execution_report::not_run,
+            unknown ? m_settings.unknown_policy_retry_after : m_settings.stale_policy_retry_after};
     }
 
     resolution resolve(const std::shared_ptr<const relay_call>& call) {
@@ -111,8 +111,8 @@
     }
 
     core::admission::retry_budget& budget_of(const base::pool_name& pool) {
-        const auto [place, added] = m_budgets.try_emplace(pool, m_settings.retries.share,
-                                                          m_settings.retries.reserve);
+        const auto [place, added] =
+            m_budgets.try_emplace(pool, m_settings.retries.share, m_settings.retries.reserve);
         return place->second;
     }
 
@@ -140,7 +140,7 @@
         const base::monotonic_time now = m_with.scheduler.now();
         const auto policy = m_with.policies.current();
         runtime::log(
-            runtime::log_level::info, component, "refused",
+            runtime::log_level::warning, component, "refused",
             {{"request_id", call.id.value},
              {"cause", std::string(to_string(refusal.cause))},
              {"policy", policy ? std::to_string(policy->version()) : "none"},
@@ -150,19 +150,20 @@
     void log_end(const relay_plan& plan, const relay_outcome& outcome) const {
         const base::duration taken = m_with.scheduler.now() - plan.call->arrived;
         const auto first = outcome.first_event.value_or(base::duration{});
-        runtime::log(runtime::log_level::info, component, "ended",
-                     {{"request_id", plan.call->id.value},
-                      {"route", plan.on->name.value},
-                      {"status", std::to_string(outcome.status)},
-                      {"cause", outcome.refusal ? std::string(to_string(outcome.refusal->cause))
-                                                : std::string("answered")},
-                      {"engine", outcome.engine},
-                      {"dispatches", std::to_string(outcome.dispatches)},
-                      {"events", std::to_string(outcome.events)},
-                      {"first_event_ms", std::to_string(base::to_milliseconds(first))},
-                      {"longest_gap_ms",
-                       std::to_string(base::to_milliseconds(outcome.longest_gap))},
-                      {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
+        const auto level = outcome.refusal ? runtime::log_level::warning : runtime::log_level::info;
+        runtime::log(
+            level, component, "ended",
+            {{"request_id", plan.call->id.value},
+             {"route", plan.on->name.value},
+             {"status", std::to_string(outcome.status)},
+             {"cause", outcome.refusal ? std::string(to_string(outcome.refusal->cause))
+                                       : std::string("answered")},
+             {"engine", outcome.engine},
+             {"dispatches", std::to_string(outcome.dispatches)},
+             {"events", std::to_string(outcome.events)},
+             {"first_event_ms", std::to_string(base::to_milliseconds(first))},
+             {"longest_gap_ms", std::to_string(base::to_milliseconds(outcome.longest_gap))},
+             {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
     relay_collaborators<Upstream> m_with;
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -144,8 +144,8 @@
         }
         ++m_orders_sent;
         engine_target engine = *target;
-        weights_order sent{wanted.model, wanted.version, wanted.expected_orders,
-                           m_settings.holder, *token};
+        weights_order sent{wanted.model, wanted.version, wanted.expected_orders, m_settings.holder,
+                           *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_limit);
         runtime::log(runtime::log_level::info, component, "weights ordered",
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -41,12 +41,12 @@
 /// `state_changes` waits up to `wait` for changes after `since`; nothing where the holder
 /// gives none.
 template <typename T>
-concept state_event_source =
-    requires(T& port, engine_target holder, std::uint64_t since, base::duration wait) {
-        {
-            port.state_changes_of(holder, since, wait)
+concept state_event_source = requires(T& port, engine_target holder, std::uint64_t since,
+                                      base::duration wait) {
+    {
+        port.state_changes_of(holder, since, wait)
         } -> std::same_as<runtime::task<std::optional<state_changes>>>;
-    };
+};
 
 struct state_follower_settings {
     base::duration wait = std::chrono::milliseconds(900);
@@ -60,8 +60,8 @@
 template <state_event_source Source>
 class state_follower {
   public:
-    state_follower(runtime::scheduler& scheduler, Source& source,
-                   core::placement::warm_state& warm, state_follower_settings settings = {})
+    state_follower(runtime::scheduler& scheduler, Source& source, core::placement::warm_state& warm,
+                   state_follower_settings settings = {})
         : m_scheduler(scheduler), m_source(source), m_warm(warm), m_settings(settings) {}
 
     /// Follows a holder until `leave`; again called, it changes nothing.
@@ -123,8 +123,7 @@
     }
 
     base::duration jittered(base::duration delay) {
-        return base::from_seconds(base::to_seconds(delay) *
-                                  (0.5 + m_scheduler.random().unit()));
+        return base::from_seconds(base::to_seconds(delay) * (0.5 + m_scheduler.random().unit()));
     }
 
     runtime::scheduler& m_scheduler;
--- a/src/ferryroad/relay/table_follower.hpp
+++ b/src/ferryroad/relay/table_follower.hpp
@@ -49,10 +49,10 @@
                                base::duration wait, base::duration limit) {
     {
         feed.read_all(table, limit)
-    } -> std::same_as<runtime::task<runtime::result<record_batch, feed_fault>>>;
+        } -> std::same_as<runtime::task<runtime::result<record_batch, feed_fault>>>;
     {
         feed.read_changes(table, after, wait, limit)
-    } -> std::same_as<runtime::task<runtime::result<record_batch, feed_fault>>>;
+        } -> std::same_as<runtime::task<runtime::result<record_batch, feed_fault>>>;
 };
 
 struct follower_settings {
@@ -173,8 +173,7 @@
     base::duration jittered_backoff() {
         const base::duration delay = m_backoff;
         m_backoff = std::min(2 * m_backoff, m_settings.longest_backoff);
-        return base::from_seconds(base::to_seconds(delay) *
-                                  (0.5 + m_scheduler.random().unit()));
+        return base::from_seconds(base::to_seconds(delay) * (0.5 + m_scheduler.random().unit()));
     }
 
     runtime::scheduler& m_scheduler;
--- a/src/ferryroad/relay/upstream.hpp
+++ b/src/ferryroad/relay/upstream.hpp
@@ -16,18 +16,17 @@
 /// failure proves. `report` asks an engine about itself. `order` sends a fenced order.
 /// All are called from the event loop's thread and end by exception where cancelled.
 template <typename T>
-concept upstream =
-    requires(T& port, const engine_target& target, dispatch sent, weights_order order,
-             base::duration limit) {
-        {
-            port.open(target, std::move(sent), limit)
+concept upstream = requires(T& port, const engine_target& target, dispatch sent,
+                            weights_order order, base::duration limit) {
+    {
+        port.open(target, std::move(sent), limit)
         } -> std::same_as<runtime::task<runtime::result<opened_answer, dispatch_failure>>>;
-        {
-            port.report(target, std::string{}, limit)
+    {
+        port.report(target, std::string{}, limit)
         } -> std::same_as<runtime::task<std::optional<coordination::rollout::engine_report>>>;
-        {
-            port.order(target, std::move(order), limit)
+    {
+        port.order(target, std::move(order), limit)
         } -> std::same_as<runtime::task<coordination::rollout::order_answer>>;
-    };
+};
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/router/leases/model_placement.hpp
+++ b/src/ferryroad/router/leases/model_placement.hpp
@@ -6,9 +6,9 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/catalog/types.hpp"
 #include "ferryroad/engine/client.hpp"
+#include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/router/configuration_view.hpp"
 #include "ferryroad/router/engine_directory.hpp"
-#include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
@@ -19,7 +19,6 @@
 
 namespace ferryroad::router::leases {
 
-
 using ferryroad::leases::lease_name;
 using ferryroad::leases::lease_service;
 
--- a/src/ferryroad/runtime/log.cpp
+++ b/src/ferryroad/runtime/log.cpp
@@ -1,19 +1,64 @@
 #include "ferryroad/runtime/log.hpp"
 
+#include "ferryroad/runtime/bounded_output.hpp"
+
 #include <boost/asio/error.hpp>
 #include <boost/system/system_error.hpp>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
+#include <chrono>
 #include <memory>
+#include <unistd.h>
 #include <vector>
 
 namespace ferryroad::runtime {
 
+namespace appenders {
+
+// log4cxx's macros expect its names to be at hand.
+using namespace log4cxx;  // NOLINT(google-build-using-namespace)
+
+/// log4cxx's way to a `bounded_output`. Appends are serialized by its base class.
+class bounded_appender final : public log4cxx::AppenderSkeleton {
+  public:
+    DECLARE_LOG4CXX_OBJECT(bounded_appender)
+    BEGIN_LOG4CXX_CAST_MAP()
+    LOG4CXX_CAST_ENTRY(bounded_appender)
+    LOG4CXX_CAST_ENTRY_CHAIN(AppenderSkeleton)
+    END_LOG4CXX_CAST_MAP()
+
+    bounded_appender() : bounded_appender(std::make_shared<log4cxx::JSONLayout>(), STDERR_FILENO) {}
+    bounded_appender(const log4cxx::LayoutPtr& used_layout, int descriptor)
+        : AppenderSkeleton(used_layout),
+          m_layout(used_layout),
+          m_output(descriptor, line_budget_settings{}, std::size_t{64} * 1024) {}
+
+    void append(const log4cxx::spi::LoggingEventPtr& event, log4cxx::helpers::Pool& pool) override {
+        log4cxx::LogString formatted;
+        m_layout->format(formatted, event, pool);
+        LOG4CXX_ENCODE_CHAR(text, formatted);
+        const bool is_warning = event->getLevel()->toInt() >= log4cxx::Level::WARN_INT;
+        const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+        m_output.write(text, is_warning, base::monotonic_time(steady));
+    }
+    void close() override { m_output.flush(); }
+    bool requiresLayout() const override { return true; }
+
+  private:
+    log4cxx::LayoutPtr m_layout;
+    bounded_output m_output;
+};
+
+IMPLEMENT_LOG4CXX_OBJECT(bounded_appender)
+
+}  // namespace appenders
+
 namespace {
 
 std::string& process_name_storage() {
@@ -41,9 +86,8 @@
     process_name_storage() = process_name;
     const bool to_output = output == log_output::standard_output;
     auto layout = std::make_shared<log4cxx::JSONLayout>();
-    auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, to_output ? log4cxx::ConsoleAppender::getSystemOut()
-                          : log4cxx::ConsoleAppender::getSystemErr());
+    const int descriptor = to_output ? STDOUT_FILENO : STDERR_FILENO;
+    auto appender = std::make_shared<appenders::bounded_appender>(layout, descriptor);
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(level_of(lowest));
 }
--- a/src/ferryroad/runtime/log.hpp
+++ b/src/ferryroad/runtime/log.hpp
@@ -1,6 +1,7 @@
 /// @file
-/// Structured logs: one JSON object a line on standard error (log4cxx's JSONLayout). Fields
-/// of an entry stand under `context_map`. log4cxx stays behind this header.
+/// Structured logs: one JSON object a line (log4cxx's JSONLayout). Fields of an entry stand
+/// under `context_map`. Bounded lines a second, and never waiting for a reader; what is dropped
+/// is counted in a line of its own. log4cxx stays behind this header.
 #pragma once
 
 #include <exception>
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -92,9 +92,8 @@
     }
 
     bool all_at(std::uint64_t version) const {
-        return std::all_of(engines.begin(), engines.end(), [&](const auto& entry) {
-            return entry.second.version == version;
-        });
+        return std::all_of(engines.begin(), engines.end(),
+                           [&](const auto& entry) { return entry.second.version == version; });
     }
 
     base::seeded_random random;
@@ -125,7 +124,7 @@
     rollout.reported(base::engine_name("e0"), {1, 3, false}, start);
     const auto second = rollout.next(engines.views(), start);
     cr_assert_eq(second.orders.size(), 1);
-    const struct send_order expected{base::engine_name("e0"), model, 2, 3};
+    const struct send_order expected { base::engine_name("e0"), model, 2, 3 };
     cr_assert(second.orders[0] == expected);
 }
 
--- a/test/core/stream/event_splitter_test.cpp
+++ b/test/core/stream/event_splitter_test.cpp
@@ -50,8 +50,8 @@
         std::string stream;
         const std::uint64_t count = 1 + random.below(20);
         for (std::uint64_t index = 1; index <= count; ++index) {
-            stream += "id: " + std::to_string(index) + "\ndata: " +
-                      std::string(random.below(30), 'x') + "\n\n";
+            stream += "id: " + std::to_string(index) +
+                      "\ndata: " + std::string(random.below(30), 'x') + "\n\n";
         }
         event_splitter whole;
         const auto expected = whole.feed(stream);
--- a/test/core/traffic/traffic_policy_test.cpp
+++ b/test/core/traffic/traffic_policy_test.cpp
@@ -24,7 +24,8 @@
 declaration sample() {
     declaration declared;
     declared.version = 4;
-    declared.routes = {route_of("short", "a.example", "/x/"), route_of("long", "a.example", "/x/y/"),
+    declared.routes = {route_of("short", "a.example", "/x/"),
+                       route_of("long", "a.example", "/x/y/"),
                        route_of("other", "b.example", "/x/")};
     declared.routes[2].is_public = true;
     declared.tenants = {{base::tenant_name("t1"), {"k1", "k2"}, 0, true},
@@ -39,10 +40,10 @@
     const char* expected;  ///< Null: no route.
 };
 constexpr route_row route_rows[] = {
-    {"a.example", "/x/1", "short"},    {"a.example", "/x/y/1", "long"},
-    {"a.example", "/x/y", "short"},    {"a.example", "/x", nullptr},
-    {"b.example", "/x/y/1", "other"},  {"c.example", "/x/1", nullptr},
-    {"A.example", "/x/1", nullptr},    {"a.example", "/", nullptr},
+    {"a.example", "/x/1", "short"},   {"a.example", "/x/y/1", "long"},
+    {"a.example", "/x/y", "short"},   {"a.example", "/x", nullptr},
+    {"b.example", "/x/y/1", "other"}, {"c.example", "/x/1", nullptr},
+    {"A.example", "/x/1", nullptr},   {"a.example", "/", nullptr},
 };
 
 }  // namespace
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -115,7 +115,8 @@
         answer.status = next.status;
         answer.headers.add("X-Response-Signature", next.signature);
         answer.is_event_stream = next.stream;
-        answer.body = std::make_unique<scripted_body>(m_scheduler, std::move(next.body), open_bodies);
+        answer.body =
+            std::make_unique<scripted_body>(m_scheduler, std::move(next.body), open_bodies);
         co_return std::move(answer);
     }
     runtime::task<std::optional<coordination::rollout::engine_report>> report(engine_target target,
@@ -126,8 +127,7 @@
         co_return found == reports.end() ? std::nullopt : std::optional(found->second);
     }
     runtime::task<coordination::rollout::order_answer> order(engine_target target,
-                                                             weights_order wanted,
-                                                             base::duration) {
+                                                             weights_order wanted, base::duration) {
         orders.push_back(wanted);
         co_await m_scheduler.sleep_for(std::chrono::milliseconds(1));
         auto& report = reports[target.name.value];
@@ -274,9 +274,8 @@
     }
     /// Serves one call to its end.
     void serve(relay_call one) {
-        const bool ended = loop.run([&]() -> runtime::task<void> {
-            co_await service.handle(std::move(one), writer);
-        });
+        const bool ended = loop.run(
+            [&]() -> runtime::task<void> { co_await service.handle(std::move(one), writer); });
         cr_assert(ended);
     }
     void answer(scripted_answer one) { upstream.answers.push_back(std::move(one)); }
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -293,5 +293,6 @@
         fixture.loop.context.restart();
         fixture.serve(fixture.call("/safe/"));
     }
-    cr_assert_eq(fixture.upstream.dispatches.size(), 8 + 3, "%zu", fixture.upstream.dispatches.size());
+    cr_assert_eq(fixture.upstream.dispatches.size(), 8 + 3, "%zu",
+                 fixture.upstream.dispatches.size());
 }
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -47,7 +47,8 @@
     }
     void run_for(base::duration time) {
         loop.context.restart();
-        cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
+        cr_assert(
+            loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
     }
 };
 
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -29,8 +29,8 @@
         for (const char* name : {"e1", "e2", "e3"}) {
             add(name, name == std::string("e3") ? "z2" : "z1", 1);
         }
-        call.prompt = core::prefix::declared_prompt{
-            "m", {{"a", 1000}, {"b", 8000}, {"own", 500}}, 9500, 20};
+        call.prompt =
+            core::prefix::declared_prompt{"m", {{"a", 1000}, {"b", 8000}, {"own", 500}}, 9500, 20};
     }
     static selection_settings settings() {
         selection_settings all;
@@ -80,6 +80,8 @@
 
 Test(selection, outdated_engines_are_avoided_and_then_excluded) {
     fixture at;
+    at.call.prompt->parts = {{"a", 100}, {"own", 500}};
+    at.call.prompt->input_tokens = 600;
     at.policies.name_version("m", 2);
     at.add("e3", "z2", 2);
     cr_assert(at.select(nullptr, {}, start + 100ms)->target.name == base::engine_name("e3"));
--- a/test/relay/table_follower_test.cpp
+++ b/test/relay/table_follower_test.cpp
@@ -77,9 +77,7 @@
     }
     void run_until(std::function<bool()> condition) {
         follower.start();
-        cr_assert(loop.run([&]() -> runtime::task<void> {
-            co_await loop.until(condition);
-        }));
+        cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.until(condition); }));
     }
 };
 
@@ -88,7 +86,8 @@
 Test(table_follower, reads_whole_and_follows_from_there) {
     fixture at;
     at.feed.whole = {record_batch{{row("a", 3), row("b", 5)}, 7, {}}};
-    at.feed.changes = {record_batch{{row("c", 8)}, 8, {}}, record_batch{{row("a", 9, true)}, 9, {}}};
+    at.feed.changes = {record_batch{{row("c", 8)}, 8, {}},
+                       record_batch{{row("a", 9, true)}, 9, {}}};
     at.run_until([&] { return at.confirmations == 3; });
     cr_assert(at.copy == (std::map<std::string, std::uint64_t>{{"b", 5}, {"c", 8}}));
     cr_assert_eq(at.feed.asked_after[0], 7);
