--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -256,9 +256,9 @@
     if (overloaded_refusals_ >= limits_.overloaded_refusals) {
         return false;
     }
-    const auto executions = std::count_if(
-        attempts_.begin(), attempts_.end(),
-        [](const attempt_record& attempt) { return !surely_not_run(attempt); });
+    const auto executions =
+        std::count_if(attempts_.begin(), attempts_.end(),
+                      [](const attempt_record& attempt) { return !surely_not_run(attempt); });
     if (static_cast<std::uint64_t>(executions) >= limits_.executions) {
         return false;
     }
--- a/src/ferryroad/core/execution/tunables.hpp
+++ b/src/ferryroad/core/execution/tunables.hpp
@@ -10,7 +10,7 @@
 namespace ferryroad::core::execution {
 
 struct tunables {
-    std::uint32_t attempts = 4;             ///< Dispatches for one request, the first included.
+    std::uint32_t attempts = 4;  ///< Dispatches for one request, the first included.
     /// Of these, those that ran or may have run.
     std::uint32_t executions = std::numeric_limits<std::uint32_t>::max();
     std::uint32_t resumes_per_attempt = 2;  ///< In a row, without a token between them.
--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -30,8 +30,8 @@
 runtime::task<result<std::unique_ptr<byte_stream>>> client::relay(const base::endpoint& address,
                                                                   request message,
                                                                   relay_options options) {
-    return open_relay(state_->pool, {address, std::move(message), options.limit, resend::forbidden},
-                      std::move(options));
+    exchange_order order{address, std::move(message), options.limit, resend::forbidden};
+    return open_relay(state_->pool, std::move(order), std::move(options));
 }
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -455,13 +455,15 @@
             co_await m_writer.end_stream();
             co_return;
         }
-        http::response answer = m_kept ? std::move(*m_kept) : http::response{};
-        co_await send(std::move(answer));
+        const http::response answer = m_kept.value_or(http::response{});
+        co_await send(answer);
     }
 
-    runtime::task<void> send(http::response answer) {
+    /// @param answer outlives the returned coroutine.
+    runtime::task<void> send(const http::response& answer) {
         m_outcome.status = answer.status;
-        co_await m_writer.send(std::move(answer));
+        http::response sent = answer;
+        co_await m_writer.send(std::move(sent));
     }
 
     runtime::task<void> refuse(relay_refusal refusal) {
@@ -475,12 +477,11 @@
             co_return;
         }
         if (m_kept) {
-            http::response kept = std::move(*m_kept);
-            co_await send(std::move(kept));  // The engine's own failure says more than ours.
+            co_await send(*m_kept);  // The engine's own failure says more than ours.
             co_return;
         }
-        http::response answer = answer_of(refusal);
-        co_await send(std::move(answer));
+        const http::response answer = answer_of(refusal);
+        co_await send(answer);
     }
 
     void log_dispatch(const execution::dispatch_attempt& attempt) const {
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -44,16 +44,7 @@
 
     /// Gives the call its final answer. @param writer outlives the returned coroutine.
     runtime::task<void> handle(relay_call call, http::response_writer& writer) {
-        auto shared = std::make_shared<const relay_call>(std::move(call));
-        const auto resolved = resolve(shared);
-        if (const auto* refusal = std::get_if<relay_refusal>(&resolved)) {
-            log_refusal(*shared, *refusal);
-            http::response answer = answer_of(*refusal);
-            co_await writer.send(std::move(answer));
-            co_return;
-        }
-        relay_plan plan = std::get<relay_plan>(resolved);
-        co_await serve(std::move(plan), writer);
+        return answer(std::make_shared<const relay_call>(std::move(call)), writer);
     }
 
     /// From now on every new call is refused: this router is about to end.
@@ -66,6 +57,19 @@
     using resolution = std::variant<relay_plan, relay_refusal>;
     static constexpr std::string_view component = "relay.service";
 
+    runtime::task<void> answer(std::shared_ptr<const relay_call> call,
+                               http::response_writer& writer) {
+        const auto resolved = resolve(call);
+        if (const auto* refusal = std::get_if<relay_refusal>(&resolved)) {
+            log_refusal(*call, *refusal);
+            http::response refused = answer_of(*refusal);
+            co_await writer.send(std::move(refused));
+            co_return;
+        }
+        relay_plan plan = std::get<relay_plan>(resolved);
+        co_await serve(std::move(plan), writer);
+    }
+
     relay_refusal refusal_of(refusal_cause cause) const {
         const bool unknown = cause == refusal_cause::no_policy;
         return {
--- a/test/router/leases/lease_test.cpp
+++ b/test/router/leases/lease_test.cpp
@@ -2,8 +2,8 @@
 #include "bench/simulation/engines/engine_client.hpp"
 #include "bench/simulation/faults/fault_counts.hpp"
 #include "emulator/platform/model_services.hpp"
-#include "ferryroad/platform/json_codec.hpp"
 #include "ferryroad/leases/lease_service.hpp"
+#include "ferryroad/platform/json_codec.hpp"
 #include "ferryroad/router/leases/model_placement.hpp"
 #include "test/router/backends/directory_fixture.hpp"
 
