--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -62,8 +62,19 @@
     }
 }
 
+void version_history::insert(named_version named) {
+    const auto place = std::find_if(m_named.begin(), m_named.end(), [&](const named_version& one) {
+        return one.version >= named.version;
+    });
+    const bool wanted = place != m_named.end() && place->version != named.version;
+    if (wanted && m_named.size() < most_kept) {
+        m_named.insert(place, named);
+    }
+}
+
 void policy_source::learn_naming(const std::string& model, std::uint64_t version,
                                  base::monotonic_time moment) {
+    m_versions[model].insert({version, moment});
     m_versions[model].learn(version - 1, version, moment);
 }
 
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -38,6 +38,8 @@
     /// Every version after `older_than`, up to `up_to`, was named after `moment`: what was not
     /// known before is known better now.
     void learn(std::uint64_t older_than, std::uint64_t up_to, base::monotonic_time moment);
+    /// A version older than the newest was named, too, which this process hadn't been told.
+    void insert(named_version named);
     const std::vector<named_version>& named() const { return m_named; }
 
   private:
--- a/test/relay/policy_source_test.cpp
+++ b/test/relay/policy_source_test.cpp
@@ -84,6 +84,19 @@
     cr_assert(source.versions_of(model).outdated_since(2) == start + 5s);
 }
 
+Test(policy_source, versions_between_that_only_the_record_knows_count_too) {
+    policy_source source(policy_bounds{});
+    source.name_version(model, 4);  // All that a new process is told.
+    source.learn_naming(model, 2, start);
+    source.learn_naming(model, 3, start + 4s);
+    source.learn_naming(model, 4, start + 9s);
+    cr_assert(source.versions_of(model).outdated_since(1) == start);
+    cr_assert(source.versions_of(model).outdated_since(2) == start + 4s);
+    cr_assert(source.versions_of(model).outdated_since(3) == start + 9s);
+    source.learn_naming(model, 7, start);  // Newer than what the owner has told.
+    cr_assert_eq(source.versions_of(model).newest(), 4);
+}
+
 Test(policy_source, a_request_on_old_weights_needs_time_to_begin) {
     cr_assert(outdated_limit_for(8s) < 8s);
     cr_assert(outdated_limit_for(8s) > 7s);
