--- /dev/null
+++ b/test/http/client_relay_test.cpp
@@ -0,0 +1,126 @@
+/// Answers passed on as they come: early ones, ones without length, cuts, and how long a
+/// connection may be kept.
+#include "test/http/loopback.hpp"
+
+using namespace ferryroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+http::request post(std::string body) {
+    http::request message;
+    message.method = "POST";
+    message.target = "/a";
+    message.body = std::move(body);
+    return message;
+}
+
+struct answer_row {
+    const char* name;
+    const char* text;
+    bool whole;  ///< Whether the body has a proper end.
+    const char* body;
+};
+const answer_row rows[] = {
+    {"length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", true, "body"},
+    {"length, cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", false, "body"},
+    {"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true,
+     "body"},
+    {"chunks, cut", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", false,
+     "body"},
+    {"no length", "HTTP/1.1 200 OK\r\n\r\nbody", true, "body"},
+};
+
+runtime::task<void> check(ferryroad::test::loopback& loop, const answer_row& row) {
+    ferryroad::test::scripted_server server(loop, {{{row.text}, true}});
+    http::client client(loop.scheduler, http::client_limits{});
+    http::request message = post("");
+    http::relay_options options;
+    options.limit = 2s;
+    auto stream = co_await client.relay(server.address(), std::move(message), std::move(options));
+    cr_assert(stream.has_value(), "%s", row.name);
+    std::string body;
+    bool ended = false;
+    bool failed = false;
+    while (!ended && !failed) {
+        auto bytes = co_await (*stream)->next(1s);
+        failed = bytes.has_error();
+        ended = !failed && !*bytes;
+        if (!failed && !ended) {
+            body += **bytes;
+        }
+    }
+    cr_assert_eq(ended, row.whole, "%s", row.name);
+    cr_assert(body == row.body, "%s", row.name);
+}
+
+/// A server that refuses before it has read the request, and reads no more.
+runtime::task<void> refuse_early(boost::asio::ip::tcp::acceptor& acceptor) {
+    ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
+    co_await socket.write("HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno");
+    boost::asio::steady_timer never(acceptor.get_executor());
+    never.expires_after(10s);
+    co_await never.async_wait(boost::asio::use_awaitable);
+}
+
+runtime::task<void> send_much(ferryroad::test::loopback& loop) {
+    boost::asio::ip::tcp::acceptor acceptor(loop.context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    loop.scheduler.spawn("early", refuse_early(acceptor));
+    http::client client(loop.scheduler, http::client_limits{});
+    http::request message = post(std::string(std::size_t{32} * 1024 * 1024, 'x'));
+    http::relay_options options;
+    options.limit = 5s;
+    const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    auto stream = co_await client.relay(address, std::move(message), std::move(options));
+    cr_assert(stream.has_value());
+    cr_assert_eq((*stream)->status(), 503);
+    auto bytes = co_await (*stream)->next(1s);
+    cr_assert(bytes.has_value() && *bytes == "no");
+}
+
+/// Two exchanges in a row. @return connections that the server saw.
+runtime::task<void> send_two(ferryroad::test::loopback& loop, const char* header,
+                             std::size_t connections) {
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + std::string(header) + "\r\n";
+    ferryroad::test::scripted_server server(loop, {{{answer, answer}, false}, {{answer}, false}});
+    http::client client(loop.scheduler, http::client_limits{});
+    for (int index = 0; index < 2; ++index) {
+        http::request message = post("");
+        http::relay_options options;
+        options.limit = 2s;
+        auto stream =
+            co_await client.relay(server.address(), std::move(message), std::move(options));
+        cr_assert(stream.has_value());
+        auto bytes = co_await (*stream)->next(1s);
+        cr_assert(bytes.has_value() && !*bytes);
+    }
+    cr_assert_eq(server.connections(), connections, "%s", header);
+}
+
+}  // namespace
+
+Test(client_relay, bodies_end_as_they_say) {
+    for (const answer_row& row : rows) {
+        ferryroad::test::loopback loop;
+        cr_assert(loop.run([&] { return check(loop, row); }), "%s", row.name);
+    }
+}
+
+Test(client_relay, an_answer_may_come_before_the_request_is_sent) {
+    ferryroad::test::loopback loop;
+    cr_assert(loop.run([&] { return send_much(loop); }));
+}
+
+Test(client_relay, connections_are_kept_as_long_as_the_other_side_says) {
+    struct row {
+        const char* header;
+        std::size_t connections;
+    };
+    for (const row& each : {row{"", 1}, row{"Keep-Alive: timeout=10\r\n", 1},
+                            row{"Keep-Alive: timeout=0\r\n", 2}, row{"Connection: close\r\n", 2}}) {
+        ferryroad::test::loopback loop;
+        cr_assert(loop.run([&] { return send_two(loop, each.header, each.connections); }));
+    }
+}
--- /dev/null
+++ b/test/relay/planned_stop_test.cpp
@@ -0,0 +1,120 @@
+/// A planned stop: answers end their connections at once, new calls are served during the notice
+/// and refused after it, work at hand ends, and the grace is kept.
+#include "ferryroad/relay/planned_stop.hpp"
+
+#include "test/http/loopback.hpp"
+
+#include <algorithm>
+#include <optional>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string get_text = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+struct fixture {
+    ferryroad::test::loopback loop;
+    bool refusing = false;
+    bool gate_open = false;
+    http::server server{
+        loop.scheduler, {}, [this](http::request message, http::response_writer& writer) {
+            return handle(std::move(message), writer);
+        }};
+    base::endpoint address = server.listen(ferryroad::test::any_port);
+    std::optional<base::duration> stopped_after;
+
+    runtime::task<void> handle(http::request message, http::response_writer& writer) {
+        if (message.path() == "/gated") {
+            co_await loop.until([this] { return gate_open; });
+        }
+        http::response answer;
+        answer.status = refusing ? 503 : 200;
+        co_await writer.send(std::move(answer));
+    }
+    runtime::task<void> stop(base::duration grace) {
+        const base::monotonic_time began = loop.scheduler.now();
+        stop_settings settings;
+        settings.grace = grace;
+        settings.notice = 60ms;
+        settings.margin = 10ms;
+        std::function<void()> refuse_new = [this] { refusing = true; };
+        co_await planned_stop(loop.scheduler, server, settings, std::move(refuse_new));
+        stopped_after = loop.scheduler.now() - began;
+    }
+    runtime::task<std::string> ask(std::string text) {
+        ferryroad::test::raw_socket socket(loop.context);
+        socket.connect(address);
+        co_await socket.write(std::move(text));
+        co_return co_await socket.read_to_close();
+    }
+};
+
+runtime::task<void> ask_during_notice(fixture& at) {
+    at.loop.scheduler.spawn("stop", at.stop(600ms));
+    co_await at.loop.scheduler.sleep_for(5ms);
+    std::string text = get_text;
+    const std::string answer = co_await at.ask(std::move(text));
+    cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+    cr_assert_neq(answer.find("Connection: close"), std::string::npos);
+    cr_assert_not(at.refusing);
+    co_await at.loop.until([&at] { return at.stopped_after.has_value(); });
+}
+
+runtime::task<void> keep_asking_at_work(fixture& at) {
+    ferryroad::test::raw_socket socket(at.loop.context);
+    socket.connect(at.address);
+    co_await socket.write("GET /gated HTTP/1.1\r\nHost: x\r\n\r\n");
+    co_await at.loop.until([&at] { return at.server.active_requests() == 1; });
+    at.loop.scheduler.spawn("stop", at.stop(2s));
+    co_await at.loop.until([&at] { return at.refusing; });
+    cr_assert_not(at.stopped_after.has_value());
+    at.gate_open = true;
+    const std::string answer = co_await socket.read_to_close();
+    cr_assert(answer.starts_with("HTTP/1.1"), "%s", answer.c_str());
+    co_await at.loop.until([&at] { return at.stopped_after.has_value(); });
+}
+
+runtime::task<void> never_end(fixture& at) {
+    ferryroad::test::raw_socket socket(at.loop.context);
+    socket.connect(at.address);
+    co_await socket.write("GET /gated HTTP/1.1\r\nHost: x\r\n\r\n");
+    co_await at.loop.until([&at] { return at.server.active_requests() == 1; });
+    co_await at.stop(300ms);
+    at.gate_open = true;
+}
+
+}  // namespace
+
+Test(planned_stop, serves_during_the_notice_and_ends_each_connection) {
+    fixture at;
+    cr_assert(at.loop.run([&] { return ask_during_notice(at); }));
+    cr_assert(at.refusing);
+}
+
+Test(planned_stop, waits_for_work_at_hand) {
+    fixture at;
+    cr_assert(at.loop.run([&] { return keep_asking_at_work(at); }));
+}
+
+Test(planned_stop, ends_within_the_grace) {
+    fixture at;
+    cr_assert(at.loop.run([&] { return never_end(at); }));
+    cr_assert(*at.stopped_after >= 280ms);
+    cr_assert(*at.stopped_after < 2s);
+}
+
+Test(planned_stop, limits_are_those_that_operators_declared) {
+    core::traffic::caller_limits declared;
+    declared.header_bytes = 111;
+    declared.body_bytes = 222;
+    declared.header_read = 3s;
+    declared.idle = 4s;
+    const http::server_limits limits = server_limits_of(declared);
+    cr_assert_eq(limits.header_bytes, 111);
+    cr_assert_eq(limits.body_bytes, 222);
+    cr_assert(limits.header_read == 3s);
+    cr_assert(limits.idle == 4s);
+}
