--- a/src/ferryroad/ctl/command_line.cpp
+++ b/src/ferryroad/ctl/command_line.cpp
@@ -161,6 +161,7 @@
             add("explain", "Shows why a request went where it did.", [this] { return explain_; });
         sub->add_option("request-id", explain_.request_id, "The answer's Ferryroad-Request-Id")
             ->required();
+        sub->add_option("--log", explain_.logs, "Tell the request's story from these log files");
     }
 
     void add_completion() {
--- a/src/ferryroad/ctl/commands.cpp
+++ b/src/ferryroad/ctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "ferryroad/catalog/codec.hpp"
 #include "ferryroad/ctl/command_line.hpp"
+#include "ferryroad/ctl/log_story.hpp"
 #include "ferryroad/ctl/printer.hpp"
 #include "ferryroad/ctl/router_client.hpp"
 #include "ferryroad/operator/messages/catalog_codec.hpp"
@@ -151,6 +152,9 @@
     }
 
     result<void> operator()(const explain_command& command) {
+        if (!command.logs.empty()) {
+            return tell_story(command);
+        }
         v1::ExplainRequest request;
         request.set_request_id(command.request_id);
         return print(client_.explain(request));
@@ -162,6 +166,24 @@
     }
 
   private:
+    result<void> tell_story(const explain_command& command) {
+        std::vector<story_line> story;
+        for (const std::string& file : command.logs) {
+            std::ifstream log(file);
+            if (!log) {
+                return error{exit_code::invalid, file + ": can't be read"};
+            }
+            for (story_line& told : find_story(log, command.request_id)) {
+                story.push_back(std::move(told));
+            }
+        }
+        if (story.empty()) {
+            return error{exit_code::not_found, "no line names request " + command.request_id};
+        }
+        print_story(std::move(story), out_);
+        return {};
+    }
+
     template <typename Answer>
     result<void> print(const result<Answer>& answer) {
         if (!answer) {
--- a/src/ferryroad/ctl/options.hpp
+++ b/src/ferryroad/ctl/options.hpp
@@ -52,6 +52,7 @@
 };
 struct explain_command {
     std::string request_id;
+    std::vector<std::string> logs;  ///< Log files to read instead of asking routers.
 };
 struct completion_command {
     std::string shell;
