--- a/src/ferryroad/core/admission/retry_budget.cpp
+++ b/src/ferryroad/core/admission/retry_budget.cpp
@@ -15,6 +15,11 @@
     balance_ = std::min(reserve_, balance_ + 1);
 }
 
+void retry_budget::change_reserve(double reserve) {
+    reserve_ = reserve;
+    balance_ = std::min(balance_, reserve_);
+}
+
 bool retry_budget::try_retry() {
     if (balance_ < 1) {
         return false;
--- a/src/ferryroad/core/admission/retry_budget.hpp
+++ b/src/ferryroad/core/admission/retry_budget.hpp
@@ -20,6 +20,8 @@
     void give_back();
     /// The share in force from now on.
     void change_share(double share) { share_ = share; }
+    /// The reserve in force from now on; what is saved beyond it is lost.
+    void change_reserve(double reserve);
 
   private:
     double share_;
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -22,6 +22,16 @@
     double reserve = 4;  ///< Retries beyond the share, saved up while none are needed.
 };
 
+/// @param share, reserve what all routers together may make within the limit's window.
+/// @param routers that share it. @return this router's part, with room for counting late.
+inline retry_settings retry_settings_for(double share, double reserve, std::size_t routers) {
+    constexpr double used_share = 0.75;
+    constexpr double used_reserve = 0.6;
+    const double part =
+        reserve * used_reserve / static_cast<double>(std::max<std::size_t>(1, routers));
+    return {share * used_share, std::max(1.0, part)};
+}
+
 struct relay_settings {
     driver_tunables driver;
     retry_settings retries;
@@ -117,6 +127,8 @@
     core::admission::retry_budget& budget_of(const base::pool_name& pool) {
         const auto [place, added] =
             m_budgets.try_emplace(pool, m_settings.retries.share, m_settings.retries.reserve);
+        place->second.change_share(m_settings.retries.share);
+        place->second.change_reserve(m_settings.retries.reserve);
         return place->second;
     }
 
--- /dev/null
+++ b/test/leases/presence_test.cpp
@@ -0,0 +1,79 @@
+/// Routers count each other by rows that change, and forget those that no longer do.
+#include "ferryroad/leases/presence.hpp"
+
+#include "test/http/loopback.hpp"
+
+#include <map>
+#include <memory>
+
+using namespace ferryroad;
+using namespace ferryroad::leases;
+using namespace std::chrono_literals;
+
+namespace {
+
+class rows_of_routers final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        for (const platform::transaction& one : transactions) {
+            for (const platform::row_write& write : one.writes) {
+                versions[write.key] = platform::row_version(++last);
+            }
+        }
+        co_return std::vector<platform::transaction_outcome>(transactions.size());
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key>) override {
+        co_return std::vector<platform::row>{};
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        std::vector<platform::row> rows;
+        for (const auto& [key, version] : versions) {
+            rows.push_back({key, "", version});
+        }
+        co_return rows;
+    }
+    std::map<platform::row_key, platform::row_version> versions;
+    std::uint64_t last = 0;
+};
+
+struct router {
+    router(ferryroad::test::loopback& loop, platform::table& table, const std::string& name)
+        : here(loop.scheduler, table, base::router_name(name),
+               [this](std::size_t counted) { count = counted; }, {5ms, 60ms, 500}) {
+        here.start();
+    }
+    std::size_t count = 0;
+    presence here;
+};
+
+runtime::task<void> until_all_count(ferryroad::test::loopback& loop,
+                                    std::vector<std::unique_ptr<router>>& routers,
+                                    std::size_t expected) {
+    co_await loop.until([&] {
+        bool all = true;
+        for (const auto& one : routers) {
+            all = all && one->count == expected;
+        }
+        return all;
+    });
+}
+
+}  // namespace
+
+Test(presence, routers_count_each_other_and_forget_those_that_ended) {
+    ferryroad::test::loopback loop;
+    rows_of_routers table;
+    std::vector<std::unique_ptr<router>> routers;
+    for (const char* name : {"a", "b", "c"}) {
+        routers.push_back(std::make_unique<router>(loop, table, name));
+    }
+    cr_assert(loop.run([&] { return until_all_count(loop, routers, 3); }));
+    auto ended = std::move(routers.back());
+    routers.pop_back();
+    ended->here.stop();
+    loop.context.restart();
+    cr_assert(loop.run([&] { return until_all_count(loop, routers, 2); }));
+}
