--- a/src/ferryroad/leases/presence.cpp
+++ b/src/ferryroad/leases/presence.cpp
@@ -14,8 +14,9 @@
 
 }  // namespace
 
-presence::presence(runtime::scheduler& scheduler, platform::table& table, base::router_name self,
-                   std::function<void(std::size_t)> counted, presence_settings settings)
+presence::presence(runtime::scheduler& scheduler, platform::table& table,
+                   const base::router_name& self, std::function<void(std::size_t)> counted,
+                   presence_settings settings)
     : m_scheduler(scheduler),
       m_table(table),
       m_own_key(key_prefix + self.value),
--- a/src/ferryroad/leases/presence.hpp
+++ b/src/ferryroad/leases/presence.hpp
@@ -24,7 +24,7 @@
 class presence {
   public:
     /// @param counted told after each count.
-    presence(runtime::scheduler& scheduler, platform::table& table, base::router_name self,
+    presence(runtime::scheduler& scheduler, platform::table& table, const base::router_name& self,
              std::function<void(std::size_t)> counted, presence_settings settings = {});
 
     /// Called once.
