--- /dev/null
+++ b/src/ferryroad/relay/tunables.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// How often a router asks, how long it holds and keeps: defaults for any deployment, in one
+/// place.
+#pragma once
+
+#include "ferryroad/http/client.hpp"
+#include "ferryroad/leases/lease_service.hpp"
+#include "ferryroad/relay/table_follower.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+namespace ferryroad::relay {
+
+/// Until the first count: more than a deployment is likely to have, so that limits hold.
+inline constexpr std::size_t assumed_routers = 100;
+/// Between two looks at whether the settings file has changed.
+inline constexpr base::duration settings_look_period = std::chrono::seconds(1);
+
+/// What operators declare must be in force at once: changes are waited for.
+inline follower_settings follow_declarations(std::string table) {
+    follower_settings settings;
+    settings.table = std::move(table);
+    settings.wait = std::chrono::milliseconds(1000);
+    return settings;
+}
+
+/// Engines change all the time: changes are fetched in batches.
+inline follower_settings follow_engines(std::string table) {
+    follower_settings settings;
+    settings.table = std::move(table);
+    settings.pace = std::chrono::milliseconds(500);
+    return settings;
+}
+
+/// Short, so that a holder that ended is followed soon.
+inline leases::lease_service_settings rollout_lease_settings() {
+    leases::lease_service_settings settings;
+    settings.lease.duration = std::chrono::milliseconds(1600);
+    settings.lease.margin = std::chrono::milliseconds(250);
+    settings.lease.renew_after = std::chrono::milliseconds(500);
+    settings.lease.poll_period = std::chrono::milliseconds(800);
+    settings.look_period = std::chrono::milliseconds(50);
+    return settings;
+}
+
+/// An engine that takes no connection soon is left for another.
+inline http::client_limits engine_connections() {
+    http::client_limits limits;
+    limits.connect = std::chrono::milliseconds(300);
+    limits.idle_connections_per_address = 8;
+    return limits;
+}
+
+}  // namespace ferryroad::relay
