Rollouts: running requests carry on under new weights, a sixth of the engines at once

Four engines at once were out from 2.3 s to 20 s. Change: orders say what becomes of running requests, and the default is that they carry on; `rollout_pace` lets a sixth of a model's engines load at once, and up to a third where the rest would be late by the measured load time. The fixed cap of 64 is gone: 1,200 engines would have taken longer than allowed.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -46,15 +46,21 @@
                                       const std::vector<engine_view>& engines) const {
     std::size_t total = 0;
     std::size_t busy = 0;
+    std::size_t waiting = 0;
+    base::duration longest{};
     for (const engine_view& one : engines) {
-        if (one.model == model) {
-            ++total;
-            busy += m_engines.contains(one.name) ? 1 : 0;
+        if (one.model != model) {
+            continue;
+        }
+        ++total;
+        const bool under_way = m_engines.contains(one.name);
+        busy += under_way ? 1 : 0;
+        if (!under_way && one.version < wanted(model)) {
+            ++waiting;
+            longest = std::max(longest, one.outdated_for);
         }
     }
-    const auto share =
-        static_cast<std::size_t>(static_cast<double>(total) * m_tunables.share_at_once);
-    const std::size_t allowed = std::clamp<std::size_t>(share, 1, m_tunables.at_once);
+    const std::size_t allowed = m_pace.allowed(total, waiting, m_tunables.order_within - longest);
     return allowed > busy ? allowed - busy : 0;
 }
 
@@ -114,6 +120,9 @@
     progress& state = found->second;
     state.call_under_way = false;
     if (report.version >= state.version) {
+        if (state.stage == phase::loading) {
+            m_pace.loaded(now - state.since);
+        }
         m_engines.erase(found);
         return;
     }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -6,6 +6,7 @@
 
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/coordination/rollout/rollout_pace.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,7 +22,8 @@
     base::engine_name name;
     std::string model;
     std::uint64_t version = 0;
-    std::uint32_t load = 0;  ///< Requests that the observer has running there.
+    std::uint32_t load = 0;         ///< Requests that the observer has running there.
+    base::duration outdated_for{};  ///< Since newer weights than its own were first named.
 
     friend bool operator==(const engine_view&, const engine_view&) = default;
 };
@@ -64,23 +66,23 @@
 };
 
 struct rollout_tunables {
-    /// Engines with an order under way; the rest serve.
-    std::size_t at_once = 64;
-    /// Never more than this share of a model's engines at once (but always one).
-    double share_at_once = 0.34;
+    pace_tunables pace;
+    /// Each engine is ordered within this of the moment its weights became outdated.
+    base::duration order_within = std::chrono::milliseconds(6000);
     /// From an accepted order to the first question whether it is done.
     base::duration first_look = std::chrono::milliseconds(600);
     base::duration look_period = std::chrono::milliseconds(150);
     /// After a refusal or a lost answer, before the engine is asked again.
     base::duration retry_delay = std::chrono::milliseconds(200);
-    /// An engine silent for so long stops counting against `at_once`.
+    /// An engine silent for so long stops counting against those that load.
     base::duration give_up = std::chrono::seconds(6);
 };
 
 /// Not thread-safe.
 class weights_rollout {
   public:
-    explicit weights_rollout(rollout_tunables tunables = {}) : m_tunables(tunables) {}
+    explicit weights_rollout(rollout_tunables tunables = {})
+        : m_tunables(tunables), m_pace(tunables.pace) {}
 
     /// Versions only rise; an older one changes nothing.
     void want(const std::string& model, std::uint64_t version);
@@ -123,6 +125,7 @@
     std::size_t room_for(const std::string& model, const std::vector<engine_view>& engines) const;
 
     rollout_tunables m_tunables;
+    rollout_pace m_pace;
     std::map<std::string, std::uint64_t> m_wanted;
     std::map<base::engine_name, progress> m_engines;
 };
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -30,10 +30,19 @@
 struct rollout_settings {
     coordination::rollout::rollout_tunables rollout;
     std::string holder;  ///< This router's name.
+    /// Long streams would keep an engine idle for seconds before it loads; the pause of a
+    /// stream that carries on is shorter than that (design note 0053).
+    running_requests running = running_requests::carry_on;
     base::duration period = std::chrono::milliseconds(50);
     base::duration call_limit = std::chrono::milliseconds(700);
 };
 
+/// @param allowed how long requests may begin on outdated weights. @return within which an
+/// engine must be ordered to take newer ones, so that it has them by then.
+inline base::duration order_limit_for(base::duration allowed) {
+    return allowed * 3 / 4;
+}
+
 /// What it stands on; everything outlives it.
 template <upstream Upstream, fenced_lease Lease>
 struct rollout_ports {
@@ -89,13 +98,16 @@
     }
 
     std::vector<coordination::rollout::engine_view> views() const {
+        const base::monotonic_time now = m_ports.scheduler.now();
         std::vector<coordination::rollout::engine_view> engines;
         for (const auto& [name, engine] : m_ports.registry.engines()) {
             if (engine.listed.leaving) {
                 continue;
             }
             for (const auto& [model, version] : engine.versions) {
-                engines.push_back({name, model, version, engine.running});
+                const auto since = m_ports.policies.versions_of(model).outdated_since(version);
+                engines.push_back({name, model, version, engine.running,
+                                   since ? now - *since : base::duration{}});
             }
         }
         return engines;
@@ -144,8 +156,8 @@
         }
         ++m_orders_sent;
         engine_target engine = *target;
-        weights_order sent{wanted.model, wanted.version, wanted.expected_orders, m_settings.holder,
-                           *token};
+        weights_order sent{wanted.model,       wanted.version,    wanted.expected_orders,
+                           m_settings.running, m_settings.holder, *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_limit);
         runtime::log(runtime::log_level::info, component, "weights ordered",
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -71,11 +71,18 @@
     std::string message;
 };
 
+/// What happens to the requests that run at an engine which takes new weights.
+enum class running_requests {
+    end_first,  ///< The engine waits for them, and takes no new ones meanwhile.
+    carry_on    ///< They go on under the new weights, after a pause.
+};
+
 /// An order for an engine to take new weights.
 struct weights_order {
     std::string model;
     std::uint64_t version = 0;
     std::uint64_t expected_orders = 0;
+    running_requests running = running_requests::end_first;
     std::string holder;
     base::fencing_token token;
 
--- /dev/null
+++ b/test/coordination/rollout/rollout_pace_test.cpp
@@ -0,0 +1,37 @@
+/// As few engines as possible load at once, and as many as it takes to be in time.
+#include "ferryroad/coordination/rollout/rollout_pace.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace ferryroad::coordination::rollout;
+using namespace std::chrono_literals;
+
+Test(rollout_pace, a_sixth_while_there_is_time) {
+    const rollout_pace pace;
+    cr_assert_eq(pace.allowed(12, 12, 6s), 2);
+    cr_assert_eq(pace.allowed(18, 18, 6s), 3);
+    cr_assert_eq(pace.allowed(1200, 1200, 6s), 204);
+}
+
+Test(rollout_pace, at_least_one) {
+    const rollout_pace pace;
+    cr_assert_eq(pace.allowed(1, 1, 6s), 1);
+    cr_assert_eq(pace.allowed(1, 1, -1s), 1);
+    cr_assert_eq(pace.allowed(2, 2, 0s), 1);
+}
+
+Test(rollout_pace, more_where_the_rest_would_be_late) {
+    const rollout_pace pace;
+    cr_assert_eq(pace.allowed(12, 9, 1800ms), 3);
+    cr_assert_eq(pace.allowed(12, 12, -1s), 4);
+    cr_assert_eq(pace.allowed(12, 1, -1s), 2);
+}
+
+Test(rollout_pace, learns_how_long_loads_take) {
+    rollout_pace pace;
+    for (int index = 0; index < 20; ++index) {
+        pace.loaded(3s);
+    }
+    cr_assert_gt(pace.load_time().count(), (2900ms).count());
+    cr_assert_eq(pace.allowed(12, 12, 6s), 4);
+}
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -35,7 +35,7 @@
             loading = 0;
         }
     }
-    order_answer take(const send_order& order, base::monotonic_time now) {
+    order_answer take(const send_order& order, base::duration load_time, base::monotonic_time now) {
         settle(now);
         if (loading != 0 || order.expected_orders != orders_taken) {
             return order_answer::refused;
@@ -43,7 +43,7 @@
         ++orders_taken;
         ++loads;
         loading = order.version;
-        loaded_at = now + 700ms;
+        loaded_at = now + load_time;
         return order_answer::accepted;
     }
 };
@@ -58,7 +58,8 @@
     std::vector<engine_view> views() const {
         std::vector<engine_view> seen;
         for (const auto& [name, engine] : engines) {
-            seen.push_back({name, model, listed.contains(name) ? listed.at(name) : 1, 0});
+            seen.push_back(
+                {name, model, listed.contains(name) ? listed.at(name) : 1, 0, now - start});
         }
         return seen;
     }
@@ -80,7 +81,7 @@
                              {engine.version, engine.orders_taken, engine.loading != 0}, now);
         }
         for (const auto& wanted : steps.orders) {
-            const auto answer = engines[wanted.engine].take(wanted, now);
+            const auto answer = engines[wanted.engine].take(wanted, load_time, now);
             const bool lost = random.unit() < loss;
             rollout.ordered(wanted.engine, lost ? order_answer::lost : answer, now);
         }
@@ -101,6 +102,7 @@
     std::map<base::engine_name, simulated_engine> engines;
     std::map<base::engine_name, std::uint64_t> listed;
     std::size_t most_loading = 0;
+    base::duration load_time = 700ms;
 };
 
 }  // namespace
@@ -136,12 +138,36 @@
         engines.step(rollout, 0);
     }
     cr_assert(engines.all_at(2));
-    cr_assert_leq(engines.most_loading, 4);
+    cr_assert_leq(engines.most_loading, 2);
     for (const auto& [name, engine] : engines.engines) {
         cr_assert_eq(engine.loads, 1);
     }
 }
 
+Test(weights_rollout, a_fleet_of_any_size_is_ordered_in_time) {
+    for (const std::size_t size : {1U, 3U, 7U, 8U, 11U, 18U, 300U, 1200U}) {
+        fleet engines(size, 1);
+        weights_rollout rollout;
+        rollout.want(model, 2);
+        while (!engines.all_at(2) && engines.now < start + 60s) {
+            engines.step(rollout, 0);
+        }
+        cr_assert_leq(base::to_seconds(engines.now - start), 8.0, "%zu engines", size);
+    }
+}
+
+Test(weights_rollout, slow_loads_are_hurried) {
+    fleet engines(12, 1);
+    engines.load_time = 1800ms;
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    while (!engines.all_at(2) && engines.now < start + 60s) {
+        engines.step(rollout, 0);
+    }
+    cr_assert_eq(engines.most_loading, 4);
+    cr_assert_leq(base::to_seconds(engines.now - start), 9.5);
+}
+
 Test(weights_rollout, versions_named_meanwhile_are_skipped) {
     fleet engines(12, 1);
     weights_rollout rollout;
