--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -6,16 +6,24 @@
 
 namespace {
 
+/// What the shared parts cost here: those that can be fetched are moved, the others are read.
+double shared_cost(const placement_query& query, const engine_candidate& engine,
+                   const placement_tunables& tunables) {
+    const std::uint64_t warm = std::min(engine.warm_tokens, query.shared_tokens);
+    const std::uint64_t held_somewhere =
+        std::min(std::max(engine.fetchable_tokens, warm), query.shared_tokens);
+    const auto moved = static_cast<double>(held_somewhere - warm);
+    auto read = static_cast<double>(query.shared_tokens - held_somewhere);
+    read *= engine.home ? 1 - tunables.home_warmth : 1.0;
+    const double moving = moved > 0 ? tunables.fetch_ms + moved * tunables.fetch_token_ms : 0.0;
+    return moving + read * tunables.recompute_factor / tunables.prefill_tokens_per_ms;
+}
+
 double prefill_cost(const placement_query& query, const engine_candidate& engine,
                     const placement_tunables& tunables) {
-    double warm = static_cast<double>(engine.warm_tokens);
-    if (engine.home) {
-        warm = std::max(warm, tunables.home_warmth * static_cast<double>(query.shared_tokens));
-    }
-    const double shared_missing = std::max(0.0, static_cast<double>(query.shared_tokens) - warm);
     const double own =
         static_cast<double>(query.input_tokens - std::min(query.shared_tokens, query.input_tokens));
-    return (own + shared_missing * tunables.recompute_factor) / tunables.prefill_tokens_per_ms;
+    return own / tunables.prefill_tokens_per_ms + shared_cost(query, engine, tunables);
 }
 
 double cost_of(const placement_query& query, const engine_candidate& engine,
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -17,13 +17,14 @@
 struct engine_candidate {
     base::engine_name name;
     bool same_zone = true;
-    bool home = false;          ///< Where all routers of the zone send this prompt's prefix.
+    bool home = false;          ///< Where all routers send a prefix that nobody holds.
     bool suspended = false;     ///< Taken only where no other is left.
     bool outdated = false;      ///< Runs weights older than the newest named, and not yet too old.
     std::uint32_t running = 0;  ///< Of this router's requests.
     std::uint32_t slots = 1;
     std::uint64_t pending_prefill_tokens = 0;  ///< Of this router's, before their first event.
     std::uint64_t warm_tokens = 0;             ///< Of this prompt, believed to be held.
+    std::uint64_t fetchable_tokens = 0;        ///< The same, held by another engine or a store.
 
     friend bool operator==(const engine_candidate&, const engine_candidate&) = default;
 };
@@ -44,7 +45,11 @@
     double other_zone_ms = 40;
     /// Reading shared tokens again costs money beside time: times its prefill.
     double recompute_factor = 2.0;
-    /// Share of a prefix that its home is believed to hold where nothing is known.
+    /// Moving a shared token from where it is held, instead of reading it: milliseconds.
+    double fetch_token_ms = 0.02;
+    /// A move's own time, whatever its size.
+    double fetch_ms = 5;
+    /// Share of what nobody holds that its home is believed to be reading for others already.
     double home_warmth = 0.9;
     double outdated_ms = 150;
     double suspended_ms = 5000;
--- a/src/ferryroad/core/placement/warm_state.cpp
+++ b/src/ferryroad/core/placement/warm_state.cpp
@@ -87,26 +87,59 @@
     return now - one.since < (followed ? m_tunables.expectation : m_tunables.unfollowed_lifetime);
 }
 
-std::uint64_t warm_state::tokens_held(const std::vector<prefix::scoped_part>& parts,
-                                      const holder_name& holder, base::monotonic_time now) const {
-    std::uint64_t tokens = 0;
+std::vector<const warm_state::entry*> warm_state::known_entries(
+    const std::vector<prefix::scoped_part>& parts) const {
+    std::vector<const entry*> entries;
     for (const prefix::scoped_part& part : parts) {
         const auto found = m_parts.find(part.key.value);
         if (found == m_parts.end()) {
             break;
         }
-        const auto& beliefs = found->second.beliefs;
+        entries.push_back(&found->second);
+    }
+    return entries;
+}
+
+holding warm_state::held_by(const holder_name& holder,
+                            const std::vector<prefix::scoped_part>& parts,
+                            const std::vector<const entry*>& entries,
+                            base::monotonic_time now) const {
+    holding held{holder, 0, true};
+    for (std::size_t index = 0; index < entries.size(); ++index) {
+        const auto& beliefs = entries[index]->beliefs;
         const auto known = std::find_if(beliefs.begin(), beliefs.end(),
                                         [&](const belief& one) { return one.holder == holder; });
         if (known == beliefs.end() || !holds(*known, now)) {
             break;
         }
-        tokens += std::min(known->tokens, part.tokens);
-        if (known->tokens < part.tokens) {
+        held.tokens += std::min(known->tokens, parts[index].tokens);
+        held.confirmed = held.confirmed && known->confirmed;
+        if (known->tokens < parts[index].tokens) {
             break;
         }
     }
-    return tokens;
+    return held;
+}
+
+std::vector<holding> warm_state::holdings(const std::vector<prefix::scoped_part>& parts,
+                                          base::monotonic_time now) const {
+    const std::vector<const entry*> entries = known_entries(parts);
+    std::vector<holding> all;
+    if (entries.empty()) {
+        return all;
+    }
+    for (const belief& one : entries.front()->beliefs) {
+        holding held = held_by(one.holder, parts, entries, now);
+        if (held.tokens > 0) {
+            all.push_back(std::move(held));
+        }
+    }
+    return all;
+}
+
+std::uint64_t warm_state::tokens_held(const std::vector<prefix::scoped_part>& parts,
+                                      const holder_name& holder, base::monotonic_time now) const {
+    return held_by(holder, parts, known_entries(parts), now).tokens;
 }
 
 }  // namespace ferryroad::core::placement
--- a/src/ferryroad/core/placement/warm_state.hpp
+++ b/src/ferryroad/core/placement/warm_state.hpp
@@ -27,6 +27,15 @@
     base::duration unfollowed_lifetime = std::chrono::seconds(20);
 };
 
+/// Tokens at the start of a prompt that one holder is believed to hold.
+struct holding {
+    base::engine_name holder;  ///< An engine or a store.
+    std::uint64_t tokens = 0;
+    bool confirmed = false;  ///< All of them by the holder's own events.
+
+    friend bool operator==(const holding&, const holding&) = default;
+};
+
 /// Not thread-safe.
 class warm_state {
   public:
@@ -46,7 +55,11 @@
     /// The holder ended, or lost what it held.
     void forget(const holder_name& holder);
 
-    /// @return tokens at the start of the prompt that the holder is believed to hold.
+    /// @return all that are believed to hold a beginning of the prompt; bounded by the number
+    /// of holders remembered for a part, whatever the number of engines.
+    std::vector<holding> holdings(const std::vector<prefix::scoped_part>& parts,
+                                  base::monotonic_time now) const;
+    /// @return the tokens of one holder.
     std::uint64_t tokens_held(const std::vector<prefix::scoped_part>& parts,
                               const holder_name& holder, base::monotonic_time now) const;
     std::size_t size() const { return m_parts.size(); }
@@ -65,6 +78,10 @@
 
     entry& touch(prefix::part_key part);
     belief& belief_of(entry& part, const holder_name& holder);
+    /// @return the entries of the leading parts that anyone is believed to hold.
+    std::vector<const entry*> known_entries(const std::vector<prefix::scoped_part>& parts) const;
+    holding held_by(const holder_name& holder, const std::vector<prefix::scoped_part>& parts,
+                    const std::vector<const entry*>& entries, base::monotonic_time now) const;
     bool holds(const belief& one, base::monotonic_time now) const;
 
     warm_state_tunables m_tunables;
--- /dev/null
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -0,0 +1,150 @@
+#include "ferryroad/peer/codec_fields.hpp"
+#include "ferryroad/peer/traffic_notice.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace ferryroad::peer {
+
+namespace {
+
+using core::placement::stated_load;
+using core::prefix::scoped_part;
+
+/// More than fit into a datagram.
+constexpr std::size_t most_entries = 512;
+
+std::uint32_t bounded(std::uint64_t number) {
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(number, std::numeric_limits<std::uint32_t>::max()));
+}
+
+struct wire_parts {
+    offset<flatbuffers::Vector<std::uint64_t>> keys;
+    offset<flatbuffers::Vector<std::uint32_t>> tokens;
+};
+
+wire_parts write_parts(buffer_builder& builder, const std::vector<scoped_part>& parts) {
+    std::vector<std::uint64_t> keys;
+    std::vector<std::uint32_t> tokens;
+    for (const scoped_part& part : parts) {
+        keys.push_back(part.key.value);
+        tokens.push_back(bounded(part.tokens));
+    }
+    return {builder.CreateVector(keys), builder.CreateVector(tokens)};
+}
+
+std::vector<scoped_part> read_parts(field_reader& reader,
+                                    const flatbuffers::Vector<std::uint64_t>* keys,
+                                    const flatbuffers::Vector<std::uint32_t>* tokens) {
+    const std::size_t size = keys == nullptr ? 0 : keys->size();
+    const std::size_t counted = tokens == nullptr ? 0 : tokens->size();
+    reader.require(size == counted && size <= most_entries, "tokens for each part");
+    std::vector<scoped_part> parts;
+    if (size != counted || size > most_entries) {
+        return parts;
+    }
+    for (std::size_t index = 0; index < size; ++index) {
+        const auto place = static_cast<flatbuffers::uoffset_t>(index);
+        parts.push_back({core::prefix::part_key(keys->Get(place)), tokens->Get(place)});
+    }
+    return parts;
+}
+
+offset<wire::EngineLoad> write_load(buffer_builder& builder, const stated_load& load) {
+    const auto engine = write_shared(builder, load.engine.value);
+    const auto refuses =
+        std::chrono::duration_cast<std::chrono::milliseconds>(load.refuses_for).count();
+    return wire::CreateEngineLoad(
+        builder, engine, load.running, bounded(load.prefill_tokens),
+        bounded(static_cast<std::uint64_t>(std::max<std::int64_t>(0, refuses))));
+}
+
+offset<wire::EngineWeights> write_weights(buffer_builder& builder, const seen_weights& seen) {
+    const auto engine = write_shared(builder, seen.engine.value);
+    const auto model = write_shared(builder, seen.model);
+    return wire::CreateEngineWeights(builder, engine, model, seen.version);
+}
+
+offset<wire::ExpectedState> write_expected(buffer_builder& builder,
+                                           const expected_state& expected) {
+    const auto engine = write_shared(builder, expected.engine.value);
+    const wire_parts parts = write_parts(builder, expected.parts);
+    return wire::CreateExpectedState(builder, engine, parts.keys, parts.tokens);
+}
+
+offset<wire::HolderChanges> write_changes(buffer_builder& builder, const holder_changes& changes) {
+    const auto holder = write_shared(builder, changes.holder.value);
+    const wire_parts parts = write_parts(builder, changes.parts);
+    return wire::CreateHolderChanges(builder, holder, changes.epoch, changes.from, changes.next,
+                                     parts.keys, parts.tokens);
+}
+
+stated_load read_load(field_reader& reader, const wire::EngineLoad& load) {
+    return {reader.name<base::engine_name>(load.engine()), load.running(), load.prefill_tokens(),
+            std::chrono::milliseconds(load.refuses_milliseconds())};
+}
+
+seen_weights read_weights(field_reader& reader, const wire::EngineWeights& seen) {
+    seen_weights weights{reader.name<base::engine_name>(seen.engine()),
+                         reader.text(seen.model(), codec_limits::name_bytes), seen.version()};
+    reader.require(!weights.model.empty(), "a model");
+    return weights;
+}
+
+expected_state read_expected(field_reader& reader, const wire::ExpectedState& expected) {
+    return {reader.name<base::engine_name>(expected.engine()),
+            read_parts(reader, expected.parts(), expected.tokens())};
+}
+
+holder_changes read_changes(field_reader& reader, const wire::HolderChanges& changes) {
+    reader.require(changes.from() <= changes.next(), "rising numbers");
+    return {reader.name<base::engine_name>(changes.holder()), changes.epoch(), changes.from(),
+            changes.next(), read_parts(reader, changes.parts(), changes.tokens())};
+}
+
+}  // namespace
+
+message_bytes encode(const traffic_notice& notice) {
+    buffer_builder builder(largest_datagram);
+    const auto loads = write_list<wire::EngineLoad>(
+        builder, notice.loads, [&](const auto& one) { return write_load(builder, one); });
+    const auto weights = write_list<wire::EngineWeights>(
+        builder, notice.weights, [&](const auto& one) { return write_weights(builder, one); });
+    const auto expected = write_list<wire::ExpectedState>(
+        builder, notice.expected, [&](const auto& one) { return write_expected(builder, one); });
+    const auto changes = write_list<wire::HolderChanges>(
+        builder, notice.changes, [&](const auto& one) { return write_changes(builder, one); });
+    const auto sender = write_text(builder, notice.sender.value);
+    const auto zone = write_text(builder, notice.zone.value);
+    return finish(builder, wire::CreateTrafficNotice(builder, sender, zone, notice.loads_complete,
+                                                     loads, weights, expected, changes));
+}
+
+result<traffic_notice> decode_traffic_notice(std::string_view bytes) {
+    const aligned_bytes aligned(bytes);
+    const auto* root = verified_root<wire::TrafficNotice>(aligned.view());
+    if (root == nullptr) {
+        return malformed("not a traffic notice");
+    }
+    field_reader reader;
+    traffic_notice notice;
+    notice.sender = reader.name<base::router_name>(root->sender());
+    notice.zone = reader.optional_name<base::zone_name>(root->zone());
+    notice.loads_complete = root->loads_complete();
+    notice.loads = reader.list(root->loads(), most_entries,
+                               [&](const auto& one) { return read_load(reader, one); });
+    notice.weights = reader.list(root->weights(), most_entries,
+                                 [&](const auto& one) { return read_weights(reader, one); });
+    notice.expected = reader.list(root->expected(), most_entries,
+                                  [&](const auto& one) { return read_expected(reader, one); });
+    notice.changes = reader.list(root->changes(), most_entries,
+                                 [&](const auto& one) { return read_changes(reader, one); });
+    if (reader.fault() != nullptr) {
+        return malformed(std::string("traffic notice: expected ") + reader.fault());
+    }
+    return notice;
+}
+
+}  // namespace ferryroad::peer
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -45,6 +45,9 @@
         if (version > newest) {
             newest = version;
             engine->refuses_until = {};  // What it was busy with has ended.
+            if (m_newer_weights) {
+                m_newer_weights(name, model, version);
+            }
         }
     }
 }
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -9,9 +9,11 @@
 #include "ferryroad/core/placement/engine_health.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -55,12 +57,19 @@
     /// @return whether a whole list has been taken yet.
     bool known() const { return m_known; }
 
+    /// @param told of each engine that shows newer weights than were known.
+    void on_newer_weights(
+        std::function<void(const base::engine_name&, const std::string&, std::uint64_t)> told) {
+        m_newer_weights = std::move(told);
+    }
     /// An engine showed the version of its weights.
     void saw_version(const base::engine_name& name, const std::string& model,
                      std::uint64_t version);
 
   private:
     std::map<base::engine_name, known_engine> m_engines;
+    std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
+        m_newer_weights;
     bool m_known = false;
 };
 
--- /dev/null
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -0,0 +1,163 @@
+#include "ferryroad/relay/peer_exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::relay {
+
+peer_exchange::peer_exchange(exchange_ports ports, const peer_address& self,
+                             std::function<void(const peer::holder_changes&)> learned,
+                             exchange_settings settings)
+    : m_ports(ports),
+      m_self(self),
+      m_group(self),
+      m_learned(std::move(learned)),
+      m_settings(settings) {}
+
+void peer_exchange::start() {
+    m_running = true;
+    m_ports.transport.on_datagram(
+        [this](const base::endpoint& from, std::string_view bytes) { take(from, bytes); });
+    m_ports.scheduler.spawn(component, run());
+}
+
+runtime::task<void> peer_exchange::run() {
+    while (m_running) {
+        co_await m_ports.scheduler.sleep_for(m_settings.pace);
+        send_news();
+    }
+}
+
+void peer_exchange::dispatched(const base::engine_name& engine,
+                               const std::vector<core::prefix::scoped_part>& parts,
+                               std::uint64_t prefill_tokens) {
+    if (!m_running) {
+        return;
+    }
+    if (!parts.empty()) {
+        m_expected.push_back({engine, parts});
+    }
+    if (prefill_tokens >= m_settings.urgent_tokens) {
+        send_load(m_ports.scheduler.now());
+    }
+}
+
+void peer_exchange::saw_weights(peer::seen_weights seen) {
+    if (m_running && !m_taking) {
+        m_weights.push_back(std::move(seen));
+    }
+}
+
+void peer_exchange::tell(peer::holder_changes changes) {
+    if (m_running) {
+        m_changes.push_back(std::move(changes));
+    }
+}
+
+void peer_exchange::send_news() {
+    const base::monotonic_time now = m_ports.scheduler.now();
+    const bool load_changed = own_loads(now) != m_stated;
+    const bool silent = now - m_stated_at >= m_settings.heartbeat;
+    if (load_changed || silent || !m_expected.empty() || !m_weights.empty()) {
+        send_load(now);
+    }
+    send_changes(now);
+}
+
+peer::traffic_notice peer_exchange::blank() const {
+    peer::traffic_notice notice;
+    notice.sender = m_self.name;
+    notice.zone = m_self.zone;
+    return notice;
+}
+
+std::vector<core::placement::stated_load> peer_exchange::own_loads(base::monotonic_time now) const {
+    std::vector<core::placement::stated_load> loads;
+    for (const auto& [name, engine] : m_ports.registry.engines()) {
+        const base::duration refuses = std::max(engine.refuses_until - now, base::duration{});
+        if (engine.running > 0 || refuses > base::duration{}) {
+            loads.push_back({name, engine.running, engine.pending_prefill_tokens, refuses});
+        }
+    }
+    if (loads.size() > m_settings.loads) {
+        std::partial_sort(loads.begin(),
+                          loads.begin() + static_cast<std::ptrdiff_t>(m_settings.loads),
+                          loads.end(), [](const auto& a, const auto& b) {
+                              return std::pair(a.prefill_tokens, a.running) >
+                                     std::pair(b.prefill_tokens, b.running);
+                          });
+        loads.resize(m_settings.loads);
+    }
+    return loads;
+}
+
+void peer_exchange::send_load(base::monotonic_time now) {
+    peer::traffic_notice notice = blank();
+    notice.loads_complete = true;
+    notice.loads = own_loads(now);
+    m_stated = notice.loads;
+    m_stated_at = now;
+    notice.weights = std::exchange(m_weights, {});
+    std::size_t parts = 0;
+    for (peer::expected_state& one : std::exchange(m_expected, {})) {
+        parts += one.parts.size();
+        if (parts > m_settings.parts) {
+            break;  // The holders' own events tell of these, a little later.
+        }
+        notice.expected.push_back(std::move(one));
+    }
+    send(notice, now);
+}
+
+void peer_exchange::send_changes(base::monotonic_time now) {
+    peer::traffic_notice notice = blank();
+    std::size_t parts = 0;
+    for (peer::holder_changes& one : std::exchange(m_changes, {})) {
+        // A holder's name and numbers take the place of some parts.
+        const std::size_t size = one.parts.size() + 6;
+        if (parts > 0 && parts + size > m_settings.parts) {
+            send(notice, now);
+            notice.changes.clear();
+            parts = 0;
+        }
+        parts += size;
+        notice.changes.push_back(std::move(one));
+    }
+    if (!notice.changes.empty()) {
+        send(notice, now);
+    }
+}
+
+void peer_exchange::send(const peer::traffic_notice& notice, base::monotonic_time now) {
+    const peer::message_bytes bytes = peer::encode(notice);
+    for (const base::endpoint& to : m_group.targets(now)) {
+        m_ports.transport.send(to, bytes);
+        ++m_notices_sent;
+    }
+}
+
+void peer_exchange::take(const base::endpoint& from, std::string_view bytes) {
+    const auto notice = peer::decode_traffic_notice(bytes);
+    if (!notice) {
+        ++m_notices_malformed;
+        return;
+    }
+    const base::monotonic_time now = m_ports.scheduler.now();
+    m_group.heard({notice->sender, notice->zone, from}, now);
+    if (notice->loads_complete) {
+        m_ports.loads.state(notice->sender, notice->loads, now);
+    }
+    m_taking = true;
+    for (const peer::seen_weights& seen : notice->weights) {
+        m_ports.registry.saw_version(seen.engine, seen.model, seen.version);
+    }
+    m_taking = false;
+    for (const peer::expected_state& one : notice->expected) {
+        m_ports.warm.expect(one.parts, one.engine, now);
+    }
+    for (const peer::holder_changes& one : notice->changes) {
+        m_learned(one);
+    }
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -0,0 +1,117 @@
+#include "ferryroad/relay/peer_group.hpp"
+
+#include "ferryroad/base/hash.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+#include <utility>
+
+namespace ferryroad::relay {
+
+std::string encode_peer_note(const peer_address& peer) {
+    return peer.address.to_string() + " " + peer.zone.value;
+}
+
+std::optional<peer_address> decode_peer_note(const base::router_name& name, std::string_view note) {
+    const std::size_t space = note.find(' ');
+    const auto address = base::endpoint::parse(note.substr(0, space));
+    if (!address || address->port == 0 || space == std::string_view::npos) {
+        return std::nullopt;
+    }
+    return peer_address{name, base::zone_name(std::string(note.substr(space + 1))), *address};
+}
+
+peer_group::peer_group(peer_address self, peer_group_tunables tunables)
+    : m_self(std::move(self)), m_tunables(tunables) {}
+
+void peer_group::declare(const std::vector<peer_address>& present) {
+    for (auto& [name, one] : m_peers) {
+        one.declared = false;
+    }
+    for (const peer_address& peer : present) {
+        if (peer.name != m_self.name) {
+            known_peer& one = m_peers[peer.name];
+            one.peer = peer;
+            one.declared = true;
+        }
+    }
+    std::erase_if(m_peers, [](const auto& entry) {
+        return !entry.second.declared && !entry.second.heard_at;
+    });
+}
+
+void peer_group::heard(const peer_address& peer, base::monotonic_time now) {
+    if (peer.name == m_self.name) {
+        return;
+    }
+    known_peer& one = m_peers[peer.name];
+    one.peer = peer;
+    one.heard_at = now;
+}
+
+bool peer_group::is_live(const known_peer& one, base::monotonic_time now) const {
+    return one.heard_at && now - *one.heard_at < m_tunables.live_for;
+}
+
+bool peer_group::is_known(const known_peer& one, base::monotonic_time now) const {
+    return one.declared || (one.heard_at && now - *one.heard_at < m_tunables.known_for);
+}
+
+/// All routers sort all names alike, so that they agree on the blocks while they agree on who
+/// is present.
+std::vector<const peer_group::known_peer*> peer_group::block(base::monotonic_time now) const {
+    std::vector<const known_peer*> others;
+    for (const auto& [name, one] : m_peers) {
+        if (is_known(one, now)) {
+            others.push_back(&one);
+        }
+    }
+    const auto place_of = [](const peer_address& peer) { return std::tie(peer.zone, peer.name); };
+    std::sort(others.begin(), others.end(), [&](const known_peer* a, const known_peer* b) {
+        return place_of(a->peer) < place_of(b->peer);
+    });
+    const auto before = std::count_if(others.begin(), others.end(), [&](const known_peer* one) {
+        return place_of(one->peer) < place_of(m_self);
+    });
+    const auto own_block = static_cast<std::size_t>(before) / m_tunables.block;
+    std::vector<const known_peer*> chosen;
+    for (std::size_t index = 0; index < others.size(); ++index) {
+        // This router stands between the others: those after it are one place further.
+        const std::size_t place = index < static_cast<std::size_t>(before) ? index : index + 1;
+        if (place / m_tunables.block == own_block) {
+            chosen.push_back(others[index]);
+        }
+    }
+    return chosen;
+}
+
+std::vector<base::endpoint> peer_group::targets(base::monotonic_time now) const {
+    std::vector<base::endpoint> addresses;
+    for (const known_peer* one : block(now)) {
+        addresses.push_back(one->peer.address);
+    }
+    return addresses;
+}
+
+bool peer_group::follows(const base::engine_name& holder, const base::zone_name& zone,
+                         base::monotonic_time now) const {
+    const std::uint64_t key = base::hash_bytes(holder.value);
+    const auto rank_of = [&](const peer_address& peer) {
+        return std::pair(peer.zone == zone, base::rendezvous_score(key, peer.name.value));
+    };
+    const auto own = rank_of(m_self);
+    const auto others = block(now);
+    return std::none_of(others.begin(), others.end(), [&](const known_peer* one) {
+        return is_live(*one, now) && rank_of(one->peer) > own;
+    });
+}
+
+std::size_t peer_group::live(base::monotonic_time now) const {
+    const auto others = block(now);
+    const auto counted = std::count_if(others.begin(), others.end(),
+                                       [&](const known_peer* one) { return is_live(*one, now); });
+    return static_cast<std::size_t>(counted);
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -0,0 +1,78 @@
+/// @file
+/// The routers that a router exchanges traffic notices with, and which of them follows a
+/// holder's event stream for all. Large deployments are cut into blocks, so that the number of
+/// datagrams a router sends does not grow with the number of routers.
+#pragma once
+
+#include "ferryroad/base/endpoint.hpp"
+#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/time.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ferryroad::relay {
+
+/// A router as others reach it.
+struct peer_address {
+    base::router_name name;
+    base::zone_name zone;
+    base::endpoint address;
+
+    friend bool operator==(const peer_address&, const peer_address&) = default;
+};
+
+/// @return what a router says of itself to the others, beside its name.
+std::string encode_peer_note(const peer_address& peer);
+/// @return nothing where the note names no address.
+std::optional<peer_address> decode_peer_note(const base::router_name& name, std::string_view note);
+
+struct peer_group_tunables {
+    /// Routers of a block, this one included.
+    std::size_t block = 16;
+    /// A peer that was not heard for so long does no work for others.
+    base::duration live_for = std::chrono::milliseconds(1500);
+    /// The same, and it is not sent to any more, unless it is declared.
+    base::duration known_for = std::chrono::seconds(16);
+};
+
+/// Not thread-safe.
+class peer_group {
+  public:
+    explicit peer_group(peer_address self, peer_group_tunables tunables = {});
+
+    /// Takes the whole list of routers that are present, this one among them or not.
+    void declare(const std::vector<peer_address>& present);
+    /// A notice came from a router.
+    void heard(const peer_address& peer, base::monotonic_time now);
+
+    /// @return the other routers of this one's block.
+    std::vector<base::endpoint> targets(base::monotonic_time now) const;
+    /// @return whether this router follows the holder for its block: one that is alive and, if
+    /// there is one, in the holder's zone.
+    bool follows(const base::engine_name& holder, const base::zone_name& zone,
+                 base::monotonic_time now) const;
+    /// @return the peers heard a moment ago.
+    std::size_t live(base::monotonic_time now) const;
+
+  private:
+    struct known_peer {
+        peer_address peer;
+        bool declared = false;
+        std::optional<base::monotonic_time> heard_at;
+    };
+
+    bool is_live(const known_peer& one, base::monotonic_time now) const;
+    bool is_known(const known_peer& one, base::monotonic_time now) const;
+    std::vector<const known_peer*> block(base::monotonic_time now) const;
+
+    peer_address m_self;
+    peer_group_tunables m_tunables;
+    std::map<base::router_name, known_peer> m_peers;
+};
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -19,6 +19,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +62,11 @@
     std::uint32_t priority = 0;
 };
 
+/// Gets the engine, the shared parts of the prompt, and how many tokens are expected to be
+/// read anew.
+using dispatch_sink = std::function<void(
+    const base::engine_name&, const std::vector<core::prefix::scoped_part>&, std::uint64_t)>;
+
 /// What requests are served with. All outlive the requests.
 template <upstream Upstream>
 struct relay_collaborators {
@@ -69,6 +75,8 @@
     engine_registry& registry;
     engine_selection& selection;
     const policy_source& policies;
+    /// Told of each dispatch, where there is someone to tell.
+    dispatch_sink dispatched;
 };
 
 /// How a request ended, for logs and metrics.
@@ -240,8 +248,11 @@
         ++m_outcome.dispatches;
         m_outcome.engine = m_selected.target.name.value;
         m_outcome.predicted_ms = m_selected.cost_ms;
-        m_with.selection.record_dispatch(*m_plan.call, m_selected, now);
         m_load.emplace(m_with.registry, m_selected.target.name, m_selected.prefill_tokens);
+        const auto parts = m_with.selection.record_dispatch(*m_plan.call, m_selected, now);
+        if (m_with.dispatched) {
+            m_with.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
+        }
         log_dispatch(attempt);
         engine_target target = m_selected.target;
         dispatch sent = terms_of(attempt);
@@ -484,6 +495,13 @@
         co_await send(answer);
     }
 
+    std::uint64_t shared_tokens() const {
+        return m_plan.call->prompt ? m_plan.call->prompt->shared_tokens() : 0;
+    }
+    static std::string text_of(const std::optional<base::endpoint>& address) {
+        return address ? address->to_string() : "none";
+    }
+
     void log_dispatch(const execution::dispatch_attempt& attempt) const {
         const base::monotonic_time now = m_with.scheduler.now();
         runtime::log(
@@ -494,6 +512,9 @@
              {"candidates", std::to_string(m_selected.candidates)},
              {"cost_ms", std::to_string(static_cast<std::int64_t>(m_selected.cost_ms))},
              {"warm_tokens", std::to_string(m_selected.warm_tokens)},
+             {"fetchable_tokens", std::to_string(m_selected.fetchable_tokens)},
+             {"shared_tokens", std::to_string(shared_tokens())},
+             {"fetch_from", text_of(m_selected.fetch_state_from)},
              {"policy", std::to_string(m_plan.policy->version())},
              {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))},
              {"left_ms", std::to_string(base::to_milliseconds(m_plan.deadline - now))}});
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -3,6 +3,7 @@
 #include "ferryroad/base/hash.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ferryroad::relay {
@@ -32,19 +33,52 @@
     return !outdated || now - *outdated < *m_settings.outdated_limit;
 }
 
+std::uint64_t engine_selection::scoped_prompt::held_by(const base::engine_name& holder) const {
+    const auto found =
+        std::find_if(holdings.begin(), holdings.end(),
+                     [&](const placement::holding& one) { return one.holder == holder; });
+    return found == holdings.end() ? 0 : found->tokens;
+}
+
+std::uint64_t engine_selection::scoped_prompt::held_beside(const base::engine_name& holder) const {
+    std::uint64_t most = 0;
+    for (const placement::holding& one : holdings) {
+        most = one.holder == holder ? most : std::max(most, one.tokens);
+    }
+    return most;
+}
+
+engine_selection::scoped_prompt engine_selection::scoped(const selection_query& query,
+                                                         std::uint64_t version,
+                                                         base::monotonic_time now) const {
+    scoped_prompt prompt;
+    prompt.scope = cache_scope_of(query.tenant, version);
+    prompt.parts = core::prefix::scoped_parts_of(*query.call.prompt, prompt.scope);
+    prompt.holdings = m_warm.holdings(prompt.parts, now);
+    return prompt;
+}
+
 std::vector<engine_selection::weighed> engine_selection::eligible(const selection_query& query,
+                                                                  scoped_prompts& prompts,
                                                                   base::monotonic_time now) const {
+    const auto loads = m_loads.totals(now);
     std::vector<weighed> engines;
     for (const auto& [name, engine] : m_registry.engines()) {
         if (!may_serve(engine, query, now)) {
             continue;
         }
-        weighed one{&engine, {}};
+        const auto others = loads.find(name);
+        weighed one{&engine, others == loads.end() ? placement::shared_load{} : others->second,
+                    nullptr};
         if (query.call.prompt) {
             const std::uint64_t version = engine.version_of(query.call.prompt->model);
-            one.scope = cache_scope_of(query.tenant, version);
+            auto known = prompts.find(version);
+            if (known == prompts.end()) {
+                known = prompts.emplace(version, scoped(query, version, now)).first;
+            }
+            one.prompt = &known->second;
         }
-        engines.push_back(std::move(one));
+        engines.push_back(one);
     }
     return engines;
 }
@@ -56,24 +90,27 @@
     placement::engine_candidate candidate;
     candidate.name = engine.listed.name;
     candidate.same_zone = engine.listed.zone == m_settings.zone;
-    candidate.suspended = engine.health.suspended(now) || now < engine.refuses_until;
-    candidate.running = engine.running;
+    const bool refuses = now < engine.refuses_until || one.others.refuses;
+    candidate.suspended = engine.health.suspended(now) || refuses;
+    candidate.running = engine.running + one.others.running;
     candidate.slots = engine.listed.slots;
-    candidate.pending_prefill_tokens = engine.pending_prefill_tokens;
-    if (query.call.prompt) {
+    candidate.pending_prefill_tokens = engine.pending_prefill_tokens + one.others.prefill_tokens;
+    if (one.prompt != nullptr) {
         const std::string& model = query.call.prompt->model;
         const auto outdated =
             m_policies.versions_of(model).outdated_since(engine.version_of(model));
         candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
-        const auto parts = core::prefix::scoped_parts_of(*query.call.prompt, one.scope);
-        candidate.warm_tokens = m_warm.tokens_held(parts, candidate.name, now);
+        candidate.warm_tokens = one.prompt->held_by(candidate.name);
+        candidate.fetchable_tokens = one.prompt->held_beside(candidate.name);
     }
     return candidate;
 }
 
-void engine_selection::mark_homes(const std::vector<weighed>& engines,
-                                  const core::prefix::declared_prompt& prompt,
-                                  placement::placement_query& placed) const {
+/// All routers reckon the same home from the same list of engines, so that requests which
+/// come at the same time to different routers read a prefix once.
+void engine_selection::mark_home(const std::vector<weighed>& engines,
+                                 const core::prefix::declared_prompt& prompt,
+                                 placement::placement_query& placed) const {
     if (prompt.shared_parts() == 0) {
         return;
     }
@@ -83,7 +120,7 @@
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
         const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
-        if (candidate.same_zone && !candidate.suspended && (!home || score > best)) {
+        if (!candidate.suspended && !candidate.outdated && (!home || score > best)) {
             home = index;
             best = score;
         }
@@ -95,7 +132,8 @@
 
 std::optional<selected_engine> engine_selection::select(const selection_query& query,
                                                         base::monotonic_time now) {
-    const std::vector<weighed> engines = eligible(query, now);
+    scoped_prompts prompts;
+    const std::vector<weighed> engines = eligible(query, prompts, now);
     placement::placement_query placed;
     for (const weighed& one : engines) {
         placed.candidates.push_back(candidate_of(one, query, now));
@@ -103,80 +141,87 @@
     if (query.call.prompt) {
         placed.input_tokens = query.call.prompt->input_tokens;
         placed.shared_tokens = query.call.prompt->shared_tokens();
-        mark_homes(engines, *query.call.prompt, placed);
+        mark_home(engines, *query.call.prompt, placed);
     }
     const auto choice = placement::choose_engine(placed, m_settings.placement);
     if (!choice) {
         return std::nullopt;
     }
     const weighed& one = engines[choice->candidate];
+    const placement::engine_candidate& candidate = placed.candidates[choice->candidate];
     selected_engine chosen;
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
-    chosen.warm_tokens = placed.candidates[choice->candidate].warm_tokens;
-    if (query.call.prompt) {
+    chosen.warm_tokens = candidate.warm_tokens;
+    chosen.fetchable_tokens = candidate.fetchable_tokens;
+    if (one.prompt != nullptr) {
         chosen.expected_version = one.engine->version_of(query.call.prompt->model);
-        chosen.cache_scope = one.scope;
-        chosen.prefill_tokens =
-            placed.input_tokens - std::min(chosen.warm_tokens, placed.input_tokens);
+        chosen.cache_scope = one.prompt->scope;
+        const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
+        chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
         chosen.zone = one.engine->listed.zone;
-        add_state_terms(query, placed, now, chosen);
+        add_state_terms(query, *one.prompt, now, chosen);
     }
     return chosen;
 }
 
-void engine_selection::add_state_terms(const selection_query& query,
-                                       const placement::placement_query& placed,
+void engine_selection::add_state_terms(const selection_query& query, const scoped_prompt& prompt,
                                        base::monotonic_time now, selected_engine& chosen) const {
     const auto& stores = query.policy.declared().stores;
-    const std::uint64_t shared = placed.shared_tokens;
+    const std::uint64_t shared = query.call.prompt->shared_tokens();
     if (shared == 0) {
         return;
     }
-    const auto parts = core::prefix::scoped_parts_of(*query.call.prompt, *chosen.cache_scope);
     std::uint64_t in_store = 0;
     if (!stores.empty()) {
         const core::traffic::state_store& store = stores.front();
-        in_store = m_warm.tokens_held(parts, holder_of(store), now);
+        in_store = prompt.held_by(holder_of(store));
         chosen.fetch_state_from = store.address;
-        chosen.save_state_to = store.address;
+        if (in_store < shared) {
+            chosen.save_state_to = store.address;
+        }
     }
     if (chosen.warm_tokens >= shared) {
         return;
     }
-    const auto source = best_source(query, parts, chosen, now);
-    if (source && source->tokens >= in_store && source->tokens > chosen.warm_tokens) {
-        chosen.fetch_state_from = source->address;
+    const known_engine* source = best_source(query, prompt, chosen, now);
+    const std::uint64_t at_source = source == nullptr ? 0 : prompt.held_by(source->listed.name);
+    if (at_source >= in_store && at_source > chosen.warm_tokens) {
+        chosen.fetch_state_from = source->listed.address;
     }
 }
 
-std::optional<engine_selection::state_source> engine_selection::best_source(
-    const selection_query& query, const std::vector<core::prefix::scoped_part>& parts,
-    const selected_engine& chosen, base::monotonic_time now) const {
-    std::optional<state_source> best;
-    for (const auto& [name, engine] : m_registry.engines()) {
-        const bool sound = engine.listed.pool == query.pool && !engine.health.suspended(now) &&
-                           name != chosen.target.name;
+const known_engine* engine_selection::best_source(const selection_query& query,
+                                                  const scoped_prompt& prompt,
+                                                  const selected_engine& chosen,
+                                                  base::monotonic_time now) const {
+    const known_engine* best = nullptr;
+    std::tuple<std::uint64_t, bool> best_rank;
+    for (const placement::holding& held : prompt.holdings) {
+        const known_engine* engine = m_registry.find(held.holder);
+        const bool sound = engine != nullptr && engine->listed.pool == query.pool &&
+                           !engine->health.suspended(now) && held.holder != chosen.target.name;
         if (!sound) {
             continue;
         }
-        const std::uint64_t tokens = m_warm.tokens_held(parts, name, now);
-        const bool near = engine.listed.zone == chosen.zone;
-        const bool better = !best || std::pair(tokens, near) > std::pair(best->tokens, best->near);
-        if (tokens > 0 && better) {
-            best = state_source{engine.listed.address, tokens, near};
+        const std::tuple rank(held.tokens, engine->listed.zone == chosen.zone);
+        if (best == nullptr || rank > best_rank) {
+            best = engine;
+            best_rank = rank;
         }
     }
     return best;
 }
 
-void engine_selection::record_dispatch(const relay_call& call, const selected_engine& chosen,
-                                       base::monotonic_time now) {
-    if (call.prompt && chosen.cache_scope) {
-        const auto parts = core::prefix::scoped_parts_of(*call.prompt, *chosen.cache_scope);
-        m_warm.expect(parts, chosen.target.name, now);
-    }
+std::vector<core::prefix::scoped_part> engine_selection::record_dispatch(
+    const relay_call& call, const selected_engine& chosen, base::monotonic_time now) {
+    if (!call.prompt || !chosen.cache_scope) {
+        return {};
+    }
+    auto parts = core::prefix::scoped_parts_of(*call.prompt, *chosen.cache_scope);
+    m_warm.expect(parts, chosen.target.name, now);
+    return parts;
 }
 
 base::engine_name holder_of(const core::traffic::state_store& store) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -3,6 +3,7 @@
 /// `core/placement`, and turns the answer into the terms of a dispatch.
 #pragma once
 
+#include "ferryroad/core/placement/engine_load_view.hpp"
 #include "ferryroad/core/placement/placement.hpp"
 #include "ferryroad/core/placement/warm_state.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
@@ -11,7 +12,9 @@
 #include "ferryroad/relay/types.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -42,8 +45,9 @@
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
     std::optional<base::endpoint> save_state_to;
-    std::uint64_t warm_tokens = 0;     ///< Believed to be held by the engine.
-    std::uint64_t prefill_tokens = 0;  ///< Expected to be read anew.
+    std::uint64_t warm_tokens = 0;       ///< Believed to be held by the engine.
+    std::uint64_t fetchable_tokens = 0;  ///< The same, held elsewhere.
+    std::uint64_t prefill_tokens = 0;    ///< Expected to be read anew.
     double cost_ms = 0;
     std::size_t candidates = 0;
 };
@@ -52,10 +56,12 @@
 class engine_selection {
   public:
     engine_selection(engine_registry& registry, const policy_source& policies,
-                     core::placement::warm_state& warm, selection_settings settings)
+                     core::placement::warm_state& warm,
+                     const core::placement::engine_load_view& loads, selection_settings settings)
         : m_registry(registry),
           m_policies(policies),
           m_warm(warm),
+          m_loads(loads),
           m_settings(std::move(settings)) {}
 
     void change_settings(selection_settings settings) { m_settings = std::move(settings); }
@@ -63,40 +69,49 @@
     /// @return nothing where no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
     /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
-    void record_dispatch(const relay_call& call, const selected_engine& chosen,
-                         base::monotonic_time now);
+    /// @return these parts.
+    std::vector<core::prefix::scoped_part> record_dispatch(const relay_call& call,
+                                                           const selected_engine& chosen,
+                                                           base::monotonic_time now);
 
   private:
-    /// An engine that could give prompt state to another.
-    struct state_source {
-        base::endpoint address;
-        std::uint64_t tokens = 0;
-        bool near = false;  ///< In the zone of the engine that would fetch.
+    /// The prompt under the weights of some engines, with those that hold its beginning.
+    struct scoped_prompt {
+        std::string scope;
+        std::vector<core::prefix::scoped_part> parts;
+        std::vector<core::placement::holding> holdings;
+
+        std::uint64_t held_by(const base::engine_name& holder) const;
+        /// @return the most that anyone but `holder` has.
+        std::uint64_t held_beside(const base::engine_name& holder) const;
     };
+    /// By the version of the weights.
+    using scoped_prompts = std::map<std::uint64_t, scoped_prompt>;
     struct weighed {
         const known_engine* engine = nullptr;
-        std::string scope;
+        core::placement::shared_load others;    ///< Load of other routers.
+        const scoped_prompt* prompt = nullptr;  ///< Null without a prompt.
     };
 
     bool may_serve(const known_engine& engine, const selection_query& query,
                    base::monotonic_time now) const;
-    std::vector<weighed> eligible(const selection_query& query, base::monotonic_time now) const;
-    void mark_homes(const std::vector<weighed>& engines,
-                    const core::prefix::declared_prompt& prompt,
-                    core::placement::placement_query& placed) const;
+    scoped_prompt scoped(const selection_query& query, std::uint64_t version,
+                         base::monotonic_time now) const;
+    std::vector<weighed> eligible(const selection_query& query, scoped_prompts& prompts,
+                                  base::monotonic_time now) const;
+    void mark_home(const std::vector<weighed>& engines, const core::prefix::declared_prompt& prompt,
+                   core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
                                                    base::monotonic_time now) const;
-    void add_state_terms(const selection_query& query,
-                         const core::placement::placement_query& placed, base::monotonic_time now,
-                         selected_engine& chosen) const;
-    std::optional<state_source> best_source(const selection_query& query,
-                                            const std::vector<core::prefix::scoped_part>& parts,
-                                            const selected_engine& chosen,
-                                            base::monotonic_time now) const;
+    void add_state_terms(const selection_query& query, const scoped_prompt& prompt,
+                         base::monotonic_time now, selected_engine& chosen) const;
+    const known_engine* best_source(const selection_query& query, const scoped_prompt& prompt,
+                                    const selected_engine& chosen, base::monotonic_time now) const;
 
     engine_registry& m_registry;
     const policy_source& m_policies;
     core::placement::warm_state& m_warm;
+    const core::placement::engine_load_view& m_loads;
     selection_settings m_settings;
 };
 
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -1,15 +1,20 @@
 /// @file
-/// Follows the event streams of engines and state stores, so that routing knows what each
-/// holds. A holder that turns followers away is left alone for a while.
+/// Keeps this router's beliefs on what engines and state stores hold in step with their event
+/// streams. One router of a block asks a holder and tells the others; a router that misses
+/// something, or hears nothing for a while, asks by itself. A holder that turns callers away
+/// is left alone for a while.
 #pragma once
 
 #include "ferryroad/core/placement/warm_state.hpp"
+#include "ferryroad/peer/traffic_notice.hpp"
 #include "ferryroad/relay/types.hpp"
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +26,7 @@
 
 /// A part entered a holder's memory, changed there, or left it.
 struct state_change {
+    std::uint64_t number = 0;  ///< Rising within an epoch.
     std::string scope;
     std::string model;
     std::string part;
@@ -49,11 +55,28 @@
 };
 
 struct state_follower_settings {
+    /// How long the holder may wait for changes: for the router that follows it, and for one
+    /// that asks by itself.
     base::duration wait = std::chrono::milliseconds(900);
+    base::duration short_wait = std::chrono::milliseconds(250);
     /// Between two calls, so that changes come in batches.
     base::duration pace = std::chrono::milliseconds(150);
+    /// How often a router looks whether it must ask a holder that another follows.
+    base::duration look_period = std::chrono::milliseconds(500);
+    /// Without news from a peer for so long, a router asks by itself.
+    base::duration news_lifetime = std::chrono::seconds(3);
     base::duration first_backoff = std::chrono::milliseconds(500);
     base::duration longest_backoff = std::chrono::seconds(8);
+    /// Parts told to peers at a time.
+    std::size_t told_parts = 48;
+};
+
+/// How the routers of a block share the work.
+struct state_sharing {
+    /// @return whether this router follows the holder for the others.
+    std::function<bool(const base::engine_name&, const base::zone_name&)> follows;
+    /// Tells the others.
+    std::function<void(peer::holder_changes)> tell;
 };
 
 /// Used from the event loop's thread; kept until the loop has ended. Collaborators outlive it.
@@ -61,65 +84,163 @@
 class state_follower {
   public:
     state_follower(runtime::scheduler& scheduler, Source& source, core::placement::warm_state& warm,
-                   state_follower_settings settings = {})
-        : m_scheduler(scheduler), m_source(source), m_warm(warm), m_settings(settings) {}
+                   state_sharing sharing, state_follower_settings settings = {})
+        : m_scheduler(scheduler),
+          m_source(source),
+          m_warm(warm),
+          m_sharing(std::move(sharing)),
+          m_settings(settings) {}
 
-    /// Follows a holder until `leave`; again called, it changes nothing.
-    void follow(const engine_target& holder) {
-        const auto [place, added] = m_followed.emplace(holder.name, std::make_shared<bool>(true));
+    /// Keeps in step with a holder until `leave`; again called, it changes nothing.
+    void follow(const engine_target& holder, const base::zone_name& zone) {
+        const auto [place, added] = m_holders.try_emplace(holder.name);
         if (added) {
-            m_scheduler.spawn(component, run(holder, place->second));
+            place->second = std::make_shared<followed_holder>();
+            place->second->target = holder;
+            place->second->zone = zone;
+            m_scheduler.spawn(component, run(place->second));
         }
     }
     /// The holder ended.
     void leave(const base::engine_name& name) {
-        const auto found = m_followed.find(name);
-        if (found != m_followed.end()) {
-            *found->second = false;
-            m_followed.erase(found);
+        const auto found = m_holders.find(name);
+        if (found != m_holders.end()) {
+            found->second->wanted = false;
+            m_holders.erase(found);
         }
         m_warm.forget(name);
     }
-    std::size_t followed() const { return m_followed.size(); }
+    /// A peer follows the holder, and told of changes.
+    void learn(const peer::holder_changes& told) {
+        const auto found = m_holders.find(told.holder);
+        if (found == m_holders.end()) {
+            return;
+        }
+        followed_holder& holder = *found->second;
+        const bool in_step = told.epoch == holder.epoch && told.from <= holder.position;
+        if (!in_step) {
+            holder.behind = holder.behind || told.epoch != holder.epoch || told.next > 0;
+            return;
+        }
+        holder.news_at = m_scheduler.now();
+        if (told.next >= holder.position) {
+            apply(holder, told);
+        }
+    }
+    std::size_t followed() const { return m_holders.size(); }
 
   private:
     static constexpr std::string_view component = "relay.state";
 
-    runtime::task<void> run(engine_target holder, std::shared_ptr<bool> wanted) {
-        std::uint64_t since = 0;
+    struct followed_holder {
+        engine_target target;
+        base::zone_name zone;
+        bool wanted = true;
+        bool behind = true;  ///< Changes were missed, or none was ever asked for.
         std::uint64_t epoch = 0;
+        std::uint64_t position = 0;  ///< Changes before it are known.
+        base::monotonic_time news_at{};
+        base::monotonic_time told_at{};
+    };
+    using holder_pointer = std::shared_ptr<followed_holder>;
+
+    runtime::task<void> run(holder_pointer holder) {
         base::duration backoff = m_settings.first_backoff;
-        while (*wanted) {
-            engine_target asked = holder;
-            const auto told =
-                co_await m_source.state_changes_of(std::move(asked), since, m_settings.wait);
-            if (!*wanted) {
+        while (holder->wanted) {
+            const bool follows = m_sharing.follows(holder->target.name, holder->zone);
+            if (!follows && !must_ask(*holder)) {
+                co_await m_scheduler.sleep_for(jittered(m_settings.look_period));
+                continue;
+            }
+            const bool answered = co_await ask(holder, follows);
+            if (!holder->wanted) {
                 co_return;
             }
-            if (!told) {
-                m_warm.follow(holder.name, false);
-                co_await m_scheduler.sleep_for(jittered(backoff));
-                backoff = std::min(2 * backoff, m_settings.longest_backoff);
+            if (answered) {
+                backoff = m_settings.first_backoff;
+                co_await m_scheduler.sleep_for(m_settings.pace);
                 continue;
             }
-            if (told->epoch != epoch && epoch != 0) {
-                m_warm.forget(holder.name);
+            m_warm.follow(holder->target.name, false);
+            co_await m_scheduler.sleep_for(jittered(backoff));
+            backoff = std::min(2 * backoff, m_settings.longest_backoff);
+        }
+    }
+
+    bool must_ask(const followed_holder& holder) const {
+        return holder.behind || m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
+    }
+
+    runtime::task<bool> ask(holder_pointer holder, bool follows) {
+        engine_target asked = holder->target;
+        const std::uint64_t since = holder->position;
+        const base::duration wait = follows ? m_settings.wait : m_settings.short_wait;
+        const auto answer = co_await m_source.state_changes_of(std::move(asked), since, wait);
+        if (!answer) {
+            co_return false;
+        }
+        if (holder->wanted) {
+            take(*holder, since, *answer, follows);
+        }
+        co_return true;
+    }
+
+    void take(followed_holder& holder, std::uint64_t since, const state_changes& answer,
+              bool follows) {
+        const bool restarted = answer.epoch != holder.epoch;
+        if (restarted && holder.epoch != 0) {
+            m_warm.forget(holder.target.name);
+        }
+        if (restarted || answer.gap) {
+            holder.position = 0;
+        }
+        holder.epoch = answer.epoch;
+        holder.behind = false;
+        holder.news_at = m_scheduler.now();
+        const std::uint64_t from = restarted || answer.gap ? 0 : since;
+        for (peer::holder_changes& batch : batches(holder, from, answer)) {
+            if (batch.next >= holder.position) {
+                apply(holder, batch);
+            }
+            if (follows && is_news(holder, batch)) {
+                holder.told_at = holder.news_at;
+                m_sharing.tell(std::move(batch));
+            }
+        }
+    }
+
+    /// Where nothing changed, peers are told now and then that it is so.
+    bool is_news(const followed_holder& holder, const peer::holder_changes& batch) const {
+        return !batch.parts.empty() ||
+               holder.news_at - holder.told_at > m_settings.news_lifetime / 3;
+    }
+
+    std::vector<peer::holder_changes> batches(const followed_holder& holder, std::uint64_t from,
+                                              const state_changes& answer) const {
+        std::vector<peer::holder_changes> all;
+        peer::holder_changes batch{holder.target.name, answer.epoch, from, from, {}};
+        for (const state_change& one : answer.changes) {
+            if (batch.parts.size() >= m_settings.told_parts) {
+                all.push_back(batch);
+                batch.from = batch.next;
+                batch.parts.clear();
             }
-            epoch = told->epoch;
-            since = told->next;
-            backoff = m_settings.first_backoff;
-            take(holder.name, *told);
-            co_await m_scheduler.sleep_for(m_settings.pace);
+            batch.parts.push_back(
+                {core::prefix::key_of(one.scope, one.model, one.part), one.tokens});
+            batch.next = std::max(batch.from, one.number);
         }
+        batch.next = std::max(batch.from, answer.next);
+        all.push_back(std::move(batch));
+        return all;
     }
 
-    void take(const base::engine_name& holder, const state_changes& told) {
+    void apply(followed_holder& holder, const peer::holder_changes& told) {
         const base::monotonic_time now = m_scheduler.now();
-        for (const state_change& one : told.changes) {
-            m_warm.told(core::prefix::key_of(one.scope, one.model, one.part), holder, one.tokens,
-                        now);
+        for (const core::prefix::scoped_part& part : told.parts) {
+            m_warm.told(part.key, holder.target.name, part.tokens, now);
         }
-        m_warm.follow(holder, true);
+        holder.position = std::max(holder.position, told.next);
+        m_warm.follow(holder.target.name, true);
     }
 
     base::duration jittered(base::duration delay) {
@@ -129,8 +250,9 @@
     runtime::scheduler& m_scheduler;
     Source& m_source;
     core::placement::warm_state& m_warm;
+    state_sharing m_sharing;
     state_follower_settings m_settings;
-    std::map<base::engine_name, std::shared_ptr<bool>> m_followed;
+    std::map<base::engine_name, holder_pointer> m_holders;
 };
 
 }  // namespace ferryroad::relay
--- a/test/core/placement/placement_test.cpp
+++ b/test/core/placement/placement_test.cpp
@@ -44,6 +44,30 @@
     cr_assert_str_eq(winner(long_prompt({engine("a"), home})).c_str(), "b");
 }
 
+Test(placement, an_engine_that_can_fetch_beats_one_that_must_read) {
+    auto fetching = engine("b");
+    fetching.fetchable_tokens = 9000;
+    cr_assert_str_eq(winner(long_prompt({engine("a"), fetching})).c_str(), "b");
+}
+
+Test(placement, the_home_has_no_claim_on_what_others_hold) {
+    auto home = engine("a");
+    home.home = true;
+    home.fetchable_tokens = 9000;
+    auto holder = engine("b");
+    holder.warm_tokens = 9000;
+    cr_assert_str_eq(winner(long_prompt({home, holder})).c_str(), "b");
+}
+
+Test(placement, a_busy_holder_gives_its_state_to_another) {
+    auto holder = engine("a");
+    holder.warm_tokens = 9000;
+    holder.pending_prefill_tokens = 12000;
+    auto idle = engine("b");
+    idle.fetchable_tokens = 9000;
+    cr_assert_str_eq(winner(long_prompt({holder, idle})).c_str(), "b");
+}
+
 Test(placement, a_crowded_holder_loses_in_the_end) {
     auto holder = engine("b");
     holder.warm_tokens = 9000;
--- a/test/core/placement/warm_state_test.cpp
+++ b/test/core/placement/warm_state_test.cpp
@@ -31,6 +31,21 @@
     cr_assert_eq(warm.tokens_held(prompt(), a, start + 2s), 0);
 }
 
+Test(warm_state, all_holders_of_a_beginning_are_known) {
+    warm_state warm;
+    warm.follow(a, true);
+    warm.follow(b, true);
+    warm.told(prompt()[0].key, a, 100, start);
+    warm.told(prompt()[1].key, a, 20, start);
+    warm.told(prompt()[1].key, b, 50, start);  // Of no use without the part before it.
+    const std::vector<holding> alone = {{a, 120, true}};
+    cr_assert(warm.holdings(prompt(), start) == alone);
+    warm.expect({prompt()[0]}, b, start);
+    const std::vector<holding> both = {{a, 120, true}, {b, 150, false}};
+    cr_assert(warm.holdings(prompt(), start) == both);
+    cr_assert(warm.holdings({}, start).empty());
+}
+
 Test(warm_state, without_events_an_expectation_lasts_longer) {
     warm_state warm;
     warm.expect(prompt(), a, start);
--- a/test/leases/presence_test.cpp
+++ b/test/leases/presence_test.cpp
@@ -3,6 +3,7 @@
 
 #include "test/http/loopback.hpp"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 
@@ -19,6 +20,7 @@
         for (const platform::transaction& one : transactions) {
             for (const platform::row_write& write : one.writes) {
                 versions[write.key] = platform::row_version(++last);
+                values[write.key] = write.value.value_or("");
             }
         }
         co_return std::vector<platform::transaction_outcome>(transactions.size());
@@ -31,21 +33,27 @@
                                                                      std::uint32_t) override {
         std::vector<platform::row> rows;
         for (const auto& [key, version] : versions) {
-            rows.push_back({key, "", version});
+            rows.push_back({key, values[key], version});
         }
         co_return rows;
     }
     std::map<platform::row_key, platform::row_version> versions;
+    std::map<platform::row_key, std::string> values;
     std::uint64_t last = 0;
 };
 
 struct router {
     router(ferryroad::test::loopback& loop, platform::table& table, const std::string& name)
-        : here(loop.scheduler, table, base::router_name(name),
-               [this](std::size_t counted) { count = counted; }, {5ms, 60ms, 500}) {
+        : here(loop.scheduler, table, {base::router_name(name), "at " + name},
+               [this](const std::vector<present_router>& present) {
+                   count = present.size();
+                   last = present;
+               },
+               {5ms, 5ms, 60ms, 500}) {
         here.start();
     }
     std::size_t count = 0;
+    std::vector<present_router> last;
     presence here;
 };
 
@@ -71,6 +79,8 @@
         routers.push_back(std::make_unique<router>(loop, table, name));
     }
     cr_assert(loop.run([&] { return until_all_count(loop, routers, 3); }));
+    const present_router third{base::router_name("c"), "at c"};
+    cr_assert(std::count(routers[0]->last.begin(), routers[0]->last.end(), third) == 1);
     auto ended = std::move(routers.back());
     routers.pop_back();
     ended->here.stop();
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -202,7 +202,8 @@
     engine_registry registry;
     policy_source policies{policy_bounds{std::chrono::seconds(3), std::chrono::seconds(2)}};
     core::placement::warm_state warm;
-    engine_selection selection{registry, policies, warm, selection_of()};
+    core::placement::engine_load_view loads;
+    engine_selection selection{registry, policies, warm, loads, selection_of()};
     std::vector<relay_outcome> outcomes;
     relay_service<fake_upstream> service{
         {loop.scheduler, upstream, registry, selection, policies},
--- /dev/null
+++ b/test/relay/peer_exchange_test.cpp
@@ -0,0 +1,177 @@
+/// What one router knows of its traffic reaches the others.
+#include "ferryroad/relay/peer_exchange.hpp"
+
+#include "test/http/loopback.hpp"
+
+#include <map>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::engine_name engine("e1");
+const std::vector<core::prefix::scoped_part> parts = {{core::prefix::part_key(7), 6300}};
+
+/// Carries datagrams between the routers of a test, those to lost addresses excepted.
+struct fake_network {
+    std::map<base::endpoint, peer::transport::datagram_handler> handlers;
+    std::size_t sent = 0;
+};
+
+class fake_transport final : public peer::transport {
+  public:
+    fake_transport(fake_network& network, base::endpoint self)
+        : m_network(network), m_self(std::move(self)) {}
+    void on_datagram(datagram_handler handler) override {
+        m_network.handlers[m_self] = std::move(handler);
+    }
+    void on_call(call_handler) override {}
+    void send(const base::endpoint& to, peer::message_bytes bytes) override {
+        ++m_network.sent;
+        if (m_network.handlers.contains(to)) {
+            m_network.handlers[to](m_self, bytes);
+        }
+    }
+    runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
+                                                          peer::message_bytes,
+                                                          base::duration) override {
+        co_return peer::message_bytes();
+    }
+    const peer::transport_counters& counters() const override { return m_counters; }
+
+  private:
+    fake_network& m_network;
+    base::endpoint m_self;
+    peer::transport_counters m_counters;
+};
+
+struct router {
+    router(ferryroad::test::loopback& loop, fake_network& network, std::uint16_t port)
+        : self{base::router_name("r" + std::to_string(port)),
+               base::zone_name("z"),
+               {"10.0.0.1", port}},
+          transport(network, self.address),
+          exchange(
+              {loop.scheduler, transport, registry, warm, loads}, self,
+              [this](const peer::holder_changes& told) { learned.push_back(told); }, settings()) {
+        listed_engine one;
+        one.name = engine;
+        one.versions["m"] = 1;
+        registry.put(one);
+        registry.on_newer_weights([this](const auto& name, const auto& model, auto version) {
+            exchange.saw_weights({name, model, version});
+        });
+        exchange.start();
+    }
+    static exchange_settings settings() {
+        exchange_settings all;
+        all.pace = 2ms;
+        all.heartbeat = 50ms;
+        return all;
+    }
+
+    peer_address self;
+    fake_transport transport;
+    engine_registry registry;
+    core::placement::warm_state warm;
+    core::placement::engine_load_view loads;
+    std::vector<peer::holder_changes> learned;
+    peer_exchange exchange;
+};
+
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_network network;
+    router first{loop, network, 1};
+    router second{loop, network, 2};
+
+    fixture() {
+        first.exchange.set_routers({first.self, second.self});
+        second.exchange.set_routers({first.self, second.self});
+    }
+    bool until(std::function<bool()> holds) {
+        loop.context.restart();
+        return loop.run([&] { return loop.until(holds); });
+    }
+};
+
+}  // namespace
+
+Test(peer_exchange, a_long_prompt_is_told_of_at_once) {
+    fixture at;
+    const engine_load load(at.first.registry, engine, 9190);
+    at.first.exchange.dispatched(engine, parts, 9190);
+    const auto now = at.loop.scheduler.now();
+    cr_assert(at.second.loads.totals(now).at(engine) ==
+              (core::placement::shared_load{1, 9190, false}));
+    cr_assert_eq(at.second.warm.tokens_held(parts, engine, now), 6300);
+}
+
+Test(peer_exchange, other_load_is_told_of_soon_and_taken_back) {
+    fixture at;
+    {
+        const engine_load load(at.first.registry, engine, 100);
+        at.first.exchange.dispatched(engine, {}, 100);
+        cr_assert_eq(at.network.sent, 0);
+        cr_assert(
+            at.until([&] { return !at.second.loads.totals(at.loop.scheduler.now()).empty(); }));
+    }
+    cr_assert(at.until([&] { return at.second.loads.totals(at.loop.scheduler.now()).empty(); }));
+}
+
+Test(peer_exchange, newer_weights_are_told_of_once) {
+    fixture at;
+    at.first.registry.saw_version(engine, "m", 2);
+    cr_assert(at.until([&] { return at.second.registry.find(engine)->version_of("m") == 2; }));
+    cr_assert_eq(at.first.exchange.notices_malformed(), 0);
+}
+
+Test(peer_exchange, changes_at_holders_are_told_in_several_datagrams) {
+    fixture at;
+    for (std::uint64_t number = 0; number < 10; ++number) {
+        peer::holder_changes one{engine, 1, number * 40, number * 40 + 40, {}};
+        one.parts.resize(40, parts.front());
+        at.first.exchange.tell(one);
+    }
+    cr_assert(at.until([&] { return at.second.learned.size() == 10; }));
+    cr_assert_eq(at.second.learned.back().next, 400);
+}
+
+Test(peer_exchange, a_quiet_router_gives_signs_of_life) {
+    fixture at;
+    cr_assert(at.until([&] { return at.first.exchange.live_peers() == 1; }));
+    cr_assert(at.until([&] { return at.second.exchange.live_peers() == 1; }));
+}
+
+Test(peer_exchange, a_router_that_starts_later_is_known_from_its_notices) {
+    fixture at;
+    router third(at.loop, at.network, 3);
+    third.exchange.set_routers({at.first.self, third.self});
+    cr_assert(at.until(
+        [&] { return at.first.exchange.live_peers() == 2 && third.exchange.live_peers() == 1; }));
+}
+
+Test(peer_exchange, junk_is_counted_and_dropped) {
+    fixture at;
+    at.network.handlers[at.second.self.address](at.first.self.address, "junk");
+    cr_assert_eq(at.second.exchange.notices_malformed(), 1);
+    cr_assert_eq(at.second.exchange.live_peers(), 0);
+}
+
+Test(peer_exchange, what_is_told_before_the_start_is_dropped) {
+    ferryroad::test::loopback loop;
+    fake_network network;
+    engine_registry registry;
+    core::placement::warm_state warm;
+    core::placement::engine_load_view loads;
+    fake_transport transport(network, {"10.0.0.1", 1});
+    peer_exchange exchange({loop.scheduler, transport, registry, warm, loads},
+                           {base::router_name("r"), base::zone_name("z"), {"10.0.0.1", 1}},
+                           [](const peer::holder_changes&) {});
+    exchange.set_routers({{base::router_name("q"), base::zone_name("z"), {"10.0.0.1", 2}}});
+    exchange.dispatched(engine, parts, 9000);
+    exchange.tell({engine, 1, 0, 1, {}});
+    cr_assert_eq(network.sent, 0);
+}
--- /dev/null
+++ b/test/relay/peer_group_test.cpp
@@ -0,0 +1,116 @@
+/// Who hears a router's notices, and who follows a holder for all.
+#include "ferryroad/relay/peer_group.hpp"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <string>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::monotonic_time start{100s};
+
+peer_address router(int number, const std::string& zone = "z1") {
+    const std::string digits = std::to_string(1000 + number);
+    return {base::router_name("r" + digits),
+            base::zone_name(zone),
+            {"10.0.0.1", static_cast<std::uint16_t>(1000 + number)}};
+}
+
+std::vector<peer_address> routers(int count) {
+    std::vector<peer_address> all;
+    for (int number = 0; number < count; ++number) {
+        all.push_back(router(number, "z" + std::to_string(number % 3)));
+    }
+    return all;
+}
+
+/// All routers of a deployment, each having heard all others.
+std::vector<peer_group> groups_of(const std::vector<peer_address>& all) {
+    std::vector<peer_group> groups;
+    for (const peer_address& self : all) {
+        peer_group group(self);
+        group.declare(all);
+        for (const peer_address& other : all) {
+            group.heard(other, start);
+        }
+        groups.push_back(std::move(group));
+    }
+    return groups;
+}
+
+}  // namespace
+
+Test(peer_group, a_note_names_address_and_zone) {
+    const peer_address peer = router(1);
+    cr_assert(decode_peer_note(peer.name, encode_peer_note(peer)) == peer);
+    for (const char* bad : {"", "10.0.0.1:5", "name:5 z1", "10.0.0.1:0 z1"}) {
+        cr_assert_not(decode_peer_note(peer.name, bad).has_value(), "%s", bad);
+    }
+}
+
+Test(peer_group, declared_and_heard_routers_are_sent_to) {
+    peer_group group(router(0));
+    group.declare({router(0), router(1)});
+    cr_assert_eq(group.targets(start).size(), 1);
+    group.heard(router(2), start);
+    cr_assert_eq(group.targets(start).size(), 2);
+    cr_assert_eq(group.targets(start + 17s).size(), 1);
+    group.declare({});
+    cr_assert_eq(group.targets(start + 17s).size(), 0);
+}
+
+Test(peer_group, a_router_sends_to_a_bounded_number_that_sends_to_it) {
+    const auto all = routers(370);
+    const auto groups = groups_of(all);
+    for (std::size_t one = 0; one < all.size(); ++one) {
+        const auto targets = groups[one].targets(start);
+        cr_assert_leq(targets.size(), 15);
+        for (std::size_t other = 0; other < all.size(); ++other) {
+            const auto back = groups[other].targets(start);
+            const bool sends = std::count(targets.begin(), targets.end(), all[other].address) > 0;
+            const bool is_sent = std::count(back.begin(), back.end(), all[one].address) > 0;
+            cr_assert_eq(sends, is_sent);
+        }
+        one += 36;
+    }
+}
+
+Test(peer_group, one_router_follows_a_holder_and_it_is_near) {
+    const auto all = routers(7);
+    const auto groups = groups_of(all);
+    std::set<std::size_t> busy;
+    for (int holder = 0; holder < 30; ++holder) {
+        const base::engine_name name("e" + std::to_string(holder));
+        std::size_t followers = 0;
+        for (std::size_t one = 0; one < all.size(); ++one) {
+            if (groups[one].follows(name, base::zone_name("z2"), start)) {
+                ++followers;
+                busy.insert(one);
+                cr_assert(all[one].zone == base::zone_name("z2"));
+            }
+        }
+        cr_assert_eq(followers, 1);
+    }
+    cr_assert_eq(busy.size(), 2);  // Both of the zone.
+}
+
+Test(peer_group, a_silent_router_follows_nothing) {
+    peer_group group(router(0));
+    group.declare({router(0), router(1), router(2)});
+    const base::zone_name zone("z1");
+    int before = 0;
+    for (int holder = 0; holder < 30; ++holder) {
+        group.heard(router(1), start);
+        const base::engine_name name("e" + std::to_string(holder));
+        before += group.follows(name, zone, start) ? 1 : 0;
+        cr_assert(group.follows(name, zone, start + 1500ms));
+    }
+    cr_assert(before > 5 && before < 25);
+    cr_assert_eq(group.live(start), 1);
+    cr_assert_eq(group.live(start + 1500ms), 0);
+}
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -15,7 +15,8 @@
     engine_registry registry;
     policy_source policies{policy_bounds{}};
     core::placement::warm_state warm;
-    engine_selection selection{registry, policies, warm, settings()};
+    core::placement::engine_load_view loads;
+    engine_selection selection{registry, policies, warm, loads, settings()};
     core::traffic::tenant open_tenant{base::tenant_name("t"), {}, std::nullopt, false};
     core::traffic::tenant isolated_tenant{base::tenant_name("i"), {}, std::nullopt, true};
     relay_call call;
@@ -110,6 +111,38 @@
     cr_assert(warm->fetch_state_from->to_string() == "10.0.0.3:1");
 }
 
+Test(selection, what_the_store_holds_is_not_saved_again) {
+    fixture at;
+    const base::engine_name store = holder_of(at.policies.current()->declared().stores.front());
+    at.warm.follow(store, true);
+    cr_assert(at.select()->save_state_to.has_value());
+    for (const auto& part : core::prefix::scoped_parts_of(*at.call.prompt, "shared/1")) {
+        at.warm.told(part.key, store, part.tokens, start);
+    }
+    const auto saved = at.select();
+    cr_assert_not(saved->save_state_to.has_value());
+    cr_assert(saved->fetch_state_from->to_string() == "10.0.0.9:9");
+    cr_assert_eq(saved->fetchable_tokens, 9000);
+    cr_assert_eq(saved->prefill_tokens, 500);
+}
+
+Test(selection, the_load_of_other_routers_counts) {
+    fixture at;
+    at.call.prompt->parts = {{"own", 600}};
+    at.call.prompt->input_tokens = 600;
+    const std::string first = at.select()->target.name.value;
+    at.loads.state(base::router_name("r2"), {{base::engine_name(first), 1, 9000, {}}}, start);
+    cr_assert(at.select()->target.name.value != first);
+}
+
+Test(selection, an_engine_that_refused_another_router_is_passed_over) {
+    fixture at;
+    const std::string home = at.select()->target.name.value;
+    at.loads.state(base::router_name("r2"), {{base::engine_name(home), 0, 0, 500ms}}, start);
+    cr_assert(at.select()->target.name.value != home);
+    cr_assert(at.select(nullptr, {}, start + 600ms)->target.name.value == home);
+}
+
 Test(selection, state_of_another_scope_is_no_source) {
     fixture at;
     selected_engine isolated = *at.select(&at.isolated_tenant);
--- /dev/null
+++ b/test/relay/state_follower_test.cpp
@@ -0,0 +1,195 @@
+/// One router asks a holder and the others keep in step, whatever is lost on the way.
+#include "ferryroad/relay/state_follower.hpp"
+
+#include "ferryroad/base/random.hpp"
+#include "test/http/loopback.hpp"
+
+#include <deque>
+#include <set>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const engine_target holder{base::engine_name("e1"), {"10.0.0.1", 1}};
+const base::zone_name zone("z");
+
+std::vector<core::prefix::scoped_part> part(std::uint64_t number) {
+    return {{core::prefix::key_of("s", "m", std::to_string(number)), 10}};
+}
+
+/// A holder whose n-th change adds part n.
+class fake_holder {
+  public:
+    runtime::task<std::optional<state_changes>> state_changes_of(engine_target, std::uint64_t since,
+                                                                 base::duration) {
+        ++asked;
+        if (silent) {
+            co_return std::nullopt;
+        }
+        state_changes answer{epoch, last, since + kept < last, {}};
+        for (std::uint64_t number = since + 1; number <= last; ++number) {
+            if (number + kept > last) {
+                answer.changes.push_back({number, "s", "m", std::to_string(number), 10});
+            }
+        }
+        co_return answer;
+    }
+    std::uint64_t epoch = 7;
+    std::uint64_t last = 0;
+    std::uint64_t kept = 1000;
+    std::size_t asked = 0;
+    bool silent = false;
+};
+
+/// A router that follows the holder for others or learns from them.
+struct router {
+    router(ferryroad::test::loopback& on, fake_holder& source, bool asks)
+        : loop(on),
+          follows(asks),
+          follower(loop.scheduler, source, warm,
+                   {[this](const auto&, const auto&) { return follows; },
+                    [this](peer::holder_changes told) { tell(std::move(told)); }},
+                   settings()) {
+        follower.follow(holder, zone);
+    }
+    static state_follower_settings settings() {
+        state_follower_settings all;
+        all.wait = 2ms;
+        all.short_wait = 2ms;
+        all.pace = 2ms;
+        all.look_period = 2ms;
+        all.news_lifetime = 60ms;
+        all.first_backoff = 2ms;
+        all.told_parts = 4;
+        return all;
+    }
+    void tell(peer::holder_changes told) {
+        for (router* other : others) {
+            if (random.unit() >= loss) {
+                other->follower.learn(told);
+            }
+        }
+    }
+    std::uint64_t held(std::uint64_t number) const {
+        return warm.tokens_held(part(number), holder.name, loop.scheduler.now());
+    }
+
+    ferryroad::test::loopback& loop;
+    bool follows;
+    double loss = 0;
+    base::seeded_random random{20261202};
+    std::vector<router*> others;
+    core::placement::warm_state warm;
+    state_follower<fake_holder> follower;
+};
+
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_holder source;
+    router asking{loop, source, true};
+    router learning{loop, source, false};
+
+    fixture() { asking.others = {&learning}; }
+    bool until(std::function<bool()> holds) {
+        loop.context.restart();
+        return loop.run([&] { return loop.until(holds); });
+    }
+    bool in_step(std::uint64_t last) {
+        return until([this, last] { return learning.held(last) == 10 && asking.held(last) == 10; });
+    }
+    runtime::task<void> wait(base::duration time) { co_await loop.scheduler.sleep_for(time); }
+};
+
+}  // namespace
+
+Test(state_follower, a_peer_learns_without_asking) {
+    fixture at;
+    at.source.last = 10;
+    cr_assert(at.in_step(10));
+    at.learning.follows = false;
+    at.source.last = 25;
+    cr_assert(at.in_step(25));
+    for (std::uint64_t number = 1; number <= 25; ++number) {
+        cr_assert_eq(at.learning.held(number), 10);
+    }
+}
+
+Test(state_follower, lost_notices_are_made_good) {
+    fixture at;
+    at.asking.loss = 0.5;
+    for (std::uint64_t last = 10; last <= 200; last += 10) {
+        at.source.last = last;
+        cr_assert(at.in_step(last));
+    }
+    for (std::uint64_t number = 1; number <= 200; ++number) {
+        cr_assert_eq(at.learning.held(number), 10);
+    }
+}
+
+Test(state_follower, without_news_a_router_asks_by_itself) {
+    fixture at;
+    at.asking.others.clear();
+    at.source.last = 5;
+    cr_assert(at.in_step(5));
+}
+
+Test(state_follower, a_restarted_holder_holds_nothing) {
+    fixture at;
+    at.source.last = 10;
+    cr_assert(at.in_step(10));
+    at.source.epoch = 8;
+    at.source.last = 0;
+    cr_assert(at.until([&] { return at.learning.held(10) == 0 && at.asking.held(10) == 0; }));
+    at.source.last = 3;
+    cr_assert(at.in_step(3));
+}
+
+Test(state_follower, a_router_that_comes_later_catches_up) {
+    fixture at;
+    at.source.last = 40;
+    cr_assert(at.in_step(40));
+    router late(at.loop, at.source, false);
+    at.asking.others.push_back(&late);
+    cr_assert(at.until([&] { return late.held(1) == 10 && late.held(40) == 10; }));
+    at.asking.others.clear();
+    late.follower.leave(holder.name);
+    cr_assert_eq(late.follower.followed(), 0);
+    at.loop.context.restart();
+    cr_assert(at.loop.run([&] { return at.wait(20ms); }));
+    cr_assert_eq(late.held(40), 0);
+}
+
+Test(state_follower, one_router_asks_for_all) {
+    fixture at;
+    std::vector<std::unique_ptr<router>> more;
+    for (int index = 0; index < 5; ++index) {
+        more.push_back(std::make_unique<router>(at.loop, at.source, false));
+        at.asking.others.push_back(more.back().get());
+    }
+    at.source.last = 1;
+    cr_assert(at.in_step(1));
+    const std::size_t before = at.source.asked;
+    at.loop.context.restart();
+    cr_assert(at.loop.run([&] { return at.wait(200ms); }));
+    // 100 calls of one router at the most, where six would make 600.
+    cr_assert_leq(at.source.asked - before, 120);
+    for (const auto& one : more) {
+        one->follower.leave(holder.name);
+    }
+    at.loop.context.restart();
+    cr_assert(at.loop.run([&] { return at.wait(20ms); }));
+}
+
+Test(state_follower, what_is_expected_of_a_silent_holder_lasts_longer) {
+    fixture at;
+    at.source.last = 1;
+    cr_assert(at.in_step(1));
+    at.source.silent = true;
+    at.asking.others.clear();
+    at.loop.context.restart();
+    cr_assert(at.loop.run([&] { return at.wait(100ms); }));
+    cr_assert_eq(at.asking.held(1), 10);  // It may hold it still.
+}
