Only what a holder told of can be fetched; a long prompt may be silent longer

Three prompts of 38,000 tokens were tried elsewhere after 1.6 s though their engine was still reading (115,000). Ruled out: lost events and evictions (all but 3 of the prompts that were held somewhere were known to be). Change: state that is only expected counts as warm at its engine, and as nothing to fetch elsewhere; an expectation lasts longer by the time the part takes to read; the silence after which an engine is given up counts the reading.

--- a/src/ferryroad/core/placement/warm_state.cpp
+++ b/src/ferryroad/core/placement/warm_state.cpp
@@ -83,8 +83,12 @@
     if (one.confirmed && m_followed.contains(one.holder)) {
         return true;
     }
-    const bool followed = m_followed.contains(one.holder);
-    return now - one.since < (followed ? m_tunables.expectation : m_tunables.unfollowed_lifetime);
+    if (!m_followed.contains(one.holder)) {
+        return now - one.since < m_tunables.unfollowed_lifetime;
+    }
+    const base::duration reading =
+        m_tunables.expectation_token * static_cast<std::int64_t>(one.tokens);
+    return now - one.since < m_tunables.expectation + reading;
 }
 
 std::vector<const warm_state::entry*> warm_state::known_entries(
--- a/src/ferryroad/core/placement/warm_state.hpp
+++ b/src/ferryroad/core/placement/warm_state.hpp
@@ -23,6 +23,8 @@
     std::size_t holders = 24;
     /// A part that a followed holder was asked to read, and hasn't told of since, isn't there.
     base::duration expectation = std::chrono::milliseconds(1500);
+    /// And this for each token of the part, which must be read first.
+    base::duration expectation_token = std::chrono::microseconds(30);
     /// The same where the holder's events aren't followed: it is taken to have dropped it.
     base::duration unfollowed_lifetime = std::chrono::seconds(20);
 };
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -36,6 +36,8 @@
     /// A repeatable request whose engine is silent for this share of the target is tried
     /// elsewhere.
     double silence_share = 2.0;
+    /// Beside the time that its prompt is expected to take.
+    double prefill_tokens_per_second = 20000;
     /// A stream whose engine pauses this many times the target gap is taken up elsewhere.
     double gap_factor = 4.0;
     base::duration least_silence = std::chrono::milliseconds(600);
@@ -282,7 +284,14 @@
         const double share = streaming ? m_tunables.gap_factor : m_tunables.silence_share;
         const base::duration target = streaming ? m_plan.on->target_gap : m_plan.on->target_latency;
         const base::duration allowed = base::from_seconds(base::to_seconds(target) * share);
-        return std::min(left, std::max(allowed, m_tunables.least_silence));
+        const base::duration reading = streaming ? base::duration{} : expected_reading();
+        return std::min(left, std::max(allowed, m_tunables.least_silence) + reading);
+    }
+
+    /// A long prompt takes its time: another engine would have to read it, too.
+    base::duration expected_reading() const {
+        return base::from_seconds(static_cast<double>(m_selected.prefill_tokens) /
+                                  m_tunables.prefill_tokens_per_second);
     }
 
     void saw_version(const std::optional<std::uint64_t>& version) {
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -43,7 +43,8 @@
 std::uint64_t engine_selection::scoped_prompt::held_beside(const base::engine_name& holder) const {
     std::uint64_t most = 0;
     for (const placement::holding& one : holdings) {
-        most = one.holder == holder ? most : std::max(most, one.tokens);
+        const bool given = one.confirmed && one.holder != holder;
+        most = given ? std::max(most, one.tokens) : most;
     }
     return most;
 }
@@ -201,7 +202,8 @@
     for (const placement::holding& held : prompt.holdings) {
         const known_engine* engine = m_registry.find(held.holder);
         const bool sound = engine != nullptr && engine->listed.pool == query.pool &&
-                           !engine->health.suspended(now) && held.holder != chosen.target.name;
+                           !engine->health.suspended(now) && held.confirmed &&
+                           held.holder != chosen.target.name;
         if (!sound) {
             continue;
         }
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -82,7 +82,8 @@
         std::vector<core::placement::holding> holdings;
 
         std::uint64_t held_by(const base::engine_name& holder) const;
-        /// @return the most that anyone but `holder` has.
+        /// @return the most that anyone but `holder` can give away: what is only expected is
+        /// being read still.
         std::uint64_t held_beside(const base::engine_name& holder) const;
     };
     /// By the version of the weights.
--- a/test/core/placement/warm_state_test.cpp
+++ b/test/core/placement/warm_state_test.cpp
@@ -31,6 +31,15 @@
     cr_assert_eq(warm.tokens_held(prompt(), a, start + 2s), 0);
 }
 
+Test(warm_state, a_long_prompt_may_take_longer_to_be_told_of) {
+    warm_state warm;
+    warm.follow(a, true);
+    const std::vector<scoped_part> long_prompt = {{key_of("s", "m", "long"), 40000}};
+    warm.expect(long_prompt, a, start);
+    cr_assert_eq(warm.tokens_held(long_prompt, a, start + 2600ms), 40000);
+    cr_assert_eq(warm.tokens_held(long_prompt, a, start + 2800ms), 0);
+}
+
 Test(warm_state, all_holders_of_a_beginning_are_known) {
     warm_state warm;
     warm.follow(a, true);
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -100,6 +100,7 @@
                                                                          base::duration limit) {
         engines.push_back(target.name.value);
         dispatches.push_back(std::move(sent));
+        limits.push_back(limit);
         if (answers.empty()) {
             co_await m_scheduler.sleep_for(limit);
             co_return failure(core::execution::failure_kind::timed_out,
@@ -141,6 +142,7 @@
     std::vector<dispatch> dispatches;
     std::map<std::string, coordination::rollout::engine_report> reports;
     std::vector<weights_order> orders;
+    std::vector<base::duration> limits;  ///< Of each dispatch's silence.
     std::shared_ptr<int> open_bodies = std::make_shared<int>(0);
 
   private:
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -199,6 +199,19 @@
     cr_assert_eq(*fixture.upstream.open_bodies, 0);
 }
 
+Test(relay_service, an_engine_that_reads_a_long_prompt_may_be_silent_longer) {
+    relay_fixture fixture;
+    for (const std::uint64_t tokens : {std::uint64_t{100}, std::uint64_t{2100}}) {
+        fixture.loop.context.restart();
+        fixture.answer(stream({bytes(event(1)), body_end}));
+        relay_call call = fixture.call("/resumable/");
+        call.prompt = core::prefix::declared_prompt{"m", {{"own", tokens}}, tokens, 10};
+        fixture.serve(std::move(call));
+    }
+    const base::duration longer = fixture.upstream.limits.at(1) - fixture.upstream.limits.at(0);
+    cr_assert(longer > 99ms && longer < 101ms);
+}
+
 Test(relay_service, a_caller_that_leaves_ends_the_engines_work) {
     relay_fixture fixture;
     fixture.answer(stream({bytes(event(1)), body_silence}));
