Until the naming record can be read, weights count as named at the start

Whether engines may be used is judged by a time in which the core is stable; while the record is out of reach it is not.

--- a/src/ferryroad/relay/naming_journal.cpp
+++ b/src/ferryroad/relay/naming_journal.cpp
@@ -51,6 +51,7 @@
       m_settings(settings) {}
 
 void naming_journal::start() {
+    m_policies.await_record(m_scheduler.now());
     m_scheduler.spawn(component, run());
 }
 
@@ -62,6 +63,7 @@
             co_await m_scheduler.sleep_for(m_settings.retry);
         }
     }
+    m_policies.take_record();
     while (!m_stopped) {
         if (m_leads() && m_clock.known() && m_policies.confirmed_at()) {
             co_await write_record();
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -104,6 +104,15 @@
     return found == m_versions.end() ? none : found->second;
 }
 
+std::optional<base::monotonic_time> policy_source::outdated_since(const std::string& model,
+                                                                  std::uint64_t version) const {
+    const auto since = versions_of(model).outdated_since(version);
+    if (since && m_awaiting_since) {
+        return std::max(*since, *m_awaiting_since);
+    }
+    return since;
+}
+
 base::duration policy_source::age(base::monotonic_time now) const {
     return m_confirmed_at ? now - *m_confirmed_at : base::duration::max();
 }
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -81,6 +81,12 @@
     /// The same of every version, of any model, that is newer than the one given for the model.
     void learn_newer(const std::map<std::string, std::uint64_t>& known,
                      base::monotonic_time moment);
+    /// The record of namings can't be read yet. Until `take_record`, weights count as named no
+    /// earlier than this process's start: the record is kept where the rollout's lease is, and
+    /// while that can't be reached, engines can't be brought to newer weights.
+    void await_record(base::monotonic_time started) { m_awaiting_since = started; }
+    /// The record has been read, and what it says has been learnt.
+    void take_record() { m_awaiting_since.reset(); }
     /// Everything accepted by the owner before `asked_at` has been offered.
     void confirm(base::monotonic_time asked_at);
 
@@ -89,6 +95,10 @@
     /// @return the versions named of a model; an empty history where none were.
     const version_history& versions_of(const std::string& model) const;
     const std::map<std::string, version_history>& versions() const { return m_versions; }
+    /// @return since when weights of `version` may have been outdated; nothing where they are
+    /// the newest.
+    std::optional<base::monotonic_time> outdated_since(const std::string& model,
+                                                       std::uint64_t version) const;
 
     /// @return the moment before which everything accepted is known here.
     std::optional<base::monotonic_time> confirmed_at() const { return m_confirmed_at; }
@@ -102,6 +112,7 @@
     std::shared_ptr<const core::traffic::traffic_policy> m_current;
     std::map<std::string, version_history> m_versions;
     std::optional<base::monotonic_time> m_confirmed_at;
+    std::optional<base::monotonic_time> m_awaiting_since;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -105,7 +105,7 @@
                 continue;
             }
             for (const auto& [model, version] : engine.versions) {
-                const auto since = m_ports.policies.versions_of(model).outdated_since(version);
+                const auto since = m_ports.policies.outdated_since(model, version);
                 engines.push_back({name, model, version, engine.running,
                                    since ? now - *since : base::duration{}});
             }
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -29,7 +29,7 @@
         return true;
     }
     const std::string& model = query.call.prompt->model;
-    const auto outdated = m_policies.versions_of(model).outdated_since(engine.version_of(model));
+    const auto outdated = m_policies.outdated_since(model, engine.version_of(model));
     return !outdated || now - *outdated < *m_settings.outdated_limit;
 }
 
@@ -98,8 +98,7 @@
     candidate.pending_prefill_tokens = engine.pending_prefill_tokens + one.others.prefill_tokens;
     if (one.prompt != nullptr) {
         const std::string& model = query.call.prompt->model;
-        const auto outdated =
-            m_policies.versions_of(model).outdated_since(engine.version_of(model));
+        const auto outdated = m_policies.outdated_since(model, engine.version_of(model));
         candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
         candidate.warm_tokens = one.prompt->held_by(candidate.name);
         candidate.fetchable_tokens = one.prompt->held_beside(candidate.name);
--- a/test/relay/naming_journal_test.cpp
+++ b/test/relay/naming_journal_test.cpp
@@ -104,10 +104,14 @@
     table.down = true;
     router one(loop, table, false);
     one.journal.clock().observe(loop.scheduler.now(), loop.scheduler.now(), 1s);
+    one.policies.name_version("m", 2);
     one.policies.confirm(loop.scheduler.now());
+    const base::monotonic_time started = loop.scheduler.now();
     one.journal.start();
     run_for(loop, 30ms);
+    cr_assert(*one.policies.outdated_since("m", 1) >= started);
     table.down = false;
     run_for(loop, 30ms);
+    cr_assert(*one.policies.outdated_since("m", 1) < started);
     cr_assert(table.rows.empty());
 }
--- a/test/relay/policy_source_test.cpp
+++ b/test/relay/policy_source_test.cpp
@@ -84,6 +84,17 @@
     cr_assert(source.versions_of(model).outdated_since(2) == start + 5s);
 }
 
+Test(policy_source, while_the_record_cant_be_read_weights_are_outdated_since_the_start) {
+    policy_source policies{policy_bounds{}};
+    policies.name_version("m", 2);
+    policies.await_record(start);
+    cr_assert(policies.outdated_since("m", 1) == start);
+    cr_assert_not(policies.outdated_since("m", 2).has_value());
+    policies.learn_naming("m", 2, start - 5s);
+    policies.take_record();
+    cr_assert(policies.outdated_since("m", 1) == start - 5s);
+}
+
 Test(policy_source, versions_between_that_only_the_record_knows_count_too) {
     policy_source source(policy_bounds{});
     source.name_version(model, 4);  // All that a new process is told.
