A turn counts from the end of the hold before, not from when the lease is taken

The next leader took the lease at 7.53 s and gave its first order at 10.63 s: it waited a whole turn from when it took the lease, though the hold before had ended by 5.6 s. From 10.5 to 12 s all engines were too old to serve (127 refusals). Ruled out: a slow lease (taken 0.13 s after the store was back); late naming. Change: a contender knows by when the hold that it saw must have ended (`lease_holder::predecessor_end`, on its own clock, by the same rule that lets it take the lease); the turn counts from then. The new test failed before (1,511 ms waited instead of less than a turn).

--- a/src/ferryroad/coordination/lease/lease_holder.cpp
+++ b/src/ferryroad/coordination/lease/lease_holder.cpp
@@ -66,7 +66,7 @@
     record.note = note_;
     under_way_ = true;
     const std::uint64_t replaced = row_->record ? row_->record->note : 0;
-    pending_ = pending_write{record, now, replaced};
+    pending_ = pending_write{record, now, replaced, end_of_seen_hold()};
     return write_row{row_->version, encode(record)};
 }
 
@@ -86,9 +86,14 @@
 }
 
 base::monotonic_time lease_holder::free_at() const {
-    const auto& record = row_->record;
     // A hold of this very process that it doesn't count on protects nothing.
-    if (!record || !record->holder || is_own(*record)) {
+    const bool own = row_->record && row_->record->holder && is_own(*row_->record);
+    return own ? row_->first_seen : end_of_seen_hold();
+}
+
+base::monotonic_time lease_holder::end_of_seen_hold() const {
+    const auto& record = row_->record;
+    if (!record || !record->holder) {
         return row_->first_seen;
     }
     const base::duration longest = std::max(record->duration, settings_.duration);
@@ -186,6 +191,7 @@
     const bool taken_anew = !hold_ || hold_->token != written.record.token;
     if (taken_anew) {
         predecessor_note_ = written.predecessor_note;
+        predecessor_end_ = written.predecessor_end;
     }
     const base::duration counted =
         scaled(settings_.duration, 1.0 - settings_.drift_bound) - settings_.margin;
--- a/src/ferryroad/coordination/lease/lease_holder.hpp
+++ b/src/ferryroad/coordination/lease/lease_holder.hpp
@@ -63,6 +63,9 @@
     std::optional<std::uint64_t> stored_note(base::monotonic_time now) const;
     /// @return what the holder before this one had left in the row; 0 where there was none.
     std::uint64_t predecessor_note() const { return predecessor_note_; }
+    /// @return a moment by which the holder before this one had surely stopped to act; it may
+    /// lie long before this process took the lease, where the table couldn't be reached.
+    base::monotonic_time predecessor_end() const { return predecessor_end_; }
 
     /// @return the holder as last seen, for operators; nothing while free or not known.
     std::optional<lease_identity> seen_holder() const;
@@ -85,7 +88,8 @@
     struct pending_write {
         lease_record record;
         base::monotonic_time sent_at;
-        std::uint64_t predecessor_note = 0;  ///< In the row that it replaces.
+        std::uint64_t predecessor_note = 0;      ///< In the row that it replaces.
+        base::monotonic_time predecessor_end{};  ///< Of the hold that the row told of.
     };
 
     action start_read();
@@ -106,6 +110,7 @@
     void try_later(base::duration delay, base::monotonic_time now);
     bool is_own(const lease_record& record) const { return record.holder == self_; }
     base::monotonic_time free_at() const;
+    base::monotonic_time end_of_seen_hold() const;
 
     lease_identity self_;
     lease_settings settings_;
@@ -118,6 +123,7 @@
     std::optional<pending_write> pending_;
     std::uint64_t note_ = 0;
     std::uint64_t predecessor_note_ = 0;
+    base::monotonic_time predecessor_end_{};
     base::duration delay_;
     base::monotonic_time not_before_{};
     base::monotonic_time next_poll_{};
--- a/src/ferryroad/leases/lease_service.cpp
+++ b/src/ferryroad/leases/lease_service.cpp
@@ -71,6 +71,11 @@
     return found == leases_.end() ? 0 : found->second.holder.predecessor_note();
 }
 
+base::monotonic_time lease_service::predecessor_end(const lease_name& name) const {
+    const auto found = leases_.find(name);
+    return found == leases_.end() ? base::monotonic_time{} : found->second.holder.predecessor_end();
+}
+
 runtime::task<void> lease_service::run(lease_name name, contended& lease) {
     const platform::row_key key("lease/" + name.value);
     std::optional<base::fencing_token> last;
--- a/src/ferryroad/leases/lease_service.hpp
+++ b/src/ferryroad/leases/lease_service.hpp
@@ -43,6 +43,8 @@
     std::optional<std::uint64_t> stored_note(const lease_name& name) const;
     /// @return what the holder before had left.
     std::uint64_t predecessor_note(const lease_name& name) const;
+    /// @return by when the holder before had surely stopped to act.
+    base::monotonic_time predecessor_end(const lease_name& name) const;
 
     /// @return calls made to the table for leases so far.
     std::uint64_t table_calls() const { return table_calls_; }
--- a/src/ferryroad/relay/rollout_lease.cpp
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -47,11 +47,11 @@
         return now;
     }
     const bool told = predecessor_note > note_acting && m_clock.known();
-    if (!told) {
-        return now + m_turn;
-    }
-    const auto last_act = m_clock.to_local_latest(static_cast<std::int64_t>(predecessor_note));
-    return std::clamp(last_act + m_turn, now, now + m_turn);
+    // It acted until its hold ended at the latest, whatever it has written.
+    const base::monotonic_time latest = std::min(m_leases.predecessor_end(m_name), now);
+    const auto last_act =
+        told ? m_clock.to_local_latest(static_cast<std::int64_t>(predecessor_note)) : latest;
+    return std::clamp(last_act + m_turn, now, std::max(now, latest + m_turn));
 }
 
 std::optional<base::fencing_token> rollout_lease::token() {
--- a/test/coordination/lease/lease_holder_test.cpp
+++ b/test/coordination/lease/lease_holder_test.cpp
@@ -206,6 +206,31 @@
     cr_assert_eq(at.holder.stored_note(at.now), 1U);
 }
 
+Test(lease_holder, knows_by_when_the_one_before_had_stopped) {
+    bench at;
+    at.expect<read_row>();
+    at.answer(row_read{{row_version(5), row_of({"router 2", base::incarnation(3)}, 4)}});
+    const base::monotonic_time seen = at.now;
+    at.now += 30s;  // The table can't be reached, or this process was paused.
+    at.expect<write_row>();
+    at.answer(write_committed{row_version(6)});
+    cr_assert(at.holder.token(at.now).has_value());
+    cr_assert(at.holder.predecessor_end() >= seen + 10s);
+    cr_assert(at.holder.predecessor_end() <= seen + 10200ms);
+}
+
+Test(lease_holder, a_released_lease_was_held_until_it_was_seen_to_be_free) {
+    bench at;
+    at.expect<read_row>();
+    at.answer(
+        row_read{{row_version(5), encode({std::nullopt, base::fencing_token(4), 10s, 99, 7})}});
+    const base::monotonic_time seen = at.now;
+    at.expect<write_row>();
+    at.now += 300ms;
+    at.answer(write_committed{row_version(6)});
+    cr_assert(at.holder.predecessor_end() == seen);
+}
+
 Test(lease_holder, the_next_holder_reads_what_the_one_before_left) {
     bench at;
     at.expect<read_row>();
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -15,6 +15,9 @@
     runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
         std::vector<platform::transaction> transactions) override {
         std::vector<platform::transaction_outcome> outcomes;
+        if (down) {
+            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
+        }
         for (const platform::transaction& wanted : transactions) {
             platform::transaction_outcome outcome;
             outcome.committed = wanted.conditions.at(0).version == row.version;
@@ -32,6 +35,9 @@
     runtime::task<platform::result<std::vector<platform::row>>> read(
         std::vector<platform::row_key>) override {
         std::vector<platform::row> rows;
+        if (down) {
+            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
+        }
         if (row.version.value > 0) {
             rows.push_back(row);
         }
@@ -42,12 +48,14 @@
         co_return std::vector<platform::row>{};
     }
     platform::row row;
+    bool down = false;
 };
 
 struct router {
-    router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process)
+    router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process,
+           base::duration turn = 200ms)
         : leases(loop.scheduler, table, {"router", base::incarnation(process)}, settings()),
-          lease(loop.scheduler, leases, clock, leases::lease_name("x"), 200ms) {
+          lease(loop.scheduler, leases, clock, leases::lease_name("x"), turn) {
         clock.observe(loop.scheduler.now(), loop.scheduler.now(),
                       std::chrono::milliseconds(
                           base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
@@ -111,6 +119,21 @@
     cr_assert_eq(second.lease.token()->value, 2);
 }
 
+Test(rollout_lease, a_turn_counts_from_the_end_of_the_hold_before_and_not_from_its_own) {
+    ferryroad::test::loopback loop;
+    one_row table;
+    router first(loop, table, 1, 1500ms);
+    time_to_act(loop, first);
+    router second(loop, table, 2, 1500ms);
+    run_for(loop, 40ms);
+    table.down = true;  // The first holder's lease ends, and nobody can take it.
+    first.leases.stop();
+    run_for(loop, 1700ms);
+    table.down = false;
+    const base::duration waited = time_to_act(loop, second);
+    cr_assert(waited < 1s, "%ld ms", static_cast<long>(base::to_milliseconds(waited)));
+}
+
 Test(rollout_lease, follows_at_once_one_that_had_done_acting_long_ago) {
     ferryroad::test::loopback loop;
     one_row table;
