Streams that a long prompt would pause count in its placement

Ruled out: two cold prompts at one engine as the only cause (single prompts of 15,000 tokens and more did it, too).

--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -26,6 +26,24 @@
     return own / tunables.prefill_tokens_per_ms + shared_cost(query, engine, tunables);
 }
 
+/// What the streams that run there are likely to lose while this prompt and those before it
+/// are read.
+double interference_cost(const placement_query& query, const engine_candidate& engine,
+                         const placement_tunables& tunables) {
+    const double gap_ms = base::to_seconds(query.target_gap) * 1000;
+    if (gap_ms <= 0) {
+        return 0;
+    }
+    const std::uint64_t held = std::max(engine.warm_tokens, engine.fetchable_tokens);
+    const std::uint64_t read = query.input_tokens - std::min(held, query.input_tokens);
+    const double reading_ms =
+        static_cast<double>(engine.pending_prefill_tokens + read) / tunables.prefill_tokens_per_ms;
+    const double span = tunables.late_gap_share - tunables.harmless_gap_share;
+    const double late = (reading_ms / gap_ms - tunables.harmless_gap_share) / span;
+    const double each = tunables.late_stream_ms * query.gap_pressure;
+    return std::clamp(late, 0.0, 1.0) * engine.running * each;
+}
+
 double cost_of(const placement_query& query, const engine_candidate& engine,
                const placement_tunables& tunables) {
     const double pending = static_cast<double>(engine.pending_prefill_tokens);
@@ -33,6 +51,7 @@
     const double share = static_cast<double>(engine.running) / std::max(1U, engine.slots);
     const double crowd = share * tunables.load_of_others * tunables.full_engine_ms;
     double cost = prefill_cost(query, engine, tunables) + queue + crowd;
+    cost += interference_cost(query, engine, tunables);
     cost += engine.same_zone ? 0.0 : tunables.other_zone_ms;
     cost += engine.outdated ? tunables.outdated_ms : 0.0;
     cost += engine.suspended ? tunables.suspended_ms : 0.0;
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -33,6 +33,8 @@
     std::uint64_t input_tokens = 0;   ///< 0 for requests without a prompt.
     std::uint64_t shared_tokens = 0;  ///< Of its declared parts.
     std::vector<engine_candidate> candidates;
+    base::duration target_gap{};  ///< Longest good pause of a stream; 0 where none is told.
+    double gap_pressure = 1;      ///< From 0 to 1: whether streams of the pool do pause.
 };
 
 struct placement_tunables {
@@ -51,6 +53,11 @@
     double fetch_ms = 5;
     /// Share of what nobody holds that its home is believed to be reading for others already.
     double home_warmth = 0.9;
+    /// Reading prompts pauses the streams that run at an engine. Up to the first share of the
+    /// target gap none is late, from the second on all are; each late one costs this much.
+    double harmless_gap_share = 0.7;
+    double late_gap_share = 1.2;
+    double late_stream_ms = 20;
     double outdated_ms = 150;
     double suspended_ms = 5000;
 };
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -211,8 +211,8 @@
 
     void select(const execution::select_engine& wanted) {
         const base::monotonic_time now = m_with.scheduler.now();
-        const selection_query query{*m_plan.call, *m_plan.policy, m_plan.pool, m_plan.tenant,
-                                    wanted.excluded};
+        const selection_query query{*m_plan.call,  *m_plan.policy,  m_plan.pool,
+                                    m_plan.tenant, wanted.excluded, m_plan.on->target_gap};
         std::optional<selected_engine> chosen;
         if (key_still_holds()) {
             chosen = m_with.selection.select(query, now);
@@ -472,6 +472,7 @@
 
     runtime::task<void> finish() {
         if (m_begun) {
+            m_with.selection.record_gap(m_plan.pool, m_outcome.longest_gap, m_plan.on->target_gap);
             co_await m_writer.end_stream();
             co_return;
         }
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -141,6 +141,8 @@
     if (query.call.prompt) {
         placed.input_tokens = query.call.prompt->input_tokens;
         placed.shared_tokens = query.call.prompt->shared_tokens();
+        placed.target_gap = query.target_gap;
+        placed.gap_pressure = m_gap_pressures[query.pool].level();
         mark_home(engines, *query.call.prompt, placed);
     }
     const auto choice = placement::choose_engine(placed, m_settings.placement);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "ferryroad/core/placement/engine_load_view.hpp"
+#include "ferryroad/core/placement/gap_pressure.hpp"
 #include "ferryroad/core/placement/placement.hpp"
 #include "ferryroad/core/placement/warm_state.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
@@ -36,6 +37,7 @@
     base::pool_name pool;
     const core::traffic::tenant* tenant = nullptr;
     std::vector<base::engine_name> excluded;
+    base::duration target_gap{};  ///< Of the route's streams.
 };
 
 struct selected_engine {
@@ -74,6 +76,13 @@
                                                            const selected_engine& chosen,
                                                            base::monotonic_time now);
 
+    /// A stream of the pool ended. @param target 0 where the route tells none.
+    void record_gap(const base::pool_name& pool, base::duration longest, base::duration target) {
+        if (target > base::duration{}) {
+            m_gap_pressures[pool].record(longest, target);
+        }
+    }
+
   private:
     /// The prompt under the weights of some engines, with those that hold its beginning.
     struct scoped_prompt {
@@ -114,6 +123,7 @@
     core::placement::warm_state& m_warm;
     const core::placement::engine_load_view& m_loads;
     selection_settings m_settings;
+    std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
 };
 
 /// @return the name by which a store's state is remembered.
--- a/test/core/placement/placement_test.cpp
+++ b/test/core/placement/placement_test.cpp
@@ -68,6 +68,23 @@
     cr_assert_str_eq(winner(long_prompt({holder, idle})).c_str(), "b");
 }
 
+Test(placement, a_long_reading_goes_where_it_pauses_few_streams) {
+    auto crowded = engine("a");
+    crowded.slots = 1000;  // So that only the streams' pauses count.
+    crowded.running = 8;
+    auto other_zone = engine("b");
+    other_zone.same_zone = false;
+    placement_query query = long_prompt({crowded, other_zone});
+    cr_assert_str_eq(winner(query).c_str(), "a");
+    query.target_gap = std::chrono::milliseconds(300);
+    cr_assert_str_eq(winner(query).c_str(), "b");
+    query.gap_pressure = 0;
+    cr_assert_str_eq(winner(query).c_str(), "a");
+    query.gap_pressure = 1;
+    query.target_gap = std::chrono::milliseconds(600);
+    cr_assert_str_eq(winner(query).c_str(), "a");
+}
+
 Test(placement, a_crowded_holder_loses_in_the_end) {
     auto holder = engine("b");
     holder.warm_tokens = 9000;
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -128,6 +128,33 @@
     cr_assert_eq(other->prefill_tokens, 9500);
 }
 
+Test(selection, streams_that_pause_make_long_prompts_go_elsewhere) {
+    fixture at;
+    at.call.prompt->parts = {{"own", 12000}};
+    at.call.prompt->input_tokens = 12000;
+    const std::string first = at.select()->target.name.value;
+    at.loads.state(base::router_name("r2"), {{base::engine_name(first), 1, 0, {}}}, start);
+    const std::string second = first == "e1" ? "e2" : "e1";
+    at.loads.state(base::router_name("r3"), {{base::engine_name(second), 2, 0, {}}}, start);
+    const auto target_of = [&] {
+        const selection_query query{
+            at.call, *at.policies.current(), base::pool_name("p"), nullptr, {}, 300ms};
+        return at.selection.select(query, start)->target.name.value;
+    };
+    for (int stream = 0; stream < 300; ++stream) {
+        at.selection.record_gap(base::pool_name("p"), 10ms, 300ms);
+        at.selection.record_gap(base::pool_name("p"), 10ms, 0ms);
+    }
+    cr_assert(target_of() == first);
+    for (int stream = 0; stream < 300; ++stream) {
+        at.selection.record_gap(base::pool_name("p"), 290ms, 300ms);
+    }
+    cr_assert(target_of() == first);  // One paused stream is less than the way to another zone.
+    at.loads.state(base::router_name("r2"), {{base::engine_name(first), 4, 0, {}}}, start);
+    at.loads.state(base::router_name("r3"), {{base::engine_name(second), 4, 0, {}}}, start);
+    cr_assert(target_of() == "e3");
+}
+
 Test(selection, what_the_store_holds_is_not_saved_again) {
     fixture at;
     const base::engine_name store = holder_of(at.policies.current()->declared().stores.front());
