Peers and holders in the logs and metrics

Cause: the exchange between routers and the followed event streams changed what a process believes without a line in its log. Change: "peer heard", "peer silent", "holder's events lost" and "regained", one line each; gauges of live peers, followed holders, notices sent and malformed.

--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/relay/peer_exchange.hpp"
 
+#include "ferryroad/runtime/log.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -61,9 +63,28 @@
     if (load_changed || silent || !m_expected.empty() || !m_weights.empty()) {
         send_load(now);
     }
+    if (silent) {
+        note_live_peers(now);
+    }
     send_changes(now);
 }
 
+void peer_exchange::note_live_peers(base::monotonic_time now) {
+    std::set<base::router_name> live = m_group.live(now);
+    for (const base::router_name& name : live) {
+        if (!m_live.contains(name)) {
+            runtime::log(runtime::log_level::info, component, "peer heard", {{"peer", name.value}});
+        }
+    }
+    for (const base::router_name& name : m_live) {
+        if (!live.contains(name)) {
+            runtime::log(runtime::log_level::warning, component, "peer silent",
+                         {{"peer", name.value}});
+        }
+    }
+    m_live = std::move(live);
+}
+
 peer::traffic_notice peer_exchange::blank() const {
     peer::traffic_notice notice;
     notice.sender = m_self.name;
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -69,7 +70,7 @@
         return m_group.follows(holder, zone, m_ports.scheduler.now());
     }
     /// @return peers heard a moment ago.
-    std::size_t live_peers() const { return m_group.live(m_ports.scheduler.now()); }
+    std::size_t live_peers() const { return m_group.live(m_ports.scheduler.now()).size(); }
     std::uint64_t notices_sent() const { return m_notices_sent; }
     std::uint64_t notices_malformed() const { return m_notices_malformed; }
 
@@ -78,6 +79,7 @@
 
     runtime::task<void> run();
     void send_news();
+    void note_live_peers(base::monotonic_time now);
     void send_load(base::monotonic_time now);
     void send_changes(base::monotonic_time now);
     void send(const peer::traffic_notice& notice, base::monotonic_time now);
@@ -95,6 +97,7 @@
     std::vector<peer::seen_weights> m_weights;
     std::vector<peer::expected_state> m_expected;
     std::vector<peer::holder_changes> m_changes;
+    std::set<base::router_name> m_live;  ///< As last noted in the log.
     std::uint64_t m_notices_sent = 0;
     std::uint64_t m_notices_malformed = 0;
     bool m_taking = false;   ///< What is seen now was told by a peer.
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -107,11 +107,14 @@
     });
 }
 
-std::size_t peer_group::live(base::monotonic_time now) const {
-    const auto others = block(now);
-    const auto counted = std::count_if(others.begin(), others.end(),
-                                       [&](const known_peer* one) { return is_live(*one, now); });
-    return static_cast<std::size_t>(counted);
+std::set<base::router_name> peer_group::live(base::monotonic_time now) const {
+    std::set<base::router_name> names;
+    for (const known_peer* one : block(now)) {
+        if (is_live(*one, now)) {
+            names.insert(one->peer.name);
+        }
+    }
+    return names;
 }
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,7 +58,7 @@
     bool follows(const base::engine_name& holder, const base::zone_name& zone,
                  base::monotonic_time now) const;
     /// @return the peers heard a moment ago.
-    std::size_t live(base::monotonic_time now) const;
+    std::set<base::router_name> live(base::monotonic_time now) const;
 
   private:
     struct known_peer {
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -69,6 +69,14 @@
         static_cast<double>(now.active_requests));
     set("ferryroad_relay_remembered_parts", "Prompt parts whose holders are remembered.",
         static_cast<double>(now.remembered_parts));
+    set("ferryroad_relay_followed_holders", "Engines and stores whose state is kept in step.",
+        static_cast<double>(now.followed_holders));
+    set("ferryroad_relay_live_peers", "Routers heard a moment ago.",
+        static_cast<double>(now.live_peers));
+    set("ferryroad_relay_notices_sent", "Datagrams sent to other routers.",
+        static_cast<double>(now.notices_sent));
+    set("ferryroad_relay_notices_malformed", "Datagrams received that made no sense.",
+        static_cast<double>(now.notices_malformed));
     set("ferryroad_relay_holds_rollout_lease", "1 while this router leads the rollout.",
         now.holds_rollout_lease ? 1 : 0);
     set("ferryroad_relay_orders_sent", "Orders sent to engines by this process.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -21,6 +21,10 @@
     std::size_t engines_suspended = 0;
     std::size_t active_requests = 0;
     std::size_t remembered_parts = 0;
+    std::size_t followed_holders = 0;
+    std::size_t live_peers = 0;
+    std::uint64_t notices_sent = 0;
+    std::uint64_t notices_malformed = 0;
     bool holds_rollout_lease = false;
     std::uint64_t orders_sent = 0;
     std::uint64_t store_calls = 0;
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -136,6 +136,7 @@
         engine_target target;
         base::zone_name zone;
         bool wanted = true;
+        bool lost = false;   ///< The last question was not answered.
         bool behind = true;  ///< Changes were missed, or none was ever asked for.
         std::uint64_t epoch = 0;
         std::uint64_t position = 0;  ///< Changes before it are known.
@@ -156,6 +157,7 @@
             if (!holder->wanted) {
                 co_return;
             }
+            note_answer(*holder, answered);
             if (answered) {
                 backoff = m_settings.first_backoff;
                 co_await m_scheduler.sleep_for(m_settings.pace);
@@ -167,6 +169,20 @@
         }
     }
 
+    /// One line where a holder's events are lost, and one where they are there again.
+    void note_answer(followed_holder& holder, bool answered) {
+        if (holder.lost != answered) {
+            return;
+        }
+        holder.lost = !answered;
+        const auto level = answered ? runtime::log_level::info : runtime::log_level::warning;
+        runtime::log(level, component,
+                     answered ? "holder's events regained" : "holder's events lost",
+                     {{"holder", holder.target.name.value},
+                      {"position", std::to_string(holder.position)},
+                      {"epoch", std::to_string(holder.epoch)}});
+    }
+
     bool must_ask(const followed_holder& holder) const {
         return holder.behind || m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
     }
--- a/test/relay/peer_group_test.cpp
+++ b/test/relay/peer_group_test.cpp
@@ -111,6 +111,6 @@
         cr_assert(group.follows(name, zone, start + 1500ms));
     }
     cr_assert(before > 5 && before < 25);
-    cr_assert_eq(group.live(start), 1);
-    cr_assert_eq(group.live(start + 1500ms), 0);
+    cr_assert(group.live(start) == std::set<base::router_name>{router(1).name});
+    cr_assert(group.live(start + 1500ms).empty());
 }
