--- a/src/ferryroad/relay/rollout_lease.cpp
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -15,13 +15,25 @@
 
 void rollout_lease::intend(bool acting) {
     note_new_hold();
-    if (!m_last_token) {
+    if (!m_last_token || m_finished) {
         return;
     }
-    if (acting) {
+    if (acting && m_scheduler.now() + say_ahead >= m_act_from) {
         m_leases.set_note(m_name, note_acting);
         return;
     }
+    leave_word();
+}
+
+void rollout_lease::finish() {
+    note_new_hold();
+    m_finished = true;
+    if (m_last_token) {
+        leave_word();
+    }
+}
+
+void rollout_lease::leave_word() {
     // Whoever never acted says since when it is known that nobody does.
     const base::monotonic_time since = m_last_act.value_or(m_act_from - m_turn);
     const auto told = m_clock.known() ? m_clock.to_owner_latest(since) : 0;
@@ -58,7 +70,7 @@
     note_new_hold();
     const base::monotonic_time now = m_scheduler.now();
     const bool said = m_leases.stored_note(m_name) == note_acting;
-    if (!m_last_token || !said || now < m_act_from) {
+    if (!m_last_token || m_finished || !said || now < m_act_from) {
         return std::nullopt;
     }
     m_last_act = now;
--- a/src/ferryroad/relay/rollout_lease.hpp
+++ b/src/ferryroad/relay/rollout_lease.hpp
@@ -23,6 +23,9 @@
 
     /// Called often. @param acting whether there is something to do.
     void intend(bool acting);
+    /// This router acts no more, and leaves word since when. To be called before the lease is
+    /// released on a planned stop.
+    void finish();
     /// To be asked right before each act. @return the token that it must carry, or nothing
     /// where this router may not act now.
     std::optional<base::fencing_token> token();
@@ -31,7 +34,11 @@
 
   private:
     static constexpr std::uint64_t note_acting = 1;
+    /// Before its turn a holder says that it acts only this much ahead: if it ends until then,
+    /// the next one need not wait for it.
+    static constexpr base::duration say_ahead = std::chrono::milliseconds(300);
 
+    void leave_word();
     void note_new_hold();
     base::monotonic_time end_of_turn(std::uint64_t predecessor_note) const;
 
@@ -43,6 +50,7 @@
     std::optional<base::fencing_token> m_last_token;
     base::monotonic_time m_act_from{};
     std::optional<base::monotonic_time> m_last_act;
+    bool m_finished = false;
 };
 
 }  // namespace ferryroad::relay
