--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -12,6 +12,7 @@
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/refusal.hpp"
+#include "ferryroad/relay/relay_plan.hpp"
 #include "ferryroad/relay/selection.hpp"
 #include "ferryroad/relay/upstream.hpp"
 #include "ferryroad/runtime/log.hpp"
@@ -30,40 +31,6 @@
 
 namespace execution = core::execution;
 
-struct driver_tunables {
-    /// Engines asked beyond those that a request may run on, after proofs that it did not run.
-    std::uint32_t extra_dispatches = 2;
-    /// A repeatable request whose engine is silent for this share of the target is tried
-    /// elsewhere.
-    double silence_share = 2.0;
-    /// Beside the time that its prompt is expected to take.
-    double prefill_tokens_per_second = 20000;
-    /// A stream whose engine pauses this many times the target gap is taken up elsewhere.
-    double gap_factor = 4.0;
-    base::duration least_silence = std::chrono::milliseconds(600);
-    /// An engine that said it takes no work for now is passed over this long.
-    base::duration refusal_pause = std::chrono::milliseconds(150);
-    /// The same, where it is most likely loading new weights.
-    base::duration loading_pause = std::chrono::milliseconds(1000);
-    /// An address that another process answered on is passed over this long.
-    base::duration misdirected_pause = std::chrono::seconds(3);
-    /// Bytes of a whole answer, and of one event.
-    std::size_t answer_bytes = std::size_t{16} * 1024 * 1024;
-    /// When to come back, where nothing better is known.
-    base::duration retry_after = std::chrono::milliseconds(150);
-};
-
-/// What a request was resolved to.
-struct relay_plan {
-    std::shared_ptr<const relay_call> call;
-    std::shared_ptr<const core::traffic::traffic_policy> policy;  ///< Keeps `on` and `tenant`.
-    const core::traffic::route* on = nullptr;
-    const core::traffic::tenant* tenant = nullptr;  ///< Null on public routes.
-    base::pool_name pool;
-    base::monotonic_time deadline{};
-    std::uint32_t priority = 0;
-};
-
 /// Gets the engine, the shared parts of the prompt, and how many tokens are expected to be
 /// read anew.
 using dispatch_sink = std::function<void(
@@ -136,33 +103,9 @@
     const relay_outcome& outcome() const { return m_outcome; }
 
   private:
-    using execution_rules = core::execution::execution_rules;
     static constexpr std::string_view component = "relay.request";
     static constexpr unsigned first_failure_status = 500;
 
-    static bool is_repeatable(const core::traffic::route& on) {
-        const bool stream = on.kind == core::traffic::request_kind::streaming;
-        return stream ? on.resumable : on.kind == core::traffic::request_kind::safe;
-    }
-    static execution_rules rules_of(const relay_plan& plan) {
-        execution_rules rules;
-        rules.repeatable = is_repeatable(*plan.on);
-        rules.streamed = plan.on->kind == core::traffic::request_kind::streaming;
-        rules.deadline = plan.deadline;
-        return rules;
-    }
-    static core::execution::tunables limits_of(const relay_plan& plan,
-                                               const driver_tunables& tunables) {
-        core::execution::tunables limits;
-        limits.executions = std::max(1U, plan.on->attempts);
-        limits.attempts = limits.executions + tunables.extra_dispatches;
-        limits.resumes_per_attempt = 0;
-        limits.overloaded_refusals = limits.attempts;
-        limits.stale_target_is_free = false;
-        limits.retry_after = tunables.retry_after;
-        return limits;
-    }
-
     runtime::task<void> work() {
         while (!m_machine.ended() || !m_pending.empty()) {
             if (m_pending.empty()) {
@@ -301,11 +244,19 @@
         }
     }
 
+    bool has_outdated_weights(const known_engine& engine) const {
+        if (!m_plan.call->prompt) {
+            return false;
+        }
+        const std::string& model = m_plan.call->prompt->model;
+        return engine.version_of(model) < m_with.policies.versions_of(model).newest();
+    }
+
     void note_failure(const dispatch_failure& failure) {
         const base::monotonic_time now = m_with.scheduler.now();
         saw_version(failure.version);
         if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
-            blame(*engine, failure, now);
+            blame(*engine, failure, has_outdated_weights(*engine), m_tunables, now);
         }
         runtime::log(runtime::log_level::warning, component, "dispatch failed",
                      {{"request_id", m_plan.call->id.value},
@@ -317,35 +268,6 @@
                                         failure.retry_after});
     }
 
-    void blame(known_engine& engine, const dispatch_failure& failure, base::monotonic_time now) {
-        switch (failure.kind) {
-            case execution::failure_kind::overloaded:
-                engine.refuses_until = now + pause_after_refusal(engine);
-                return;
-            case execution::failure_kind::stale_target:
-                if (!failure.version) {
-                    engine.refuses_until = now + m_tunables.misdirected_pause;
-                }
-                return;
-            case execution::failure_kind::rejected:
-                return;
-            default:
-                engine.health.record_failure(failure.kind == execution::failure_kind::unreachable,
-                                             now);
-        }
-    }
-
-    /// An engine with outdated weights most likely refuses because it is taking newer ones.
-    base::duration pause_after_refusal(const known_engine& engine) const {
-        if (!m_plan.call->prompt) {
-            return m_tunables.refusal_pause;
-        }
-        const std::string& model = m_plan.call->prompt->model;
-        const bool outdated =
-            engine.version_of(model) < m_with.policies.versions_of(model).newest();
-        return outdated ? m_tunables.loading_pause : m_tunables.refusal_pause;
-    }
-
     void fail_exchange(execution::failure_kind kind, std::string message) {
         note_failure({kind, execution::failure_proof::unknown, std::nullopt, std::nullopt,
                       std::move(message)});
--- /dev/null
+++ b/src/ferryroad/relay/relay_plan.cpp
@@ -0,0 +1,52 @@
+#include "ferryroad/relay/relay_plan.hpp"
+
+#include <algorithm>
+
+namespace ferryroad::relay {
+
+namespace execution = core::execution;
+
+bool is_repeatable(const core::traffic::route& on) {
+    const bool stream = on.kind == core::traffic::request_kind::streaming;
+    return stream ? on.resumable : on.kind == core::traffic::request_kind::safe;
+}
+
+execution::execution_rules rules_of(const relay_plan& plan) {
+    execution::execution_rules rules;
+    rules.repeatable = is_repeatable(*plan.on);
+    rules.streamed = plan.on->kind == core::traffic::request_kind::streaming;
+    rules.deadline = plan.deadline;
+    return rules;
+}
+
+execution::tunables limits_of(const relay_plan& plan, const driver_tunables& tunables) {
+    execution::tunables limits;
+    limits.executions = std::max(1U, plan.on->attempts);
+    limits.attempts = limits.executions + tunables.extra_dispatches;
+    limits.resumes_per_attempt = 0;
+    limits.overloaded_refusals = limits.attempts;
+    limits.stale_target_is_free = false;
+    limits.retry_after = tunables.retry_after;
+    return limits;
+}
+
+void blame(known_engine& engine, const dispatch_failure& failure, bool outdated,
+           const driver_tunables& tunables, base::monotonic_time now) {
+    switch (failure.kind) {
+        case execution::failure_kind::overloaded:
+            engine.refuses_until =
+                now + (outdated ? tunables.loading_pause : tunables.refusal_pause);
+            return;
+        case execution::failure_kind::stale_target:
+            if (!failure.version) {
+                engine.refuses_until = now + tunables.misdirected_pause;
+            }
+            return;
+        case execution::failure_kind::rejected:
+            return;
+        default:
+            engine.health.record_failure(failure.kind == execution::failure_kind::unreachable, now);
+    }
+}
+
+}  // namespace ferryroad::relay
