State stores: all of them are used, and only what is read anew is saved

The store kept nothing long enough to be of use, and engines' own moves waited behind the saves.

Ruled out: copies in several zones as the main cause (a trial with the cost of unseen zones at 0 left the tokens read again where they were, 3.8 M).

Change: core/placement/state_stores (pure): a prompt's store is named by rendezvous over its deepest shared part; its state is saved where shared tokens are read anew and the request's own part, which is saved along with them, isn't longer than these. Whichever store holds the most is fetched from.

--- a/src/ferryroad/core/prefix/declared_prompt.hpp
+++ b/src/ferryroad/core/prefix/declared_prompt.hpp
@@ -72,4 +72,14 @@
     return scoped;
 }
 
+/// @return the parts for a log line: `KEY:TOKENS`, separated by blanks.
+inline std::string to_string(const std::vector<scoped_part>& parts) {
+    std::string text;
+    for (const scoped_part& part : parts) {
+        text += text.empty() ? "" : " ";
+        text += std::to_string(part.key.value) + ":" + std::to_string(part.tokens);
+    }
+    return text;
+}
+
 }  // namespace ferryroad::core::prefix
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -199,6 +199,7 @@
             m_with.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
         }
         log_dispatch(attempt);
+        log_prompt(parts);
         engine_target target = m_selected.target;
         dispatch sent = terms_of(attempt);
         auto opened =
@@ -449,12 +450,31 @@
              {"warm_tokens", std::to_string(m_selected.warm_tokens)},
              {"fetchable_tokens", std::to_string(m_selected.fetchable_tokens)},
              {"shared_tokens", std::to_string(shared_tokens())},
+             {"prefill_tokens", std::to_string(m_selected.prefill_tokens)},
              {"fetch_from", text_of(m_selected.fetch_state_from)},
              {"policy", std::to_string(m_plan.policy->version())},
              {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))},
              {"left_ms", std::to_string(base::to_milliseconds(m_plan.deadline - now))}});
     }
 
+    /// What `scripts/explain-reads` needs: the prompt's shared parts, with the dispatch.
+    void log_prompt(const std::vector<core::prefix::scoped_part>& parts) const {
+        if (parts.empty() || !runtime::log_enabled(runtime::log_level::debug)) {
+            return;
+        }
+        const bool saved = m_selected.save_state_to.has_value();
+        runtime::log(runtime::log_level::debug, component, "prompt",
+                     {{"request_id", m_plan.call->id.value},
+                      {"engine", m_selected.target.name.value},
+                      {"address", m_selected.target.address.to_string()},
+                      {"scope", *m_selected.cache_scope},
+                      {"parts", core::prefix::to_string(parts)},
+                      {"fetch_from", text_of(m_selected.fetch_state_from)},
+                      {"known_tokens", std::to_string(std::max(m_selected.warm_tokens,
+                                                               m_selected.fetchable_tokens))},
+                      {"saved", saved ? "true" : "false"}});
+    }
+
     relay_collaborators<Upstream> m_with;
     relay_plan m_plan;
     core::admission::retry_budget& m_budget;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/relay/selection.hpp"
 
 #include "ferryroad/base/hash.hpp"
+#include "ferryroad/core/placement/state_stores.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -183,20 +184,12 @@
 
 void engine_selection::add_state_terms(const selection_query& query, const scoped_prompt& prompt,
                                        base::monotonic_time now, selected_engine& chosen) const {
-    const auto& stores = query.policy.declared().stores;
-    const std::uint64_t shared = query.call.prompt->shared_tokens();
+    const core::prefix::declared_prompt& declared = *query.call.prompt;
+    const std::uint64_t shared = declared.shared_tokens();
     if (shared == 0) {
         return;
     }
-    std::uint64_t in_store = 0;
-    if (!stores.empty()) {
-        const core::traffic::state_store& store = stores.front();
-        in_store = prompt.held_by(holder_of(store));
-        chosen.fetch_state_from = store.address;
-        if (in_store < shared) {
-            chosen.save_state_to = store.address;
-        }
-    }
+    const std::uint64_t in_store = add_store_terms(query, prompt, chosen);
     if (chosen.warm_tokens >= shared) {
         return;
     }
@@ -207,6 +200,34 @@
     }
 }
 
+std::uint64_t engine_selection::add_store_terms(const selection_query& query,
+                                                const scoped_prompt& prompt,
+                                                selected_engine& chosen) const {
+    const core::prefix::declared_prompt& declared = *query.call.prompt;
+    const auto& stores = query.policy.declared().stores;
+    const core::traffic::state_store* home = placement::store_of(stores, declared);
+    if (home == nullptr) {
+        return 0;
+    }
+    std::uint64_t most = prompt.held_by(holder_of(*home));
+    chosen.fetch_state_from = home->address;
+    for (const core::traffic::state_store& store : stores) {
+        const std::uint64_t held = prompt.held_by(holder_of(store));
+        if (held > most) {
+            most = held;
+            chosen.fetch_state_from = store.address;
+        }
+    }
+    placement::prompt_reading reading;
+    reading.shared = declared.shared_tokens();
+    reading.held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
+    reading.own = declared.input_tokens - std::min(reading.shared, declared.input_tokens);
+    if (placement::is_worth_saving(reading)) {
+        chosen.save_state_to = home->address;
+    }
+    return most;
+}
+
 const known_engine* engine_selection::best_source(const selection_query& query,
                                                   const scoped_prompt& prompt,
                                                   const selected_engine& chosen,
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -120,6 +120,9 @@
                                                    base::monotonic_time now) const;
     void add_state_terms(const selection_query& query, const scoped_prompt& prompt,
                          base::monotonic_time now, selected_engine& chosen) const;
+    /// @return the most that one store holds of the prompt.
+    std::uint64_t add_store_terms(const selection_query& query, const scoped_prompt& prompt,
+                                  selected_engine& chosen) const;
     const known_engine* best_source(const selection_query& query, const scoped_prompt& prompt,
                                     const selected_engine& chosen, base::monotonic_time now) const;
 
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -236,6 +236,7 @@
         holder.news_at = m_scheduler.now();
         const std::uint64_t from = restarted || answer.gap ? 0 : since;
         for (peer::holder_changes& batch : batches(holder, from, answer)) {
+            log_changes(holder, batch);
             if (batch.next >= holder.position) {
                 apply(holder, batch);
             }
@@ -246,6 +247,19 @@
         }
     }
 
+    /// What `scripts/explain-reads` needs: what the holder keeps, as it tells it.
+    void log_changes(const followed_holder& holder, const peer::holder_changes& batch) const {
+        if (batch.parts.empty() || !runtime::log_enabled(runtime::log_level::debug)) {
+            return;
+        }
+        runtime::log(runtime::log_level::debug, component, "holder told",
+                     {{"holder", batch.holder.value},
+                      {"address", holder.target.address.to_string()},
+                      {"epoch", std::to_string(batch.epoch)},
+                      {"next", std::to_string(batch.next)},
+                      {"parts", core::prefix::to_string(batch.parts)}});
+    }
+
     /// Where nothing changed, peers are told now and then that it is so.
     bool is_news(const followed_holder& holder, const peer::holder_changes& batch) const {
         return !batch.parts.empty() ||
--- a/src/ferryroad/runtime/log.cpp
+++ b/src/ferryroad/runtime/log.cpp
@@ -92,6 +92,10 @@
     log4cxx::Logger::getRootLogger()->setLevel(level_of(lowest));
 }
 
+bool log_enabled(log_level level) {
+    return log4cxx::Logger::getRootLogger()->isEnabledFor(level_of(level));
+}
+
 void log(log_level level, std::string_view component, std::string_view message,
          std::initializer_list<log_field> fields) {
     const auto logger = log4cxx::Logger::getLogger(std::string(component));
--- a/src/ferryroad/runtime/log.hpp
+++ b/src/ferryroad/runtime/log.hpp
@@ -26,6 +26,10 @@
 void start_logging(std::string_view process_name, log_level lowest,
                    log_output output = log_output::standard_error);
 
+/// @return whether entries of this level are written: asked before fields are put together that
+/// are long. Thread-safe.
+bool log_enabled(log_level level);
+
 /// Writes one entry. Thread-safe.
 /// @param component the folder that speaks, such as "router.request".
 void log(log_level level, std::string_view component, std::string_view message,
--- /dev/null
+++ b/test/core/placement/state_stores_test.cpp
@@ -0,0 +1,64 @@
+/// Which store a prompt's state belongs to, and what is worth saving there.
+#include "ferryroad/core/placement/state_stores.hpp"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <string>
+
+using namespace ferryroad;
+using namespace ferryroad::core;
+using namespace ferryroad::core::placement;
+
+namespace {
+
+std::vector<traffic::state_store> some_stores() {
+    return {{{"10.0.0.1", 9}, base::zone_name("z1")},
+            {{"10.0.0.2", 9}, base::zone_name("z2")},
+            {{"10.0.0.3", 9}, base::zone_name("z3")}};
+}
+
+prefix::declared_prompt prompt_of(const std::string& shared, const std::string& own) {
+    return {"m", {{"root", 2500}, {shared, 3800}, {own, 2900}}, 9200, 20};
+}
+
+}  // namespace
+
+Test(state_stores, prompts_are_spread_over_all_stores) {
+    const auto stores = some_stores();
+    std::map<std::string, int> prompts;
+    for (int index = 0; index < 300; ++index) {
+        const auto prompt = prompt_of("p" + std::to_string(index), "own");
+        ++prompts[store_of(stores, prompt)->address.to_string()];
+    }
+    cr_assert_eq(prompts.size(), 3);
+    for (const auto& [address, count] : prompts) {
+        cr_assert_gt(count, 60, "%s", address.c_str());
+    }
+}
+
+Test(state_stores, requests_with_the_same_shared_parts_meet_in_any_order_of_stores) {
+    auto stores = some_stores();
+    const std::string first = store_of(stores, prompt_of("p", "own-1"))->address.to_string();
+    std::swap(stores.front(), stores.back());
+    cr_assert(store_of(stores, prompt_of("p", "own-2"))->address.to_string() == first);
+}
+
+Test(state_stores, nothing_is_named_without_stores_or_shared_parts) {
+    cr_assert_null(store_of({}, prompt_of("p", "own")));
+    const prefix::declared_prompt alone{"m", {{"own", 100}}, 100, 5};
+    cr_assert_null(store_of(some_stores(), alone));
+}
+
+Test(state_stores, what_someone_holds_is_not_saved) {
+    cr_assert(is_worth_saving({6300, 0, 2900}));
+    cr_assert(is_worth_saving({6300, 2500, 2900}));
+    cr_assert_not(is_worth_saving({6300, 6300, 2900}));
+    cr_assert_not(is_worth_saving({6300, 9000, 0}));
+}
+
+Test(state_stores, a_short_shared_beginning_does_not_carry_a_long_own_part_along) {
+    cr_assert_not(is_worth_saving({200, 0, 628}));
+    cr_assert(is_worth_saving({6300, 0, 6300}));
+    cr_assert_not(is_worth_saving({6300, 0, 6301}));
+}
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+#include <string>
+
 using namespace ferryroad;
 using namespace ferryroad::relay;
 using namespace std::chrono_literals;
@@ -170,6 +173,33 @@
     cr_assert_eq(saved->prefill_tokens, 500);
 }
 
+Test(selection, each_prompt_has_its_store_and_is_fetched_from_whichever_holds_it) {
+    fixture at;
+    core::traffic::declaration declared;
+    declared.version = 2;
+    for (const char* host : {"10.0.0.9", "10.0.0.10", "10.0.0.11"}) {
+        declared.stores.push_back({{host, 9}, base::zone_name("z1")});
+    }
+    const auto stores = declared.stores;
+    at.policies.offer(std::move(declared));
+    std::set<std::string> saved_to;
+    for (int index = 0; index < 30; ++index) {
+        at.call.prompt->parts[1].id = "b" + std::to_string(index);
+        const auto cold = at.select();
+        cr_assert(cold->fetch_state_from == cold->save_state_to);
+        saved_to.insert(cold->save_state_to->to_string());
+    }
+    cr_assert_eq(saved_to.size(), 3);
+    for (const auto& store : stores) {
+        at.warm.follow(holder_of(store), true);
+        for (const auto& part : core::prefix::scoped_parts_of(*at.call.prompt, "shared/1")) {
+            at.warm.told(part.key, holder_of(store), part.tokens, start);
+        }
+        cr_assert(at.select()->fetch_state_from == store.address);
+        at.warm.forget(holder_of(store));
+    }
+}
+
 Test(selection, the_load_of_other_routers_counts) {
     fixture at;
     at.call.prompt->parts = {{"own", 600}};
