Holders' state: what is told counts at once, missed history is asked for slowly

Cause: a router that started, or missed a notice, counted nothing that it was told of a holder until it had that holder's whole history, and asked each of them for it at once: 90 holders times 69 routers, each over a new connection, on machines with 0.12 of a core.

Ruled out: clients' own repeats and cold engines: prompts were read as fast as before, and timed-out connections also went to services without prompts.

Change: told changes count although some before them are unknown; what is missed is remembered by its first number and asked for by one call after the other, spaced so that all routers of a block together make 50 calls a second. A late notice of an earlier life of the holder starts its state anew, as a restart does.

--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -72,10 +72,10 @@
     base::duration longest_backoff = std::chrono::seconds(8);
     /// Parts told to peers at a time.
     std::size_t told_parts = 48;
-    /// A router that has just started asks the holders that others follow one after the other,
-    /// in random order, so far apart: histories are long, and machines small. What is told
-    /// meanwhile need not be asked for.
-    base::duration catch_up_pace = std::chrono::milliseconds(40);
+    /// A router that has just started, or missed something, asks the holders that others follow
+    /// one after the other, so far apart for each router of the block: all of them together make
+    /// some 50 calls a second, however many start at once. What is told meanwhile counts at once.
+    base::duration catch_up_pace = std::chrono::milliseconds(20);
 };
 
 /// How the routers of a block share the work.
@@ -84,6 +84,8 @@
     std::function<bool(const base::engine_name&, const base::zone_name&)> follows;
     /// Tells the others.
     std::function<void(peer::holder_changes)> tell;
+    /// @return how many share it, this router included.
+    std::function<std::size_t()> routers;
 };
 
 /// Used from the event loop's thread; kept until the loop has ended. Collaborators outlive it.
@@ -105,7 +107,6 @@
             place->second = std::make_shared<followed_holder>();
             place->second->target = holder;
             place->second->zone = zone;
-            place->second->ask_from = m_scheduler.now() + catch_up_delay();
             start_where_needed(place->second);
         }
         if (!m_looking) {
@@ -129,16 +130,13 @@
             return;
         }
         followed_holder& holder = *found->second;
-        if (holder.epoch == 0 && told.from == 0) {
-            holder.epoch = told.epoch;
-            holder.behind = false;
+        holder.news_at = m_scheduler.now();
+        if (told.epoch != holder.epoch) {
+            begin_epoch(holder, told.epoch);
         }
-        const bool in_step = told.epoch == holder.epoch && told.from <= holder.position;
-        if (!in_step) {
-            holder.behind = holder.behind || told.epoch != holder.epoch || told.next > 0;
-            return;
+        if (told.from > holder.position) {
+            miss_from(holder, holder.position);
         }
-        holder.news_at = m_scheduler.now();
         if (told.next >= holder.position) {
             apply(holder, told);
         }
@@ -154,10 +152,10 @@
         bool wanted = true;
         bool asking = false;  ///< This router asks it now.
         bool lost = false;    ///< The last question was not answered.
-        bool behind = true;   ///< Changes were missed, or none was ever asked for.
         std::uint64_t epoch = 0;
-        std::uint64_t position = 0;       ///< Changes before it are known.
-        base::monotonic_time ask_from{};  ///< Not before, where another router follows it.
+        std::uint64_t position = 0;  ///< The newest change that was told.
+        /// Some of the changes after this one were never told.
+        std::optional<std::uint64_t> missed_from = 0;
         base::monotonic_time news_at{};
         base::monotonic_time told_at{};
     };
@@ -166,7 +164,8 @@
     /// One timer for all holders: most are followed by other routers, and there are many.
     runtime::task<void> look() {
         while (!m_holders.empty()) {
-            co_await m_scheduler.sleep_for(jittered(m_settings.look_period));
+            const base::duration period = std::min(m_settings.look_period, catch_up_pause());
+            co_await m_scheduler.sleep_for(jittered(period));
             for (const auto& [name, holder] : m_holders) {
                 start_where_needed(holder);
             }
@@ -179,28 +178,33 @@
     }
 
     void start_where_needed(const holder_pointer& holder) {
-        if (!holder->asking && (follows(*holder) || must_ask(*holder))) {
-            holder->asking = true;
-            m_scheduler.spawn(component, run(holder));
+        if (holder->asking) {
+            return;
+        }
+        const bool follows_it = follows(*holder);
+        if (!follows_it && !must_ask(*holder)) {
+            return;
         }
+        if (!follows_it) {
+            m_catch_up_from = m_scheduler.now() + jittered(catch_up_pause());
+        }
+        holder->asking = true;
+        m_scheduler.spawn(component, run(holder));
     }
 
-    /// Asks the holder for as long as this router has to.
-    runtime::task<void> run(holder_pointer holder) {
-        co_await ask_repeatedly(holder);
-        holder->asking = false;
+    base::duration catch_up_pause() const {
+        return m_settings.catch_up_pace * static_cast<std::int64_t>(m_sharing.routers());
     }
 
-    runtime::task<void> ask_repeatedly(holder_pointer holder) {
+    /// Asks the holder once, and again for as long as this router follows it.
+    runtime::task<void> run(holder_pointer holder) {
         base::duration backoff = m_settings.first_backoff;
-        for (;;) {
-            const bool follows_it = follows(*holder);
-            if (!holder->wanted || (!follows_it && !must_ask(*holder))) {
-                co_return;
-            }
+        bool follows_it = true;
+        while (holder->wanted && follows_it) {
+            follows_it = follows(*holder);
             const bool answered = co_await ask(holder, follows_it);
             if (!holder->wanted) {
-                co_return;
+                break;
             }
             note_answer(*holder, answered);
             if (answered) {
@@ -208,10 +212,13 @@
                 co_await m_scheduler.sleep_for(m_settings.pace);
                 continue;
             }
-            m_warm.follow(holder->target.name, false);
+            if (is_silent(*holder)) {
+                m_warm.follow(holder->target.name, false);
+            }
             co_await m_scheduler.sleep_for(jittered(backoff));
             backoff = std::min(2 * backoff, m_settings.longest_backoff);
         }
+        holder->asking = false;
     }
 
     /// One line where a holder's events are lost, and one where they are there again.
@@ -228,21 +235,32 @@
                       {"epoch", std::to_string(holder.epoch)}});
     }
 
+    bool is_silent(const followed_holder& holder) const {
+        return m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
+    }
+
     bool must_ask(const followed_holder& holder) const {
-        const base::monotonic_time now = m_scheduler.now();
-        const bool silent = now - holder.news_at > m_settings.news_lifetime;
-        return now >= holder.ask_from && (holder.behind || silent);
+        const bool lacks_news = holder.missed_from || is_silent(holder);
+        return lacks_news && m_scheduler.now() >= m_catch_up_from;
+    }
+
+    static void miss_from(followed_holder& holder, std::uint64_t position) {
+        holder.missed_from = std::min(holder.missed_from.value_or(position), position);
     }
 
-    base::duration catch_up_delay() const {
-        const double holders = static_cast<double>(m_holders.size());
-        const double longest = base::to_seconds(m_settings.catch_up_pace) * holders;
-        return base::from_seconds(longest * m_scheduler.random().unit());
+    /// The holder restarted, or is heard of for the first time.
+    void begin_epoch(followed_holder& holder, std::uint64_t epoch) {
+        if (holder.epoch != 0) {
+            m_warm.forget(holder.target.name);
+        }
+        holder.epoch = epoch;
+        holder.position = 0;
+        holder.missed_from.reset();
     }
 
     runtime::task<bool> ask(holder_pointer holder, bool follows) {
         engine_target asked = holder->target;
-        const std::uint64_t since = holder->position;
+        const std::uint64_t since = holder->missed_from.value_or(holder->position);
         const base::duration wait = follows ? m_settings.wait : m_settings.short_wait;
         const auto answer = co_await m_source.state_changes_of(std::move(asked), since, wait);
         if (!answer) {
@@ -255,24 +273,21 @@
     }
 
     void take(followed_holder& holder, std::uint64_t since, const state_changes& answer,
-              bool follows) {
+              bool follows_it) {
         const bool restarted = answer.epoch != holder.epoch;
-        if (restarted && holder.epoch != 0) {
-            m_warm.forget(holder.target.name);
+        if (restarted) {
+            begin_epoch(holder, answer.epoch);
         }
-        if (restarted || answer.gap) {
-            holder.position = 0;
-        }
-        holder.epoch = answer.epoch;
-        holder.behind = false;
         holder.news_at = m_scheduler.now();
+        if (answer.next < holder.position && !answer.gap) {
+            return;  // Others told more meanwhile; what is missing is asked for again.
+        }
+        holder.missed_from.reset();
         const std::uint64_t from = restarted || answer.gap ? 0 : since;
         for (peer::holder_changes& batch : batches(holder, from, answer)) {
             log_changes(holder, batch);
-            if (batch.next >= holder.position) {
-                apply(holder, batch);
-            }
-            if (follows && is_news(holder, batch)) {
+            apply(holder, batch);
+            if (follows_it && is_news(holder, batch)) {
                 holder.told_at = holder.news_at;
                 m_sharing.tell(std::move(batch));
             }
@@ -353,6 +368,7 @@
     state_sharing m_sharing;
     state_follower_settings m_settings;
     std::map<base::engine_name, holder_pointer> m_holders;
+    base::monotonic_time m_catch_up_from{};  ///< The next holder that another router follows.
     bool m_looking = false;
 };
 
