Start of many routers: fewer calls to the store

Cause: a router that starts read the operators' table and the engine list, and went on to ask the store for their changes (one call held for 0.75 s) before it had been told of any other router; and it asked for the rollout's lease, as whoever knows nobody takes itself for a reader.

--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -38,6 +38,10 @@
     base::duration old_copy_pause = std::chrono::milliseconds(200);
     /// Other routers tried in one call before it ends as unavailable.
     int attempts = 3;
+    /// A router that has just started reads whole tables from the owner at once, and waits so
+    /// long to be told of the other routers before it asks for changes: these come from them.
+    base::duration routers_wait = std::chrono::milliseconds(500);
+    base::duration routers_look = std::chrono::milliseconds(20);
 };
 
 /// Used from the event loop's thread. Collaborators outlive it.
@@ -65,6 +69,7 @@
             m_addresses[one.name] = one.address;
         }
         m_sources.declare(members);
+        m_knows_routers = true;
     }
 
     /// Whoever reads the owner asks for a table only so often, so that copies of it are so much
@@ -81,7 +86,7 @@
     }
     runtime::task<batch_result> read_changes(std::string table, std::uint64_t after,
                                              base::duration wait, base::duration limit) {
-        return read({std::move(table), after, false, wait, limit});
+        return read_once_routers_are_known({std::move(table), after, false, wait, limit});
     }
 
   private:
@@ -105,6 +110,15 @@
 
     static constexpr std::string_view component = "relay.tables";
 
+    runtime::task<batch_result> read_once_routers_are_known(reading wanted) {
+        const base::monotonic_time until = m_scheduler.now() + m_settings.routers_wait;
+        while (!m_knows_routers && m_scheduler.now() < until) {
+            co_await m_scheduler.sleep_for(m_settings.routers_look);
+        }
+        m_knows_routers = true;  // Or nobody will tell: the owner serves.
+        co_return co_await read(std::move(wanted));
+    }
+
     runtime::task<batch_result> read(reading wanted) {
         table_state& table = m_tables[wanted.table];
         const base::monotonic_time began = m_scheduler.now();
@@ -262,6 +276,7 @@
     std::map<std::string, table_state> m_tables;
     std::uint64_t m_owner_calls = 0;
     std::uint64_t m_peer_calls = 0;
+    bool m_knows_routers = false;
 };
 
 }  // namespace ferryroad::relay
--- a/test/relay/shared_feed_test.cpp
+++ b/test/relay/shared_feed_test.cpp
@@ -113,6 +113,8 @@
     settings.hold = 20ms;
     settings.call_margin = 20ms;
     settings.retry_pause = 1ms;
+    settings.routers_wait = 300ms;
+    settings.routers_look = 1ms;
     settings.old_copy_pause = 2ms;
     settings.sources.oldest_copy = 100ms;
     settings.sources.old_copy_pause = 20ms;
@@ -374,3 +376,40 @@
     cr_assert(answered);
     cr_assert(alone.direct.waits == (std::vector<base::duration>{0ms, 5ms, 0ms}));
 }
+
+Test(shared_feed, changes_are_asked_for_once_the_other_routers_are_known) {
+    ferryroad::test::loopback loop;
+    network net;
+    owner source;
+    source.put("a", "1");
+    router one(loop, net, source, 1);
+    router two(loop, net, source, 2);
+    router late(loop, net, source, 3);
+    const std::vector<peer_address> all{one.self, two.self, late.self};
+    one.feed.set_routers({one.self});
+    two.feed.set_routers({two.self});
+    one.follower.start();
+    two.follower.start();
+    late.follower.start();
+    cr_assert(loop.run([&] { return loop.until([&] { return late.last.has_value(); }); }));
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return one.direct.calls > 6; }); }));
+    cr_assert_eq(late.direct.calls, 1);  // The whole table, at once.
+    late.feed.set_routers(all);
+    source.put("b", "2");
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return late.copy["b"] == "2"; }); }));
+}
+
+Test(shared_feed, where_nobody_tells_of_other_routers_the_owner_serves) {
+    ferryroad::test::loopback loop;
+    network net;
+    owner source;
+    source.put("a", "1");
+    router alone(loop, net, source, 1);
+    alone.follower.start();
+    cr_assert(loop.run([&] { return loop.until([&] { return alone.copy["a"] == "1"; }); }));
+    source.put("b", "2");
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return alone.copy["b"] == "2"; }); }));
+}
