Placement: engines are drawn by the request's id

Cause: every router took the engine with the least cost of all; what it knows of load is 50 to 350 ms old, and known for a part of the routers alone, so that routers meet at the same engine.

Change: a request is weighed for the engines that hold all its shared parts, their home, and 16 others drawn by rendezvous over its id. Up to 16 engines nothing changes.

--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -4,6 +4,7 @@
 #include "ferryroad/core/placement/state_stores.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -138,6 +139,40 @@
     }
 }
 
+void engine_selection::draw(const base::request_id& id, std::vector<weighed>& engines,
+                            placement::placement_query& placed) const {
+    if (engines.size() <= m_settings.drawn_engines) {
+        return;
+    }
+    const std::uint64_t key = base::hash_bytes(id.value);
+    std::vector<std::pair<std::uint64_t, std::size_t>> others;
+    std::vector<std::size_t> kept;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const placement::engine_candidate& candidate = placed.candidates[index];
+        const bool holds_all =
+            placed.shared_tokens > 0 && candidate.warm_tokens >= placed.shared_tokens;
+        if (candidate.home || holds_all) {
+            kept.push_back(index);
+        } else {
+            others.emplace_back(base::rendezvous_score(key, candidate.name.value), index);
+        }
+    }
+    const std::size_t count = std::min(others.size(), m_settings.drawn_engines);
+    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
+                      others.end(), std::greater<>());
+    for (std::size_t index = 0; index < count; ++index) {
+        kept.push_back(others[index].second);
+    }
+    std::vector<weighed> left;
+    std::vector<placement::engine_candidate> candidates;
+    for (const std::size_t index : kept) {
+        left.push_back(engines[index]);
+        candidates.push_back(std::move(placed.candidates[index]));
+    }
+    engines = std::move(left);
+    placed.candidates = std::move(candidates);
+}
+
 void engine_selection::expect_routers(std::size_t present, std::size_t heard) {
     const double multiple = static_cast<double>(present) / static_cast<double>(heard);
     m_unseen_load = std::clamp(multiple, 1.0, most_unseen_load);
@@ -146,7 +181,7 @@
 std::optional<selected_engine> engine_selection::select(const selection_query& query,
                                                         base::monotonic_time now) {
     scoped_prompts prompts;
-    const std::vector<weighed> engines = eligible(query, prompts, now);
+    std::vector<weighed> engines = eligible(query, prompts, now);
     placement::placement_query placed;
     placed.unseen_load = m_unseen_load;
     for (const weighed& one : engines) {
@@ -159,6 +194,7 @@
         placed.gap_pressure = m_gap_pressures[query.pool].level();
         mark_home(engines, *query.call.prompt, placed);
     }
+    draw(query.call.id, engines, placed);
     const auto choice = placement::choose_engine(placed, m_settings.placement);
     if (!choice) {
         return std::nullopt;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -28,6 +28,10 @@
     std::optional<base::duration> outdated_limit;
     /// From then on older weights cost worth, so that newer ones are preferred.
     base::duration outdated_grace{};
+    /// Engines without all of the prompt's shared state that a request is weighed for, drawn by its
+    /// id; all where there are fewer. What routers know of load is some 100 ms old: if each took
+    /// the least loaded of all, they would meet there.
+    std::size_t drawn_engines = 16;
 };
 
 /// What is to be placed.
@@ -116,6 +120,9 @@
                                   base::monotonic_time now) const;
     void mark_home(const std::vector<weighed>& engines, const core::prefix::declared_prompt& prompt,
                    core::placement::placement_query& placed) const;
+    /// Leaves the engines that hold the prompt's shared parts, its home, and some that are drawn.
+    void draw(const base::request_id& id, std::vector<weighed>& engines,
+              core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
                                                    base::monotonic_time now) const;
     void add_state_terms(const selection_query& query, const scoped_prompt& prompt,
