Warm state: all holders of a first part are remembered

Cause: 24 holders of a part were remembered, and who holds a prompt was looked for among the holders of its first part. Nearly all engines hold first parts (four of 2,520 tokens each on these sites), so that an engine or store that held the whole prompt was seen only if it was one of the 24 of 90 or 249.

Change: 512 holders a part, more than a pool has engines; holdings are found in one walk over the parts, and looked up by name, as there are now hundreds.

Test: who_holds_all_is_known_though_everyone_holds_the_first_part fails with 24 holders.

--- a/src/ferryroad/core/placement/warm_state.cpp
+++ b/src/ferryroad/core/placement/warm_state.cpp
@@ -133,11 +133,28 @@
         return all;
     }
     for (const belief& one : entries.front()->beliefs) {
-        holding held = held_by(one.holder, parts, entries, now);
-        if (held.tokens > 0) {
-            all.push_back(std::move(held));
+        const std::uint64_t tokens = std::min(one.tokens, parts.front().tokens);
+        if (tokens > 0 && holds(one, now)) {
+            all.push_back({one.holder, tokens, one.confirmed});
         }
     }
+    const auto by_name = [](const holding& a, const holding& b) { return a.holder < b.holder; };
+    std::sort(all.begin(), all.end(), by_name);
+    // Nearly all engines hold a first part, few hold those after it.
+    std::uint64_t before = parts.front().tokens;
+    for (std::size_t index = 1; index < entries.size(); ++index) {
+        for (const belief& one : entries[index]->beliefs) {
+            const auto found =
+                std::lower_bound(all.begin(), all.end(), holding{one.holder, 0, false}, by_name);
+            const bool holds_before =
+                found != all.end() && found->holder == one.holder && found->tokens == before;
+            if (holds_before && holds(one, now)) {
+                found->tokens += std::min(one.tokens, parts[index].tokens);
+                found->confirmed = found->confirmed && one.confirmed;
+            }
+        }
+        before += parts[index].tokens;
+    }
     return all;
 }
 
--- a/src/ferryroad/core/placement/warm_state.hpp
+++ b/src/ferryroad/core/placement/warm_state.hpp
@@ -19,8 +19,9 @@
 struct warm_state_tunables {
     /// Parts remembered; the one used longest ago is forgotten first.
     std::size_t parts = 6144;
-    /// Holders remembered for each part.
-    std::size_t holders = 24;
+    /// Holders remembered for each part: more than engines of a pool at the largest deployment
+    /// that was measured (240), as the first parts of prompts are held by nearly all of them.
+    std::size_t holders = 512;
     /// A part that a followed holder was asked to read, and hasn't told of since, isn't there.
     base::duration expectation = std::chrono::milliseconds(1500);
     /// And this for each token of the part, which must be read first.
@@ -57,8 +58,8 @@
     /// The holder ended, or lost what it held.
     void forget(const holder_name& holder);
 
-    /// @return all that are believed to hold a beginning of the prompt; bounded by the number
-    /// of holders remembered for a part, whatever the number of engines.
+    /// @return all that are believed to hold a beginning of the prompt, in the order of their
+    /// names; bounded by the number of holders remembered for a part.
     std::vector<holding> holdings(const std::vector<prefix::scoped_part>& parts,
                                   base::monotonic_time now) const;
     /// @return the tokens of one holder.
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -43,19 +43,29 @@
 }
 
 std::uint64_t engine_selection::scoped_prompt::held_by(const base::engine_name& holder) const {
-    const auto found =
-        std::find_if(holdings.begin(), holdings.end(),
-                     [&](const placement::holding& one) { return one.holder == holder; });
-    return found == holdings.end() ? 0 : found->tokens;
+    const auto found = std::lower_bound(
+        holdings.begin(), holdings.end(), holder,
+        [](const placement::holding& one, const auto& name) { return one.holder < name; });
+    return found == holdings.end() || found->holder != holder ? 0 : found->tokens;
 }
 
 std::uint64_t engine_selection::scoped_prompt::held_beside(const base::engine_name& holder) const {
-    std::uint64_t most = 0;
+    return holder == best_giver ? most_given_beside : most_given;
+}
+
+void engine_selection::scoped_prompt::find_givers() {
     for (const placement::holding& one : holdings) {
-        const bool given = one.confirmed && one.holder != holder;
-        most = given ? std::max(most, one.tokens) : most;
+        if (!one.confirmed) {
+            continue;
+        }
+        if (one.tokens > most_given) {
+            most_given_beside = most_given;
+            most_given = one.tokens;
+            best_giver = one.holder;
+        } else {
+            most_given_beside = std::max(most_given_beside, one.tokens);
+        }
     }
-    return most;
 }
 
 engine_selection::scoped_prompt engine_selection::scoped(const selection_query& query,
@@ -65,6 +75,7 @@
     prompt.scope = cache_scope_of(query.tenant, version);
     prompt.parts = core::prefix::scoped_parts_of(*query.call.prompt, prompt.scope);
     prompt.holdings = m_warm.holdings(prompt.parts, now);
+    prompt.find_givers();
     return prompt;
 }
 
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -97,12 +97,16 @@
     struct scoped_prompt {
         std::string scope;
         std::vector<core::prefix::scoped_part> parts;
-        std::vector<core::placement::holding> holdings;
+        std::vector<core::placement::holding> holdings;  ///< In the order of their holders' names.
+        base::engine_name best_giver;                    ///< Holds the most that can be given away.
+        std::uint64_t most_given = 0;                    ///< Tokens there.
+        std::uint64_t most_given_beside = 0;             ///< The most that anyone else gives away.
 
         std::uint64_t held_by(const base::engine_name& holder) const;
         /// @return the most that anyone but `holder` can give away: what is only expected is
         /// being read still.
         std::uint64_t held_beside(const base::engine_name& holder) const;
+        void find_givers();
     };
     /// By the version of the weights.
     using scoped_prompts = std::map<std::uint64_t, scoped_prompt>;
--- a/test/core/placement/warm_state_test.cpp
+++ b/test/core/placement/warm_state_test.cpp
@@ -136,3 +136,23 @@
     cr_assert_eq(warm.tokens_held(prompt(), a, start + 3ms), 0);
     cr_assert_eq(warm.tokens_held(prompt(), b, start + 3ms), 150);
 }
+
+Test(warm_state, who_holds_all_is_known_though_everyone_holds_the_first_part) {
+    warm_state warm;
+    const auto parts = prompt();
+    for (int number = 0; number < 240; ++number) {
+        const base::engine_name name("e" + std::to_string(number));
+        warm.follow(name, true);
+        warm.told(parts.front().key, name, parts.front().tokens, start);
+    }
+    warm.told(parts[1].key, base::engine_name("e0"), parts[1].tokens, start);
+    warm.told(parts[1].key, base::engine_name("e239"), parts[1].tokens / 2, start);
+    const auto holdings = warm.holdings(parts, start + 1s);
+    cr_assert_eq(holdings.size(), 240);
+    for (const holding& one : holdings) {
+        cr_assert_eq(one.tokens, warm.tokens_held(parts, one.holder, start + 1s));
+        cr_assert(one.confirmed);
+    }
+    cr_assert_eq(warm.tokens_held(parts, base::engine_name("e0"), start + 1s), 150);
+    cr_assert_eq(warm.tokens_held(parts, base::engine_name("e239"), start + 1s), 125);
+}
