Who contends for the rollout's lease is decided in relay/; malformed table requests in the metrics

Cause: platform/node.cpp only composes, yet it decided who contends; table_server counted requests that made no sense, and nothing showed the count.

Change: contends_for_rollout (pure, with its delay after the start and a test) in relay/rollout_lease; gauge ferryroad_relay_table_requests_malformed. Nothing else behaves differently.

--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -87,6 +87,9 @@
         static_cast<double>(now.table_calls_to_peers));
     set("ferryroad_relay_table_answers_to_peers", "Answers from copies of tables to other routers.",
         static_cast<double>(now.table_answers_to_peers));
+    set("ferryroad_relay_table_requests_malformed",
+        "Requests for copies of tables that made no sense.",
+        static_cast<double>(now.table_requests_malformed));
     set("ferryroad_relay_store_calls", "Calls to follow the store's tables and for leases.",
         static_cast<double>(now.store_calls));
     return m_registry.to_text();
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -30,6 +30,7 @@
     bool reads_owner = false;  ///< Reads the store for other routers.
     std::uint64_t table_calls_to_peers = 0;
     std::uint64_t table_answers_to_peers = 0;
+    std::uint64_t table_requests_malformed = 0;
     std::uint64_t store_calls = 0;
 };
 
--- a/src/ferryroad/relay/rollout_lease.cpp
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -1,10 +1,26 @@
 #include "ferryroad/relay/rollout_lease.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace ferryroad::relay {
 
+namespace {
+
+/// Routers that start together all read the store until they know each other, and would all ask
+/// for the lease: twice the time after which the list of routers is read again.
+constexpr base::duration contention_delay = std::chrono::milliseconds(800);
+
+}  // namespace
+
+bool contends_for_rollout(const lease_contender& router) {
+    if (router.stopping) {
+        return false;
+    }
+    return router.holds || (router.reads_owner && router.up_for >= contention_delay);
+}
+
 rollout_lease::rollout_lease(const runtime::scheduler& scheduler, leases::lease_service& leases,
                              const owner_clock& clock, leases::lease_name name, base::duration turn)
     : m_scheduler(scheduler),
--- a/src/ferryroad/relay/rollout_lease.hpp
+++ b/src/ferryroad/relay/rollout_lease.hpp
@@ -14,6 +14,22 @@
 
 namespace ferryroad::relay {
 
+/// A router that may contend for the rollout's lease.
+struct lease_contender {
+    bool stopping = false;
+    bool reads_owner = false;  ///< Reads the store's tables for other routers.
+    bool holds = false;        ///< Has the lease.
+    base::duration up_for{};   ///< Since its start.
+
+    friend bool operator==(const lease_contender&, const lease_contender&) = default;
+};
+
+/// Few contend, so that asking whether the lease is free doesn't cost more with each router: those
+/// that read the store for all, and whoever holds it. While readers aren't heard, others take their
+/// place and contend.
+/// @return whether the router does. Thread-safe.
+bool contends_for_rollout(const lease_contender& router);
+
 /// Used from the event loop's thread. Collaborators outlive it.
 class rollout_lease {
   public:
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -63,10 +63,6 @@
     return settings;
 }
 
-/// Routers that start together all read the store until they know each other, and would all ask
-/// for the lease: twice the time after which the list of routers is read again.
-inline constexpr base::duration lease_contention_delay = std::chrono::milliseconds(800);
-
 /// An engine that takes no connection soon is left for another.
 inline http::client_limits engine_connections() {
     http::client_limits limits;
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -182,3 +182,17 @@
     const base::duration waited = time_to_act(loop, second);
     cr_assert(waited < 200ms, "%ld ms", static_cast<long>(base::to_milliseconds(waited)));
 }
+
+Test(rollout_lease, few_routers_contend_and_none_while_all_start_together) {
+    lease_contender router;
+    router.up_for = 10s;
+    cr_assert_not(contends_for_rollout(router));
+    router.reads_owner = true;
+    cr_assert(contends_for_rollout(router));
+    router.up_for = 100ms;
+    cr_assert_not(contends_for_rollout(router));
+    router.holds = true;
+    cr_assert(contends_for_rollout(router));
+    router.stopping = true;
+    cr_assert_not(contends_for_rollout(router));
+}
