Start of many routers: changes wait until the list of routers has settled

Cause: where all start together, the first list that a router reads names only those that were a little earlier; whoever knew few took itself for the head of its zone and asked the store for changes of both tables.

Change: changes are asked for 0.3 s after the first list, which is before the second one; whole tables are still read at once.

--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -41,6 +41,9 @@
     /// A router that has just started reads whole tables from the owner at once, and waits so
     /// long to be told of the other routers before it asks for changes: these come from them.
     base::duration routers_wait = std::chrono::milliseconds(500);
+    /// Where many start together, the first list of them is short: so long after it is told,
+    /// before the list is read again, a router doesn't take itself for a reader yet.
+    base::duration routers_settle = std::chrono::milliseconds(300);
     base::duration routers_look = std::chrono::milliseconds(20);
 };
 
@@ -69,7 +72,9 @@
             m_addresses[one.name] = one.address;
         }
         m_sources.declare(members);
-        m_knows_routers = true;
+        if (!m_first_told_at) {
+            m_first_told_at = m_scheduler.now();
+        }
     }
 
     /// Whoever reads the owner asks for a table only so often, so that copies of it are so much
@@ -111,14 +116,23 @@
     static constexpr std::string_view component = "relay.tables";
 
     runtime::task<batch_result> read_once_routers_are_known(reading wanted) {
-        const base::monotonic_time until = m_scheduler.now() + m_settings.routers_wait;
-        while (!m_knows_routers && m_scheduler.now() < until) {
+        if (!m_first_call_at) {
+            m_first_call_at = m_scheduler.now();
+        }
+        while (!knows_routers()) {
             co_await m_scheduler.sleep_for(m_settings.routers_look);
         }
-        m_knows_routers = true;  // Or nobody will tell: the owner serves.
         co_return co_await read(std::move(wanted));
     }
 
+    /// @return whether the list of routers has settled, or nobody will tell it: then the owner
+    /// serves.
+    bool knows_routers() const {
+        const base::monotonic_time now = m_scheduler.now();
+        const bool settled = m_first_told_at && now - *m_first_told_at >= m_settings.routers_settle;
+        return settled || now - *m_first_call_at >= m_settings.routers_wait;
+    }
+
     runtime::task<batch_result> read(reading wanted) {
         table_state& table = m_tables[wanted.table];
         const base::monotonic_time began = m_scheduler.now();
@@ -276,7 +290,8 @@
     std::map<std::string, table_state> m_tables;
     std::uint64_t m_owner_calls = 0;
     std::uint64_t m_peer_calls = 0;
-    bool m_knows_routers = false;
+    std::optional<base::monotonic_time> m_first_told_at;  ///< Of the other routers.
+    std::optional<base::monotonic_time> m_first_call_at;  ///< For changes.
 };
 
 }  // namespace ferryroad::relay
--- a/test/relay/shared_feed_test.cpp
+++ b/test/relay/shared_feed_test.cpp
@@ -114,6 +114,7 @@
     settings.call_margin = 20ms;
     settings.retry_pause = 1ms;
     settings.routers_wait = 300ms;
+    settings.routers_settle = 5ms;
     settings.routers_look = 1ms;
     settings.old_copy_pause = 2ms;
     settings.sources.oldest_copy = 100ms;
