Placement: suspended engines are drawn only where too few others are

Cause: on reading the change again: where most engines of a large pool are suspended, the 16 drawn by a request's id could all be among them, with sound ones left out.

Change: sound engines are drawn first. Tests of drawing: requests spread over many equal engines, a holder is always weighed, the one sound engine of 103 is found (fails with the code before).

--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -4,7 +4,6 @@
 #include "ferryroad/core/placement/state_stores.hpp"
 
 #include <algorithm>
-#include <functional>
 #include <tuple>
 #include <utility>
 
@@ -155,8 +154,13 @@
     if (engines.size() <= m_settings.drawn_engines) {
         return;
     }
+    struct drawn_engine {
+        bool sound = false;  ///< These are drawn before others.
+        std::uint64_t score = 0;
+        std::size_t index = 0;
+    };
     const std::uint64_t key = base::hash_bytes(id.value);
-    std::vector<std::pair<std::uint64_t, std::size_t>> others;
+    std::vector<drawn_engine> others;
     std::vector<std::size_t> kept;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
@@ -165,14 +169,17 @@
         if (candidate.home || holds_all) {
             kept.push_back(index);
         } else {
-            others.emplace_back(base::rendezvous_score(key, candidate.name.value), index);
+            const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
+            others.push_back({!candidate.suspended, score, index});
         }
     }
     const std::size_t count = std::min(others.size(), m_settings.drawn_engines);
     std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end(), std::greater<>());
-    for (std::size_t index = 0; index < count; ++index) {
-        kept.push_back(others[index].second);
+                      others.end(), [](const drawn_engine& a, const drawn_engine& b) {
+                          return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
+                      });
+    for (std::size_t place = 0; place < count; ++place) {
+        kept.push_back(others[place].index);
     }
     std::vector<weighed> left;
     std::vector<placement::engine_candidate> candidates;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -124,7 +124,8 @@
                                   base::monotonic_time now) const;
     void mark_home(const std::vector<weighed>& engines, const core::prefix::declared_prompt& prompt,
                    core::placement::placement_query& placed) const;
-    /// Leaves the engines that hold the prompt's shared parts, its home, and some that are drawn.
+    /// Leaves the engines that hold the prompt's shared parts, its home, and some that are drawn:
+    /// suspended ones only where there are too few others.
     void draw(const base::request_id& id, std::vector<weighed>& engines,
               core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -268,3 +268,52 @@
     cr_assert(at.registry.known());
     cr_assert_eq(at.registry.engines().size(), 1);
 }
+
+Test(selection, requests_meet_at_few_of_many_equal_engines_by_their_ids) {
+    fixture at;
+    at.call.prompt->parts = {{"own", 600}};
+    at.call.prompt->input_tokens = 600;
+    for (int number = 10; number < 110; ++number) {
+        at.add(("e" + std::to_string(number)).c_str(), "z1", 1);
+    }
+    std::set<std::string> chosen;
+    for (int number = 0; number < 60; ++number) {
+        at.call.id = base::request_id("request-" + std::to_string(number));
+        const auto selected = at.select();
+        cr_assert_leq(selected->candidates, selection_settings{}.drawn_engines + 1);
+        chosen.insert(selected->target.name.value);
+    }
+    cr_assert_geq(chosen.size(), 20);
+    at.call.id = base::request_id("request-0");
+    cr_assert(at.select()->target.name == at.select()->target.name);
+}
+
+Test(selection, a_holder_is_weighed_whether_it_is_drawn_or_not) {
+    fixture at;
+    for (int number = 10; number < 110; ++number) {
+        at.add(("e" + std::to_string(number)).c_str(), "z1", 1);
+    }
+    at.hold("e77", "shared/1");
+    for (int number = 0; number < 30; ++number) {
+        at.call.id = base::request_id("request-" + std::to_string(number));
+        cr_assert(at.select()->target.name == base::engine_name("e77"));
+    }
+}
+
+Test(selection, sound_engines_are_drawn_before_suspended_ones) {
+    fixture at;
+    at.call.prompt->parts = {{"own", 600}};
+    at.call.prompt->input_tokens = 600;
+    for (int number = 10; number < 110; ++number) {
+        at.add(("e" + std::to_string(number)).c_str(), "z1", 1);
+    }
+    for (const auto& [name, engine] : at.registry.engines()) {
+        if (name != base::engine_name("e42")) {
+            at.registry.find(name)->health.record_failure(true, start);
+        }
+    }
+    for (int number = 0; number < 30; ++number) {
+        at.call.id = base::request_id("request-" + std::to_string(number));
+        cr_assert(at.select()->target.name == base::engine_name("e42"));
+    }
+}
