Quotas: the stand-alone routers count by the same parts

Change: `quotas/quota_service` (whom to ask, what to do without an answer) is apart from the ways an ask travels: datagrams on the platform (`relay/quota_datagrams`), calls between stand-alone routers (`router/membership/quota_link`). `fleet_quota` has the rate counted there; requests at work stay each router's own. The unused quota messages of the peer protocol carry the asks. Ruled out: the datagrams for both, as the stand-alone routers' datagrams belong to membership.

--- a/src/ferryroad/coordination/quota/quota_ledger.hpp
+++ b/src/ferryroad/coordination/quota/quota_ledger.hpp
@@ -49,6 +49,7 @@
     explicit quota_ledger(base::monotonic_time started, ledger_tunables tunables = {})
         : m_tunables(tunables), m_grown_at(started + tunables.young_for) {}
 
+    const ledger_tunables& tunables() const { return m_tunables; }
     /// @param routers that there are, as far as is known; at least 1.
     void expect_routers(std::size_t routers) { m_routers = routers; }
 
--- /dev/null
+++ b/src/ferryroad/quotas/quota_service.cpp
@@ -0,0 +1,105 @@
+#include "ferryroad/quotas/quota_service.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace ferryroad::quotas {
+
+quota_service::quota_service(runtime::scheduler& scheduler, base::router_name self, ask_router ask,
+                             quota_settings settings)
+    : m_scheduler(scheduler),
+      m_self(std::move(self)),
+      m_ask(std::move(ask)),
+      m_settings(settings),
+      m_ledger(scheduler.now()) {
+    m_homes.declare({m_self});
+}
+
+void quota_service::set_routers(std::vector<base::router_name> present) {
+    if (std::find(present.begin(), present.end(), m_self) == present.end()) {
+        present.push_back(m_self);
+    }
+    m_homes.declare(std::move(present));
+}
+
+void quota_service::expect_routers(std::size_t expected) {
+    m_expected_routers = expected;
+    m_ledger.expect_routers(expected);
+}
+
+runtime::task<quota_decision> quota_service::count(base::tenant_name tenant, rate_limit limit,
+                                                   double amount) {
+    reclaim();
+    quota_ask question{std::move(tenant), amount, limit, 0};
+    question.known_askers = known_askers(question.tenant);
+    for (std::size_t sent = 0; sent < m_settings.asks; ++sent) {
+        const auto home = m_homes.home_of(question.tenant, m_scheduler.now());
+        if (!home) {
+            break;
+        }
+        const auto verdict = co_await ask(*home, question);
+        if (verdict) {
+            learn_askers(question.tenant, verdict->askers);
+            co_return quota_decision{*verdict, *home};
+        }
+    }
+    co_return quota_decision{decide_alone(question), {}};
+}
+
+quota_verdict quota_service::decide_for(const base::router_name& asker, const quota_ask& question) {
+    ++m_counters.asks_decided;
+    return m_ledger.decide(asker, question, m_scheduler.now());
+}
+
+runtime::task<std::optional<quota_verdict>> quota_service::ask(base::router_name home,
+                                                               quota_ask question) {
+    if (home == m_self) {
+        co_return decide_for(m_self, question);
+    }
+    ++m_counters.asks_sent;
+    base::router_name asked = home;
+    const auto verdict = co_await m_ask(std::move(asked), std::move(question));
+    if (verdict) {
+        m_homes.answered(home);
+    } else {
+        ++m_counters.asks_unanswered;
+        m_homes.silent(home, m_scheduler.now());
+    }
+    co_return verdict;
+}
+
+quota_verdict quota_service::decide_alone(const quota_ask& question) {
+    ++m_counters.own_part_decided;
+    const std::size_t sharing =
+        std::max<std::size_t>({1, question.known_askers, m_homes.size(), m_expected_routers});
+    return m_own_parts.decide(question, sharing, m_scheduler.now());
+}
+
+std::uint32_t quota_service::known_askers(const base::tenant_name& tenant) const {
+    const auto found = m_told_askers.find(tenant);
+    return found == m_told_askers.end() ? 0 : found->second.count;
+}
+
+/// The most that was said of late: a router that has just taken over doesn't know the others.
+void quota_service::learn_askers(const base::tenant_name& tenant, std::uint32_t count) {
+    const base::monotonic_time now = m_scheduler.now();
+    told_askers& told = m_told_askers[tenant];
+    if (count >= told.count || now - told.at > m_ledger.tunables().told_for) {
+        told = {count, now};
+    }
+}
+
+void quota_service::reclaim() {
+    const base::monotonic_time now = m_scheduler.now();
+    if (now - m_reclaimed_at < m_settings.reclaim_period) {
+        return;
+    }
+    m_reclaimed_at = now;
+    m_ledger.reclaim(now);
+    m_own_parts.reclaim(now);
+    std::erase_if(m_told_askers, [&](const auto& entry) {
+        return now - entry.second.at > m_ledger.tunables().remembered;
+    });
+}
+
+}  // namespace ferryroad::quotas
--- /dev/null
+++ b/src/ferryroad/relay/quota_datagrams.cpp
@@ -0,0 +1,107 @@
+#include "ferryroad/relay/quota_datagrams.hpp"
+
+#include "ferryroad/peer/codec.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace ferryroad::relay {
+
+using coordination::quota::quota_ask;
+using coordination::quota::quota_verdict;
+
+/// An ask that waits for its answer; registered while it lives.
+class quota_datagrams::held_ask {
+  public:
+    held_ask(quota_datagrams& owner, base::router_name home)
+        : m_owner(owner),
+          m_home(std::move(home)),
+          m_number(owner.m_next_number++),
+          m_timer(owner.m_scheduler.executor()) {
+        m_owner.m_held.emplace(m_number, this);
+    }
+    ~held_ask() { m_owner.m_held.erase(m_number); }
+    held_ask(const held_ask&) = delete;
+    held_ask& operator=(const held_ask&) = delete;
+
+    /// Returns after `longest`, or once answered.
+    runtime::task<std::optional<quota_verdict>> wait(base::duration longest) {
+        m_timer.expires_after(longest);
+        if (!m_verdict) {
+            co_await m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        co_return m_verdict;
+    }
+    void take(const quota_verdict& verdict) {
+        m_verdict = verdict;
+        m_timer.cancel();
+    }
+    std::uint64_t number() const { return m_number; }
+    const base::router_name& home() const { return m_home; }
+
+  private:
+    quota_datagrams& m_owner;
+    base::router_name m_home;
+    std::uint64_t m_number;
+    boost::asio::steady_timer m_timer;
+    std::optional<quota_verdict> m_verdict;
+};
+
+quota_datagrams::quota_datagrams(runtime::scheduler& scheduler, peer::transport& transport,
+                                 base::router_name self, decide_ask decide,
+                                 base::duration answer_within)
+    : m_scheduler(scheduler),
+      m_transport(transport),
+      m_self(std::move(self)),
+      m_decide(std::move(decide)),
+      m_answer_within(answer_within),
+      // Answers to a process of the same name that ended are told from this one's.
+      m_next_number(scheduler.random().next()) {}
+
+void quota_datagrams::set_routers(const std::vector<peer_address>& present) {
+    m_addresses.clear();
+    for (const peer_address& one : present) {
+        m_addresses.emplace(one.name, one.address);
+    }
+}
+
+runtime::task<std::optional<quota_verdict>> quota_datagrams::ask(base::router_name home,
+                                                                 quota_ask question) {
+    const auto address = m_addresses.find(home);
+    if (address == m_addresses.end()) {
+        co_return std::nullopt;
+    }
+    held_ask held(*this, std::move(home));
+    send(address->second, peer::quota_request{held.number(), std::move(question)});
+    co_return co_await held.wait(m_answer_within);
+}
+
+void quota_datagrams::send(const base::endpoint& to, peer::call_body body) {
+    m_transport.send(to, peer::encode(peer::call{m_self, base::incarnation(0), std::move(body)}));
+}
+
+void quota_datagrams::take(const base::endpoint& from, std::string_view bytes) {
+    const auto message = peer::decode_call(bytes);
+    if (!message) {
+        ++m_malformed;
+        return;
+    }
+    if (const auto* request = std::get_if<peer::quota_request>(&message->body)) {
+        send(from, peer::quota_grant{request->number, m_decide(message->sender, request->ask)});
+        return;
+    }
+    const auto* grant = std::get_if<peer::quota_grant>(&message->body);
+    if (grant == nullptr) {
+        ++m_malformed;
+        return;
+    }
+    const auto held = m_held.find(grant->number);
+    if (held != m_held.end() && held->second->home() == message->sender) {
+        held->second->take(grant->verdict);
+    }
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -9,9 +9,9 @@
 #include "ferryroad/core/stream/event_splitter.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/http/server.hpp"
+#include "ferryroad/quotas/quota_service.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
-#include "ferryroad/relay/quota_service.hpp"
 #include "ferryroad/relay/refusal.hpp"
 #include "ferryroad/relay/relay_plan.hpp"
 #include "ferryroad/relay/selection.hpp"
@@ -38,8 +38,8 @@
     const base::engine_name&, const std::vector<core::prefix::scoped_part>&, std::uint64_t)>;
 
 /// Counts a request against its tenant's limit over all routers.
-using quota_counter = std::function<runtime::task<quota_decision>(
-    const base::tenant_name&, const coordination::quota::rate_limit&, double amount)>;
+using quota_counter = std::function<runtime::task<quotas::quota_decision>(
+    const base::tenant_name&, const quotas::rate_limit&, double amount)>;
 
 /// What requests are served with. All outlive the requests.
 template <upstream Upstream>
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -96,10 +96,10 @@
             co_return std::nullopt;
         }
         const core::traffic::tenant_quota& quota = *plan.tenant->quota;
-        const coordination::quota::rate_limit limit{base::revision(plan.policy->version()),
-                                                    quota.per_second, quota.burst};
+        const quotas::rate_limit limit{base::revision(plan.policy->version()), quota.per_second,
+                                       quota.burst};
         const double amount = core::traffic::counted_amount(quota, plan.call->told_tokens);
-        const quota_decision decided =
+        const quotas::quota_decision decided =
             co_await m_with.count_quota(plan.tenant->name, limit, amount);
         if (decided.verdict.granted) {
             co_return std::nullopt;
@@ -193,8 +193,8 @@
              {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))}});
     }
 
-    void log_over_quota(const relay_plan& plan, const coordination::quota::rate_limit& limit,
-                        double amount, const quota_decision& decided) const {
+    void log_over_quota(const relay_plan& plan, const quotas::rate_limit& limit, double amount,
+                        const quotas::quota_decision& decided) const {
         const base::duration taken = m_with.scheduler.now() - plan.call->arrived;
         const std::string& counted_by = decided.counted_by.value;
         runtime::log(
--- a/src/ferryroad/router/node.cpp
+++ b/src/ferryroad/router/node.cpp
@@ -9,6 +9,7 @@
 #include "ferryroad/router/membership/configuration_link.hpp"
 #include "ferryroad/router/membership/membership_service.hpp"
 #include "ferryroad/router/membership/prefix_link.hpp"
+#include "ferryroad/router/membership/quota_link.hpp"
 #include "ferryroad/router/membership/views.hpp"
 #include "ferryroad/router/node_status.hpp"
 #include "ferryroad/router/request/fair_admission.hpp"
@@ -52,6 +53,12 @@
           liveness(membership),
           claims_table(scheduler, ports.table, {claims_pace, {}}),
           claims(scheduler, claims_table, liveness, {identity.name, identity.process}),
+          quota_peers(dispatcher, membership),
+          quotas(scheduler, identity.name,
+                 [this](base::router_name home, quotas::quota_ask question) {
+                     return quota_peers.ask(std::move(home), std::move(question));
+                 }),
+          quota(quotas, configuration),
           admission(scheduler, directory, quota),
           requests(configuration, admission,
                    {scheduler, directory, selector, ports.engines, claims, identity.name}),
@@ -63,6 +70,7 @@
     void connect() {
         configuration_peers.serve(configuration);
         knowledge_peers.serve(knowledge);
+        quota_peers.serve(quotas, membership);
         membership.listen({[this] { return configuration.current()->revision; },
                            [this](base::revision seen) { configuration.observe_revision(seen); },
                            [this](const base::engine_name& engine, base::incarnation process) {
@@ -94,7 +102,9 @@
     membership::liveness_view liveness;
     platform::batching_table claims_table;
     table_claim_registry claims;
-    whole_quota quota;
+    membership::quota_link quota_peers;
+    quotas::quota_service quotas;
+    fleet_quota quota;
     fair_admission admission;
     routing_request_service requests;
     node_status status;
--- a/src/ferryroad/router/request/fair_admission.cpp
+++ b/src/ferryroad/router/request/fair_admission.cpp
@@ -164,8 +164,13 @@
         co_return over_limit(limited);
     }
     auto tenant = std::make_unique<tenant_place<state>>(owner, query.tenant);
+    base::tenant_name counted = query.tenant;
+    const auto over_all = co_await owner->quota.count(std::move(counted), query.limits);
+    if (over_all.verdict != admission::limit_verdict::admitted) {
+        co_return over_limit(over_all);
+    }
     auto& pool = owner->queue_of(query.pool);
-    const auto turn = pool.queue.arrive(waiting_of(query), now);
+    const auto turn = pool.queue.arrive(waiting_of(query), owner->scheduler.now());
     const bool started = turn.verdict == admission::queue_verdict::started;
     if (!started && turn.verdict != admission::queue_verdict::queued) {
         co_return no_turn(turn);
--- a/test/relay/quota_service_test.cpp
+++ b/test/relay/quota_datagrams_test.cpp
@@ -1,7 +1,8 @@
 /// Routers count for each other; none waits long for another, and none grants without a limit.
-#include "ferryroad/relay/quota_service.hpp"
+#include "ferryroad/relay/quota_datagrams.hpp"
 
 #include "ferryroad/peer/codec.hpp"
+#include "ferryroad/quotas/quota_service.hpp"
 #include "test/http/loopback.hpp"
 #include "test/relay/fake_network.hpp"
 
@@ -25,17 +26,21 @@
                base::zone_name("z"),
                {"10.0.0.1", port}},
           transport(network, self.address),
-          quotas(loop.scheduler, transport, self.name, settings()) {
+          datagrams(
+              loop.scheduler, transport, self.name,
+              [this](const auto& asker, const auto& question) {
+                  return quotas.decide_for(asker, question);
+              },
+              20ms),
+          quotas(loop.scheduler, self.name,
+                 [this](base::router_name home, quotas::quota_ask question) {
+                     return datagrams.ask(std::move(home), std::move(question));
+                 }) {
         listen();
     }
-    static quota_service_settings settings() {
-        quota_service_settings all;
-        all.answer_within = 20ms;
-        return all;
-    }
     void listen() {
         transport.on_datagram([this](const base::endpoint& from, std::string_view bytes) {
-            quotas.take(from, bytes);
+            datagrams.take(from, bytes);
         });
     }
     /// Datagrams to it are lost.
@@ -45,7 +50,8 @@
 
     peer_address self;
     fake_transport transport;
-    quota_service quotas;
+    quota_datagrams datagrams;
+    quotas::quota_service quotas;
 };
 
 struct fixture {
@@ -55,17 +61,20 @@
 
     explicit fixture(std::uint16_t size) {
         std::vector<peer_address> present;
+        std::vector<base::router_name> names;
         for (std::uint16_t port = 1; port <= size; ++port) {
             routers.push_back(std::make_unique<router>(loop, network, port));
             present.push_back(routers.back()->self);
+            names.push_back(routers.back()->self.name);
         }
         for (const auto& one : routers) {
-            one->quotas.set_routers(present);
+            one->datagrams.set_routers(present);
+            one->quotas.set_routers(names);
             one->quotas.expect_routers(size);
         }
     }
-    quota_decision count(std::size_t index, double amount) {
-        quota_decision decided;
+    quotas::quota_decision count(std::size_t index, double amount) {
+        quotas::quota_decision decided;
         loop.context.restart();
         const bool ended = loop.run([&]() -> runtime::task<void> {
             decided = co_await routers[index]->quotas.count(base::tenant_name("t"), limit, amount);
@@ -89,7 +98,7 @@
 
 }  // namespace
 
-Test(quota_service, all_routers_ask_the_same_one) {
+Test(quota_datagrams, all_routers_ask_the_same_one) {
     fixture at(5);
     const auto first = at.count(0, 1);
     cr_assert(first.verdict.granted);
@@ -99,7 +108,7 @@
     cr_assert_eq(at.count(0, 1).verdict.askers, 5);
 }
 
-Test(quota_service, what_one_router_spends_is_gone_for_the_others) {
+Test(quota_datagrams, what_one_router_spends_is_gone_for_the_others) {
     fixture at(3);
     for (std::size_t index = 0; index < 3; ++index) {
         at.count(index, 1);
@@ -110,13 +119,13 @@
     cr_assert_gt(refused.verdict.retry_after.count(), 0);
 }
 
-Test(quota_service, a_router_alone_counts_for_itself) {
+Test(quota_datagrams, a_router_alone_counts_for_itself) {
     fixture at(1);
     cr_assert(at.count(0, 1).counted_by == at.routers[0]->self.name);
     cr_assert_eq(at.network.sent, 0);
 }
 
-Test(quota_service, a_silent_router_is_left_for_the_next_one) {
+Test(quota_datagrams, a_silent_router_is_left_for_the_next_one) {
     fixture at(3);
     router& home = at.home();
     home.fall_silent();
@@ -129,7 +138,7 @@
     cr_assert_eq(at.routers[asking]->quotas.counters().asks_unanswered, 3, "passed over by now");
 }
 
-Test(quota_service, a_router_that_nobody_answers_spends_its_own_part) {
+Test(quota_datagrams, a_router_that_nobody_answers_spends_its_own_part) {
     fixture at(3);
     router& home = at.home();
     const std::size_t asking = at.other_than(home);
@@ -145,7 +154,7 @@
     cr_assert_gt(granted, 0);
 }
 
-Test(quota_service, late_doubled_and_foreign_answers_change_nothing) {
+Test(quota_datagrams, late_doubled_and_foreign_answers_change_nothing) {
     fixture at(3);
     router& home = at.home();
     router& asking = *at.routers[at.other_than(home)];
@@ -153,11 +162,11 @@
         peer::quota_grant forged{number, {true, {}, 1}};
         return peer::encode(peer::call{sender, base::incarnation(0), forged});
     };
-    asking.quotas.take(home.self.address, grant(1, home.self.name));
-    asking.quotas.take(home.self.address, "noise");
-    asking.quotas.take(
+    asking.datagrams.take(home.self.address, grant(1, home.self.name));
+    asking.datagrams.take(home.self.address, "noise");
+    asking.datagrams.take(
         home.self.address,
         peer::encode(peer::call{home.self.name, base::incarnation(0), peer::empty{}}));
-    cr_assert_eq(asking.quotas.counters().malformed, 2);
+    cr_assert_eq(asking.datagrams.malformed(), 2);
     cr_assert(at.count(at.other_than(home), 1).counted_by == home.self.name);
 }
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -302,7 +302,7 @@
 /// A service whose tenant has a limit, and what was counted.
 struct limited_fixture : relay_fixture {
     std::vector<double> counted;
-    quota_decision decided;
+    quotas::quota_decision decided;
 
     limited_fixture() {
         auto limited = declared(2);
@@ -310,15 +310,16 @@
             core::traffic::tenant_quota{core::traffic::quota_unit::tokens, 1000, 500, 200};
         policies.offer(std::move(limited));
     }
-    runtime::task<quota_decision> count(double amount) {
+    runtime::task<quotas::quota_decision> count(double amount) {
         counted.push_back(amount);
         co_return decided;
     }
     void serve_limited(relay_call one) {
         relay_service<fake_upstream> limited(
             {loop.scheduler, upstream, registry, selection, policies, nullptr,
-             [this](const base::tenant_name&, const coordination::quota::rate_limit&,
-                    double amount) { return count(amount); }},
+             [this](const base::tenant_name&, const quotas::rate_limit&, double amount) {
+                 return count(amount);
+             }},
             settings_of(),
             [this](const relay_plan&, const relay_outcome& told) { outcomes.push_back(told); });
         cr_assert(loop.run(
