--- /dev/null
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -0,0 +1,65 @@
+#include "ferryroad/relay/dispatch_log.hpp"
+
+#include "ferryroad/runtime/log.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ferryroad::relay {
+
+namespace {
+
+constexpr std::string_view component = "relay.request";
+
+std::string text_of(const std::optional<base::endpoint>& address) {
+    return address ? address->to_string() : "none";
+}
+
+std::uint64_t shared_tokens(const relay_plan& plan) {
+    return plan.call->prompt ? plan.call->prompt->shared_tokens() : 0;
+}
+
+}  // namespace
+
+void log_dispatch(const relay_plan& plan, const selected_engine& selected,
+                  core::execution::attempt_number attempt, const dispatch_moment& moment) {
+    runtime::log(runtime::log_level::info, component, "dispatched",
+                 {{"request_id", plan.call->id.value},
+                  {"attempt", std::to_string(attempt.value)},
+                  {"engine", selected.target.name.value},
+                  {"candidates", std::to_string(selected.candidates)},
+                  {"cost_ms", std::to_string(static_cast<std::int64_t>(selected.cost_ms))},
+                  {"running", std::to_string(selected.running)},
+                  {"slots", std::to_string(selected.slots)},
+                  {"pending_tokens", std::to_string(selected.pending_prefill_tokens)},
+                  {"warm_tokens", std::to_string(selected.warm_tokens)},
+                  {"fetchable_tokens", std::to_string(selected.fetchable_tokens)},
+                  {"shared_tokens", std::to_string(shared_tokens(plan))},
+                  {"prefill_tokens", std::to_string(selected.prefill_tokens)},
+                  {"fetch_from", text_of(selected.fetch_state_from)},
+                  {"policy", std::to_string(plan.policy->version())},
+                  {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
+                  {"left_ms", std::to_string(base::to_milliseconds(plan.deadline - moment.now))}});
+}
+
+void log_prompt(const relay_plan& plan, const selected_engine& selected,
+                const std::vector<core::prefix::scoped_part>& parts) {
+    if (parts.empty() || !runtime::log_enabled(runtime::log_level::debug)) {
+        return;
+    }
+    const std::uint64_t known = std::max(selected.warm_tokens, selected.fetchable_tokens);
+    runtime::log(runtime::log_level::debug, component, "prompt",
+                 {{"request_id", plan.call->id.value},
+                  {"engine", selected.target.name.value},
+                  {"address", selected.target.address.to_string()},
+                  {"scope", *selected.cache_scope},
+                  {"parts", core::prefix::to_string(parts)},
+                  {"fetch_from", text_of(selected.fetch_state_from)},
+                  {"known_tokens", std::to_string(known)},
+                  {"saved", selected.save_state_to ? "true" : "false"}});
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -10,6 +10,7 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/http/server.hpp"
 #include "ferryroad/quotas/quota_service.hpp"
+#include "ferryroad/relay/dispatch_log.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/refusal.hpp"
@@ -216,8 +217,9 @@
         if (m_with.dispatched) {
             m_with.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
         }
-        log_dispatch(attempt);
-        log_prompt(parts);
+        const base::duration policy_age = m_with.policies.age(now);
+        log_dispatch(m_plan, m_selected, attempt.attempt, {now, policy_age});
+        log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         dispatch sent = terms_of(attempt);
         auto opened =
@@ -451,53 +453,6 @@
         co_await send(answer);
     }
 
-    std::uint64_t shared_tokens() const {
-        return m_plan.call->prompt ? m_plan.call->prompt->shared_tokens() : 0;
-    }
-    static std::string text_of(const std::optional<base::endpoint>& address) {
-        return address ? address->to_string() : "none";
-    }
-
-    void log_dispatch(const execution::dispatch_attempt& attempt) const {
-        const base::monotonic_time now = m_with.scheduler.now();
-        runtime::log(
-            runtime::log_level::info, component, "dispatched",
-            {{"request_id", m_plan.call->id.value},
-             {"attempt", std::to_string(attempt.attempt.value)},
-             {"engine", m_selected.target.name.value},
-             {"candidates", std::to_string(m_selected.candidates)},
-             {"cost_ms", std::to_string(static_cast<std::int64_t>(m_selected.cost_ms))},
-             {"running", std::to_string(m_selected.running)},
-             {"slots", std::to_string(m_selected.slots)},
-             {"pending_tokens", std::to_string(m_selected.pending_prefill_tokens)},
-             {"warm_tokens", std::to_string(m_selected.warm_tokens)},
-             {"fetchable_tokens", std::to_string(m_selected.fetchable_tokens)},
-             {"shared_tokens", std::to_string(shared_tokens())},
-             {"prefill_tokens", std::to_string(m_selected.prefill_tokens)},
-             {"fetch_from", text_of(m_selected.fetch_state_from)},
-             {"policy", std::to_string(m_plan.policy->version())},
-             {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))},
-             {"left_ms", std::to_string(base::to_milliseconds(m_plan.deadline - now))}});
-    }
-
-    /// What `scripts/explain-reads` needs: the prompt's shared parts, with the dispatch.
-    void log_prompt(const std::vector<core::prefix::scoped_part>& parts) const {
-        if (parts.empty() || !runtime::log_enabled(runtime::log_level::debug)) {
-            return;
-        }
-        const bool saved = m_selected.save_state_to.has_value();
-        runtime::log(runtime::log_level::debug, component, "prompt",
-                     {{"request_id", m_plan.call->id.value},
-                      {"engine", m_selected.target.name.value},
-                      {"address", m_selected.target.address.to_string()},
-                      {"scope", *m_selected.cache_scope},
-                      {"parts", core::prefix::to_string(parts)},
-                      {"fetch_from", text_of(m_selected.fetch_state_from)},
-                      {"known_tokens", std::to_string(std::max(m_selected.warm_tokens,
-                                                               m_selected.fetchable_tokens))},
-                      {"saved", saved ? "true" : "false"}});
-    }
-
     relay_collaborators<Upstream> m_with;
     relay_plan m_plan;
     core::admission::retry_budget& m_budget;
