--- /dev/null
+++ b/src/ferryroad/coordination/release/release_coordinator.hpp
@@ -0,0 +1,113 @@
+/// @file
+/// Leads one pool's release from its order to its end, as a state machine: what routers report
+/// and the record in the table come in; writes, and what routers are to be told, go out.
+#pragma once
+
+#include "ferryroad/coordination/release/types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace ferryroad::coordination::release {
+
+/// What the judge says of the evidence gathered; `core/canary` finds it, the binding hands it in.
+enum class trial_verdict : std::uint8_t { undecided, good, bad };
+
+struct coordinator_tunables {
+    /// Before the deadline: for writing, telling routers and ending what runs on old engines.
+    base::duration shift = std::chrono::milliseconds(3000);
+    /// Before the deadline, `completed` is told to operators whatever still runs.
+    base::duration last_moment = std::chrono::milliseconds(800);
+    /// Reports older than this don't count as fresh.
+    base::duration fresh = std::chrono::milliseconds(1500);
+    /// Between two tries of a call that failed.
+    base::duration retry = std::chrono::milliseconds(300);
+};
+
+/// A router's report, as far as the phases are concerned; its counts go to the judge.
+struct router_report {
+    base::router_name router;
+    order_number order;
+    std::optional<release_phase> phase;          ///< That it was told last.
+    bool saw_bad = false;                        ///< Its own counts show a bad version.
+    std::uint32_t unrepeatable_at_replaced = 0;  ///< Requests it runs at replaced engines.
+};
+
+/// Read the record and its row's version.
+struct read_record {};
+/// Write the record, under the condition that the row has this version (0: absent).
+struct write_record {
+    release_record record;
+    std::uint64_t expected_row = 0;
+};
+/// Tell operators.
+struct tell_status {
+    base::pool_name pool;
+    software_version target;
+    release_phase phase = release_phase::trial;  ///< `promoted` counts as running.
+};
+/// Tell all routers at once, without waiting for their reports.
+struct tell_routers {
+    phase_notice notice;
+};
+using coordinator_action = std::variant<read_record, write_record, tell_status, tell_routers>;
+
+/// What the coordinator knows from outside at a tick.
+struct coordinator_view {
+    std::size_t routers = 1;  ///< Present, this one included.
+    trial_verdict found = trial_verdict::undecided;
+    /// What to decide when no time is left.
+    trial_verdict at_deadline = trial_verdict::bad;
+    std::set<software_version> listed;          ///< Versions of the pool's engines in the list.
+    std::size_t target_engines = 0;             ///< Of the target version, not leaving.
+    store_milliseconds store_now_earliest = 0;  ///< Bounds on the store's clock; 0: not known.
+    store_milliseconds store_now_latest = 0;
+};
+
+/// Of one order of one pool. At most one call to the table is under way at a time: `tick` asks for
+/// none until its outcome was handed in. Pure. Not thread-safe.
+class release_coordinator {
+  public:
+    explicit release_coordinator(release_order order, coordinator_tunables tunables = {});
+
+    /// To be called every 100 ms or so, and after each event below.
+    std::vector<coordinator_action> tick(const coordinator_view& view, base::monotonic_time now);
+
+    void reported(const router_report& report, base::monotonic_time now);
+    /// Outcome of `read_record`. @param row_version 0 where there is none.
+    void record_read(std::optional<release_record> record, std::uint64_t row_version,
+                     base::monotonic_time now);
+    /// Outcome of `write_record`: done, at this version.
+    void record_written(std::uint64_t row_version, base::monotonic_time now);
+    /// Outcome of `tell_status`: done.
+    void status_told(base::monotonic_time now);
+    /// A call failed or its answer was lost, or the row had changed: read again before acting.
+    void call_failed(base::monotonic_time now);
+
+    const release_order& order() const { return m_order; }
+    /// @return what routers that report are to be told; nothing while the record isn't known.
+    std::optional<phase_notice> notice() const;
+    /// @return whether nothing is left to do: a final phase is recorded and told to operators.
+    bool done() const;
+
+  private:
+    struct heard_router {
+        router_report report;
+        base::monotonic_time at{};
+    };
+
+    release_order m_order;
+    coordinator_tunables m_tunables;
+    std::map<base::router_name, heard_router> m_heard;
+    std::optional<release_record> m_record;  ///< As it stands in the table.
+    std::uint64_t m_row_version = 0;
+    bool m_calling = false;
+    bool m_must_read = true;
+    base::monotonic_time m_call_from{};
+};
+
+}  // namespace ferryroad::coordination::release
--- /dev/null
+++ b/src/ferryroad/core/canary/canary_judge.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// Whether a version on trial answers as the one in force does: a sequential test of failures and
+/// of slow answers, for each route and over all.
+#pragma once
+
+#include "ferryroad/base/time.hpp"
+#include "ferryroad/core/canary/types.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace ferryroad::core::canary {
+
+enum class verdict : std::uint8_t { undecided, good, bad };
+std::string_view to_string(verdict found);
+
+/// Error rates and effects, for one trial. Sources: design note 0059.
+struct judge_tunables {
+    /// Chance that a good version is found bad in a trial, over all routes and both tests.
+    double false_alarm = 0.001;
+    /// Chance that a bad version is found good on one test of one route.
+    double missed = 0.01;
+    /// A version is bad where this share of its answers fails beyond the current version's.
+    double failed_beyond = 0.08;
+    /// The same of slow answers.
+    double slow_beyond = 0.15;
+    /// An answer is slow where it takes more than this many times the current version's median.
+    double slow_factor = 2.5;
+    /// Answers of the current version on a route before its durations say what is slow.
+    std::uint32_t least_current = 20;
+};
+
+/// What was found, with the figures that it rests on.
+struct judgement {
+    verdict found = verdict::undecided;
+    base::route_name route;     ///< That decided; empty: all together, or nothing did.
+    bool by_duration = false;   ///< Slow answers decided, not failures.
+    std::uint32_t answers = 0;  ///< Of the canary, there.
+    std::uint32_t bad_answers = 0;
+    double evidence = 0;  ///< Log likelihood ratio of bad against good, the greatest of all tests.
+    double bound = 0;     ///< From which on it is bad.
+
+    friend bool operator==(const judgement&, const judgement&) = default;
+};
+
+/// Pure and thread-safe. The counts are cumulative since the trial began.
+/// `good` only where every route with canary answers and all together are found good; a route of
+/// the current version that the canary got nothing of yet leaves it undecided.
+judgement judge(const counts_by_route& counts, const judge_tunables& tunables = {});
+
+/// What to decide when no time is left for an undecided trial: good only where there is enough
+/// evidence against "bad" over all routes together and no route's points to bad.
+verdict judge_at_deadline(const counts_by_route& counts, const judge_tunables& tunables = {});
+
+/// @return the class of `outcome_counts::durations` that a duration belongs to. Thread-safe.
+std::size_t duration_class_of(base::duration taken);
+
+}  // namespace ferryroad::core::canary
