--- a/src/ferryroad/core/canary/types.hpp
+++ b/src/ferryroad/core/canary/types.hpp
@@ -23,6 +23,10 @@
 inline constexpr std::size_t duration_classes = 32;
 
 /// Of one route and one group of engines, since this process first knew the order. Only rises.
+/// Durations are times for the same work: of a streamed answer without the reading of its prompt,
+/// as an engine that is new has no prompts in its memory; without waiting for a place where that
+/// differs between the groups. Only requests that began under the order are counted, of both
+/// groups: the first answers to come are the short ones.
 struct outcome_counts {
     std::uint32_t answered = 0;  ///< Whole answers, failures included.
     std::uint32_t failed = 0;    ///< Of these: the engine ran the request and failed.
