--- a/src/ferryroad/core/canary/canary_baseline.hpp
+++ b/src/ferryroad/core/canary/canary_baseline.hpp
@@ -3,7 +3,6 @@
 /// with.
 #pragma once
 
-#include "ferryroad/base/time.hpp"
 #include "ferryroad/core/canary/canary_judge.hpp"
 #include "ferryroad/core/canary/types.hpp"
 
@@ -16,12 +15,11 @@
 class canary_baseline {
   public:
     /// Takes answers of the current version that came since the last call.
-    /// @param elapsed since that call.
-    void add(const outcome_counts& more, base::duration elapsed, const judge_tunables& tunables);
+    void add(const outcome_counts& more, const judge_tunables& tunables);
 
     /// @return answers taken, failures included.
-    double answered() const { return m_all.answered; }
-    /// @return share of answers that fail, recent ones above all.
+    double answered() const { return m_answered; }
+    /// @return share of answers that fail.
     double failed_share(const judge_tunables& tunables) const;
     /// @return first class of durations that is slow.
     std::size_t first_slow_class(const judge_tunables& tunables) const;
@@ -29,20 +27,15 @@
     double slow_share(std::size_t first_slow, const judge_tunables& tunables) const;
 
   private:
-    struct weighed_counts {
-        double answered = 0;
-        double failed = 0;
-        std::array<double, duration_classes> durations{};
-
-        void fade(double factor);
-        void add(const outcome_counts& more);
-    };
-
-    /// @return recent answers, and all together as if they were `least_current` recent ones.
-    weighed_counts compared_with(const judge_tunables& tunables) const;
-
-    weighed_counts m_recent;
-    weighed_counts m_all;
+    void fade(double factor);
+    /// @return whether new answers fail or are slow at another rate than those before.
+    bool is_shifted(const outcome_counts& more, const judge_tunables& tunables) const;
+
+    double m_answered = 0;
+    // The latest answers: earlier ones count less.
+    double m_recent = 0;
+    double m_failed = 0;
+    std::array<double, duration_classes> m_durations{};
 };
 
 }  // namespace ferryroad::core::canary
--- a/src/ferryroad/core/canary/canary_judge.cpp
+++ b/src/ferryroad/core/canary/canary_judge.cpp
@@ -20,12 +20,12 @@
 }
 
 judgement judge(const counts_by_route& counts, const judge_tunables& tunables) {
-    return canary_trial(tunables).look(counts, {});
+    return canary_trial(tunables).look(counts);
 }
 
 verdict judge_at_deadline(const counts_by_route& counts, const judge_tunables& tunables) {
     canary_trial trial(tunables);
-    trial.look(counts, {});
+    trial.look(counts);
     return trial.at_deadline();
 }
 
--- a/src/ferryroad/core/canary/canary_judge.hpp
+++ b/src/ferryroad/core/canary/canary_judge.hpp
@@ -33,15 +33,20 @@
     /// median (to the nearest bound of a duration class: 2.1 to 3).
     double slow_factor = 2.5;
     /// Answers of the current version on a route before the canary's there are judged; they are
-    /// kept until then. Also the weight of all earlier answers against recent ones.
+    /// kept until then.
     std::uint32_t least_current = 20;
     /// Shares of failed and of slow answers that the current version has at least, whatever was
     /// counted: a few answers without a failure don't say that there are none.
     double least_failed = 0.01;
     double least_slow = 0.02;
-    /// After so long an answer of the current version counts half in what is compared with: a
-    /// burst makes both versions slow.
-    base::duration half_life = std::chrono::seconds(3);
+    /// About so many of the latest answers of the current version on a route are what the
+    /// canary's are compared with.
+    double compared_answers = 500;
+    /// Where the current version's new answers are further from those than so many standard
+    /// errors, times have changed for both versions (a burst): the earlier ones are forgotten but
+    /// for a few.
+    double shifted_errors = 3;
+    double kept_at_shift = 5;
     /// Moments of a trial from which on a version may turn bad, that `false_alarm` reckons with:
     /// looks each 0.3 s over 12 s.
     double turns = 40;
--- a/src/ferryroad/core/canary/canary_trial.cpp
+++ b/src/ferryroad/core/canary/canary_trial.cpp
@@ -79,12 +79,10 @@
     slowness.add(more.slowness);
 }
 
-judgement canary_trial::look(const counts_by_route& cumulative, base::monotonic_time now) {
-    const base::duration elapsed = now - m_looked_at.value_or(now);
-    m_looked_at = now;
+judgement canary_trial::look(const counts_by_route& cumulative) {
     both_findings together;
     for (const auto& [name, counts] : cumulative) {
-        together.add(take(m_routes[name], counts, elapsed));
+        together.add(take(m_routes[name], counts));
     }
     m_all.add(together);
     if (m_last.found != verdict::bad) {
@@ -94,9 +92,8 @@
 }
 
 canary_trial::both_findings canary_trial::take(route_state& route,
-                                               const compared_counts& cumulative,
-                                               base::duration elapsed) {
-    route.baseline.add(risen(cumulative.current, route.seen.current), elapsed, m_tunables);
+                                               const compared_counts& cumulative) {
+    route.baseline.add(risen(cumulative.current, route.seen.current), m_tunables);
     add(route.unjudged, risen(cumulative.canary, route.seen.canary));
     route.seen = {greater(cumulative.current, route.seen.current),
                   greater(cumulative.canary, route.seen.canary)};
--- a/src/ferryroad/core/canary/canary_trial.hpp
+++ b/src/ferryroad/core/canary/canary_trial.hpp
@@ -4,13 +4,11 @@
 /// doesn't hide what turns bad later.
 #pragma once
 
-#include "ferryroad/base/time.hpp"
 #include "ferryroad/core/canary/canary_baseline.hpp"
 #include "ferryroad/core/canary/canary_judge.hpp"
 #include "ferryroad/core/canary/types.hpp"
 
 #include <map>
-#include <optional>
 
 namespace ferryroad::core::canary {
 
@@ -39,7 +37,7 @@
     /// until it is higher than ever.
     /// @return what is found by now; `bad` stays, `good` may be taken back.
     /// `good` only where every route with answers and all together are found good.
-    judgement look(const counts_by_route& cumulative, base::monotonic_time now);
+    judgement look(const counts_by_route& cumulative);
 
     /// What to decide when no time is left: `good` or `bad`, never undecided.
     /// `good` only where there is enough evidence against "bad" over all routes together, no
@@ -84,8 +82,7 @@
     };
 
     /// @return what the route's new answers say.
-    both_findings take(route_state& route, const compared_counts& cumulative,
-                       base::duration elapsed);
+    both_findings take(route_state& route, const compared_counts& cumulative);
     both_findings weigh(const route_state& route) const;
     judgement found() const;
     /// Puts what the tests say into `so_far` where they are nearer to their bound.
@@ -101,7 +98,6 @@
     judge_tunables m_tunables;
     std::map<base::route_name, route_state> m_routes;
     both_tests m_all;
-    std::optional<base::monotonic_time> m_looked_at;
     judgement m_last;
 };
 
