Canary release: record, version gate and coordinator as pure state machines

Ruled out: a mark per engine of what was permitted (the gate remembers versions, handed in as the pool's whole list by `listed`); a trial that is told of without end by a coordinator that reads no more (the record is read again each second while an order is open, and a trial is told of for 2.5 s after that). Not measured.

--- a/src/ferryroad/coordination/release/release_coordinator.hpp
+++ b/src/ferryroad/coordination/release/release_coordinator.hpp
@@ -26,6 +26,12 @@
     base::duration fresh = std::chrono::milliseconds(1500);
     /// Between two tries of a call that failed.
     base::duration retry = std::chrono::milliseconds(300);
+    /// The record is read again this long after the last answer, until a final phase is recorded:
+    /// another coordinator may have gone back meanwhile.
+    base::duration recheck = std::chrono::milliseconds(1000);
+    /// A trial is told of for so long after the start of the last call that showed it. Together
+    /// with the routers' grant it stays below `rollback_ms` (5 s on the platforms known).
+    base::duration hold = std::chrono::milliseconds(2500);
 };
 
 /// A router's report, as far as the phases are concerned; its counts go to the judge.
@@ -70,6 +76,10 @@
 
 /// Of one order of one pool. At most one call to the table is under way at a time: `tick` asks for
 /// none until its outcome was handed in. Pure. Not thread-safe.
+///
+/// Back needs evidence alone and is told before it is written; forward needs the store's answer
+/// and fresh reports of more than half of the routers. A roll-back once decided is given up only
+/// where the record shows that another coordinator has completed the order.
 class release_coordinator {
   public:
     explicit release_coordinator(release_order order, coordinator_tunables tunables = {});
@@ -89,9 +99,11 @@
     void call_failed(base::monotonic_time now);
 
     const release_order& order() const { return m_order; }
-    /// @return what routers that report are to be told; nothing while the record isn't known.
+    /// @return what routers that report are to be told, as of the last event or tick; nothing
+    /// while the record isn't known, shows a later order, or shows a trial and is too old.
     std::optional<phase_notice> notice() const;
-    /// @return whether nothing is left to do: a final phase is recorded and told to operators.
+    /// @return whether nothing is left to do: a final phase is recorded and told to operators, or
+    /// a later order has overtaken this one.
     bool done() const;
 
   private:
@@ -99,15 +111,63 @@
         router_report report;
         base::monotonic_time at{};
     };
+    enum class call : std::uint8_t { none, read, write, status };
+    struct touch {
+        std::size_t fresh = 0;      ///< Routers with fresh reports.
+        bool most = false;          ///< More than half of those present.
+        bool all_switched = false;  ///< All fresh ones send nothing more to replaced engines.
+    };
+
+    void note_first_sight(const coordinator_view& view, base::monotonic_time now);
+    void weigh_back(const coordinator_view& view);
+    bool sees_bad(const coordinator_view& view) const;
+    touch touch_of(const coordinator_view& view, base::monotonic_time now) const;
+    base::duration elapsed(const coordinator_view& view, base::monotonic_time now) const;
+    base::duration shift_moment() const;
+    base::duration last_moment() const;
+
+    std::optional<coordinator_action> next_call(const coordinator_view& view,
+                                                base::monotonic_time now);
+    std::optional<coordinator_action> step(const coordinator_view& view, base::monotonic_time now);
+    std::optional<coordinator_action> begin(const coordinator_view& view);
+    std::optional<coordinator_action> step_trial(const coordinator_view& view,
+                                                 base::monotonic_time now);
+    std::optional<coordinator_action> step_promoted(const coordinator_view& view,
+                                                    base::monotonic_time now);
+    std::optional<coordinator_action> end();
+    std::optional<coordinator_action> tell(release_phase phase);
+    std::optional<coordinator_action> write(release_record record);
+    std::optional<coordinator_action> go_back();
+
+    bool is_ours() const { return m_record && m_record->order == m_order.number; }
+    bool is_open() const { return is_ours() && !is_final(m_record->phase); }
+    bool overtaken() const { return m_record && m_record->order > m_order.number; }
+    /// @return whether the target, and no other version that may be served, is listed.
+    bool stands_alone(const coordinator_view& view) const;
+    void answered(base::monotonic_time now);
 
     release_order m_order;
     coordinator_tunables m_tunables;
     std::map<base::router_name, heard_router> m_heard;
-    std::optional<release_record> m_record;  ///< As it stands in the table.
+
+    std::optional<release_record> m_record;  ///< As it stands in the table, for all that is known.
     std::uint64_t m_row_version = 0;
-    bool m_calling = false;
-    bool m_must_read = true;
+    release_record m_writing;
+    call m_call = call::none;
     base::monotonic_time m_call_from{};
+    base::monotonic_time m_not_before{};
+    bool m_must_read = true;
+    base::monotonic_time m_answered_at{};   ///< When the last answer came that showed the record.
+    base::monotonic_time m_confirmed_at{};  ///< When its call began.
+
+    base::monotonic_time m_now{};
+    std::optional<base::monotonic_time> m_started_at;  ///< The first tick.
+    std::optional<store_milliseconds> m_first_sight;   ///< The same on the store's clock.
+    bool m_going_back = false;
+    bool m_began_here = false;              ///< This coordinator saw that there was no record yet.
+    bool m_others_listed = false;           ///< It saw versions beside the target.
+    std::optional<release_phase> m_status;  ///< That operators were last told of, by this one.
+    std::optional<release_phase> m_spread;  ///< That all routers were last told of at once.
 };
 
 }  // namespace ferryroad::coordination::release
--- a/src/ferryroad/coordination/release/version_gate.hpp
+++ b/src/ferryroad/coordination/release/version_gate.hpp
@@ -24,6 +24,16 @@
 };
 
 /// One router's view. Pure: events and `now` come in. Not thread-safe.
+///
+/// A version is *in force* here once it may be served without asking: the only one of its pool in
+/// the first list that this router read; or listed no later than a confirmation, and neither the
+/// target of an order nor refused nor replaced; or the target of an order told as completed. It
+/// stays so until another version is told as completed.
+///
+/// The target of an order is served as before where it was in force when the order came and no
+/// other listed version was (the order names what is there already); and, while nothing was told
+/// of the order, where this router has seen no other version of the pool at all (it has just
+/// started, long after the release). Engines that go, whatever their number, change neither.
 class version_gate {
   public:
     explicit version_gate(gate_tunables tunables = {}) : m_tunables(tunables) {}
@@ -31,14 +41,21 @@
     /// An order was read; of one pool, only the greatest number counts. An order that names a
     /// version that was told as completed before is new all the same.
     void order(const release_order& given);
-    /// Told by the coordinator. Of an order that isn't known yet: kept until it is, or until a
-    /// later one is told. A phase never goes back, except to `rolled_back` before `completed`.
+    /// Told by the coordinator. Of an order that isn't known yet: kept; a trial begins only once
+    /// the order is known, the other phases count at once. A phase never goes back, except to
+    /// `rolled_back` before `completed`. `completed` counts even after `rolled_back`: it is told
+    /// only where it is recorded, a roll-back may be told before it is.
     void told(const phase_notice& notice, base::monotonic_time now);
     /// This router has seen for itself that the version is bad: no more canary requests under
     /// this order.
     void stop(const base::pool_name& pool);
     /// All orders given before `as_of` have been handed to `order`.
-    void confirmed(base::monotonic_time as_of) { m_confirmed_at = as_of; }
+    void confirmed(base::monotonic_time as_of);
+    /// The pool's list as it is now: to be handed in, with all versions at once, before an engine
+    /// of it is asked about, and when its set of versions has changed (more often does no harm).
+    /// Orders read along with the list are handed to `order` before it.
+    void listed(const base::pool_name& pool, const std::set<software_version>& versions,
+                base::monotonic_time now);
 
     /// @param listed_at when this router first saw the engine in the list.
     permission permits(const base::pool_name& pool, const software_version& version,
@@ -56,12 +73,36 @@
     struct told_phase {
         phase_notice notice;
         base::monotonic_time at{};
-        bool stopped = false;
     };
+    struct seen_version {
+        base::monotonic_time first_at{};
+        bool listed = false;
+        bool in_force = false;
+    };
+    /// Of one pool.
+    struct pool_state {
+        std::optional<told_phase> told;
+        std::map<software_version, seen_version> seen;  ///< Ever since this router started.
+        /// Targets of earlier orders that aren't known to have been promoted, until a coordinator
+        /// tells what is refused.
+        std::set<software_version> overtaken;
+        bool target_in_force = false;         ///< The order named what was in force already.
+        std::optional<order_number> stopped;  ///< The order under which `stop` was called.
+    };
+
+    const pool_state* state_of(const base::pool_name& pool) const;
+    /// @return the notice that goes with the pool's order; null where it is of another.
+    const phase_notice* notice_of_order(const base::pool_name& pool) const;
+    permission permits_target(const base::pool_name& pool, const pool_state& state,
+                              base::monotonic_time now) const;
+    bool only_in_force(const pool_state& state, const software_version& version) const;
+    bool may_come_into_force(const base::pool_name& pool, const pool_state& state,
+                             const software_version& version) const;
+    void bring_into_force(const base::pool_name& pool, pool_state& state) const;
 
     gate_tunables m_tunables;
     std::map<base::pool_name, release_order> m_orders;
-    std::map<base::pool_name, told_phase> m_told;
+    std::map<base::pool_name, pool_state> m_pools;
     std::optional<base::monotonic_time> m_confirmed_at;
 };
 
