--- /dev/null
+++ b/test/coordination/release/release_coordinator_test.cpp
@@ -0,0 +1,546 @@
+/// One coordinator against a table that answers, fails, loses answers or was changed by another.
+#include "ferryroad/coordination/release/release_coordinator.hpp"
+
+#include "ferryroad/base/random.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace ferryroad;
+using namespace ferryroad::coordination::release;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::pool_name pool("p");
+const software_version v1("v1");
+const software_version v2("v2");
+const software_version v3("v3");
+constexpr store_milliseconds store_start = 1'000'000;
+constexpr base::duration step = 100ms;
+
+enum class store_manner { answers, down, loses_answers };
+
+/// A table of one row, and routers that report each tick and hear at once.
+struct fixture {
+    release_coordinator coordinator;
+    coordinator_view view;
+    base::monotonic_time now{1h};
+    store_manner store = store_manner::answers;
+    std::optional<release_record> row;
+    std::uint64_t row_version = 0;
+    std::vector<release_phase> phases;    ///< Of all writes that took effect.
+    std::vector<release_phase> statuses;  ///< Told to operators.
+    std::vector<release_phase> spread;    ///< Told to all routers at once.
+    std::size_t reads = 0;
+    std::size_t reporters = 3;
+    std::uint32_t unrepeatable = 0;
+    bool clock_known = true;
+
+    explicit fixture(base::duration allowed = 30s, std::uint64_t number = 5)
+        : coordinator({order_number(number), pool, v2, allowed}) {
+        view.routers = 3;
+        view.listed = {v1, v2};
+        view.target_engines = 2;
+    }
+
+    void put(const release_record& record) {
+        row = record;
+        ++row_version;
+    }
+    void report(const std::string& router, bool saw_bad = false) {
+        const auto told = coordinator.notice();
+        coordinator.reported(
+            {base::router_name(router), coordinator.order().number,
+             told ? std::optional(told->phase) : std::nullopt, saw_bad, unrepeatable},
+            now);
+    }
+    void tick() {
+        now += step;
+        const auto since = base::to_milliseconds(now.time_since_epoch() - 1h);
+        view.store_now_earliest = clock_known ? store_start + since - 5 : 0;
+        view.store_now_latest = clock_known ? store_start + since + 5 : 0;
+        for (std::size_t index = 0; index < reporters; ++index) {
+            report("r" + std::to_string(index));
+        }
+        for (const coordinator_action& wanted : coordinator.tick(view, now)) {
+            carry_out(wanted);
+        }
+    }
+    void run(base::duration period) {
+        for (base::duration gone{}; gone < period; gone += step) {
+            tick();
+        }
+    }
+    void carry_out(const coordinator_action& wanted) {
+        if (const auto* told = std::get_if<tell_routers>(&wanted)) {
+            spread.push_back(told->notice.phase);
+            return;
+        }
+        if (store == store_manner::down) {
+            coordinator.call_failed(now);
+            return;
+        }
+        bool done = true;
+        if (const auto* write = std::get_if<write_record>(&wanted)) {
+            done = write->expected_row == row_version;
+            if (done) {
+                put(write->record);
+                phases.push_back(write->record.phase);
+            }
+        }
+        if (const auto* told = std::get_if<tell_status>(&wanted)) {
+            statuses.push_back(told->phase);
+        }
+        if (!done || store == store_manner::loses_answers) {
+            coordinator.call_failed(now);
+        } else if (std::holds_alternative<read_record>(wanted)) {
+            ++reads;
+            coordinator.record_read(row, row_version, now);
+        } else if (std::holds_alternative<write_record>(wanted)) {
+            coordinator.record_written(row_version, now);
+        } else {
+            coordinator.status_told(now);
+        }
+    }
+    release_phase phase() const { return row->phase; }
+    bool ended_as(release_phase wanted) const {
+        return row && row->phase == wanted && row->status_told && coordinator.done() &&
+               !statuses.empty() && statuses.back() == wanted;
+    }
+};
+
+constexpr auto trial = release_phase::trial;
+constexpr auto promoted = release_phase::promoted;
+constexpr auto completed = release_phase::completed;
+constexpr auto rolled_back = release_phase::rolled_back;
+using phases = std::vector<release_phase>;
+
+release_record record_of(std::uint64_t number, const software_version& target,
+                         release_phase phase) {
+    release_record record;
+    record.order = order_number(number);
+    record.target = target;
+    record.phase = phase;
+    record.ordered_after = store_start;
+    return record;
+}
+
+}  // namespace
+
+Test(release_coordinator, a_good_version_is_in_force_by_the_deadline) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(26800ms);
+    cr_assert(one.phase() == trial, "the trial lasts until the shift");
+    cr_assert(one.statuses == phases{trial});
+    cr_assert(one.row->ordered_after >= store_start && one.row->ordered_after <= store_start + 200);
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+    cr_assert(one.phases == phases({trial, promoted, completed, completed}));
+    cr_assert(one.spread == phases({promoted, completed}));
+    cr_assert(one.row->replaced == std::set{v1});
+    cr_assert(one.statuses == phases({trial, completed}));
+}
+
+Test(release_coordinator, a_bad_version_is_rolled_back_at_once) {
+    fixture one;
+    one.run(3s);
+    one.view.found = trial_verdict::bad;
+    one.tick();
+    cr_assert(one.spread == phases{rolled_back});
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+    cr_assert(one.row->refused == std::set{v2});
+    cr_assert(one.row->replaced.empty());
+}
+
+Test(release_coordinator, a_bad_version_is_rolled_back_even_when_promoted) {
+    fixture one;
+    one.unrepeatable = 1;
+    one.view.found = trial_verdict::good;
+    one.run(27500ms);
+    cr_assert(one.phase() == promoted);
+    one.view.found = trial_verdict::bad;
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+    cr_assert(one.row->replaced.empty());
+}
+
+Test(release_coordinator, two_routers_that_saw_it_are_believed_one_is_not) {
+    fixture one;
+    one.reporters = 0;
+    one.run(1s);
+    one.report("a", true);
+    one.report("a", true);
+    one.run(1s);
+    cr_assert(one.phase() == trial);
+    one.report("b", true);
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+}
+
+Test(release_coordinator, a_router_that_was_told_of_a_roll_back_passes_it_on) {
+    fixture one;
+    one.run(1s);
+    one.coordinator.reported({base::router_name("x"), order_number(5), rolled_back}, one.now);
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+}
+
+Test(release_coordinator, reports_of_another_order_are_no_evidence) {
+    fixture one;
+    one.run(1s);
+    for (const char* router : {"x", "y", "z"}) {
+        one.coordinator.reported({base::router_name(router), order_number(4), rolled_back, true},
+                                 one.now);
+    }
+    one.run(1s);
+    cr_assert(one.phase() == trial);
+}
+
+Test(release_coordinator, undecided_at_the_shift_the_deadline_decides) {
+    for (const bool good : {true, false}) {
+        fixture one;
+        one.view.at_deadline = good ? trial_verdict::good : trial_verdict::bad;
+        one.run(26800ms);
+        cr_assert(one.phase() == trial);
+        one.run(1s);
+        cr_assert(one.ended_as(good ? completed : rolled_back));
+    }
+}
+
+Test(release_coordinator, no_step_forward_without_fresh_reports_of_more_than_half) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.reporters = 1;
+    one.run(40s);
+    cr_assert(one.phase() == trial);
+    one.reporters = 2;
+    one.run(1s);
+    cr_assert(one.ended_as(completed), "late rather than never");
+}
+
+Test(release_coordinator, completed_waits_for_what_cannot_be_repeated_until_the_last_moment) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.unrepeatable = 2;
+    one.run(29s);
+    cr_assert(one.phase() == promoted);
+    one.run(700ms);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, a_version_nobody_runs_is_rolled_back) {
+    for (const bool pool_known : {true, false}) {
+        fixture one;
+        one.view.listed = pool_known ? std::set{v1} : std::set<software_version>{};
+        one.view.target_engines = 0;
+        one.view.found = trial_verdict::undecided;
+        one.view.at_deadline = trial_verdict::good;
+        one.run(26800ms);
+        cr_assert(one.phase() == trial);
+        one.run(1s);
+        cr_assert(one.ended_as(rolled_back));
+    }
+}
+
+Test(release_coordinator, target_engines_that_all_go_after_the_promotion) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.unrepeatable = 1;
+    one.run(27500ms);
+    one.view.target_engines = 0;
+    one.view.listed = {v1};
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+}
+
+Test(release_coordinator, the_version_in_force_is_completed_at_once) {
+    fixture one;
+    one.view.listed = {v2};
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+    cr_assert(one.phases == phases({completed, completed}));
+}
+
+Test(release_coordinator, the_version_in_force_is_completed_once_its_list_was_read) {
+    fixture one;
+    one.view.listed = {};
+    one.view.target_engines = 0;
+    one.run(1s);
+    cr_assert(one.phase() == trial);
+    one.view.listed = {v2};
+    one.view.target_engines = 2;
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, a_trial_is_not_completed_because_all_old_engines_crashed) {
+    fixture one;
+    one.run(1s);
+    one.view.listed = {v2};
+    one.run(2s);
+    cr_assert(one.phase() == trial);
+    fixture next;
+    next.put(record_of(5, v2, trial));
+    next.view.listed = {v2};
+    next.run(2s);
+    cr_assert(next.phase() == trial, "nor by one that takes over");
+}
+
+Test(release_coordinator, going_back_to_the_version_in_force_is_completed_at_once) {
+    fixture one;
+    one.put(record_of(4, v3, trial));
+    one.view.listed = {v2, v3};
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+    cr_assert(one.row->refused == std::set{v3});
+}
+
+Test(release_coordinator, the_next_order_refuses_what_went_before) {
+    for (const auto phase : {trial, promoted, completed, rolled_back}) {
+        fixture one;
+        release_record before = record_of(4, v3, phase);
+        before.refused = {v2, software_version("v0")};
+        before.replaced = {v1};
+        before.status_told = true;
+        one.put(before);
+        one.run(1s);
+        std::set refused{software_version("v0")};
+        if (phase != completed) {
+            refused.insert(v3);
+        }
+        cr_assert(one.row->order == order_number(5));
+        cr_assert(one.row->refused == refused);
+        cr_assert(one.row->replaced.empty());
+        cr_assert_not(one.row->status_told);
+    }
+}
+
+Test(release_coordinator, an_order_older_than_the_record_does_nothing) {
+    fixture one;
+    one.put(record_of(6, v3, trial));
+    one.view.found = trial_verdict::bad;
+    one.run(40s);
+    cr_assert(one.phases.empty());
+    cr_assert(one.statuses.empty());
+    cr_assert(one.spread.empty());
+    cr_assert_not(one.coordinator.notice().has_value());
+    cr_assert(one.coordinator.done());
+    cr_assert_eq(one.reads, 1U);
+}
+
+Test(release_coordinator, taken_over_at_any_step) {
+    for (const bool told : {false, true}) {
+        for (const auto phase : {trial, promoted, completed, rolled_back}) {
+            fixture one;
+            release_record before = record_of(5, v2, phase);
+            before.status_told = told && is_final(phase);
+            one.put(before);
+            one.now += 20s;
+            one.view.found = trial_verdict::good;
+            one.run(9s);
+            const auto end = phase == rolled_back ? rolled_back : completed;
+            cr_assert(one.row->phase == end && one.row->status_told);
+            cr_assert(one.coordinator.done());
+            cr_assert_eq(one.statuses.empty(), before.status_told, "told by who wrote it last");
+            cr_assert_eq(one.spread.empty(), before.status_told);
+        }
+    }
+}
+
+Test(release_coordinator, the_first_sight_holds_over_a_take_over) {
+    fixture one;
+    one.put(record_of(5, v2, trial));
+    one.now += 26900ms;
+    one.view.found = trial_verdict::good;
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+    cr_assert(one.row->ordered_after == store_start);
+}
+
+Test(release_coordinator, store_down_nothing_goes_forward_back_is_told) {
+    fixture one;
+    one.run(2s);
+    one.store = store_manner::down;
+    one.view.found = trial_verdict::good;
+    one.run(40s);
+    cr_assert(one.phase() == trial);
+    cr_assert(one.spread.empty());
+    cr_assert_not(one.coordinator.notice().has_value(), "no grants by what may be outdated");
+    one.view.found = trial_verdict::bad;
+    one.tick();
+    cr_assert(one.spread == phases{rolled_back});
+    cr_assert(one.coordinator.notice()->phase == rolled_back);
+    cr_assert(one.coordinator.notice()->refused == std::set{v2});
+    one.view.found = trial_verdict::good;
+    one.store = store_manner::answers;
+    one.run(1500ms);
+    cr_assert(one.ended_as(rolled_back));
+    cr_assert(one.spread == phases{rolled_back}, "told at once, and once");
+}
+
+Test(release_coordinator, store_down_over_the_deadline_a_good_one_is_completed_late) {
+    fixture one;
+    one.run(2s);
+    one.store = store_manner::down;
+    one.view.found = trial_verdict::good;
+    one.run(40s);
+    one.store = store_manner::answers;
+    one.run(2s);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, a_deadline_that_passed_unseen_is_decided_at_once) {
+    fixture one;
+    one.put(record_of(5, v2, trial));
+    one.now += 300s;
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+}
+
+Test(release_coordinator, store_down_from_the_start_the_first_sight_is_kept) {
+    fixture one;
+    one.store = store_manner::down;
+    one.run(10s);
+    one.store = store_manner::answers;
+    one.run(1s);
+    cr_assert(one.row->ordered_after <= store_start + 200);
+}
+
+Test(release_coordinator, lost_answers_are_read_again) {
+    for (std::uint64_t seed = 0; seed < 30; ++seed) {
+        base::seeded_random random(seed);
+        fixture one;
+        one.view.found = trial_verdict::good;
+        for (base::duration gone{}; gone < 60s && !one.coordinator.done(); gone += step) {
+            const bool lost = random.below(2) == 0;
+            one.store = lost ? store_manner::loses_answers : store_manner::answers;
+            one.tick();
+        }
+        cr_assert(one.ended_as(completed));
+        cr_assert_eq(std::count(one.phases.begin(), one.phases.end(), trial), 1);
+        cr_assert_eq(std::count(one.phases.begin(), one.phases.end(), promoted), 1);
+    }
+}
+
+Test(release_coordinator, no_second_call_while_one_is_under_way) {
+    release_coordinator one({order_number(5), pool, v2, 30s});
+    const coordinator_view view;
+    const base::monotonic_time now{1h};
+    cr_assert_eq(one.tick(view, now).size(), 1U);
+    cr_assert(one.tick(view, now + 60s).empty());
+    one.call_failed(now + 60s);
+    cr_assert(one.tick(view, now + 60s).empty(), "nor right after a failure");
+    cr_assert_eq(one.tick(view, now + 61s).size(), 1U);
+}
+
+Test(release_coordinator, another_that_completed_holds_against_a_roll_back_not_written) {
+    fixture one;
+    one.run(1s);
+    one.store = store_manner::down;
+    one.view.found = trial_verdict::bad;
+    one.run(1s);
+    release_record other = *one.row;
+    other.phase = completed;
+    other.replaced = {v1};
+    one.put(other);
+    one.store = store_manner::answers;
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+    cr_assert(one.spread == phases({rolled_back, completed}));
+}
+
+Test(release_coordinator, another_that_promoted_does_not_revert_a_roll_back) {
+    fixture one;
+    one.run(1s);
+    one.store = store_manner::down;
+    one.view.found = trial_verdict::bad;
+    one.run(1s);
+    one.view.found = trial_verdict::good;
+    release_record other = *one.row;
+    other.phase = promoted;
+    other.replaced = {v1};
+    one.put(other);
+    one.store = store_manner::answers;
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+    cr_assert(one.spread == phases{rolled_back});
+}
+
+Test(release_coordinator, woken_it_grants_nothing_before_it_has_read) {
+    fixture one;
+    one.run(20s);
+    release_record other = *one.row;
+    other.phase = rolled_back;
+    other.refused = {v2};
+    one.put(other);
+    one.now += 8s;
+    one.report("r0");
+    cr_assert_not(one.coordinator.notice().has_value());
+    one.view.found = trial_verdict::good;
+    one.run(1s);
+    cr_assert(one.phase() == rolled_back);
+    cr_assert(one.coordinator.notice()->phase == rolled_back);
+    cr_assert(one.ended_as(rolled_back), "what the other left is told to operators");
+}
+
+Test(release_coordinator, woken_with_old_reports_it_steps_not_forward) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(20s);
+    one.now += 20s;
+    one.reporters = 0;
+    one.run(5s);
+    cr_assert(one.phase() == trial);
+}
+
+Test(release_coordinator, no_record_before_the_clock_is_known) {
+    fixture one;
+    one.clock_known = false;
+    one.run(5s);
+    cr_assert_not(one.row.has_value());
+    cr_assert(one.phases.empty());
+    one.clock_known = true;
+    one.run(1s);
+    cr_assert(one.row.has_value());
+    cr_assert(one.row->ordered_after <= store_start + 200, "its first sight, reckoned back");
+}
+
+Test(release_coordinator, a_clock_lost_later_is_replaced_by_its_own) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(5s);
+    one.clock_known = false;
+    one.run(21700ms);
+    cr_assert(one.phase() == trial);
+    one.run(2s);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, less_time_than_the_shift_takes) {
+    for (const base::duration allowed : {base::duration(2s), base::duration(1s)}) {
+        fixture one(allowed);
+        one.view.found = trial_verdict::good;
+        one.run(allowed / 2 - step);
+        cr_assert(one.phase() == trial);
+        one.run(allowed / 2);
+        cr_assert(one.row->phase == completed);
+        fixture other(allowed);
+        other.run(allowed + 1s);
+        cr_assert(other.ended_as(rolled_back), "no evidence in so short a time");
+    }
+}
+
+Test(release_coordinator, calls_of_a_whole_release) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(60s);
+    cr_assert(one.ended_as(completed));
+    cr_assert_leq(one.reads, 31U, "one a second while it is open");
+    const std::size_t reads = one.reads;
+    one.run(60s);
+    cr_assert_eq(one.reads, reads, "and none afterwards");
+}
