--- a/src/ferryroad/coordination/release/release_coordinator.cpp
+++ b/src/ferryroad/coordination/release/release_coordinator.cpp
@@ -18,14 +18,24 @@
 // ---- Events ----
 
 void release_coordinator::reported(const router_report& report, base::monotonic_time now) {
-    m_now = std::max(m_now, now);
+    note_time(now);
     if (report.order == m_order.number) {
-        m_heard.insert_or_assign(report.router, heard_router{report, now});
+        const bool may_be_old = now < m_settled_at;
+        const base::monotonic_time at = may_be_old ? now - 2 * m_tunables.fresh : now;
+        m_heard.insert_or_assign(report.router, heard_router{report, at});
     }
 }
 
-void release_coordinator::answered(base::monotonic_time now) {
+void release_coordinator::note_time(base::monotonic_time now) {
+    if (m_started_at && now - m_now > m_tunables.fresh) {
+        m_settled_at = now + m_tunables.settle;
+        m_must_read = true;
+    }
     m_now = std::max(m_now, now);
+}
+
+void release_coordinator::answered(base::monotonic_time now) {
+    note_time(now);
     m_call = call::none;
     m_answered_at = now;
     m_confirmed_at = m_call_from;
@@ -49,13 +59,13 @@
 }
 
 void release_coordinator::status_told(base::monotonic_time now) {
-    m_now = std::max(m_now, now);
+    note_time(now);
     m_call = call::none;
     m_status = m_record->phase;
 }
 
 void release_coordinator::call_failed(base::monotonic_time now) {
-    m_now = std::max(m_now, now);
+    note_time(now);
     m_call = call::none;
     m_must_read = true;
     m_not_before = now + m_tunables.retry;
@@ -149,7 +159,7 @@
 
 std::vector<coordinator_action> release_coordinator::tick(const coordinator_view& view,
                                                           base::monotonic_time now) {
-    m_now = std::max(m_now, now);
+    note_time(now);
     note_first_sight(view, now);
     weigh_back(view);
     std::vector<coordinator_action> actions;
--- a/src/ferryroad/coordination/release/release_coordinator.hpp
+++ b/src/ferryroad/coordination/release/release_coordinator.hpp
@@ -32,6 +32,9 @@
     /// A trial is told of for so long after the start of the last call that showed it. Together
     /// with the routers' grant it stays below `rollback_ms` (5 s on the platforms known).
     base::duration hold = std::chrono::milliseconds(2500);
+    /// After a pause longer than `fresh` between its events (it was frozen), reports that come
+    /// within this time may have waited for it: they are evidence, but not fresh.
+    base::duration settle = std::chrono::milliseconds(200);
 };
 
 /// A router's report, as far as the phases are concerned; its counts go to the judge.
@@ -145,6 +148,8 @@
     /// @return whether the target, and no other version that may be served, is listed.
     bool stands_alone(const coordinator_view& view) const;
     void answered(base::monotonic_time now);
+    /// At each event: finds out whether it was frozen.
+    void note_time(base::monotonic_time now);
 
     release_order m_order;
     coordinator_tunables m_tunables;
@@ -161,6 +166,7 @@
     base::monotonic_time m_confirmed_at{};  ///< When its call began.
 
     base::monotonic_time m_now{};
+    base::monotonic_time m_settled_at{};               ///< Reports that come earlier may be old.
     std::optional<base::monotonic_time> m_started_at;  ///< The first tick.
     std::optional<store_milliseconds> m_first_sight;   ///< The same on the store's clock.
     bool m_going_back = false;
--- a/src/ferryroad/coordination/release/version_gate.hpp
+++ b/src/ferryroad/coordination/release/version_gate.hpp
@@ -45,6 +45,8 @@
     /// the order is known, the other phases count at once. A phase never goes back, except to
     /// `rolled_back` before `completed`. `completed` counts even after `rolled_back`: it is told
     /// only where it is recorded, a roll-back may be told before it is.
+    /// @param now where it answers a report: when that was sent. A grant that waited for a frozen
+    /// router is over when the router wakes.
     void told(const phase_notice& notice, base::monotonic_time now);
     /// This router has seen for itself that the version is bad: no more canary requests under
     /// this order.
