Release tests: routers turned away by the store, judges that hear too little, waiting reports

Two of 14 trial changes to the code had passed all tests: a roll-back that is given up when the evidence goes, and waiting reports taken for fresh. Each has a test now.

--- a/test/coordination/release/release_coordinator_test.cpp
+++ b/test/coordination/release/release_coordinator_test.cpp
@@ -502,6 +502,37 @@
     cr_assert(one.phase() == trial);
 }
 
+Test(release_coordinator, woken_it_takes_no_waiting_report_for_fresh) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(20s);
+    one.now += 20s;
+    for (const char* router : {"r0", "r1", "r2"}) {
+        one.report(router);
+    }
+    one.reporters = 0;
+    one.run(5s);
+    cr_assert(one.phase() == trial);
+    one.reporters = 2;
+    one.run(1s);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, a_roll_back_decided_stays_decided_when_the_evidence_goes) {
+    fixture one;
+    one.run(1s);
+    one.store = store_manner::down;
+    one.reporters = 0;
+    one.view.found = trial_verdict::bad;
+    one.run(1s);
+    one.view.found = trial_verdict::undecided;
+    one.run(1s);
+    cr_assert(one.coordinator.notice()->phase == rolled_back);
+    one.store = store_manner::answers;
+    one.run(1s);
+    cr_assert(one.ended_as(rolled_back));
+}
+
 Test(release_coordinator, no_record_before_the_clock_is_known) {
     fixture one;
     one.clock_known = false;
--- a/test/coordination/release/release_property_test.cpp
+++ b/test/coordination/release/release_property_test.cpp
@@ -85,6 +85,10 @@
         m_routers[index].frozen_until = m_now + period;
     }
     void cut(std::size_t index, bool is_cut) { m_routers[index].cut = is_cut; }
+    /// The store turns it away; other routers reach it.
+    void turn_away(std::size_t index, bool away) { m_routers[index].turned_away = away; }
+    /// It hears too little to judge by.
+    void blind(std::size_t index, bool is_blind) { m_routers[index].blind = is_blind; }
     void store_down(bool down) { m_store_down = down; }
     /// From now on routers take the first, second, ... for the coordinator, by turns.
     void split(std::size_t coordinators) { m_coordinators = coordinators; }
@@ -94,6 +98,8 @@
         m_coordinators = 1;
         for (router& one : m_routers) {
             one.cut = false;
+            one.turned_away = false;
+            one.blind = false;
             one.frozen_until = m_now;
         }
     }
@@ -134,6 +140,8 @@
         base::monotonic_time next_report{};
         base::duration reading_lag{};
         bool cut = false;
+        bool turned_away = false;
+        bool blind = false;
         std::map<software_version, base::monotonic_time> listed_at;
         /// As heard in this life, by the test's own book.
         std::map<order_number, std::set<release_phase>> heard;
@@ -143,16 +151,20 @@
     void start(router& one) {
         const auto frozen_until = one.frozen_until;
         const bool cut = one.cut;
+        const bool turned_away = one.turned_away;
         one = router();
         one.started = m_now;
         one.frozen_until = frozen_until;
         one.cut = cut;
+        one.turned_away = turned_away;
         one.reading_lag = base::duration(m_random.below(1'000'000'000));
     }
     std::size_t coordinator_of(std::size_t index) const {
         return index < m_coordinators ? index : index % m_coordinators;
     }
-    bool reaches_store(const router& one) const { return !m_store_down && !one.cut; }
+    bool reaches_store(const router& one) const {
+        return !m_store_down && !one.cut && !one.turned_away;
+    }
 
     void live(std::size_t index) {
         router& one = m_routers[index];
@@ -264,7 +276,7 @@
         answer_call(one);
         coordinator_view view;
         view.routers = m_routers.size();
-        view.found = found(*order);
+        view.found = one.blind ? trial_verdict::undecided : found(*order);
         const bool good = orders[order->number.value - 5].good;
         view.at_deadline = good ? trial_verdict::good : trial_verdict::bad;
         view.listed = {old_version, order->target};
@@ -477,7 +489,7 @@
 /// One of the things that fail or recover, at random.
 void disturb(world& fleet, base::seeded_random& schedule) {
     const std::size_t victim = schedule.below(fleet.size());
-    switch (schedule.below(8)) {
+    switch (schedule.below(10)) {
         case 0:
         case 1:
             fleet.kill(victim % 3);  // Those that may lead.
@@ -499,6 +511,12 @@
                 fleet.kill(each);
             }
             break;
+        case 7:
+            fleet.turn_away(victim % 3, schedule.below(2) == 0);
+            break;
+        case 8:
+            fleet.blind(victim % 3, schedule.below(2) == 0);
+            break;
         default:
             fleet.shares = {0.3 * schedule.unit(), 0.3 * schedule.unit(), 0.3 * schedule.unit(),
                             0.3 * schedule.unit()};
