Releases: a record that the table lost is written again as it was

A coordinator that reads no record where it knew one began a second trial with a later deadline. Now it writes what it knew. Also a test of target engines that come late or go for a while.

--- a/src/ferryroad/coordination/release/release_coordinator.cpp
+++ b/src/ferryroad/coordination/release/release_coordinator.cpp
@@ -47,6 +47,7 @@
     m_must_read = false;
     m_record = std::move(record);
     m_row_version = row_version;
+    m_ours = is_ours() ? m_record : m_ours;
     if (is_ours() && is_final(m_record->phase) && m_record->status_told && !m_spread) {
         m_spread = m_record->phase;  // An old story: routers that start ask by themselves.
     }
@@ -55,6 +56,7 @@
 void release_coordinator::record_written(std::uint64_t row_version, base::monotonic_time now) {
     answered(now);
     m_record = m_writing;
+    m_ours = m_writing;
     m_row_version = row_version;
 }
 
@@ -229,6 +231,9 @@
 }
 
 std::optional<coordinator_action> release_coordinator::begin(const coordinator_view& view) {
+    if (m_ours) {
+        return write(*m_ours);  // The table has lost it: no second trial, no later deadline.
+    }
     if (!m_ordered_after) {
         return std::nullopt;  // A record without its time would have no deadline.
     }
--- a/src/ferryroad/coordination/release/release_coordinator.hpp
+++ b/src/ferryroad/coordination/release/release_coordinator.hpp
@@ -162,6 +162,7 @@
 
     std::optional<release_record> m_record;  ///< As it stands in the table, for all that is known.
     std::uint64_t m_row_version = 0;
+    std::optional<release_record> m_ours;  ///< As last seen of this order, should the row get lost.
     release_record m_writing;
     call m_call = call::none;
     base::monotonic_time m_call_from{};
--- a/test/coordination/release/release_coordinator_test.cpp
+++ b/test/coordination/release/release_coordinator_test.cpp
@@ -533,6 +533,31 @@
     cr_assert(one.ended_as(rolled_back));
 }
 
+Test(release_coordinator, a_row_that_got_lost_is_written_again) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    one.run(10s);
+    const release_record before = *one.row;
+    one.row.reset();
+    one.row_version = 0;
+    one.run(3s);
+    cr_assert(one.row == before);
+    one.run(15s);
+    cr_assert(one.ended_as(completed));
+}
+
+Test(release_coordinator, engines_of_the_target_that_come_late_or_go_for_a_while) {
+    fixture one;
+    one.view.found = trial_verdict::good;
+    for (const std::size_t engines : {0U, 2U, 0U, 1U}) {
+        one.view.target_engines = engines;
+        one.run(6500ms);
+        cr_assert(one.phase() == trial);
+    }
+    one.run(2s);
+    cr_assert(one.ended_as(completed));
+}
+
 Test(release_coordinator, no_record_before_the_clock_is_known) {
     fixture one;
     one.clock_known = false;
