Peers: heartbeats of holders follow their number, and a nearer follower is remembered

Cause: at 299 routers and 3,001 engines each router hears of every holder that nothing changed, each second, and ranks all peers of its block for each holder at each look. Change: the lifetime of news is at least 4 ms a holder (3 s up to 750 holders, as before), what is followed is noted at the holder, holders lie in a hash table, and the peer that a holder belongs to is remembered while it lives.

--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -77,6 +77,7 @@
     base::monotonic_time now) const {
     if (!m_block || now >= m_block_until) {
         m_block = make_block(now);
+        m_nearer.clear();
         m_block_until = next_expiry(now);
     }
     return *m_block;
@@ -127,15 +128,24 @@
 
 bool peer_group::follows(const base::engine_name& holder, const base::zone_name& zone,
                          base::monotonic_time now) const {
+    const auto& others = block(now);
+    const auto known = m_nearer.find(holder);
+    if (known != m_nearer.end() && is_live(*known->second, now)) {
+        return false;
+    }
     const std::uint64_t key = base::hash_bytes(holder.value);
     const auto rank_of = [&](const peer_address& peer) {
         return std::pair(peer.zone == zone, base::rendezvous_score(key, peer.name.value));
     };
     const auto own = rank_of(m_self);
-    const auto& others = block(now);
-    return std::none_of(others.begin(), others.end(), [&](const known_peer* one) {
+    const auto nearer = std::find_if(others.begin(), others.end(), [&](const known_peer* one) {
         return is_live(*one, now) && rank_of(one->peer) > own;
     });
+    if (nearer == others.end()) {
+        return true;
+    }
+    m_nearer[holder] = *nearer;
+    return false;
 }
 
 std::set<base::router_name> peer_group::live(base::monotonic_time now) const {
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -80,6 +81,9 @@
         std::optional<base::monotonic_time> heard_at;
     };
 
+    /// A peer that a holder belongs to rather than to this router.
+    using nearer_peers = std::unordered_map<base::engine_name, const known_peer*>;
+
     bool is_live(const known_peer& one, base::monotonic_time now) const;
     bool is_known(const known_peer& one, base::monotonic_time now) const;
     /// @return the other routers of the block, from the cache while it holds.
@@ -94,6 +98,9 @@
     /// Made anew where the routers that are known changed, and at `m_block_until`.
     mutable std::optional<std::vector<const known_peer*>> m_block;
     mutable base::monotonic_time m_block_until{};
+    /// One for each holder that was asked for, of this block: while it lives, this router doesn't
+    /// follow the holder. Without it, each look ranks all peers of the block for each holder.
+    mutable nearer_peers m_nearer;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -15,13 +15,13 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -68,6 +68,10 @@
     base::duration look_period = std::chrono::milliseconds(500);
     /// Without news from a peer for so long, a router asks by itself.
     base::duration news_lifetime = std::chrono::seconds(3);
+    /// And this for each holder: where nothing changes, peers are told so three times in the
+    /// lifetime, and each router hears it of every holder. 3,001 holders told of each second took a
+    /// third of a router's processor time (profile of 299 routers).
+    base::duration news_lifetime_per_holder = std::chrono::milliseconds(4);
     base::duration first_backoff = std::chrono::milliseconds(500);
     base::duration longest_backoff = std::chrono::seconds(8);
     /// Parts told to peers at a time.
@@ -150,8 +154,9 @@
         engine_target target;
         base::zone_name zone;
         bool wanted = true;
-        bool asking = false;  ///< This router asks it now.
-        bool lost = false;    ///< The last question was not answered.
+        bool asking = false;    ///< This router asks it now.
+        bool lost = false;      ///< The last question was not answered.
+        bool followed = false;  ///< As `m_warm` was told.
         std::uint64_t epoch = 0;
         std::uint64_t position = 0;  ///< The newest change that was told.
         /// Some of the changes after this one were never told.
@@ -213,7 +218,7 @@
                 continue;
             }
             if (is_silent(*holder)) {
-                m_warm.follow(holder->target.name, false);
+                set_followed(*holder, false);
             }
             co_await m_scheduler.sleep_for(jittered(backoff));
             backoff = std::min(2 * backoff, m_settings.longest_backoff);
@@ -236,7 +241,19 @@
     }
 
     bool is_silent(const followed_holder& holder) const {
-        return m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
+        return m_scheduler.now() - holder.news_at > news_lifetime();
+    }
+
+    base::duration news_lifetime() const {
+        const auto holders = static_cast<base::duration::rep>(m_holders.size());
+        return std::max(m_settings.news_lifetime, holders * m_settings.news_lifetime_per_holder);
+    }
+
+    void set_followed(followed_holder& holder, bool followed) {
+        if (holder.followed != followed) {
+            holder.followed = followed;
+            m_warm.follow(holder.target.name, followed);
+        }
     }
 
     bool must_ask(const followed_holder& holder) const {
@@ -252,6 +269,7 @@
     void begin_epoch(followed_holder& holder, std::uint64_t epoch) {
         if (holder.epoch != 0) {
             m_warm.forget(holder.target.name);
+            holder.followed = false;
         }
         holder.epoch = epoch;
         holder.position = 0;
@@ -309,8 +327,7 @@
 
     /// Where nothing changed, peers are told now and then that it is so.
     bool is_news(const followed_holder& holder, const peer::holder_changes& batch) const {
-        return !batch.parts.empty() ||
-               holder.news_at - holder.told_at > m_settings.news_lifetime / 3;
+        return !batch.parts.empty() || holder.news_at - holder.told_at > news_lifetime() / 3;
     }
 
     std::vector<peer::holder_changes> batches(const followed_holder& holder, std::uint64_t from,
@@ -355,7 +372,7 @@
             m_warm.told(part.key, holder.target.name, part.tokens, now);
         }
         holder.position = std::max(holder.position, told.next);
-        m_warm.follow(holder.target.name, true);
+        set_followed(holder, true);
     }
 
     base::duration jittered(base::duration delay) {
@@ -367,7 +384,7 @@
     core::placement::warm_state& m_warm;
     state_sharing m_sharing;
     state_follower_settings m_settings;
-    std::map<base::engine_name, holder_pointer> m_holders;
+    std::unordered_map<base::engine_name, holder_pointer> m_holders;
     base::monotonic_time m_catch_up_from{};  ///< The next holder that another router follows.
     bool m_looking = false;
 };
