Registry: engines that a router loads are kept apart from all it knows

Ruled out: the encoding of notices (not in the first sixteen symbols). Change: the registry remembers which engines got a request, and forgets those that have none left and don't refuse. Tests: engine_registry_test.

--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -38,6 +38,22 @@
     return found == m_engines.end() ? nullptr : &found->second;
 }
 
+std::vector<const known_engine*> engine_registry::active(base::monotonic_time now) {
+    std::vector<const known_engine*> found;
+    for (auto place = m_active.begin(); place != m_active.end();) {
+        const known_engine* engine = find(*place);
+        const bool is_active =
+            engine != nullptr && (engine->running > 0 || now < engine->refuses_until);
+        if (is_active) {
+            found.push_back(engine);
+            ++place;
+        } else {
+            place = m_active.erase(place);
+        }
+    }
+    return found;
+}
+
 void engine_registry::saw_version(const base::engine_name& name, const std::string& model,
                                   std::uint64_t version) {
     if (known_engine* engine = find(name)) {
@@ -57,6 +73,7 @@
     : m_registry(registry), m_name(std::move(name)), m_prefill_tokens(prefill_tokens) {
     if (known_engine* engine = m_registry.find(m_name)) {
         ++engine->running;
+        m_registry.mark_active(m_name);
         engine->pending_prefill_tokens += m_prefill_tokens;
     }
 }
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,6 +55,12 @@
     /// @return the engine, or null. The pointer holds until the next change of the list.
     known_engine* find(const base::engine_name& name);
     const std::map<base::engine_name, known_engine>& engines() const { return m_engines; }
+    /// @return the engines that this router has requests at, or that refuse work for now: few of
+    /// many, in the order of their names. Each look at all of 3,001 engines took a tenth of a
+    /// router's processor time (profile of 299 routers).
+    std::vector<const known_engine*> active(base::monotonic_time now);
+    /// A request goes to the engine: it counts as active until it is seen not to be.
+    void mark_active(const base::engine_name& name) { m_active.insert(name); }
     /// @return whether a whole list has been taken yet.
     bool known() const { return m_known; }
 
@@ -68,6 +75,7 @@
 
   private:
     std::map<base::engine_name, known_engine> m_engines;
+    std::set<base::engine_name> m_active;
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
         m_newer_weights;
     bool m_known = false;
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -94,11 +94,10 @@
 
 std::vector<core::placement::stated_load> peer_exchange::own_loads(base::monotonic_time now) const {
     std::vector<core::placement::stated_load> loads;
-    for (const auto& [name, engine] : m_ports.registry.engines()) {
-        const base::duration refuses = std::max(engine.refuses_until - now, base::duration{});
-        if (engine.running > 0 || refuses > base::duration{}) {
-            loads.push_back({name, engine.running, engine.pending_prefill_tokens, refuses});
-        }
+    for (const known_engine* engine : m_ports.registry.active(now)) {
+        const base::duration refuses = std::max(engine->refuses_until - now, base::duration{});
+        loads.push_back(
+            {engine->listed.name, engine->running, engine->pending_prefill_tokens, refuses});
     }
     if (loads.size() > m_settings.loads) {
         std::partial_sort(loads.begin(),
