--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -16,7 +16,12 @@
 
 std::optional<base::router_name> quota_homes::home_of(const base::tenant_name& tenant,
                                                       base::monotonic_time now) const {
-    const std::uint64_t key = base::hash_bytes(tenant.value);
+    return home_for(tenant.value, now);
+}
+
+std::optional<base::router_name> quota_homes::home_for(std::string_view subject,
+                                                       base::monotonic_time now) const {
+    const std::uint64_t key = base::hash_bytes(subject);
     const base::router_name* best = nullptr;
     std::uint64_t best_score = 0;
     for (const base::router_name& name : m_present) {
--- a/src/ferryroad/coordination/quota/quota_homes.hpp
+++ b/src/ferryroad/coordination/quota/quota_homes.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace ferryroad::coordination::quota {
@@ -34,6 +35,9 @@
     /// @return the router to ask for the tenant; nothing where all are passed over.
     std::optional<base::router_name> home_of(const base::tenant_name& tenant,
                                              base::monotonic_time now) const;
+    /// The same for anything else that one router does for all. @param subject names it.
+    std::optional<base::router_name> home_for(std::string_view subject,
+                                              base::monotonic_time now) const;
     /// An ask was answered.
     void answered(const base::router_name& home) { m_silences.erase(home); }
     /// An ask was not answered in time.
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -11,18 +11,23 @@
     return found == versions.end() ? 0 : found->second;
 }
 
-void engine_registry::replace_all(const std::vector<listed_engine>& listed) {
+void engine_registry::replace_all(const std::vector<listed_engine>& listed,
+                                  base::monotonic_time now) {
     std::set<base::engine_name> names;
     for (const listed_engine& one : listed) {
         names.insert(one.name);
-        put(one);
+        put(one, now);
     }
     std::erase_if(m_engines, [&](const auto& entry) { return !names.contains(entry.first); });
     m_known = true;
 }
 
-void engine_registry::put(const listed_engine& one) {
-    known_engine& engine = m_engines[one.name];
+void engine_registry::put(const listed_engine& one, base::monotonic_time now) {
+    const auto [entry, is_new] = m_engines.try_emplace(one.name);
+    known_engine& engine = entry->second;
+    if (is_new || engine.listed.software != one.software) {
+        engine.listed_at = now;
+    }
     engine.listed = one;
     for (const auto& [model, version] : one.versions) {
         saw_version(one.name, model, version);
@@ -53,10 +58,14 @@
 }
 
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
-                         std::uint64_t prefill_tokens)
-    : m_registry(registry), m_name(std::move(name)), m_prefill_tokens(prefill_tokens) {
+                         std::uint64_t prefill_tokens, bool repeatable)
+    : m_registry(registry),
+      m_name(std::move(name)),
+      m_prefill_tokens(prefill_tokens),
+      m_repeatable(repeatable) {
     if (known_engine* engine = m_registry.find(m_name)) {
         ++engine->running;
+        engine->unrepeatable += m_repeatable ? 0 : 1;
         engine->pending_prefill_tokens += m_prefill_tokens;
     }
 }
@@ -66,6 +75,7 @@
     known_engine* engine = m_registry.find(m_name);
     if (engine != nullptr && engine->running > 0) {
         --engine->running;
+        engine->unrepeatable -= std::min<std::uint32_t>(m_repeatable ? 0 : 1, engine->unrepeatable);
     }
 }
 
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/base/endpoint.hpp"
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/coordination/release/types.hpp"
 #include "ferryroad/core/placement/engine_health.hpp"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
     std::uint32_t slots = 1;
     bool leaving = false;
     std::map<std::string, std::uint64_t> versions;  ///< Of weights, by model.
+    coordination::release::software_version software;
 
     friend bool operator==(const listed_engine&, const listed_engine&) = default;
 };
@@ -37,8 +39,10 @@
     core::placement::engine_health health;
     std::map<std::string, std::uint64_t> versions;  ///< The newest seen, from whatever source.
     std::uint32_t running = 0;
+    std::uint32_t unrepeatable = 0;  ///< Of `running`: would be lost with the engine.
     std::uint64_t pending_prefill_tokens = 0;
     base::monotonic_time refuses_until{};  ///< It said that it takes no work for now.
+    base::monotonic_time listed_at{};      ///< This process was first in the list then.
 
     std::uint64_t version_of(const std::string& model) const;
 };
@@ -47,8 +51,9 @@
 class engine_registry {
   public:
     /// Takes the whole list: what it lacks is gone.
-    void replace_all(const std::vector<listed_engine>& listed);
-    void put(const listed_engine& one);
+    /// @param now by this router's clock, for `known_engine::listed_at`.
+    void replace_all(const std::vector<listed_engine>& listed, base::monotonic_time now = {});
+    void put(const listed_engine& one, base::monotonic_time now = {});
     void remove(const base::engine_name& name);
 
     /// @return the engine, or null. The pointer holds until the next change of the list.
@@ -77,7 +82,9 @@
 /// leave the list meanwhile.
 class engine_load {
   public:
-    engine_load(engine_registry& registry, base::engine_name name, std::uint64_t prefill_tokens);
+    /// @param repeatable whether the request may run again elsewhere, should the engine stop.
+    engine_load(engine_registry& registry, base::engine_name name, std::uint64_t prefill_tokens,
+                bool repeatable = true);
     ~engine_load();
     engine_load(const engine_load&) = delete;
     engine_load& operator=(const engine_load&) = delete;
@@ -89,6 +96,7 @@
     engine_registry& m_registry;
     base::engine_name m_name;
     std::uint64_t m_prefill_tokens;
+    bool m_repeatable;
 };
 
 }  // namespace ferryroad::relay
