Releases bound into the relay and the platform: gate, canary requests, reports, coordinator

Selection heeds the version gate (one lookup a request where no pool was ever ordered), the driver asks once at a request's first dispatch whether it goes to the canary and tells what came of each exchange. release_service reports to the coordinator while an order is under way, and coordinates where this router is the rendezvous: record in the table, status to operators.

--- /dev/null
+++ b/src/ferryroad/relay/exchange_evidence.cpp
@@ -0,0 +1,97 @@
+#include "ferryroad/relay/exchange_evidence.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace ferryroad::relay {
+
+namespace {
+
+/// From so many events on, the time between them says how fast the engine is.
+constexpr std::uint32_t events_to_time = 3;
+/// Of the time to the first event less the prompt's reading, which is an estimate.
+constexpr base::duration least_taken = std::chrono::milliseconds(1);
+constexpr unsigned first_failure_status = 500;
+
+}  // namespace
+
+void exchange_evidence::begin(const relay_plan& plan, const known_engine* engine,
+                              base::duration reading, base::monotonic_time now) {
+    m_result.reset();
+    if (m_releases == nullptr || engine == nullptr) {
+        return;
+    }
+    const auto order = m_releases->order_under_way(plan.pool);
+    if (!order) {
+        return;
+    }
+    m_result = exchange_result{plan.pool, plan.on->name, engine->listed.name,
+                               engine->listed.software, *order};
+    m_began_at = now;
+    m_reading = reading;
+    m_events = 0;
+}
+
+void exchange_evidence::event(base::monotonic_time now) {
+    if (m_events == 0) {
+        m_first_event_at = now;
+    }
+    ++m_events;
+    m_last_event_at = now;
+}
+
+base::duration exchange_evidence::taken(bool pending, base::monotonic_time now) const {
+    if (m_events >= events_to_time) {
+        const auto until = pending ? now : m_last_event_at;
+        const std::uint32_t gaps = m_events - (pending ? 0 : 1);
+        return (until - m_first_event_at) / gaps;
+    }
+    const auto until = m_events == 0 ? now : m_first_event_at;
+    return std::max(until - m_began_at - m_reading, least_taken);
+}
+
+void exchange_evidence::tell(base::monotonic_time now) {
+    m_releases->ended(*m_result, now);
+    m_result.reset();
+}
+
+void exchange_evidence::answered(unsigned status, base::monotonic_time now) {
+    if (!m_result) {
+        return;
+    }
+    m_result->failed = status >= first_failure_status;
+    m_result->taken = taken(false, now);
+    tell(now);
+}
+
+void exchange_evidence::failed(const dispatch_failure& failure, bool streaming, bool own_limit,
+                               base::monotonic_time now) {
+    namespace execution = core::execution;
+    if (!m_result) {
+        return;
+    }
+    switch (failure.kind) {
+        case execution::failure_kind::engine_failure:
+            m_result->failed = true;
+            tell(now);
+            return;
+        case execution::failure_kind::broken:
+            if (streaming) {
+                m_result->failed = true;
+                m_result->broken_off = true;
+                tell(now);
+            }
+            break;
+        case execution::failure_kind::timed_out:
+            if (own_limit) {  // It took at least this long.
+                m_result->taken = taken(true, now);
+                tell(now);
+            }
+            break;
+        default:
+            break;  // It did not run.
+    }
+    m_result.reset();
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -10,8 +10,10 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/http/server.hpp"
 #include "ferryroad/quotas/quota_service.hpp"
+#include "ferryroad/relay/canary_traffic.hpp"
 #include "ferryroad/relay/dispatch_log.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/exchange_evidence.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/refusal.hpp"
 #include "ferryroad/relay/relay_plan.hpp"
@@ -55,6 +57,8 @@
     dispatch_sink dispatched;
     /// Asked for each request of a tenant with a limit; none holds without it.
     quota_counter count_quota;
+    /// Chooses requests for versions on trial, and is told what came of them; may be null.
+    canary_traffic* releases = nullptr;
 };
 
 /// How a request ended, for logs and metrics.
@@ -83,6 +87,7 @@
           m_tunables(tunables),
           m_admission(shedder, with.scheduler, m_plan),
           m_machine(rules_of(m_plan), limits_of(m_plan, tunables)),
+          m_evidence(with.releases),
           m_last_id(m_plan.call->last_event_id) {}
 
     /// Runs the request to its end, its final answer included. Exceptions end it early and are
@@ -162,6 +167,22 @@
                holder->name == m_plan.tenant->name;
     }
 
+    /// Only a request's first dispatch may go to a version on trial; where that has no engine for
+    /// it, it goes to the version in force.
+    std::optional<selected_engine> place(selection_query query, base::monotonic_time now) {
+        const bool first = m_outcome.dispatches == 0 && !m_plan.call->last_event_id;
+        query.canary = first && m_with.releases != nullptr &&
+                       m_with.releases->choose(m_plan.pool, m_plan.on->name, now);
+        if (query.canary) {
+            if (auto chosen = m_with.selection.select(query, now)) {
+                return chosen;
+            }
+            m_with.releases->give_back(m_plan.pool, m_plan.on->name);
+            query.canary = false;
+        }
+        return m_with.selection.select(query, now);
+    }
+
     void select(const execution::select_engine& wanted) {
         const base::monotonic_time now = m_with.scheduler.now();
         const selection_query query{*m_plan.call,  *m_plan.policy,  m_plan.pool,
@@ -174,7 +195,7 @@
         }
         std::optional<selected_engine> chosen;
         if (key_still_holds()) {
-            chosen = m_with.selection.select(query, now);
+            chosen = place(query, now);
         }
         if (!chosen) {
             feed(execution::selection_failed{execution::selection_problem::no_engine,
@@ -212,7 +233,10 @@
         }
         m_outcome.engine = m_selected.target.name.value;
         m_outcome.predicted_ms = m_selected.cost_ms;
-        m_load.emplace(m_with.registry, m_selected.target.name, m_selected.prefill_tokens);
+        m_load.emplace(m_with.registry, m_selected.target.name, m_selected.prefill_tokens,
+                       is_repeatable(*m_plan.on));
+        m_evidence.begin(m_plan, m_with.registry.find(m_selected.target.name), expected_reading(),
+                         now);
         const auto parts = m_with.selection.record_dispatch(*m_plan.call, m_selected, now);
         if (m_with.dispatched) {
             m_with.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
@@ -275,6 +299,8 @@
 
     void note_failure(const dispatch_failure& failure) {
         const base::monotonic_time now = m_with.scheduler.now();
+        const bool streaming = m_answer && m_answer->is_event_stream;
+        m_evidence.failed(failure, streaming, now < m_plan.deadline, now);
         saw_version(failure.version);
         if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
             blame(*engine, failure, has_outdated_weights(*engine), m_tunables, now);
@@ -327,6 +353,7 @@
             return;
         }
         m_kept = http::response{m_answer->status, m_answer->headers, std::move(m_whole)};
+        m_evidence.answered(m_answer->status, m_with.scheduler.now());
         note_success();
         end_exchange();
         if (m_kept->status >= first_failure_status && is_repeatable(*m_plan.on)) {
@@ -347,6 +374,7 @@
                 // A caller that resumes after the last event is sent no further one.
                 m_kept = http::response{m_answer->status, m_answer->headers, {}};
             }
+            m_evidence.answered(m_answer->status, m_with.scheduler.now());
             note_success();
             end_exchange();
             feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
@@ -382,6 +410,7 @@
             m_outcome.longest_gap = std::max(m_outcome.longest_gap, now - m_last_event_at);
         }
         m_last_event_at = now;
+        m_evidence.event(now);
         if (m_load) {
             m_load->prefilled();
         }
@@ -460,6 +489,7 @@
     driver_tunables m_tunables;
     stream_admission m_admission;
     core::execution::request_execution m_machine;
+    exchange_evidence m_evidence;
     std::deque<execution::action> m_pending;
     selected_engine m_selected;
     std::optional<engine_load> m_load;
--- /dev/null
+++ b/src/ferryroad/relay/release_service.cpp
@@ -0,0 +1,419 @@
+#include "ferryroad/relay/release_service.hpp"
+
+#include "ferryroad/runtime/log.hpp"
+
+#include <algorithm>
+#include <string>
+#include <variant>
+
+namespace ferryroad::relay {
+
+namespace canary = core::canary;
+namespace release = coordination::release;
+
+namespace {
+
+constexpr std::string_view component = "relay.release";
+
+/// Reports come seldom: two that stay without an answer are some 0.5 s, a quarter of a grant.
+constexpr std::uint32_t silent_reports = 2;
+
+coordination::quota::homes_tunables homes_of_releases() {
+    coordination::quota::homes_tunables tunables;
+    tunables.silent_asks = silent_reports;
+    return tunables;
+}
+
+/// Of the record, and of what coordinators are reckoned by.
+std::string key_of(const base::pool_name& pool) {
+    return "release/" + pool.value;
+}
+
+release::trial_verdict to_trial_verdict(canary::verdict found) {
+    switch (found) {
+        case canary::verdict::good:
+            return release::trial_verdict::good;
+        case canary::verdict::bad:
+            return release::trial_verdict::bad;
+        case canary::verdict::undecided:
+            break;
+    }
+    return release::trial_verdict::undecided;
+}
+
+void log_call(const release::release_order& order, std::string_view call, std::string outcome) {
+    runtime::log(runtime::log_level::info, component, "coordinator's call",
+                 {{"pool", order.pool.value},
+                  {"order", std::to_string(order.number.value)},
+                  {"call", std::string(call)},
+                  {"outcome", std::move(outcome)}});
+}
+
+}  // namespace
+
+release_service::release_service(release_ports ports, base::router_name self,
+                                 release_settings settings)
+    : m_ports(std::move(ports)),
+      m_self(std::move(self)),
+      m_incarnation(m_ports.scheduler.random().next()),
+      m_settings(settings),
+      m_traffic(m_ports.registry, settings.canary),
+      m_homes(homes_of_releases()) {}
+
+void release_service::start() {
+    m_ports.scheduler.spawn(component, run());
+}
+
+void release_service::change_settings(const release_settings& settings) {
+    m_settings = settings;
+    m_traffic.change_settings(settings.canary);
+}
+
+void release_service::set_routers(const std::vector<peer_address>& present) {
+    std::vector<base::router_name> names;
+    m_addresses.clear();
+    for (const peer_address& one : present) {
+        names.push_back(one.name);
+        m_addresses.emplace(one.name, one.address);
+    }
+    m_homes.declare(std::move(names));
+}
+
+runtime::task<void> release_service::run() {
+    while (!m_stopped) {
+        co_await m_ports.scheduler.sleep_for(m_settings.tick);
+        step();
+    }
+}
+
+void release_service::step() {
+    const base::monotonic_time now = m_ports.scheduler.now();
+    const auto pools = m_traffic.under_way();
+    std::erase_if(m_reporting, [&](const auto& entry) {
+        return std::find(pools.begin(), pools.end(), entry.first) == pools.end();
+    });
+    for (const base::pool_name& pool : pools) {
+        reporting& state = m_reporting[pool];
+        if (now - state.looked_at >= m_settings.look_pace) {
+            state.looked_at = now;
+            state.saw_bad = m_traffic.look(pool) || state.saw_bad;
+        }
+        if (!state.sent_at || now - *state.sent_at >= pace()) {
+            report(pool, state, now);
+        }
+    }
+    std::erase_if(m_led, [&](const auto& entry) {
+        return now - entry.second.reported_at > m_settings.leads_for;
+    });
+    std::vector<base::pool_name> led;
+    for (const auto& [pool, one] : m_led) {
+        led.push_back(pool);
+    }
+    for (const base::pool_name& pool : led) {
+        tick(pool);
+    }
+}
+
+void release_service::take(const base::endpoint& from, std::string_view bytes) {
+    if (peer::is_release_report(bytes)) {
+        const auto told = peer::decode_release_report(bytes);
+        if (!told) {
+            ++m_counters.malformed;
+            return;
+        }
+        if (const auto answer = take_report(*told)) {
+            m_ports.transport.send(from, peer::encode(*answer));
+        }
+        return;
+    }
+    const auto notice = peer::decode_release_notice(bytes);
+    if (!notice) {
+        ++m_counters.malformed;
+        return;
+    }
+    take_notice(*notice);
+}
+
+// ---- As any router ----
+
+base::duration release_service::pace() const {
+    const auto routers = static_cast<std::int64_t>(m_homes.size());
+    return std::max(m_settings.report_pace, m_settings.report_pace_per_router * routers);
+}
+
+void release_service::note_unanswered(const base::pool_name& pool, reporting& state,
+                                      base::monotonic_time now) {
+    if (!state.awaited) {
+        return;
+    }
+    ++m_counters.reports_unanswered;
+    m_homes.silent(*state.awaited, now);
+    runtime::log(runtime::log_level::info, component, "report not answered",
+                 {{"pool", pool.value}, {"coordinator", state.awaited->value}});
+    state.awaited.reset();
+}
+
+std::vector<peer::release_report> release_service::reports_of(const own_release& own,
+                                                              bool saw_bad) const {
+    peer::release_report head;
+    head.sender = m_self;
+    head.sender_incarnation = m_incarnation;
+    head.pool = own.order.pool;
+    head.order = own.order.number;
+    head.phase = own.phase;
+    head.saw_bad = saw_bad;
+    head.unrepeatable = m_traffic.unrepeatable_at_replaced(own.order.pool);
+    std::vector<peer::release_report> reports{head};
+    for (const auto& [route, counted] : own.counts) {
+        if (reports.back().counts.size() == peer::routes_of_release_report) {
+            reports.push_back(head);
+        }
+        reports.back().counts.emplace(route, counted);
+    }
+    return reports;
+}
+
+void release_service::report(const base::pool_name& pool, reporting& state,
+                             base::monotonic_time now) {
+    note_unanswered(pool, state, now);
+    state.sent_at = now;
+    const own_release* own = m_traffic.find(pool);
+    if (own == nullptr) {
+        return;
+    }
+    const auto home = m_homes.home_for(key_of(pool), now).value_or(m_self);
+    const auto reports = reports_of(*own, state.saw_bad);
+    const auto address = m_addresses.find(home);
+    if (home == m_self || address == m_addresses.end()) {
+        for (const peer::release_report& one : reports) {
+            if (const auto answer = take_report(one)) {
+                take_notice(*answer);
+            }
+        }
+        return;
+    }
+    state.awaited = home;
+    for (const peer::release_report& one : reports) {
+        ++m_counters.reports_sent;
+        m_ports.transport.send(address->second, peer::encode(one));
+    }
+}
+
+void release_service::take_notice(const peer::release_notice& notice) {
+    const auto state = m_reporting.find(notice.pool);
+    if (state != m_reporting.end() && state->second.awaited == notice.sender) {
+        state->second.awaited.reset();
+    }
+    m_homes.answered(notice.sender);
+    if (notice.told) {
+        m_traffic.told(*notice.told, m_ports.scheduler.now());
+    }
+}
+
+// ---- As coordinator ----
+
+release_service::led_release& release_service::lead(const release::release_order& order) {
+    const auto known = m_led.find(order.pool);
+    if (known != m_led.end() && known->second.coordinator.order() == order) {
+        return known->second;
+    }
+    runtime::log(runtime::log_level::info, component, "coordinates from now on",
+                 {{"pool", order.pool.value},
+                  {"order", std::to_string(order.number.value)},
+                  {"routers", std::to_string(m_homes.size())}});
+    led_release fresh{release::release_coordinator(order, m_settings.coordinator),
+                      {},
+                      canary::canary_trial(m_settings.canary.judge),
+                      {},
+                      {}};
+    return m_led.insert_or_assign(order.pool, std::move(fresh)).first->second;
+}
+
+std::optional<peer::release_notice> release_service::take_report(
+    const peer::release_report& report) {
+    const release::release_order* order = m_traffic.gate().order_of(report.pool);
+    if (order == nullptr || order->number < report.order) {
+        return std::nullopt;  // Another is asked, as long as this router hasn't read the order.
+    }
+    ++m_counters.reports_taken;
+    const base::monotonic_time now = m_ports.scheduler.now();
+    led_release& one = lead(*order);
+    one.reported_at = now;
+    one.coordinator.reported(
+        {report.sender, report.order, report.phase, report.saw_bad, report.unrepeatable}, now);
+    if (report.order == order->number) {
+        one.evidence.take(report);
+    }
+    return peer::release_notice{m_self, report.pool, order->number, one.coordinator.notice()};
+}
+
+void release_service::look(const base::pool_name& pool, led_release& one,
+                           base::monotonic_time now) {
+    if (now - one.looked_at < m_settings.look_pace) {
+        return;
+    }
+    one.looked_at = now;
+    const canary::verdict before = one.trial.last().found;
+    const canary::judgement found = one.trial.look(one.evidence.sum());
+    if (found.found == before) {
+        return;
+    }
+    runtime::log(runtime::log_level::info, component, "judged",
+                 {{"pool", pool.value},
+                  {"order", std::to_string(one.coordinator.order().number.value)},
+                  {"found", std::string(canary::to_string(found.found))},
+                  {"route", found.route.value},
+                  {"test", found.by_duration ? "duration" : "failures"},
+                  {"answers", std::to_string(found.answers)},
+                  {"bad_answers", std::to_string(found.bad_answers)},
+                  {"evidence", std::to_string(found.evidence)},
+                  {"bound", std::to_string(found.bound)}});
+}
+
+release::coordinator_view release_service::view_of(const base::pool_name& pool,
+                                                   const led_release& one,
+                                                   base::monotonic_time now) const {
+    release::coordinator_view view;
+    view.routers = std::max<std::size_t>(1, m_homes.size());
+    view.found = to_trial_verdict(one.trial.last().found);
+    view.at_deadline = to_trial_verdict(one.trial.at_deadline());
+    const release::software_version& target = one.coordinator.order().target;
+    for (const auto& [name, engine] : m_ports.registry.engines()) {
+        if (engine.listed.pool == pool) {
+            view.listed.insert(engine.listed.software);
+            const bool counts = engine.listed.software == target && !engine.listed.leaving;
+            view.target_engines += counts ? 1 : 0;
+        }
+    }
+    if (m_ports.clock.known()) {
+        view.store_now_earliest = m_ports.clock.to_owner(now);
+        view.store_now_latest = m_ports.clock.to_owner_latest(now);
+    }
+    return view;
+}
+
+void release_service::tick(const base::pool_name& pool) {
+    const auto found = m_led.find(pool);
+    if (found == m_led.end() || !m_ports.registry.known()) {
+        return;
+    }
+    led_release& one = found->second;
+    const base::monotonic_time now = m_ports.scheduler.now();
+    look(pool, one, now);
+    const release::release_order order = one.coordinator.order();
+    const auto wanted = one.coordinator.tick(view_of(pool, one, now), now);
+    for (const release::coordinator_action& each : wanted) {
+        carry_out(order, each);
+    }
+}
+
+release_service::led_release* release_service::find_led(const base::pool_name& pool,
+                                                        release::order_number order) {
+    const auto found = m_led.find(pool);
+    const bool same = found != m_led.end() && found->second.coordinator.order().number == order;
+    return same ? &found->second : nullptr;
+}
+
+void release_service::carry_out(const release::release_order& order,
+                                const release::coordinator_action& wanted) {
+    if (std::holds_alternative<release::read_record>(wanted)) {
+        m_ports.scheduler.spawn(component, read(order));
+    } else if (const auto* record = std::get_if<release::write_record>(&wanted)) {
+        m_ports.scheduler.spawn(component, write(order, *record));
+    } else if (const auto* status = std::get_if<release::tell_status>(&wanted)) {
+        m_ports.scheduler.spawn(component, tell(order, *status));
+    } else if (const auto* all = std::get_if<release::tell_routers>(&wanted)) {
+        tell_all(all->notice);
+    }
+}
+
+void release_service::tell_all(const release::phase_notice& told) {
+    const peer::release_notice notice{m_self, told.pool, told.order, told};
+    runtime::log(runtime::log_level::info, component, "phase told to all",
+                 {{"pool", told.pool.value},
+                  {"order", std::to_string(told.order.value)},
+                  {"phase", std::string(release::to_string(told.phase))},
+                  {"routers", std::to_string(m_addresses.size())}});
+    take_notice(notice);
+    for (const auto& [name, address] : m_addresses) {
+        if (name != m_self) {
+            m_ports.transport.send(address, peer::encode(notice));
+        }
+    }
+}
+
+runtime::task<void> release_service::read(release::release_order order) {
+    ++m_counters.table_calls;
+    std::vector<platform::row_key> keys{platform::row_key(key_of(order.pool))};
+    const auto rows = co_await m_ports.table.read(std::move(keys));
+    led_release* one = find_led(order.pool, order.number);
+    if (one == nullptr) {
+        co_return;
+    }
+    const base::monotonic_time now = m_ports.scheduler.now();
+    if (!rows) {
+        log_call(order, "read", rows.error().message);
+        one->coordinator.call_failed(now);
+        co_return;
+    }
+    std::optional<release::release_record> record;
+    std::uint64_t version = 0;
+    if (!rows->empty()) {
+        version = rows->front().version.value;
+        record = release::decode_release_record(rows->front().value);
+    }
+    const bool unreadable = !rows->empty() && !record;
+    log_call(order, "read",
+             unreadable ? "can't be read"
+                        : (record ? std::string(release::to_string(record->phase)) : "absent"));
+    one->coordinator.record_read(std::move(record), version, now);
+    tick(order.pool);
+}
+
+runtime::task<void> release_service::write(release::release_order order,
+                                           release::write_record wanted) {
+    ++m_counters.table_calls;
+    const platform::row_key key(key_of(order.pool));
+    platform::transaction change;
+    change.conditions.push_back({key, platform::row_version(wanted.expected_row)});
+    change.writes.push_back({key, release::encode(wanted.record)});
+    std::vector<platform::transaction> changes;
+    changes.push_back(std::move(change));
+    const auto outcomes = co_await m_ports.table.transact(std::move(changes));
+    led_release* one = find_led(order.pool, order.number);
+    if (one == nullptr) {
+        co_return;
+    }
+    const base::monotonic_time now = m_ports.scheduler.now();
+    const std::string phase(release::to_string(wanted.record.phase));
+    if (!outcomes || outcomes->empty() || !outcomes->front().committed) {
+        log_call(order, "write " + phase, outcomes ? "overtaken" : outcomes.error().message);
+        one->coordinator.call_failed(now);
+        co_return;
+    }
+    log_call(order, "write " + phase, "done");
+    one->coordinator.record_written(outcomes->front().version.value, now);
+    tick(order.pool);
+}
+
+runtime::task<void> release_service::tell(release::release_order order,
+                                          release::tell_status wanted) {
+    ++m_counters.table_calls;
+    const std::string phase(release::to_string(wanted.phase));
+    const auto done = co_await m_ports.tell_status(std::move(wanted));
+    led_release* one = find_led(order.pool, order.number);
+    if (one == nullptr) {
+        co_return;
+    }
+    const base::monotonic_time now = m_ports.scheduler.now();
+    if (!done) {
+        log_call(order, "tell " + phase, done.error().message);
+        one->coordinator.call_failed(now);
+        co_return;
+    }
+    log_call(order, "tell " + phase, "done");
+    one->coordinator.status_told(now);
+    tick(order.pool);
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -82,9 +82,10 @@
                                                                   scoped_prompts& prompts,
                                                                   base::monotonic_time now) const {
     const auto loads = m_loads.totals(now);
+    release_filter released(m_releases, query.canary, now);
     std::vector<weighed> engines;
     for (const auto& [name, engine] : m_registry.engines()) {
-        if (!may_serve(engine, query, now)) {
+        if (!may_serve(engine, query, now) || !released.allows(engine)) {
             continue;
         }
         const auto others = loads.find(name);
@@ -295,6 +296,7 @@
         const known_engine* engine = m_registry.find(held.holder);
         const bool sound = engine != nullptr && engine->listed.pool == query.pool &&
                            !engine->health.suspended(now) && held.confirmed &&
+                           (m_releases == nullptr || m_releases->may_give_state(*engine, now)) &&
                            held.holder != chosen.target.name;
         if (!sound) {
             continue;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -8,6 +8,7 @@
 #include "ferryroad/core/placement/placement.hpp"
 #include "ferryroad/core/placement/warm_state.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
+#include "ferryroad/relay/canary_traffic.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/types.hpp"
@@ -42,6 +43,7 @@
     const core::traffic::tenant* tenant = nullptr;
     std::vector<base::engine_name> excluded;
     base::duration target_gap{};  ///< Of the route's streams.
+    bool canary = false;          ///< Chosen for the version on trial, and only for that.
 };
 
 struct selected_engine {
@@ -74,6 +76,9 @@
           m_settings(std::move(settings)) {}
 
     void change_settings(selection_settings settings) { m_settings = std::move(settings); }
+    /// Engines get only what releases of their pool's software allow. @param releases outlives
+    /// this.
+    void heed(const canary_traffic& releases) { m_releases = &releases; }
 
     /// Routers that aren't heard send requests, too, and are taken to load each engine as those
     /// do that are.
@@ -146,6 +151,7 @@
     core::placement::warm_state& m_warm;
     const core::placement::engine_load_view& m_loads;
     selection_settings m_settings;
+    const canary_traffic* m_releases = nullptr;
     std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
     double m_unseen_load = 1;
 };
