--- a/src/ferryroad/peer/release_message.hpp
+++ b/src/ferryroad/peer/release_message.hpp
@@ -37,6 +37,8 @@
     coordination::release::order_number order;
     /// Of that pool and order; nothing while the sender doesn't know the record.
     std::optional<coordination::release::phase_notice> told;
+    /// The end is recorded and told to operators: no further report is needed.
+    bool done = false;
 
     friend bool operator==(const release_notice&, const release_notice&) = default;
 };
--- a/src/ferryroad/peer/release_message_codec.cpp
+++ b/src/ferryroad/peer/release_message_codec.cpp
@@ -162,7 +162,7 @@
     const auto target = write_text(builder, told.target.value);
     return finish(builder,
                   wire::CreateReleaseNotice(builder, sender, pool, notice.order.value, target,
-                                            phase, refused, replaced),
+                                            phase, refused, replaced, notice.done),
                   notice_identifier);
 }
 
@@ -214,6 +214,7 @@
     notice.sender = reader.name<base::router_name>(root->sender());
     notice.pool = reader.name<base::pool_name>(root->pool());
     notice.order = order_number(root->order());
+    notice.done = root->done();
     if (const auto phase = read_phase(reader, root->phase())) {
         notice.told = phase_notice{notice.pool,
                                    notice.order,
--- a/src/ferryroad/relay/canary_traffic.cpp
+++ b/src/ferryroad/relay/canary_traffic.cpp
@@ -229,9 +229,16 @@
 release::permission canary_traffic::permits(const known_engine& engine,
                                             base::monotonic_time now) const {
     const auto found = gate_permits(engine, now);
-    const bool unheard =
-        found == release::permission::none && !m_heard.contains(engine.listed.pool);
-    return unheard && stands_empty(engine.listed.pool, now) ? release::permission::all : found;
+    if (found != release::permission::none || !stands_empty(engine.listed.pool, now)) {
+        return found;
+    }
+    if (!m_heard.contains(engine.listed.pool)) {
+        return release::permission::all;
+    }
+    const auto listed_at = std::min(engine.listed_at, m_confirmed_at.value_or(engine.listed_at));
+    const auto once_confirmed =
+        m_gate.permits(engine.listed.pool, engine.listed.software, listed_at, now);
+    return once_confirmed == release::permission::all ? once_confirmed : found;
 }
 
 release::permission canary_traffic::gate_permits(const known_engine& engine,
@@ -259,16 +266,6 @@
            !(told && told->refused.contains(engine.listed.software));
 }
 
-std::vector<base::pool_name> canary_traffic::under_way() const {
-    std::vector<base::pool_name> pools;
-    for (const auto& [pool, one] : m_pools) {
-        if (m_gate.under_way(pool)) {
-            pools.push_back(pool);
-        }
-    }
-    return pools;
-}
-
 const own_release* canary_traffic::find(const base::pool_name& pool) const {
     const auto known = m_pools.find(pool);
     return known == m_pools.end() ? nullptr : &known->second.own;
--- a/src/ferryroad/relay/canary_traffic.hpp
+++ b/src/ferryroad/relay/canary_traffic.hpp
@@ -93,8 +93,9 @@
 
     // ---- Questions ----
 
-    /// Where nothing was ever heard of an order, a pool that would stand without any engine (this
-    /// router has just started, or all its engines are being replaced) is served by all it has.
+    /// A pool that would stand without any engine (this router has just started, or all engines
+    /// are being replaced) is served by those that only lack a confirmation; by all where no order
+    /// was ever heard of.
     coordination::release::permission permits(const known_engine& engine,
                                               base::monotonic_time now) const;
     /// @return whether the engine is one that canary requests of its pool go to.
@@ -103,8 +104,6 @@
     /// refused, or may get no requests yet.
     bool may_give_state(const known_engine& engine, base::monotonic_time now) const;
     std::optional<base::monotonic_time> confirmed_at() const { return m_confirmed_at; }
-    /// @return pools whose order is not known to have ended.
-    std::vector<base::pool_name> under_way() const;
     const coordination::release::version_gate& gate() const { return m_gate; }
     /// @return null where the pool has no order.
     const own_release* find(const base::pool_name& pool) const;
--- a/src/ferryroad/relay/release_service.cpp
+++ b/src/ferryroad/relay/release_service.cpp
@@ -88,7 +88,7 @@
 
 void release_service::step() {
     const base::monotonic_time now = m_ports.scheduler.now();
-    const auto pools = m_traffic.under_way();
+    const auto pools = open_pools();
     std::erase_if(m_reporting, [&](const auto& entry) {
         return std::find(pools.begin(), pools.end(), entry.first) == pools.end();
     });
@@ -136,6 +136,17 @@
 
 // ---- As any router ----
 
+std::vector<base::pool_name> release_service::open_pools() const {
+    std::vector<base::pool_name> pools;
+    for (const auto& [pool, order] : m_traffic.gate().orders()) {
+        const auto done = m_done.find(pool);
+        if (done == m_done.end() || done->second != order.number) {
+            pools.push_back(pool);
+        }
+    }
+    return pools;
+}
+
 base::duration release_service::pace() const {
     const auto routers = static_cast<std::int64_t>(m_homes.size());
     return std::max(m_settings.report_pace, m_settings.report_pace_per_router * routers);
@@ -208,6 +219,9 @@
     if (notice.told) {
         m_traffic.told(*notice.told, m_ports.scheduler.now());
     }
+    if (notice.done) {
+        m_done[notice.pool] = notice.order;
+    }
 }
 
 // ---- As coordinator ----
@@ -244,7 +258,8 @@
     if (report.order == order->number) {
         one.evidence.take(report);
     }
-    return peer::release_notice{m_self, report.pool, order->number, one.coordinator.notice()};
+    return peer::release_notice{m_self, report.pool, order->number, one.coordinator.notice(),
+                                one.coordinator.done()};
 }
 
 void release_service::look(const base::pool_name& pool, led_release& one,
@@ -328,7 +343,7 @@
 }
 
 void release_service::tell_all(const release::phase_notice& told) {
-    const peer::release_notice notice{m_self, told.pool, told.order, told};
+    const peer::release_notice notice{m_self, told.pool, told.order, told, false};
     runtime::log(runtime::log_level::info, component, "phase told to all",
                  {{"pool", told.pool.value},
                   {"order", std::to_string(told.order.value)},
--- a/src/ferryroad/relay/release_service.hpp
+++ b/src/ferryroad/relay/release_service.hpp
@@ -113,6 +113,9 @@
 
     // ---- As any router ----
 
+    /// @return pools whose order may still need something: until a coordinator says that the end
+    /// is recorded and told, any of its routers may have to take its place.
+    std::vector<base::pool_name> open_pools() const;
     void report(const base::pool_name& pool, reporting& state, base::monotonic_time now);
     std::vector<peer::release_report> reports_of(const own_release& own, bool saw_bad) const;
     void note_unanswered(const base::pool_name& pool, reporting& state, base::monotonic_time now);
@@ -148,6 +151,8 @@
     coordination::quota::quota_homes m_homes;
     std::map<base::router_name, base::endpoint> m_addresses;
     std::map<base::pool_name, reporting> m_reporting;
+    /// Orders that are known to have ended altogether.
+    std::map<base::pool_name, coordination::release::order_number> m_done;
     std::map<base::pool_name, led_release> m_led;
     release_counters m_counters;
     bool m_stopped = false;
--- a/test/peer/release_message_test.cpp
+++ b/test/peer/release_message_test.cpp
@@ -61,6 +61,7 @@
     cr_assert(*notice == sample_notice());
     release_notice unknown = sample_notice();
     unknown.told.reset();
+    unknown.done = true;
     cr_assert(*decode_release_notice(encode(unknown)) == unknown);
     for (const release_phase phase :
          {release_phase::trial, release_phase::promoted, release_phase::completed}) {
