Regions: distance as one concept for placing, moving state and reading tables

Nothing in placing or in the relay knew a region: requests, moves of state, event polls and copies of tables crossed regions blindly. Settings tell zones with their regions (core/topology); placing prices the way and the bytes, draws mostly from the own region, moves state from another region only where it costs less than reading again, and event polls of far holders are rarer.

--- a/src/ferryroad/coordination/reading/reading_tree.cpp
+++ b/src/ferryroad/coordination/reading/reading_tree.cpp
@@ -22,17 +22,52 @@
     return members;
 }
 
+/// The first of each zone, those before the others that are the first of their region, too.
 std::vector<tree_member> heads_of(const std::vector<tree_member>& in_rank) {
     std::vector<tree_member> heads;
-    std::set<base::zone_name> seen;
+    std::vector<tree_member> of_zones;
+    std::set<base::zone_name> zones;
+    std::set<base::region_name> regions;
     for (const tree_member& one : in_rank) {
-        if (seen.insert(one.zone).second) {
-            heads.push_back(one);
+        if (zones.insert(one.zone).second) {
+            const bool first_of_region = regions.insert(one.region).second;
+            (first_of_region ? heads : of_zones).push_back(one);
         }
     }
+    heads.insert(heads.end(), of_zones.begin(), of_zones.end());
     return heads;
 }
 
+/// Where a head takes its copy from that isn't a reader: the head of a region from the readers, or
+/// from other such heads below them, and the head of a zone from those of its region.
+tree_member parent_of_head(const tree_member& self, const std::vector<tree_member>& heads,
+                           std::size_t readers, std::size_t degree) {
+    std::set<base::region_name> regions;
+    std::vector<tree_member> across;
+    std::vector<tree_member> within;
+    for (const tree_member& one : heads) {
+        if (regions.insert(one.region).second) {
+            across.push_back(one);
+        }
+        if (one.region == self.region) {
+            within.push_back(one);
+        }
+    }
+    const auto place_in = [](const std::vector<tree_member>& list, const tree_member& wanted) {
+        return static_cast<std::size_t>(
+            std::distance(list.begin(), std::find(list.begin(), list.end(), wanted)));
+    };
+    const std::size_t as_region = place_in(across, self);
+    if (as_region < across.size()) {
+        return across[(as_region - readers) / degree];
+    }
+    const auto is_reader = [&](const tree_member& one) { return place_in(heads, one) < readers; };
+    const auto reading = static_cast<std::size_t>(
+        std::count_if(within.begin(), within.end(), is_reader));
+    const std::size_t above = std::max<std::size_t>(reading, 1);
+    return within[(place_in(within, self) - above) / degree];
+}
+
 /// Heads first, so that readers stand in different zones where there are several.
 std::vector<tree_member> readers_of(const std::vector<tree_member>& in_rank,
                                     const std::vector<tree_member>& heads, std::size_t count) {
@@ -62,9 +97,9 @@
 
 }  // namespace
 
-tree_member make_member(base::router_name name, base::zone_name zone) {
+tree_member make_member(base::router_name name, base::zone_name zone, base::region_name region) {
     const std::uint64_t rank = base::rendezvous_score(rank_salt, name.value);
-    return {std::move(name), std::move(zone), rank};
+    return {std::move(name), std::move(zone), std::move(region), rank};
 }
 
 std::vector<tree_member> readers_among(const std::vector<tree_member>& members,
@@ -85,9 +120,8 @@
     }
     const std::size_t as_head = place_of(heads, self);
     if (as_head < heads.size()) {
-        // A heap: the readers, then the other heads, each with as many below it as the degree.
-        const std::size_t parent = (as_head - readers.size()) / settings.degree;
-        return {false, heads[parent].name};
+        const std::size_t reading = std::min(readers.size(), heads.size());
+        return {false, parent_of_head(self, heads, reading, settings.degree).name};
     }
     const std::vector<tree_member> zone = in_zone(in_rank, self.zone);
     const std::size_t parent = (place_of(zone, self) - 1) / settings.degree;
--- a/src/ferryroad/coordination/reading/reading_tree.hpp
+++ b/src/ferryroad/coordination/reading/reading_tree.hpp
@@ -2,9 +2,11 @@
 /// Which routers read an outside table for all, and from whom each other router takes its copy.
 ///
 /// Every router ranks all routers alike, by a hash of their names. The first of each zone is the
-/// zone's head; the first few heads read the owner. Other heads take their copy from those, and
-/// the routers of a zone form a tree of bounded degree below their head. So a copy passes few
-/// hops, most of them within a zone, and nobody has to be elected: routers whose views differ
+/// zone's head, and the first of each region its region's. The first few heads of regions, and then
+/// of zones, read the owner. Other regions' heads take their copy from those, the heads of a
+/// region's zones from their region's, and the routers of a zone form a tree of bounded degree
+/// below their head. So a copy passes few hops, most of them within a zone, one of them at most
+/// between regions, and nobody has to be elected: routers whose views differ
 /// for a while only read the owner more often.
 #pragma once
 
@@ -20,6 +22,8 @@
 struct tree_member {
     base::router_name name;
     base::zone_name zone;
+    /// The same text for all where nothing is told of regions.
+    base::region_name region;
     /// The same at all routers; the highest comes first.
     std::uint64_t rank = 0;
 
@@ -27,7 +31,8 @@
 };
 
 /// @return the member with its rank. Thread-safe, as all here.
-tree_member make_member(base::router_name name, base::zone_name zone);
+tree_member make_member(base::router_name name, base::zone_name zone,
+                        base::region_name region = {});
 
 struct tree_settings {
     /// Routers that read the owner: a second one, so that the loss of one costs no freshness.
--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -7,23 +7,34 @@
 namespace {
 
 /// What the shared parts cost here: those that can be fetched are moved, the others are read.
-double shared_cost(const placement_query& query, const engine_candidate& engine,
-                   const placement_tunables& tunables) {
+shared_plan shared_by(const placement_query& query, const engine_candidate& engine,
+                      const placement_tunables& tunables, bool from_far) {
     const std::uint64_t warm = std::min(engine.warm_tokens, query.shared_tokens);
+    const std::uint64_t fetchable = from_far ? engine.far_fetchable_tokens : engine.fetchable_tokens;
     const std::uint64_t held_somewhere =
-        std::min(std::max(engine.fetchable_tokens, warm), query.shared_tokens);
-    const auto moved = static_cast<double>(held_somewhere - warm);
-    auto read = static_cast<double>(query.shared_tokens - held_somewhere);
-    read *= engine.home ? 1 - tunables.home_warmth : 1.0;
-    const double moving = moved > 0 ? tunables.fetch_ms + moved * tunables.fetch_token_ms : 0.0;
-    return moving + read * tunables.recompute_factor / tunables.prefill_tokens_per_ms;
+        std::min(std::max(fetchable, warm), query.shared_tokens);
+    shared_plan plan;
+    plan.moved_tokens = held_somewhere - warm;
+    plan.from_far = from_far;
+    const std::uint64_t known =
+        std::max(held_somewhere, std::min(engine.far_fetchable_tokens, query.shared_tokens));
+    const auto again = static_cast<double>(known - held_somewhere);
+    auto fresh = static_cast<double>(query.shared_tokens - known);
+    fresh *= engine.home ? 1 - tunables.home_warmth : 1.0;
+    const double read = fresh * tunables.recompute_factor + again * tunables.reread_factor;
+    const double each = tunables.fetch_token_ms * (from_far ? tunables.far_fetch_factor : 1.0);
+    const double moving =
+        plan.moved_tokens > 0 ? tunables.fetch_ms + static_cast<double>(plan.moved_tokens) * each
+                              : 0.0;
+    plan.cost_ms = moving + read / tunables.prefill_tokens_per_ms;
+    return plan;
 }
 
 double prefill_cost(const placement_query& query, const engine_candidate& engine,
                     const placement_tunables& tunables) {
     const double own =
         static_cast<double>(query.input_tokens - std::min(query.shared_tokens, query.input_tokens));
-    return own / tunables.prefill_tokens_per_ms + shared_cost(query, engine, tunables);
+    return own / tunables.prefill_tokens_per_ms + plan_shared(query, engine, tunables).cost_ms;
 }
 
 /// What the streams that run there are likely to lose while this prompt and those before it
@@ -34,7 +45,8 @@
     if (gap_ms <= 0) {
         return 0;
     }
-    const std::uint64_t held = std::max(engine.warm_tokens, engine.fetchable_tokens);
+    const std::uint64_t moved = plan_shared(query, engine, tunables).moved_tokens;
+    const std::uint64_t held = std::max(engine.warm_tokens + moved, engine.fetchable_tokens);
     const std::uint64_t read = query.input_tokens - std::min(held, query.input_tokens);
     const double reading_ms =
         static_cast<double>(engine.pending_prefill_tokens + read) / tunables.prefill_tokens_per_ms;
@@ -44,16 +56,27 @@
     return std::clamp(late, 0.0, 1.0) * engine.running * each;
 }
 
+/// The way there, what its bytes cost, and what can't be known of an engine that far.
+double distance_cost(const placement_query& query, const engine_candidate& engine,
+                     const placement_tunables& tunables) {
+    if (engine.away == topology::distance::same_zone) {
+        return 0;
+    }
+    const double unseen = query.unseen_load > 1 ? tunables.unseen_zone_ms : 0.0;
+    const bool far = engine.away == topology::distance::other_region;
+    const double beyond = far ? engine.path_ms + query.transfer_kb * tunables.region_kb_ms : 0.0;
+    return tunables.other_zone_ms + unseen + beyond;
+}
+
 double cost_of(const placement_query& query, const engine_candidate& engine,
                const placement_tunables& tunables) {
     const double pending = static_cast<double>(engine.pending_prefill_tokens);
     const double queue = pending * query.unseen_load / tunables.prefill_tokens_per_ms;
     const double share = static_cast<double>(engine.running) / std::max(1U, engine.slots);
     const double crowd = share * query.unseen_load * tunables.full_engine_ms;
-    const double unseen_zone = query.unseen_load > 1 ? tunables.unseen_zone_ms : 0.0;
     double cost = prefill_cost(query, engine, tunables) + queue + crowd;
     cost += interference_cost(query, engine, tunables);
-    cost += engine.same_zone ? 0.0 : tunables.other_zone_ms + unseen_zone;
+    cost += distance_cost(query, engine, tunables);
     cost += engine.outdated ? tunables.outdated_ms : 0.0;
     cost += engine.suspended ? tunables.suspended_ms : 0.0;
     return cost;
@@ -61,6 +84,16 @@
 
 }  // namespace
 
+shared_plan plan_shared(const placement_query& query, const engine_candidate& engine,
+                        const placement_tunables& tunables) {
+    const shared_plan near = shared_by(query, engine, tunables, false);
+    if (engine.far_fetchable_tokens <= engine.fetchable_tokens) {
+        return near;
+    }
+    const shared_plan far = shared_by(query, engine, tunables, true);
+    return far.cost_ms < near.cost_ms ? far : near;
+}
+
 std::optional<placement_choice> choose_engine(const placement_query& query,
                                               const placement_tunables& tunables) {
     std::optional<placement_choice> best;
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -5,6 +5,7 @@
 
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -16,7 +17,10 @@
 /// An engine that may get the request, as this router sees it.
 struct engine_candidate {
     base::engine_name name;
-    bool same_zone = true;
+    topology::distance away = topology::distance::same_zone;
+    /// Round trip to there beyond that within the own zone, in milliseconds; counts for other
+    /// regions only.
+    double path_ms = 0;
     bool home = false;          ///< Where all routers send a prefix that nobody holds.
     bool suspended = false;     ///< Taken only where no other is left.
     bool outdated = false;      ///< Runs weights older than the newest named, and not yet too old.
@@ -24,7 +28,9 @@
     std::uint32_t slots = 1;
     std::uint64_t pending_prefill_tokens = 0;  ///< Of these, before their first event.
     std::uint64_t warm_tokens = 0;             ///< Of this prompt, believed to be held.
-    std::uint64_t fetchable_tokens = 0;        ///< The same, held by another engine or a store.
+    /// The same, held by another engine or a store that a move from is no further than a zone.
+    std::uint64_t fetchable_tokens = 0;
+    std::uint64_t far_fetchable_tokens = 0;  ///< The same, wherever it is held.
 
     friend bool operator==(const engine_candidate&, const engine_candidate&) = default;
 };
@@ -37,6 +43,7 @@
     double gap_pressure = 1;      ///< From 0 to 1: whether streams of the pool do pause.
     /// An engine's load, as a multiple of what is known of it: other routers send there, too.
     double unseen_load = 1;
+    double transfer_kb = 0;  ///< Of the request and its answer, in kilobytes.
 };
 
 struct placement_tunables {
@@ -49,10 +56,18 @@
     /// they are what outdated weights cost, so that engines with new ones are not rushed from
     /// afar (design note 0055).
     double unseen_zone_ms = 110;
+    /// What a kilobyte to or from another region costs beside its time.
+    double region_kb_ms = 1;
     /// Reading shared tokens again costs money beside time: times its prefill.
     double recompute_factor = 2.0;
+    /// The same of what is held, but too far away to be moved: that it is read again is waste, while
+    /// what nobody holds must be read.
+    double reread_factor = 4.0;
     /// Moving a shared token from where it is held, instead of reading it: milliseconds.
     double fetch_token_ms = 0.02;
+    /// The same from another region, as a multiple: engines' links move state there five times as
+    /// slowly as between zones.
+    double far_fetch_factor = 5;
     /// A move's own time, whatever its size.
     double fetch_ms = 5;
     /// Share of what nobody holds that its home is believed to be reading for others already: so
@@ -77,6 +92,20 @@
     friend bool operator==(const placement_choice&, const placement_choice&) = default;
 };
 
+/// How an engine comes to the prompt's shared state.
+struct shared_plan {
+    double cost_ms = 0;
+    std::uint64_t moved_tokens = 0;
+    bool from_far = false;  ///< Moved from another region.
+
+    friend bool operator==(const shared_plan&, const shared_plan&) = default;
+};
+
+/// @return the cheaper of two ways: moving what is held nearby and reading the rest, or moving what
+/// another region holds. Thread-safe.
+shared_plan plan_shared(const placement_query& query, const engine_candidate& engine,
+                        const placement_tunables& tunables);
+
 /// @return the candidate with the least cost, the first of equals; nothing where there is none.
 /// Thread-safe.
 std::optional<placement_choice> choose_engine(const placement_query& query,
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -228,6 +228,10 @@
             note_failure(opened.error());
             co_return;
         }
+        if (!m_plan.call->prompt) {
+            const base::monotonic_time opened_at = m_with.scheduler.now();
+            m_with.selection.record_way(m_selected.zone, opened_at - now, opened_at);
+        }
         saw_version(opened->version);
         m_answer = std::move(*opened);
         m_whole.clear();
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -16,6 +16,13 @@
 /// What a few routers know says little of a fleet that is so many times as large.
 constexpr double most_unseen_load = 8;
 
+/// Of a streamed answer, with an event's framing around each piece of text.
+constexpr double event_kb = 0.1;
+
+double answer_kb(std::uint64_t output_tokens) {
+    return static_cast<double>(output_tokens) * event_kb;
+}
+
 }  // namespace
 
 std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version) {
@@ -48,25 +55,50 @@
     return found == holdings.end() || found->holder != holder ? 0 : found->tokens;
 }
 
-std::uint64_t engine_selection::scoped_prompt::held_beside(const base::engine_name& holder) const {
-    return holder == best_giver ? most_given_beside : most_given;
+void engine_selection::givers::add(const placement::holding& one) {
+    if (one.tokens > most) {
+        most_beside = most;
+        most = one.tokens;
+        best = one.holder;
+    } else {
+        most_beside = std::max(most_beside, one.tokens);
+    }
+}
+
+std::optional<base::zone_name> engine_selection::zone_of(const selection_query& query,
+                                                         const base::engine_name& holder) const {
+    if (const known_engine* engine = m_registry.find(holder)) {
+        return engine->listed.zone;
+    }
+    for (const core::traffic::state_store& store : query.policy.declared().stores) {
+        if (holder_of(store) == holder) {
+            return store.zone;
+        }
+    }
+    return std::nullopt;
 }
 
-void engine_selection::scoped_prompt::find_givers() {
-    for (const placement::holding& one : holdings) {
+void engine_selection::find_givers(const selection_query& query, scoped_prompt& prompt) const {
+    for (const placement::holding& one : prompt.holdings) {
         if (!one.confirmed) {
             continue;
         }
-        if (one.tokens > most_given) {
-            most_given_beside = most_given;
-            most_given = one.tokens;
-            best_giver = one.holder;
-        } else {
-            most_given_beside = std::max(most_given_beside, one.tokens);
+        prompt.everywhere.add(one);
+        const auto zone =
+            m_settings.zones.several_regions() ? zone_of(query, one.holder) : std::nullopt;
+        const auto region = zone ? m_settings.zones.region_of(*zone) : std::nullopt;
+        if (region) {
+            prompt.by_region[*region].add(one);
         }
     }
 }
 
+bool engine_selection::far_state_is_worth_moving() const {
+    const placement::placement_tunables& costs = m_settings.placement;
+    return costs.fetch_token_ms * costs.far_fetch_factor <
+           costs.reread_factor / costs.prefill_tokens_per_ms;
+}
+
 engine_selection::scoped_prompt engine_selection::scoped(const selection_query& query,
                                                          std::uint64_t version,
                                                          base::monotonic_time now) const {
@@ -74,7 +106,7 @@
     prompt.scope = cache_scope_of(query.tenant, version);
     prompt.parts = core::prefix::scoped_parts_of(*query.call.prompt, prompt.scope);
     prompt.holdings = m_warm.holdings(prompt.parts, now);
-    prompt.find_givers();
+    find_givers(query, prompt);
     return prompt;
 }
 
@@ -109,7 +141,8 @@
     const known_engine& engine = *one.engine;
     placement::engine_candidate candidate;
     candidate.name = engine.listed.name;
-    candidate.same_zone = engine.listed.zone == m_settings.zone;
+    candidate.away = m_settings.zones.between(m_settings.zone, engine.listed.zone);
+    candidate.path_ms = base::to_seconds(m_paths.beyond_own(engine.listed.zone, now)) * 1000;
     const bool refuses = now < engine.refuses_until || one.others.refuses;
     candidate.suspended = engine.health.suspended(now) || refuses;
     candidate.running = engine.running + one.others.running;
@@ -120,26 +153,47 @@
         const auto outdated = m_policies.outdated_since(model, engine.version_of(model));
         candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
         candidate.warm_tokens = one.prompt->held_by(candidate.name);
-        candidate.fetchable_tokens = one.prompt->held_beside(candidate.name);
+        const std::uint64_t anywhere = one.prompt->everywhere.held_beside(candidate.name);
+        candidate.fetchable_tokens = anywhere;
+        candidate.far_fetchable_tokens = anywhere;
+        if (m_settings.zones.several_regions()) {
+            const auto region = m_settings.zones.region_of(engine.listed.zone);
+            const auto near = region ? one.prompt->by_region.find(*region)
+                                     : one.prompt->by_region.end();
+            candidate.fetchable_tokens = near == one.prompt->by_region.end()
+                                             ? 0
+                                             : near->second.held_beside(candidate.name);
+        }
     }
     return candidate;
 }
 
-/// All routers reckon the same home from the same list of engines, so that requests which
-/// come at the same time to different routers read a prefix once.
+/// All routers of a region reckon the same home from the same list of engines, so that requests
+/// which come at the same time to different routers read a prefix once.
 void engine_selection::mark_home(const std::vector<weighed>& engines,
                                  const core::prefix::declared_prompt& prompt,
                                  placement::placement_query& placed) const {
     if (prompt.shared_parts() == 0) {
         return;
     }
+    const auto may_be_home = [](const placement::engine_candidate& one) {
+        return !one.suspended && !one.outdated;
+    };
+    const auto is_near = [](const placement::engine_candidate& one) {
+        return one.away != core::topology::distance::other_region;
+    };
+    const auto near = static_cast<std::size_t>(std::count_if(
+        placed.candidates.begin(), placed.candidates.end(),
+        [&](const auto& one) { return may_be_home(one) && is_near(one); }));
+    const bool own_region = near >= m_settings.least_homes;
     const std::uint64_t key = base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
     std::optional<std::size_t> home;
     std::uint64_t best = 0;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
         const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
-        if (!candidate.suspended && !candidate.outdated && (!home || score > best)) {
+        const bool counts = may_be_home(candidate) && (is_near(candidate) || !own_region);
+        if (counts && (!home || score > best)) {
             home = index;
             best = score;
         }
@@ -173,13 +227,31 @@
             others.push_back({!candidate.suspended, score, index});
         }
     }
-    const std::size_t count = std::min(others.size(), m_settings.drawn_engines);
-    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end(), [](const drawn_engine& a, const drawn_engine& b) {
-                          return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
-                      });
-    for (std::size_t place = 0; place < count; ++place) {
-        kept.push_back(others[place].index);
+    const auto goes_before = [](const drawn_engine& a, const drawn_engine& b) {
+        return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
+    };
+    std::sort(others.begin(), others.end(), goes_before);
+    std::size_t far_left = m_settings.drawn_far;
+    std::vector<std::size_t> spare;  // Of other regions, beyond their part.
+    std::size_t left_to_draw = std::min(others.size(), m_settings.drawn_engines);
+    for (const drawn_engine& one : others) {
+        const bool far = placed.candidates[one.index].away == core::topology::distance::other_region;
+        if (left_to_draw == 0) {
+            break;
+        }
+        if (far && one.sound && far_left == 0) {
+            spare.push_back(one.index);
+            continue;
+        }
+        if (!one.sound && !spare.empty()) {
+            break;  // Sound ones, however far, come first.
+        }
+        far_left -= far && far_left > 0 ? 1 : 0;
+        kept.push_back(one.index);
+        --left_to_draw;
+    }
+    for (std::size_t place = 0; place < std::min(left_to_draw, spare.size()); ++place) {
+        kept.push_back(spare[place]);
     }
     std::vector<weighed> left;
     std::vector<placement::engine_candidate> candidates;
@@ -205,7 +277,9 @@
     for (const weighed& one : engines) {
         placed.candidates.push_back(candidate_of(one, query, now));
     }
+    placed.transfer_kb = static_cast<double>(query.call.message.body.size()) / 1000;
     if (query.call.prompt) {
+        placed.transfer_kb += answer_kb(query.call.prompt->output_tokens);
         placed.input_tokens = query.call.prompt->input_tokens;
         placed.shared_tokens = query.call.prompt->shared_tokens();
         placed.target_gap = query.target_gap;
@@ -227,41 +301,57 @@
     chosen.slots = candidate.slots;
     chosen.pending_prefill_tokens = candidate.pending_prefill_tokens;
     chosen.warm_tokens = candidate.warm_tokens;
-    chosen.fetchable_tokens = candidate.fetchable_tokens;
+    chosen.zone = one.engine->listed.zone;
+    chosen.away = candidate.away;
+    chosen.path_ms = candidate.path_ms;
+    const placement::shared_plan plan =
+        placement::plan_shared(placed, candidate, m_settings.placement);
+    chosen.fetchable_tokens =
+        plan.from_far ? candidate.far_fetchable_tokens : candidate.fetchable_tokens;
     if (one.prompt != nullptr) {
         chosen.expected_version = one.engine->version_of(query.call.prompt->model);
         chosen.cache_scope = one.prompt->scope;
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
         chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
-        chosen.zone = one.engine->listed.zone;
-        add_state_terms(query, *one.prompt, now, chosen);
+        add_state_terms(query, *one.prompt, plan.from_far, now, chosen);
     }
     return chosen;
 }
 
 void engine_selection::add_state_terms(const selection_query& query, const scoped_prompt& prompt,
-                                       base::monotonic_time now, selected_engine& chosen) const {
+                                       bool from_far, base::monotonic_time now,
+                                       selected_engine& chosen) const {
     const core::prefix::declared_prompt& declared = *query.call.prompt;
     const std::uint64_t shared = declared.shared_tokens();
     if (shared == 0) {
         return;
     }
-    const std::uint64_t in_store = add_store_terms(query, prompt, chosen);
+    const std::uint64_t in_store = add_store_terms(query, prompt, from_far, chosen);
     if (chosen.warm_tokens >= shared) {
         return;
     }
-    const known_engine* source = best_source(query, prompt, chosen, now);
+    const known_engine* source = best_source(query, prompt, from_far, chosen, now);
     const std::uint64_t at_source = source == nullptr ? 0 : prompt.held_by(source->listed.name);
     if (at_source >= in_store && at_source > chosen.warm_tokens) {
         chosen.fetch_state_from = source->listed.address;
     }
 }
 
+std::vector<core::traffic::state_store> engine_selection::stores_for(
+    const selection_query& query, bool from_far, const base::zone_name& zone) const {
+    const auto& all = query.policy.declared().stores;
+    std::vector<core::traffic::state_store> near;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(near),
+                 [&](const auto& store) { return same_region(store.zone, zone); });
+    const bool far_counts = from_far || (near.empty() && far_state_is_worth_moving());
+    return far_counts ? all : near;
+}
+
 std::uint64_t engine_selection::add_store_terms(const selection_query& query,
-                                                const scoped_prompt& prompt,
+                                                const scoped_prompt& prompt, bool from_far,
                                                 selected_engine& chosen) const {
     const core::prefix::declared_prompt& declared = *query.call.prompt;
-    const auto& stores = query.policy.declared().stores;
+    const auto stores = stores_for(query, from_far, chosen.zone);
     const core::traffic::state_store* home = placement::store_of(stores, declared);
     if (home == nullptr) {
         return 0;
@@ -286,23 +376,25 @@
 }
 
 const known_engine* engine_selection::best_source(const selection_query& query,
-                                                  const scoped_prompt& prompt,
+                                                  const scoped_prompt& prompt, bool from_far,
                                                   const selected_engine& chosen,
                                                   base::monotonic_time now) const {
     const known_engine* best = nullptr;
-    std::tuple<std::uint64_t, bool> best_rank;
+    std::tuple<std::uint64_t, core::topology::distance> best_rank;
     for (const placement::holding& held : prompt.holdings) {
         const known_engine* engine = m_registry.find(held.holder);
         const bool sound = engine != nullptr && engine->listed.pool == query.pool &&
                            !engine->health.suspended(now) && held.confirmed &&
                            held.holder != chosen.target.name;
-        if (!sound) {
+        if (!sound || !(from_far || same_region(engine->listed.zone, chosen.zone))) {
             continue;
         }
-        const std::tuple rank(held.tokens, engine->listed.zone == chosen.zone);
-        if (best == nullptr || rank > best_rank) {
+        const auto away = m_settings.zones.between(engine->listed.zone, chosen.zone);
+        const bool is_better = best == nullptr || held.tokens > std::get<0>(best_rank) ||
+                               (held.tokens == std::get<0>(best_rank) && away < std::get<1>(best_rank));
+        if (is_better) {
             best = engine;
-            best_rank = rank;
+            best_rank = {held.tokens, away};
         }
     }
     return best;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -7,6 +7,8 @@
 #include "ferryroad/core/placement/gap_pressure.hpp"
 #include "ferryroad/core/placement/placement.hpp"
 #include "ferryroad/core/placement/warm_state.hpp"
+#include "ferryroad/core/topology/path_costs.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
@@ -22,6 +24,7 @@
 
 struct selection_settings {
     base::zone_name zone;
+    core::topology::zone_map zones;  ///< With their regions.
     core::placement::placement_tunables placement;
     /// An engine with older weights gets no request later than this after newer ones were
     /// named; nothing where old weights serve for ever.
@@ -32,6 +35,11 @@
     /// id; all where there are fewer. What routers know of load is some 100 ms old: if each took
     /// the least loaded of all, they would meet there.
     std::size_t drawn_engines = 16;
+    /// Of these, where there are several regions, those of other regions: enough for a request to go
+    /// where there is room, few enough that the own region is seen well.
+    std::size_t drawn_far = 4;
+    /// A region with fewer sound engines than this has no homes of its own.
+    std::size_t least_homes = 2;
 };
 
 /// What is to be placed.
@@ -52,7 +60,9 @@
     std::optional<base::endpoint> fetch_state_from;
     std::optional<base::endpoint> save_state_to;
     std::uint64_t warm_tokens = 0;       ///< Believed to be held by the engine.
-    std::uint64_t fetchable_tokens = 0;  ///< The same, held elsewhere.
+    std::uint64_t fetchable_tokens = 0;  ///< The same, held elsewhere and worth moving.
+    core::topology::distance away = core::topology::distance::same_zone;
+    double path_ms = 0;  ///< The way there, beyond that within the own zone.
     std::uint64_t prefill_tokens = 0;    ///< Expected to be read anew.
     double cost_ms = 0;
     std::size_t candidates = 0;
@@ -71,7 +81,8 @@
           m_policies(policies),
           m_warm(warm),
           m_loads(loads),
-          m_settings(std::move(settings)) {}
+          m_settings(std::move(settings)),
+          m_paths(m_settings.zone, m_settings.zones) {}
 
     void change_settings(selection_settings settings) { m_settings = std::move(settings); }
 
@@ -80,6 +91,11 @@
     /// @param present all routers. @param heard those whose load is known, at least 1.
     void expect_routers(std::size_t present, std::size_t heard);
 
+    /// An engine of the zone began its answer to a request without a prompt after `took`.
+    void record_way(const base::zone_name& zone, base::duration took, base::monotonic_time now) {
+        m_paths.record(zone, took, now);
+    }
+
     /// @return nothing where no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
     /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
@@ -96,20 +112,27 @@
     }
 
   private:
+    /// Who of some holders can give state away; what is only expected is being read still.
+    struct givers {
+        base::engine_name best;         ///< Holds the most.
+        std::uint64_t most = 0;         ///< Tokens there.
+        std::uint64_t most_beside = 0;  ///< The most that anyone else holds.
+
+        void add(const core::placement::holding& one);
+        /// @return the most that anyone but `holder` can give away.
+        std::uint64_t held_beside(const base::engine_name& holder) const {
+            return holder == best ? most_beside : most;
+        }
+    };
     /// The prompt under the weights of some engines, with those that hold its beginning.
     struct scoped_prompt {
         std::string scope;
         std::vector<core::prefix::scoped_part> parts;
         std::vector<core::placement::holding> holdings;  ///< In the order of their holders' names.
-        base::engine_name best_giver;                    ///< Holds the most that can be given away.
-        std::uint64_t most_given = 0;                    ///< Tokens there.
-        std::uint64_t most_given_beside = 0;             ///< The most that anyone else gives away.
+        givers everywhere;
+        std::map<base::region_name, givers> by_region;  ///< Only where there are several.
 
         std::uint64_t held_by(const base::engine_name& holder) const;
-        /// @return the most that anyone but `holder` can give away: what is only expected is
-        /// being read still.
-        std::uint64_t held_beside(const base::engine_name& holder) const;
-        void find_givers();
     };
     /// By the version of the weights.
     using scoped_prompts = std::map<std::uint64_t, scoped_prompt>;
@@ -121,6 +144,15 @@
 
     bool may_serve(const known_engine& engine, const selection_query& query,
                    base::monotonic_time now) const;
+    /// @return the zone of an engine or a store; nothing where neither is listed.
+    std::optional<base::zone_name> zone_of(const selection_query& query,
+                                           const base::engine_name& holder) const;
+    void find_givers(const selection_query& query, scoped_prompt& prompt) const;
+    bool same_region(const base::zone_name& one, const base::zone_name& other) const {
+        return m_settings.zones.same_region(one, other);
+    }
+    /// @return whether state of another region costs less to move than to read.
+    bool far_state_is_worth_moving() const;
     scoped_prompt scoped(const selection_query& query, std::uint64_t version,
                          base::monotonic_time now) const;
     std::vector<weighed> eligible(const selection_query& query, scoped_prompts& prompts,
@@ -128,18 +160,24 @@
     void mark_home(const std::vector<weighed>& engines, const core::prefix::declared_prompt& prompt,
                    core::placement::placement_query& placed) const;
     /// Leaves the engines that hold the prompt's shared parts, its home, and some that are drawn:
-    /// suspended ones only where there are too few others.
+    /// suspended ones only where there are too few others, those of other regions in a small part
+    /// where the own has enough.
     void draw(const base::request_id& id, std::vector<weighed>& engines,
               core::placement::placement_query& placed) const;
     core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
                                                    base::monotonic_time now) const;
-    void add_state_terms(const selection_query& query, const scoped_prompt& prompt,
+    /// @param from_far the state is worth moving from another region.
+    void add_state_terms(const selection_query& query, const scoped_prompt& prompt, bool from_far,
                          base::monotonic_time now, selected_engine& chosen) const;
     /// @return the most that one store holds of the prompt.
     std::uint64_t add_store_terms(const selection_query& query, const scoped_prompt& prompt,
-                                  selected_engine& chosen) const;
+                                  bool from_far, selected_engine& chosen) const;
+    /// @return the stores whose state is worth moving to the engine's zone.
+    std::vector<core::traffic::state_store> stores_for(const selection_query& query, bool from_far,
+                                                       const base::zone_name& zone) const;
     const known_engine* best_source(const selection_query& query, const scoped_prompt& prompt,
-                                    const selected_engine& chosen, base::monotonic_time now) const;
+                                    bool from_far, const selected_engine& chosen,
+                                    base::monotonic_time now) const;
 
     engine_registry& m_registry;
     const policy_source& m_policies;
@@ -147,6 +185,7 @@
     const core::placement::engine_load_view& m_loads;
     selection_settings m_settings;
     std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
+    core::topology::path_costs m_paths;
     double m_unseen_load = 1;
 };
 
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "ferryroad/coordination/reading/source_selector.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
 #include "ferryroad/peer/table_call.hpp"
 #include "ferryroad/peer/transport.hpp"
 #include "ferryroad/relay/peer_group.hpp"
@@ -24,6 +25,7 @@
 
 struct shared_feed_settings {
     coordination::reading::selector_settings sources;
+    core::topology::zone_map zones;  ///< With their regions.
     /// A call to another router may be held so long for news. Short, so that a router that
     /// stopped to answer is found out well within the time in which changes must be in force.
     base::duration hold = std::chrono::milliseconds(600);
@@ -59,16 +61,15 @@
           m_owner(owner),
           m_transport(transport),
           m_self(std::move(self)),
-          m_settings(settings),
-          m_sources(coordination::reading::make_member(m_self.name, m_self.zone), settings.sources,
-                    scheduler.random()) {}
+          m_settings(std::move(settings)),
+          m_sources(member_of(m_self), m_settings.sources, scheduler.random()) {}
 
     /// Takes the routers that are present, as the owner's table names them: no others are asked.
     void set_routers(const std::vector<peer_address>& present) {
         std::vector<coordination::reading::tree_member> members;
         m_addresses.clear();
         for (const peer_address& one : present) {
-            members.push_back(coordination::reading::make_member(one.name, one.zone));
+            members.push_back(member_of(one));
             m_addresses[one.name] = one.address;
         }
         m_sources.declare(members);
@@ -97,6 +98,11 @@
   private:
     using source = coordination::reading::source;
 
+    coordination::reading::tree_member member_of(const peer_address& router) const {
+        auto region = m_settings.zones.region_of(router.zone).value_or(base::region_name());
+        return coordination::reading::make_member(router.name, router.zone, std::move(region));
+    }
+
     struct reading {
         std::string table;
         std::uint64_t after = 0;
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -64,6 +64,9 @@
     base::duration short_wait = std::chrono::milliseconds(250);
     /// Between two calls, so that changes come in batches.
     base::duration pace = std::chrono::milliseconds(150);
+    /// The same for a holder of another region. Each call there and back is paid for, and of what
+    /// is that far only what is kept for long matters; well within `news_lifetime`.
+    base::duration far_pace = std::chrono::milliseconds(1200);
     /// How often a router looks whether it must ask a holder that another follows.
     base::duration look_period = std::chrono::milliseconds(500);
     /// Without news from a peer for so long, a router asks by itself.
@@ -86,6 +89,8 @@
     std::function<void(peer::holder_changes)> tell;
     /// @return how many share it, this router included.
     std::function<std::size_t()> routers;
+    /// @return whether a holder's zone lies in another region; empty: none does.
+    std::function<bool(const base::zone_name&)> is_far = {};
 };
 
 /// Used from the event loop's thread; kept until the loop has ended. Collaborators outlive it.
@@ -209,7 +214,7 @@
             note_answer(*holder, answered);
             if (answered) {
                 backoff = m_settings.first_backoff;
-                co_await m_scheduler.sleep_for(m_settings.pace);
+                co_await m_scheduler.sleep_for(pace_of(*holder));
                 continue;
             }
             if (is_silent(*holder)) {
@@ -235,6 +240,11 @@
                       {"epoch", std::to_string(holder.epoch)}});
     }
 
+    base::duration pace_of(const followed_holder& holder) const {
+        const bool far = m_sharing.is_far && m_sharing.is_far(holder.zone);
+        return far ? m_settings.far_pace : m_settings.pace;
+    }
+
     bool is_silent(const followed_holder& holder) const {
         return m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
     }
--- a/src/ferryroad/settings/field.cpp
+++ b/src/ferryroad/settings/field.cpp
@@ -217,6 +217,22 @@
             presence::optional, std::move(read)};
 }
 
+field make_checked_list(std::string name, std::string description,
+                        std::vector<std::string>& target, list_check check) {
+    field made = make_field(std::move(name), std::move(description), target);
+    made.read = [&target, read = std::move(made.read),
+                 check = std::move(check)](const json::value& value) -> leaf::result<void> {
+        std::vector<std::string> before = target;
+        BOOST_LEAF_CHECK(read(value));
+        if (auto expected = check(target)) {
+            target = std::move(before);
+            return leaf::new_error(expectation{std::move(*expected)});
+        }
+        return {};
+    };
+    return made;
+}
+
 field make_choice(std::string name, std::string description, std::string& target,
                   std::vector<std::string> choices) {
     std::string listed;
--- a/src/ferryroad/settings/field.hpp
+++ b/src/ferryroad/settings/field.hpp
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,11 @@
 field make_field(std::string name, std::string description, base::endpoint& target);
 field make_field(std::string name, std::string description, std::vector<base::endpoint>& target);
 field make_field(std::string name, std::string description, std::vector<std::string>& target);
+/// @return what was expected, where a list can't be used; else nothing.
+using list_check = std::function<std::optional<std::string>(const std::vector<std::string>&)>;
+/// A list of texts that must pass `check`.
+field make_checked_list(std::string name, std::string description,
+                        std::vector<std::string>& target, list_check check);
 /// Text that must be one of `choices`.
 field make_choice(std::string name, std::string description, std::string& target,
                   std::vector<std::string> choices);
--- a/src/ferryroad/settings/schema.hpp
+++ b/src/ferryroad/settings/schema.hpp
@@ -56,6 +56,13 @@
                need);
     }
 
+    /// @param check returns what was expected where a list can't be used.
+    void add_checked(std::string name, std::string description, std::vector<std::string>& target,
+                     list_check check) {
+        append(make_checked_list(std::move(name), std::move(description), target, std::move(check)),
+               presence::optional);
+    }
+
     /// Reads `--settings FILE`, then the flags over it; handles `--help`, `--check` and
     /// `--print-schema`; prints the first refusal on standard error.
     outcome read(int argument_count, const char* const* arguments);
--- a/test/core/placement/placement_test.cpp
+++ b/test/core/placement/placement_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 
 using namespace ferryroad;
+using namespace ferryroad::core;
 using namespace ferryroad::core::placement;
 
 namespace {
@@ -73,7 +74,7 @@
     crowded.slots = 1000;  // So that only the streams' pauses count.
     crowded.running = 8;
     auto other_zone = engine("b");
-    other_zone.same_zone = false;
+    other_zone.away = topology::distance::other_zone;
     placement_query query = long_prompt({crowded, other_zone});
     cr_assert_str_eq(winner(query).c_str(), "a");
     query.target_gap = std::chrono::milliseconds(300);
@@ -102,7 +103,7 @@
 
 Test(placement, the_own_zone_wins_among_equals) {
     auto far = engine("a");
-    far.same_zone = false;
+    far.away = topology::distance::other_zone;
     cr_assert_str_eq(winner({100, 0, {far, engine("b")}}).c_str(), "b");
 }
 
@@ -139,7 +140,7 @@
     auto near = engine("b");
     near.running = 32;
     auto far = engine("a");
-    far.same_zone = false;
+    far.away = topology::distance::other_zone;
     placement_query query{0, 0, {far, near}};
     cr_assert_str_eq(winner(query).c_str(), "a");
     query.unseen_load = 2;
