--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -42,6 +42,9 @@
                   {"shared_tokens", std::to_string(shared_tokens(plan))},
                   {"prefill_tokens", std::to_string(selected.prefill_tokens)},
                   {"fetch_from", text_of(selected.fetch_state_from)},
+                  {"fetch_over", selected.moved_bytes > 0
+                                     ? std::string(core::topology::to_string(selected.moved_over))
+                                     : "none"},
                   {"policy", std::to_string(plan.policy->version())},
                   {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
                   {"left_ms", std::to_string(base::to_milliseconds(plan.deadline - moment.now))}});
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -10,6 +10,7 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/http/server.hpp"
 #include "ferryroad/quotas/quota_service.hpp"
+#include "ferryroad/relay/distance_meter.hpp"
 #include "ferryroad/relay/dispatch_log.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/policy_source.hpp"
@@ -55,6 +56,8 @@
     dispatch_sink dispatched;
     /// Asked for each request of a tenant with a limit; none holds without it.
     quota_counter count_quota;
+    /// Counts bytes by their distance, where it is there.
+    distance_meter* meter = nullptr;
 };
 
 /// How a request ended, for logs and metrics.
@@ -221,6 +224,11 @@
         log_dispatch(m_plan, m_selected, attempt.attempt, {now, policy_age});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
+        meter(traffic_kind::request, size_of(m_plan.call->message));
+        if (m_with.meter != nullptr && m_selected.moved_bytes > 0) {
+            m_with.meter->add(traffic_kind::state_moved, m_selected.moved_over,
+                              static_cast<std::uint64_t>(m_selected.moved_bytes));
+        }
         dispatch sent = terms_of(attempt);
         auto opened =
             co_await m_with.engines.open(std::move(target), std::move(sent), silence_limit());
@@ -262,6 +270,20 @@
                                   m_tunables.prefill_tokens_per_second);
     }
 
+    static std::uint64_t size_of(const http::request& message) {
+        std::uint64_t size = message.target.size() + message.body.size();
+        for (const http::header& one : message.headers.entries()) {
+            size += one.name.size() + one.value.size();
+        }
+        return size;
+    }
+
+    void meter(traffic_kind kind, std::uint64_t bytes) {
+        if (m_with.meter != nullptr) {
+            m_with.meter->add(kind, m_selected.away, bytes);
+        }
+    }
+
     void saw_version(const std::optional<std::uint64_t>& version) {
         if (version && m_plan.call->prompt) {
             m_with.registry.saw_version(m_selected.target.name, m_plan.call->prompt->model,
@@ -315,6 +337,9 @@
                 bytes.error().message);
             co_return;
         }
+        if (*bytes) {
+            meter(traffic_kind::answer, (*bytes)->size());
+        }
         if (m_answer->is_event_stream) {
             co_await take_stream(*bytes);
         } else {
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -102,6 +102,20 @@
         static_cast<double>(now.table_requests_malformed));
     set("ferryroad_relay_store_calls", "Calls to follow the store's tables and for leases.",
         static_cast<double>(now.store_calls));
+    for (const metered_bytes& one : now.exchanged) {
+        const runtime::metric_labels labels = {
+            {"kind", std::string(to_string(one.kind))},
+            {"distance", std::string(core::topology::to_string(one.away))}};
+        m_registry
+            .gauge_of("ferryroad_relay_exchanged_bytes",
+                      "Bytes exchanged since the start, by what they are and how far they go.",
+                      labels)
+            .set(static_cast<double>(one.bytes));
+        m_registry
+            .gauge_of("ferryroad_relay_exchanged_messages",
+                      "Messages, or pieces of answers, of these bytes.", labels)
+            .set(static_cast<double>(one.messages));
+    }
     return m_registry.to_text();
 }
 
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -2,6 +2,7 @@
 /// Counters and histograms of relayed traffic.
 #pragma once
 
+#include "ferryroad/relay/distance_meter.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/relay_driver.hpp"
 #include "ferryroad/runtime/metrics.hpp"
@@ -9,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace ferryroad::relay {
 
@@ -37,6 +39,7 @@
     std::uint64_t table_answers_to_peers = 0;
     std::uint64_t table_requests_malformed = 0;
     std::uint64_t store_calls = 0;
+    std::vector<metered_bytes> exchanged;
 };
 
 /// Used from the event loop's thread; the registry outlives it.
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -314,6 +314,7 @@
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
         chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
         add_state_terms(query, *one.prompt, plan.from_far, now, chosen);
+        note_move(query, plan.moved_tokens, chosen);
     }
     return chosen;
 }
@@ -337,6 +338,26 @@
     }
 }
 
+void engine_selection::note_move(const selection_query& query, std::uint64_t tokens,
+                                 selected_engine& chosen) const {
+    const core::traffic::pool* pool = query.policy.find_pool(query.pool);
+    if (!chosen.fetch_state_from || pool == nullptr || !pool->model) {
+        return;
+    }
+    chosen.moved_bytes = static_cast<double>(tokens) * pool->model->kv_token_bytes;
+    for (const auto& [name, engine] : m_registry.engines()) {
+        if (engine.listed.address == *chosen.fetch_state_from) {
+            chosen.moved_over = m_settings.zones.between(engine.listed.zone, chosen.zone);
+            return;
+        }
+    }
+    for (const core::traffic::state_store& store : query.policy.declared().stores) {
+        if (store.address == *chosen.fetch_state_from) {
+            chosen.moved_over = m_settings.zones.between(store.zone, chosen.zone);
+        }
+    }
+}
+
 std::vector<core::traffic::state_store> engine_selection::stores_for(
     const selection_query& query, bool from_far, const base::zone_name& zone) const {
     const auto& all = query.policy.declared().stores;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -64,6 +64,8 @@
     core::topology::distance away = core::topology::distance::same_zone;
     double path_ms = 0;  ///< The way there, beyond that within the own zone.
     std::uint64_t prefill_tokens = 0;    ///< Expected to be read anew.
+    double moved_bytes = 0;              ///< Of state that is believed to be fetched.
+    core::topology::distance moved_over = core::topology::distance::same_zone;
     double cost_ms = 0;
     std::size_t candidates = 0;
     std::uint32_t running = 0;  ///< Requests there, as far as is known here.
@@ -172,6 +174,9 @@
     /// @return the most that one store holds of the prompt.
     std::uint64_t add_store_terms(const selection_query& query, const scoped_prompt& prompt,
                                   bool from_far, selected_engine& chosen) const;
+    /// Notes how much is fetched, and how far, for logs and metrics.
+    void note_move(const selection_query& query, std::uint64_t tokens,
+                   selected_engine& chosen) const;
     /// @return the stores whose state is worth moving to the engine's zone.
     std::vector<core::traffic::state_store> stores_for(const selection_query& query, bool from_far,
                                                        const base::zone_name& zone) const;
