--- a/test/coordination/reading/reading_tree_test.cpp
+++ b/test/coordination/reading/reading_tree_test.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -115,3 +116,78 @@
     const std::vector<tree_member> reversed(members.rbegin(), members.rend());
     cr_assert(place_in_tree(self, reversed, {}) == place);
 }
+
+namespace {
+
+/// Zones z0, z1, ... lie in regions by turns.
+std::vector<tree_member> fleet_of_regions(std::size_t routers, std::size_t zones,
+                                          std::size_t regions) {
+    std::vector<tree_member> members;
+    for (std::size_t index = 0; index < routers; ++index) {
+        const std::size_t zone = index % zones;
+        members.push_back(make_member(base::router_name("r" + std::to_string(index)),
+                                      base::zone_name("z" + std::to_string(zone)),
+                                      base::region_name("g" + std::to_string(zone % regions))));
+    }
+    return members;
+}
+
+const tree_member& named(const std::vector<tree_member>& members, const base::router_name& name) {
+    return *std::find_if(members.begin(), members.end(),
+                         [&](const tree_member& one) { return one.name == name; });
+}
+
+}  // namespace
+
+Test(reading_tree, one_copy_crosses_to_each_region) {
+    for (const std::size_t routers : {6, 76, 400}) {
+        const auto members = fleet_of_regions(routers, 6, 3);
+        const auto all = places(members);
+        std::map<base::region_name, int> from_outside;
+        std::map<base::zone_name, int> to_zone;
+        for (const auto& [name, place] : all) {
+            cr_assert_leq(hops_to_owner(all, name), 5);
+            const tree_member& self = named(members, name);
+            const bool crosses =
+                !place.parent || named(members, *place.parent).region != self.region;
+            from_outside[self.region] += crosses ? 1 : 0;
+            to_zone[self.zone] +=
+                !place.parent || named(members, *place.parent).zone != self.zone ? 1 : 0;
+        }
+        for (const auto& [region, copies] : from_outside) {
+            cr_assert_eq(copies, 1, "%s", region.value.c_str());
+        }
+        for (const auto& [zone, copies] : to_zone) {
+            cr_assert_eq(copies, 1, "%s", zone.value.c_str());
+        }
+    }
+}
+
+Test(reading_tree, readers_stand_in_different_regions) {
+    const auto members = fleet_of_regions(76, 6, 3);
+    const auto readers = readers_among(members, {});
+    cr_assert_eq(readers.size(), 2);
+    cr_assert(readers[0].region != readers[1].region);
+}
+
+Test(reading_tree, a_region_that_is_gone_and_one_of_one_zone_change_nothing_for_others) {
+    auto members = fleet_of_regions(77, 7, 3);  // The regions have 3, 2 and 2 zones.
+    const auto dark = readers_among(members, {}).front().region;
+    std::erase_if(members, [&](const tree_member& one) { return one.region == dark; });
+    std::erase_if(members, [&](const tree_member& one) { return one.zone.value == "z6"; });
+    const auto all = places(members);
+    std::size_t readers = 0;
+    for (const auto& [name, place] : all) {
+        readers += place.reads_owner ? 1 : 0;
+        cr_assert_leq(hops_to_owner(all, name), 4);
+    }
+    cr_assert_eq(readers, 2);
+}
+
+Test(reading_tree, one_region_is_as_none) {
+    for (const std::size_t zones : {1, 3, 40}) {
+        const auto told = fleet_of_regions(120, zones, 1);
+        const auto untold = fleet(120, zones);
+        cr_assert(places(told) == places(untold));
+    }
+}
