--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -7,14 +7,24 @@
 
 namespace ferryroad::relay {
 
+namespace {
+
+peer_group_tunables group_of(const exchange_settings& settings) {
+    peer_group_tunables tunables;
+    tunables.zones = settings.zones;
+    return tunables;
+}
+
+}  // namespace
+
 peer_exchange::peer_exchange(exchange_ports ports, const peer_address& self,
                              std::function<void(const peer::holder_changes&)> learned,
                              exchange_settings settings)
     : m_ports(ports),
       m_self(self),
-      m_group(self),
+      m_group(self, group_of(settings)),
       m_learned(std::move(learned)),
-      m_settings(settings) {}
+      m_settings(std::move(settings)) {}
 
 void peer_exchange::start() {
     m_running = true;
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -21,6 +21,7 @@
 namespace ferryroad::relay {
 
 struct exchange_settings {
+    core::topology::zone_map zones;  ///< With their regions.
     /// Between two notices, unless one is urgent.
     base::duration pace = std::chrono::milliseconds(50);
     /// The same at least for each router of the block: a notice goes to all of them, so that the
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -23,7 +23,7 @@
 }
 
 peer_group::peer_group(peer_address self, peer_group_tunables tunables)
-    : m_self(std::move(self)), m_tunables(tunables) {}
+    : m_self(std::move(self)), m_tunables(std::move(tunables)) {}
 
 void peer_group::declare(const std::vector<peer_address>& present) {
     m_block.reset();
@@ -129,7 +129,8 @@
                          base::monotonic_time now) const {
     const std::uint64_t key = base::hash_bytes(holder.value);
     const auto rank_of = [&](const peer_address& peer) {
-        return std::pair(peer.zone == zone, base::rendezvous_score(key, peer.name.value));
+        const auto away = m_tunables.zones.between(peer.zone, zone);
+        return std::pair(-static_cast<int>(away), base::rendezvous_score(key, peer.name.value));
     };
     const auto own = rank_of(m_self);
     const auto& others = block(now);
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -8,6 +8,7 @@
 #include "ferryroad/base/endpoint.hpp"
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
 
 #include <cstddef>
 #include <map>
@@ -34,6 +35,7 @@
 std::optional<peer_address> decode_peer_note(const base::router_name& name, std::string_view note);
 
 struct peer_group_tunables {
+    core::topology::zone_map zones;  ///< With their regions.
     /// A deployment of no more routers is one block over all zones: some 400 datagrams a second
     /// at the pace of the exchange. Measured at 69 routers in 4 zones (design note 0055).
     std::size_t whole = 20;
@@ -66,8 +68,8 @@
     std::size_t block_size(base::monotonic_time now) const { return block(now).size() + 1; }
     /// @return the other routers of this one's block.
     std::vector<base::endpoint> targets(base::monotonic_time now) const;
-    /// @return whether this router follows the holder for its block: one that is alive and, if
-    /// there is one, in the holder's zone.
+    /// @return whether this router follows the holder for its block: one that is alive and as near
+    /// to the holder as there is one.
     bool follows(const base::engine_name& holder, const base::zone_name& zone,
                  base::monotonic_time now) const;
     /// @return the peers heard a moment ago.
--- a/test/relay/peer_group_test.cpp
+++ b/test/relay/peer_group_test.cpp
@@ -152,3 +152,27 @@
     cr_assert(group.live(start) == std::set<base::router_name>{router(1).name});
     cr_assert(group.live(start + 1500ms).empty());
 }
+
+Test(peer_group, a_holder_is_followed_from_its_region_where_its_zone_has_no_router) {
+    peer_group_tunables regions;
+    regions.zones = core::topology::parse_zones({"a1=a", "a2=a", "b1=b"}).zones;
+    std::vector<peer_address> all;
+    for (int number = 0; number < 9; ++number) {
+        all.push_back(router(number, number % 3 == 0 ? "a2" : "b1"));
+    }
+    for (int holder = 0; holder < 20; ++holder) {
+        int following = 0;
+        for (const peer_address& self : all) {
+            peer_group group(self, regions);
+            group.declare(all);
+            for (const peer_address& other : all) {
+                group.heard(other, start);
+            }
+            const base::engine_name name("e" + std::to_string(holder));
+            const bool follows = group.follows(name, base::zone_name("a1"), start);
+            cr_assert(!follows || self.zone.value == "a2");
+            following += follows ? 1 : 0;
+        }
+        cr_assert_eq(following, 1);
+    }
+}
--- a/test/relay/state_follower_test.cpp
+++ b/test/relay/state_follower_test.cpp
@@ -53,7 +53,8 @@
           follows(asks),
           follower(loop.scheduler, source, warm,
                    {[this](const auto&, const auto&) { return follows; },
-                    [this](peer::holder_changes told) { tell(std::move(told)); }, [] { return 2; }},
+                    [this](peer::holder_changes told) { tell(std::move(told)); }, [] { return 2; },
+                    [this](const auto&) { return is_far; }},
                    settings()) {
         follower.follow(holder, zone);
     }
@@ -63,6 +64,7 @@
         all.wait = 2ms;
         all.short_wait = 2ms;
         all.pace = 2ms;
+        all.far_pace = 10s;
         all.look_period = 2ms;
         all.news_lifetime = 60ms;
         all.first_backoff = 2ms;
@@ -83,6 +85,7 @@
 
     ferryroad::test::loopback& loop;
     bool follows;
+    bool is_far = false;
     std::size_t told_parts = 0;
     double loss = 0;
     base::seeded_random random{20261202};
@@ -271,3 +274,15 @@
     // Seven pauses of at least half of 30 ms lie between eight calls.
     cr_assert_geq(loop.scheduler.now() - began, 7 * 15ms);
 }
+
+Test(state_follower, a_holder_of_another_region_is_asked_less_often) {
+    ferryroad::test::loopback loop;
+    fake_holder near_source;
+    fake_holder far_source;
+    router near(loop, near_source, true);
+    router far(loop, far_source, true);
+    far.is_far = true;
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return near_source.asked > 20; }); }));
+    cr_assert_leq(far_source.asked, 1);
+}
