--- a/src/ferryroad/coordination/reading/reading_tree.cpp
+++ b/src/ferryroad/coordination/reading/reading_tree.cpp
@@ -62,8 +62,8 @@
         return across[(as_region - readers) / degree];
     }
     const auto is_reader = [&](const tree_member& one) { return place_in(heads, one) < readers; };
-    const auto reading = static_cast<std::size_t>(
-        std::count_if(within.begin(), within.end(), is_reader));
+    const auto reading =
+        static_cast<std::size_t>(std::count_if(within.begin(), within.end(), is_reader));
     const std::size_t above = std::max<std::size_t>(reading, 1);
     return within[(place_in(within, self) - above) / degree];
 }
--- a/src/ferryroad/coordination/reading/source_selector.cpp
+++ b/src/ferryroad/coordination/reading/source_selector.cpp
@@ -78,15 +78,15 @@
 
 source source_selector::nearest_reader(const std::vector<tree_member>& others) const {
     const auto readers = readers_among(others, m_settings.tree);
-    const auto in_zone = std::find_if(
-        readers.begin(), readers.end(),
-        [&](const tree_member& one) { return one.zone == m_self.zone; });
+    const auto in_zone = std::find_if(readers.begin(), readers.end(), [&](const tree_member& one) {
+        return one.zone == m_self.zone;
+    });
     if (in_zone != readers.end()) {
         return in_zone->name;
     }
-    const auto near =
-        std::find_if(readers.begin(), readers.end(),
-                     [&](const tree_member& one) { return one.region == m_self.region; });
+    const auto near = std::find_if(readers.begin(), readers.end(), [&](const tree_member& one) {
+        return one.region == m_self.region;
+    });
     return near == readers.end() ? readers.front().name : near->name;
 }
 
--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -10,9 +10,9 @@
 shared_plan shared_by(const placement_query& query, const engine_candidate& engine,
                       const placement_tunables& tunables, bool from_far) {
     const std::uint64_t warm = std::min(engine.warm_tokens, query.shared_tokens);
-    const std::uint64_t fetchable = from_far ? engine.far_fetchable_tokens : engine.fetchable_tokens;
-    const std::uint64_t held_somewhere =
-        std::min(std::max(fetchable, warm), query.shared_tokens);
+    const std::uint64_t fetchable =
+        from_far ? engine.far_fetchable_tokens : engine.fetchable_tokens;
+    const std::uint64_t held_somewhere = std::min(std::max(fetchable, warm), query.shared_tokens);
     shared_plan plan;
     plan.moved_tokens = held_somewhere - warm;
     plan.from_far = from_far;
@@ -23,8 +23,8 @@
     fresh *= engine.home ? 1 - tunables.home_warmth : 1.0;
     const double read = fresh * tunables.recompute_factor + again * tunables.reread_factor;
     const double each = tunables.fetch_token_ms * (from_far ? tunables.far_fetch_factor : 1.0);
-    const double moving =
-        plan.moved_tokens > 0 ? tunables.fetch_ms + static_cast<double>(plan.moved_tokens) * each
+    const double moving = plan.moved_tokens > 0
+                              ? tunables.fetch_ms + static_cast<double>(plan.moved_tokens) * each
                               : 0.0;
     plan.cost_ms = moving + read / tunables.prefill_tokens_per_ms;
     return plan;
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -60,8 +60,8 @@
     double region_kb_ms = 1;
     /// Reading shared tokens again costs money beside time: times its prefill.
     double recompute_factor = 2.0;
-    /// The same of what is held, but too far away to be moved: that it is read again is waste, while
-    /// what nobody holds must be read.
+    /// The same of what is held, but too far away to be moved: that it is read again is waste,
+    /// while what nobody holds must be read.
     double reread_factor = 4.0;
     /// Moving a shared token from where it is held, instead of reading it: milliseconds.
     double fetch_token_ms = 0.02;
--- a/src/ferryroad/relay/distance_meter.cpp
+++ b/src/ferryroad/relay/distance_meter.cpp
@@ -58,10 +58,9 @@
 
 runtime::task<peer::result<peer::message_bytes>> metered_transport::call(
     const base::endpoint& to, peer::message_bytes request, base::duration limit) {
-    const base::endpoint asked = to;
     const std::size_t sent = request.size();
-    auto answer = co_await m_inner.call(asked, std::move(request), limit);
-    m_meter.add(m_kind, asked, sent + (answer ? answer->size() : 0));
+    auto answer = co_await m_inner.call(to, std::move(request), limit);
+    m_meter.add(m_kind, to, sent + (answer ? answer->size() : 0));
     co_return answer;
 }
 
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -158,11 +158,10 @@
         candidate.far_fetchable_tokens = anywhere;
         if (m_settings.zones.several_regions()) {
             const auto region = m_settings.zones.region_of(engine.listed.zone);
-            const auto near = region ? one.prompt->by_region.find(*region)
-                                     : one.prompt->by_region.end();
-            candidate.fetchable_tokens = near == one.prompt->by_region.end()
-                                             ? 0
-                                             : near->second.held_beside(candidate.name);
+            const auto near =
+                region ? one.prompt->by_region.find(*region) : one.prompt->by_region.end();
+            candidate.fetchable_tokens =
+                near == one.prompt->by_region.end() ? 0 : near->second.held_beside(candidate.name);
         }
     }
     return candidate;
@@ -182,9 +181,9 @@
     const auto is_near = [](const placement::engine_candidate& one) {
         return one.away != core::topology::distance::other_region;
     };
-    const auto near = static_cast<std::size_t>(std::count_if(
-        placed.candidates.begin(), placed.candidates.end(),
-        [&](const auto& one) { return may_be_home(one) && is_near(one); }));
+    const auto near = static_cast<std::size_t>(
+        std::count_if(placed.candidates.begin(), placed.candidates.end(),
+                      [&](const auto& one) { return may_be_home(one) && is_near(one); }));
     const bool own_region = near >= m_settings.least_homes;
     const std::uint64_t key = base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
     std::optional<std::size_t> home;
@@ -235,7 +234,8 @@
     std::vector<std::size_t> spare;  // Of other regions, beyond their part.
     std::size_t left_to_draw = std::min(others.size(), m_settings.drawn_engines);
     for (const drawn_engine& one : others) {
-        const bool far = placed.candidates[one.index].away == core::topology::distance::other_region;
+        const bool far =
+            placed.candidates[one.index].away == core::topology::distance::other_region;
         if (left_to_draw == 0) {
             break;
         }
@@ -411,8 +411,9 @@
             continue;
         }
         const auto away = m_settings.zones.between(engine->listed.zone, chosen.zone);
-        const bool is_better = best == nullptr || held.tokens > std::get<0>(best_rank) ||
-                               (held.tokens == std::get<0>(best_rank) && away < std::get<1>(best_rank));
+        const bool is_better =
+            best == nullptr || held.tokens > std::get<0>(best_rank) ||
+            (held.tokens == std::get<0>(best_rank) && away < std::get<1>(best_rank));
         if (is_better) {
             best = engine;
             best_rank = {held.tokens, away};
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -35,8 +35,8 @@
     /// id; all where there are fewer. What routers know of load is some 100 ms old: if each took
     /// the least loaded of all, they would meet there.
     std::size_t drawn_engines = 16;
-    /// Of these, where there are several regions, those of other regions: enough for a request to go
-    /// where there is room, few enough that the own region is seen well.
+    /// Of these, where there are several regions, those of other regions: enough for a request to
+    /// go where there is room, few enough that the own region is seen well.
     std::size_t drawn_far = 4;
     /// A region with fewer sound engines than this has no homes of its own.
     std::size_t least_homes = 2;
@@ -62,9 +62,9 @@
     std::uint64_t warm_tokens = 0;       ///< Believed to be held by the engine.
     std::uint64_t fetchable_tokens = 0;  ///< The same, held elsewhere and worth moving.
     core::topology::distance away = core::topology::distance::same_zone;
-    double path_ms = 0;  ///< The way there, beyond that within the own zone.
-    std::uint64_t prefill_tokens = 0;    ///< Expected to be read anew.
-    double moved_bytes = 0;              ///< Of state that is believed to be fetched.
+    double path_ms = 0;                ///< The way there, beyond that within the own zone.
+    std::uint64_t prefill_tokens = 0;  ///< Expected to be read anew.
+    double moved_bytes = 0;            ///< Of state that is believed to be fetched.
     core::topology::distance moved_over = core::topology::distance::same_zone;
     double cost_ms = 0;
     std::size_t candidates = 0;
--- a/src/ferryroad/settings/field.cpp
+++ b/src/ferryroad/settings/field.cpp
@@ -217,8 +217,8 @@
             presence::optional, std::move(read)};
 }
 
-field make_checked_list(std::string name, std::string description,
-                        std::vector<std::string>& target, list_check check) {
+field make_checked_list(std::string name, std::string description, std::vector<std::string>& target,
+                        list_check check) {
     field made = make_field(std::move(name), std::move(description), target);
     made.read = [&target, read = std::move(made.read),
                  check = std::move(check)](const json::value& value) -> leaf::result<void> {
--- a/src/ferryroad/settings/field.hpp
+++ b/src/ferryroad/settings/field.hpp
@@ -59,8 +59,8 @@
 /// @return what was expected, where a list can't be used; else nothing.
 using list_check = std::function<std::optional<std::string>(const std::vector<std::string>&)>;
 /// A list of texts that must pass `check`.
-field make_checked_list(std::string name, std::string description,
-                        std::vector<std::string>& target, list_check check);
+field make_checked_list(std::string name, std::string description, std::vector<std::string>& target,
+                        list_check check);
 /// Text that must be one of `choices`.
 field make_choice(std::string name, std::string description, std::string& target,
                   std::vector<std::string> choices);
--- a/test/core/placement/placement_regions_test.cpp
+++ b/test/core/placement/placement_regions_test.cpp
@@ -74,7 +74,8 @@
     const std::uint64_t most_held = query.shared_tokens + 1;
     for (std::uint64_t index = 0; index < 1 + below(12); ++index) {
         const bool own = below(2) == 0;
-        auto one = engine("e", own ? topology::distance::same_zone : topology::distance::other_zone);
+        auto one =
+            engine("e", own ? topology::distance::same_zone : topology::distance::other_zone);
         one.running = static_cast<std::uint32_t>(below(40));
         one.pending_prefill_tokens = below(3) * below(20000);
         one.warm_tokens = below(2) * below(most_held);
