Retries: a window's share and reserve, not two in a row

Now retries are counted against the requests of the same ten seconds, as the limit itself is; the sum over routers stays within 0.75 of the share and 0.6 of the reserve. A retry after a refusal no longer opens a connection anew. Ruled out: more of the reserve for each router (the sum must hold); free retries after 421 (they are counted as arrivals).

--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -51,7 +51,7 @@
 }
 
 action_list request_execution::handle(const event& happened, base::monotonic_time now,
-                                      admission::retry_budget& budget) {
+                                      admission::retry_allowance& budget) {
     context at{now, budget};
     return std::visit([&](const auto& kind) { return on(kind, at); }, happened);
 }
@@ -266,7 +266,7 @@
         return false;
     }
     retry_paid_ = spends_budget(failed.kind, limits_);
-    return !retry_paid_ || at.budget.try_retry();
+    return !retry_paid_ || at.budget.try_retry(at.now);
 }
 
 action_list request_execution::retry() {
--- a/src/ferryroad/core/execution/request_execution.hpp
+++ b/src/ferryroad/core/execution/request_execution.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "ferryroad/base/time.hpp"
-#include "ferryroad/core/admission/retry_budget.hpp"
+#include "ferryroad/core/admission/retry_allowance.hpp"
 #include "ferryroad/core/execution/actions.hpp"
 #include "ferryroad/core/execution/events.hpp"
 #include "ferryroad/core/execution/state.hpp"
@@ -52,7 +52,7 @@
     /// @param budget of the request's route and tenant.
     /// @return what to do, in order; empty where the event changes nothing.
     action_list handle(const event& happened, base::monotonic_time now,
-                       admission::retry_budget& budget);
+                       admission::retry_allowance& budget);
 
     bool ended() const { return phase_ == phase::ended; }
     /// @return what a caller may be told if the request were given up on now.
@@ -67,7 +67,7 @@
 
     struct context {
         base::monotonic_time now;
-        admission::retry_budget& budget;
+        admission::retry_allowance& budget;
     };
 
     action_list on(const claim_answered& answer, context& at);
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -4,7 +4,7 @@
 /// answer; other answers are passed on whole.
 #pragma once
 
-#include "ferryroad/core/admission/retry_budget.hpp"
+#include "ferryroad/core/admission/retry_allowance.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
 #include "ferryroad/core/stream/event_splitter.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
@@ -74,7 +74,7 @@
 class relay_driver {
   public:
     relay_driver(const relay_collaborators<Upstream>& with, relay_plan plan,
-                 core::admission::retry_budget& budget, core::admission::load_shedder& shedder,
+                 core::admission::retry_allowance& budget, core::admission::load_shedder& shedder,
                  http::response_writer& writer, driver_tunables tunables)
         : m_with(with),
           m_plan(std::move(plan)),
@@ -198,7 +198,9 @@
         sent.save_state_to = m_selected.save_state_to;
         sent.priority = m_plan.priority;
         sent.resume_after = m_last_id;
-        sent.fresh_connection = attempt.attempt.value > 1;
+        // Kept connections may all have broken with the last one; what an engine refused says
+        // nothing of them.
+        sent.fresh_connection = attempt.attempt.value > 1 && m_lost_connection;
         return sent;
     }
 
@@ -275,6 +277,7 @@
 
     void note_failure(const dispatch_failure& failure) {
         const base::monotonic_time now = m_with.scheduler.now();
+        m_lost_connection = failure.proof != execution::failure_proof::not_run;
         saw_version(failure.version);
         if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
             blame(*engine, failure, has_outdated_weights(*engine), m_tunables, now);
@@ -455,7 +458,7 @@
 
     relay_collaborators<Upstream> m_with;
     relay_plan m_plan;
-    core::admission::retry_budget& m_budget;
+    core::admission::retry_allowance& m_budget;
     http::response_writer& m_writer;
     driver_tunables m_tunables;
     stream_admission m_admission;
@@ -472,7 +475,8 @@
     std::string m_outbox;                  ///< Events not yet passed on.
     std::optional<std::uint64_t> m_last_id;
     base::monotonic_time m_last_event_at{};
-    bool m_begun = false;  ///< The caller has the answer's head.
+    bool m_begun = false;            ///< The caller has the answer's head.
+    bool m_lost_connection = false;  ///< The last failure was no answer of an engine.
     relay_outcome m_outcome;
 };
 
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -3,6 +3,7 @@
 /// sees its caller leave.
 #pragma once
 
+#include "ferryroad/core/admission/retry_window.hpp"
 #include "ferryroad/relay/relay_driver.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -16,11 +17,11 @@
 
 namespace ferryroad::relay {
 
-/// Retries towards one pool, as a share of what the pool answers.
-struct retry_settings {
-    double share = 0.1;
-    double reserve = 4;  ///< Retries beyond the share, saved up while none are needed.
-};
+/// Retries towards one pool, as a share of the requests to it.
+using retry_settings = core::admission::retry_window_settings;
+
+/// Over which operators bound retries.
+inline constexpr base::duration retry_limit_window = std::chrono::seconds(10);
 
 /// @param share, reserve what all routers together may make within the limit's window.
 /// @param routers that share it. @return this router's part, with room for counting late.
@@ -29,7 +30,7 @@
     constexpr double used_reserve = 0.6;
     const double part =
         reserve * used_reserve / static_cast<double>(std::max<std::size_t>(1, routers));
-    return {share * used_share, std::max(1.0, part)};
+    return {share * used_share, std::max(1.0, part), retry_limit_window};
 }
 
 struct relay_settings {
@@ -162,11 +163,11 @@
         return plan;
     }
 
-    core::admission::retry_budget& budget_of(const base::pool_name& pool) {
-        const auto [place, added] =
-            m_budgets.try_emplace(pool, m_settings.retries.share, m_settings.retries.reserve);
-        place->second.change_share(m_settings.retries.share);
-        place->second.change_reserve(m_settings.retries.reserve);
+    /// @return the pool's budget, in which the request counts from now on.
+    core::admission::retry_window& budget_of(const base::pool_name& pool) {
+        const auto place = m_budgets.try_emplace(pool, m_settings.retries).first;
+        place->second.change_settings(m_settings.retries);
+        place->second.record_request(m_with.scheduler.now());
         return place->second;
     }
 
@@ -242,7 +243,7 @@
     relay_settings m_settings;
     outcome_sink m_told;
     std::map<base::route_name, core::traffic::weighted_rotation> m_rotations;
-    std::map<base::pool_name, core::admission::retry_budget> m_budgets;
+    std::map<base::pool_name, core::admission::retry_window> m_budgets;
     std::map<base::pool_name, core::admission::load_shedder> m_shedders;
     std::size_t m_active = 0;
     bool m_leaving = false;
--- a/src/ferryroad/router/request/execution_driver.hpp
+++ b/src/ferryroad/router/request/execution_driver.hpp
@@ -2,6 +2,7 @@
 /// Carries out what the execution machine asks for and feeds back what happened.
 #pragma once
 
+#include "ferryroad/core/admission/retry_budget.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
 #include "ferryroad/engine/client.hpp"
 #include "ferryroad/router/claim_registry.hpp"
--- a/test/core/admission/limits_test.cpp
+++ b/test/core/admission/limits_test.cpp
@@ -1,10 +1,12 @@
 /// Token buckets, tenant limits and retry budgets: nothing is admitted beyond the figures.
 #include "ferryroad/core/admission/retry_budget.hpp"
+#include "ferryroad/core/admission/retry_window.hpp"
 #include "ferryroad/core/admission/tenant_limiter.hpp"
 
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <cstdint>
 
 namespace {
@@ -134,3 +136,47 @@
     }
     cr_assert_eq(retries, 3);
 }
+
+Test(retry_window, retries_are_a_share_of_any_windows_requests) {
+    cr_assert(rc::check("retries <= reserve + share x requests, in each window", [] {
+        const double share = *rc::gen::inRange(0, 11) / 10.0;
+        const double reserve = *rc::gen::inRange(0, 5);
+        retry_window budget({share, reserve, 10s});
+        std::vector<base::monotonic_time> requests;
+        std::vector<base::monotonic_time> retries;
+        base::monotonic_time now{1000s};
+        const auto steps = *rc::gen::inRange(1, 300);
+        for (int step = 0; step < steps; ++step) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 400));
+            if (*rc::gen::arbitrary<bool>()) {
+                budget.record_request(now);
+                requests.push_back(now);
+            } else if (budget.try_retry(now)) {
+                retries.push_back(now);
+                const auto within = [&](base::monotonic_time at) { return now - at < 10s; };
+                const auto made = std::count_if(retries.begin(), retries.end(), within);
+                const auto came = std::count_if(requests.begin(), requests.end(), within);
+                RC_ASSERT(static_cast<double>(made) <=
+                          reserve + share * static_cast<double>(came) + 1e-9);
+            }
+        }
+    }));
+}
+
+/// One of 83 routers sees 6.5 requests a second for a pool; when a rollout's orders reach a sixth
+/// of the engines, several of them are refused within a second, once or twice each.
+Test(retry_window, a_rollouts_refusals_in_a_row_are_within_a_quiet_windows_share) {
+    retry_window budget({0.15, 1.5, 10s});
+    base::monotonic_time now{1000s};
+    for (int request = 0; request < 65; ++request) {
+        now += 150ms;
+        budget.record_request(now);
+    }
+    for (int refusal = 0; refusal < 8; ++refusal) {
+        now += 100ms;
+        cr_assert(budget.try_retry(now), "refusal %d", refusal);
+    }
+    budget.give_back();
+    cr_assert(budget.try_retry(now));
+    cr_assert_not(retry_window({0.15, 0, 10s}).try_retry(now));
+}
--- a/test/core/execution/request_execution_property_test.cpp
+++ b/test/core/execution/request_execution_property_test.cpp
@@ -1,5 +1,6 @@
 /// In any order of events, the execution machine agrees with a model that only counts what
 /// was sent, what was proven and what was emitted.
+#include "ferryroad/core/admission/retry_budget.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
 
 #include <criterion/criterion.h>
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -411,3 +411,27 @@
     cr_assert_eq(fixture.upstream.dispatches.size(), 8 + 3, "%zu",
                  fixture.upstream.dispatches.size());
 }
+
+/// While a rollout's orders reach engines, several of them refuse within a second: each request
+/// goes on at another engine, as those before it needed no retry.
+Test(relay_service, refusals_in_a_row_are_retried_from_what_quiet_requests_saved) {
+    relay_fixture fixture;
+    relay_settings settings = relay_fixture::settings_of();
+    settings.retries = {0.15, 1.5, 10s};
+    fixture.service.change_settings(settings);
+    const auto serve = [&fixture](bool refused) {
+        fixture.upstream.answers.clear();
+        if (refused) {
+            fixture.answer(fails(failure_kind::stale_target, failure_proof::not_run));
+        }
+        fixture.answer(whole(200, "ok"));
+        fixture.loop.context.restart();
+        fixture.serve(fixture.call("/unsafe/"));
+        cr_assert_eq(fixture.writer.status, 200);
+    };
+    for (int request = 0; request < 40; ++request) {
+        serve(request >= 35);
+    }
+    cr_assert_eq(fixture.upstream.dispatches.size(), 45);
+    cr_assert_not(fixture.upstream.dispatches.back().fresh_connection, "no connection broke");
+}
