Limits: who is refused comes back soon, not at the end of a line that is never served

Callers wait a third of their time at most, so that those with 15 s came back after 4.8 s, and were answered as late as that (p99 4.8 to 4.9 s from second 16 on): as likely as at once, and late. Now the line is half a second long and then begins anew.

--- a/src/ferryroad/coordination/quota/quota_ledger.cpp
+++ b/src/ferryroad/coordination/quota/quota_ledger.cpp
@@ -76,14 +76,14 @@
 }
 
 /// Those who are refused come back one after the other, at the rate: the whole of what they ask
-/// for is left by then, unless new requests take it.
+/// for is left by then, unless new requests take it. A line that is full begins anew.
 base::duration quota_ledger::return_in(account& of, const quota_ask& ask, double part,
                                        base::monotonic_time now) const {
     const base::monotonic_time open = now + of.bucket.time_until_open(of.limit, part);
-    const base::monotonic_time back = std::max(open, of.next_return);
+    const bool line_ended = of.next_return > open + m_tunables.longest_line;
+    const base::monotonic_time back = line_ended ? open : std::max(open, of.next_return);
     const double rate = of.limit.per_second * part;
-    const base::monotonic_time latest = now + m_tunables.longest_return;
-    of.next_return = std::min(back + base::from_seconds(ask.amount / rate), latest);
+    of.next_return = back + base::from_seconds(ask.amount / rate);
     return std::clamp(back - now, m_tunables.shortest_return, m_tunables.longest_return);
 }
 
--- a/src/ferryroad/coordination/quota/quota_ledger.hpp
+++ b/src/ferryroad/coordination/quota/quota_ledger.hpp
@@ -37,6 +37,10 @@
     /// So long after its start a process can't know what others granted just before, nor which
     /// routers there are: it grants no burst, and only the parts of those that ask it.
     base::duration young_for = std::chrono::seconds(4);
+    /// Those refused come back one after the other within so long of the next grant. A longer
+    /// line is longer than will be served, as new requests go on coming: whoever is told to wait
+    /// for its end is late and as likely refused again as who comes back at once.
+    base::duration longest_line = std::chrono::milliseconds(500);
     /// No caller is told to come back sooner, or much later than a caller waits.
     base::duration shortest_return = std::chrono::milliseconds(50);
     base::duration longest_return = std::chrono::seconds(10);
--- a/test/coordination/quota/quota_ledger_test.cpp
+++ b/test/coordination/quota/quota_ledger_test.cpp
@@ -5,7 +5,10 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <queue>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -62,6 +65,39 @@
     cr_assert(other.retry_after == 500ms, "the first one's 400 are left by then");
 }
 
+/// A tenant's limit is lowered to a third of what it asks for, for good. Its callers come back
+/// once, when they were told to, if that is within the 5 s that they wait at most. What is granted
+/// is the rate, whoever gets it: of the callers that are answered, none should have waited for
+/// seconds.
+Test(quota_ledger, who_comes_back_below_a_lowered_limit_is_answered_soon_or_not_at_all) {
+    struct coming {
+        base::duration at{};
+        base::duration since{};
+        bool first = true;
+    };
+    const auto later = [](const coming& a, const coming& b) { return a.at > b.at; };
+    std::priority_queue<coming, std::vector<coming>, decltype(later)> callers(later);
+    for (base::duration time{}; time < 30s; time += 10ms) {
+        callers.push({time, time, true});  // 3,000 a second, where 1,000 are allowed.
+    }
+    quota_ledger ledger = grown();
+    double granted = 0;
+    base::duration longest{};
+    while (!callers.empty()) {
+        const coming one = callers.top();
+        callers.pop();
+        const auto verdict = ledger.decide(first, ask_for(30), at(one.at));
+        if (verdict.granted) {
+            granted += one.at < 30s ? 30 : 0;
+            longest = std::max(longest, one.at - one.since);
+        } else if (one.first && verdict.retry_after <= 5s) {
+            callers.push({one.at + verdict.retry_after, one.since, false});
+        }
+    }
+    cr_assert_geq(granted, 0.99 * (500 + 30 * 1000), "%f: nothing of the limit is lost", granted);
+    cr_assert_leq(base::to_milliseconds(longest), 600);
+}
+
 Test(quota_ledger, nobody_is_told_to_come_back_later_than_callers_wait) {
     quota_ledger ledger = grown();
     for (int index = 0; index < 1000; ++index) {
