Rollouts: all routers hear at once which engines load and which have loaded

Now the router that orders tells all routers before the order goes out, with the time that loads take, and again when the engine has loaded. The belief ends by itself; the engine's own word ends it sooner. A table of its own in the notice, so that older routers skip it. The notice's test leaves the new list out of the full notice, as the exchange sends it apart, and holds a full list of it to the same size.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -118,6 +118,9 @@
             state.version = wanted(seen->model);
             steps.orders.push_back({name, seen->model, state.version, state.orders_taken});
         } else {
+            if (state.stage == phase::asking) {
+                steps.coming.push_back({name, seen->model, wanted(seen->model)});
+            }
             steps.reports.push_back({name});
         }
     }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -54,9 +54,19 @@
     friend bool operator==(const send_order&, const send_order&) = default;
 };
 
+/// An engine will be ordered to load a version as soon as it has told of itself.
+struct coming_load {
+    base::engine_name engine;
+    std::string model;
+    std::uint64_t version = 0;
+
+    friend bool operator==(const coming_load&, const coming_load&) = default;
+};
+
 struct rollout_steps {
     std::vector<ask_report> reports;
     std::vector<send_order> orders;
+    std::vector<coming_load> coming;
 };
 
 enum class order_answer {
@@ -89,6 +99,8 @@
     void want(const std::string& model, std::uint64_t version);
     /// @return the newest version named for a model, 0 where none is.
     std::uint64_t wanted(const std::string& model) const;
+    /// @return the time from an order to the engine's word that it is carried out, of late.
+    base::duration load_time() const { return m_pace.load_time(); }
     /// @return whether the engine is being brought to another version.
     bool under_way(const base::engine_name& engine) const { return m_engines.contains(engine); }
 
--- a/src/ferryroad/core/admission/retry_window.cpp
+++ b/src/ferryroad/core/admission/retry_window.cpp
@@ -20,8 +20,7 @@
 
 bool retry_window::try_retry(base::monotonic_time now) {
     forget(now);
-    const double allowed =
-        m_settings.reserve + m_settings.share * static_cast<double>(m_requests);
+    const double allowed = m_settings.reserve + m_settings.share * static_cast<double>(m_requests);
     if (static_cast<double>(m_retries.size()) + 1 > allowed) {
         return false;
     }
--- a/src/ferryroad/core/admission/retry_window.hpp
+++ b/src/ferryroad/core/admission/retry_window.hpp
@@ -12,8 +12,8 @@
 namespace ferryroad::core::admission {
 
 struct retry_window_settings {
-    double share = 0.1;   ///< Retries for each request, 0 or more.
-    double reserve = 4;   ///< Retries beyond the share.
+    double share = 0.1;  ///< Retries for each request, 0 or more.
+    double reserve = 4;  ///< Retries beyond the share.
     base::duration window = std::chrono::seconds(10);
 
     friend bool operator==(const retry_window_settings&, const retry_window_settings&) = default;
--- a/src/ferryroad/peer/traffic_notice.hpp
+++ b/src/ferryroad/peer/traffic_notice.hpp
@@ -26,6 +26,16 @@
     friend bool operator==(const seen_weights&, const seen_weights&) = default;
 };
 
+/// An engine is about to take these weights.
+struct loading_weights {
+    base::engine_name engine;
+    std::string model;
+    std::uint64_t version = 0;
+    base::duration ready_in{};  ///< It takes no requests for about so long from now.
+
+    friend bool operator==(const loading_weights&, const loading_weights&) = default;
+};
+
 /// An engine was asked to read these parts a moment ago.
 struct expected_state {
     base::engine_name engine;
@@ -54,6 +64,7 @@
     std::vector<seen_weights> weights;
     std::vector<expected_state> expected;
     std::vector<holder_changes> changes;
+    std::vector<loading_weights> loading;
 
     friend bool operator==(const traffic_notice&, const traffic_notice&) = default;
 };
--- a/src/ferryroad/peer/traffic_notice_codec.cpp
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -69,6 +69,14 @@
     return wire::CreateEngineWeights(builder, engine, model, seen.version);
 }
 
+offset<wire::EngineLoading> write_loading(buffer_builder& builder, const loading_weights& one) {
+    const auto engine = write_shared(builder, one.engine.value);
+    const auto model = write_shared(builder, one.model);
+    const auto left = std::max<std::int64_t>(0, base::to_milliseconds(one.ready_in));
+    return wire::CreateEngineLoading(builder, engine, model, one.version,
+                                     bounded(static_cast<std::uint64_t>(left)));
+}
+
 offset<wire::ExpectedState> write_expected(buffer_builder& builder,
                                            const expected_state& expected) {
     const auto engine = write_shared(builder, expected.engine.value);
@@ -95,6 +103,18 @@
     return weights;
 }
 
+/// What is told to last longer than this is taken to be wrong.
+constexpr std::uint32_t longest_loading_ms = 10000;
+
+loading_weights read_loading(field_reader& reader, const wire::EngineLoading& told) {
+    loading_weights one{reader.name<base::engine_name>(told.engine()),
+                        reader.text(told.model(), codec_limits::name_bytes), told.version(),
+                        std::chrono::milliseconds(
+                            std::min<std::uint32_t>(told.milliseconds(), longest_loading_ms))};
+    reader.require(!one.model.empty(), "a model");
+    return one;
+}
+
 expected_state read_expected(field_reader& reader, const wire::ExpectedState& expected) {
     return {reader.name<base::engine_name>(expected.engine()),
             read_parts(reader, expected.parts(), expected.tokens())};
@@ -118,11 +138,13 @@
         builder, notice.expected, [&](const auto& one) { return write_expected(builder, one); });
     const auto changes = write_list<wire::HolderChanges>(
         builder, notice.changes, [&](const auto& one) { return write_changes(builder, one); });
+    const auto loading = write_list<wire::EngineLoading>(
+        builder, notice.loading, [&](const auto& one) { return write_loading(builder, one); });
     const auto sender = write_text(builder, notice.sender.value);
     const auto zone = write_text(builder, notice.zone.value);
     return finish(builder,
                   wire::CreateTrafficNotice(builder, sender, zone, notice.loads_complete, loads,
-                                            weights, expected, changes),
+                                            weights, expected, changes, loading),
                   notice_identifier);
 }
 
@@ -151,6 +173,8 @@
                                   [&](const auto& one) { return read_expected(reader, one); });
     notice.changes = reader.list(root->changes(), most_entries,
                                  [&](const auto& one) { return read_changes(reader, one); });
+    notice.loading = reader.list(root->loading(), most_entries,
+                                 [&](const auto& one) { return read_loading(reader, one); });
     if (reader.fault() != nullptr) {
         return malformed(std::string("traffic notice: expected ") + reader.fault());
     }
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -45,6 +45,7 @@
         if (version > newest) {
             newest = version;
             engine->refuses_until = {};  // What it was busy with has ended.
+            engine->loading_until = {};
             if (m_newer_weights) {
                 m_newer_weights(name, model, version);
             }
@@ -52,6 +53,14 @@
     }
 }
 
+void engine_registry::expect_weights(const base::engine_name& name, const std::string& model,
+                                     std::uint64_t version, base::monotonic_time until) {
+    known_engine* engine = find(name);
+    if (engine != nullptr && engine->version_of(model) < version) {
+        engine->loading_until = std::max(engine->loading_until, until);
+    }
+}
+
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
                          std::uint64_t prefill_tokens)
     : m_registry(registry), m_name(std::move(name)), m_prefill_tokens(prefill_tokens) {
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -39,6 +39,7 @@
     std::uint32_t running = 0;
     std::uint64_t pending_prefill_tokens = 0;
     base::monotonic_time refuses_until{};  ///< It said that it takes no work for now.
+    base::monotonic_time loading_until{};  ///< It is said to take new weights until then.
 
     std::uint64_t version_of(const std::string& model) const;
 };
@@ -65,6 +66,10 @@
     /// An engine showed the version of its weights.
     void saw_version(const base::engine_name& name, const std::string& model,
                      std::uint64_t version);
+    /// An engine is about to take weights. Who tells it is no witness: the belief ends by itself
+    /// `until` then, and with the first sign of weights as new.
+    void expect_weights(const base::engine_name& name, const std::string& model,
+                        std::uint64_t version, base::monotonic_time until);
 
   private:
     std::map<base::engine_name, known_engine> m_engines;
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -50,6 +50,30 @@
     }
 }
 
+void peer_exchange::announce(const rollout_news& news) {
+    if (!m_running) {
+        return;
+    }
+    const auto targets = m_group.everyone(m_ports.scheduler.now());
+    peer::traffic_notice notice = blank();
+    const auto send_full = [&](std::size_t least) {
+        if (notice.loading.size() + notice.weights.size() >= least) {
+            send_to(targets, notice);
+            notice.loading.clear();
+            notice.weights.clear();
+        }
+    };
+    for (const peer::loading_weights& one : news.loading) {
+        notice.loading.push_back(one);
+        send_full(m_settings.weights);
+    }
+    for (const peer::seen_weights& one : news.loaded) {
+        notice.weights.push_back(one);
+        send_full(m_settings.weights);
+    }
+    send_full(1);
+}
+
 void peer_exchange::tell(peer::holder_changes changes) {
     if (m_running) {
         m_changes.push_back(std::move(changes));
@@ -150,8 +174,13 @@
 }
 
 void peer_exchange::send(const peer::traffic_notice& notice, base::monotonic_time now) {
+    send_to(m_group.targets(now), notice);
+}
+
+void peer_exchange::send_to(const std::vector<base::endpoint>& targets,
+                            const peer::traffic_notice& notice) {
     const peer::message_bytes bytes = peer::encode(notice);
-    for (const base::endpoint& to : m_group.targets(now)) {
+    for (const base::endpoint& to : targets) {
         m_ports.transport.send(to, bytes);
         ++m_notices_sent;
     }
@@ -173,6 +202,9 @@
         m_ports.registry.saw_version(seen.engine, seen.model, seen.version);
     }
     m_taking = false;
+    for (const peer::loading_weights& one : notice->loading) {
+        m_ports.registry.expect_weights(one.engine, one.model, one.version, now + one.ready_in);
+    }
     for (const peer::expected_state& one : notice->expected) {
         m_ports.warm.expect(one.parts, one.engine, now);
     }
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -30,11 +30,22 @@
     base::duration heartbeat = std::chrono::milliseconds(500);
     /// A prompt of which this much must be read is told of at once.
     std::uint64_t urgent_tokens = 1000;
+    /// Weights of a notice that tells nothing else.
+    std::size_t weights = 16;
     /// Of a notice, so that it fits into a datagram; the rest goes into the next one.
     std::size_t loads = 24;
     std::size_t parts = 64;
 };
 
+/// What the router that brings engines to new weights knows of them before others.
+struct rollout_news {
+    std::vector<peer::loading_weights> loading;
+    std::vector<peer::seen_weights> loaded;
+
+    bool empty() const { return loading.empty() && loaded.empty(); }
+    friend bool operator==(const rollout_news&, const rollout_news&) = default;
+};
+
 /// What it stands on; everything outlives it.
 struct exchange_ports {
     runtime::scheduler& scheduler;
@@ -68,6 +79,9 @@
                     std::uint64_t prefill_tokens);
     /// An engine showed new weights.
     void saw_weights(peer::seen_weights seen);
+    /// What this router brings engines to is told to all routers at once, of whatever block: a
+    /// request that goes to an engine which loads is refused there.
+    void announce(const rollout_news& news);
     /// A holder that this router follows told of changes.
     void tell(peer::holder_changes changes);
 
@@ -91,6 +105,7 @@
     void send_load(base::monotonic_time now);
     void send_changes(base::monotonic_time now);
     void send(const peer::traffic_notice& notice, base::monotonic_time now);
+    void send_to(const std::vector<base::endpoint>& targets, const peer::traffic_notice& notice);
     peer::traffic_notice blank() const;
     std::vector<core::placement::stated_load> own_loads(base::monotonic_time now) const;
 
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -125,6 +125,16 @@
     return addresses;
 }
 
+std::vector<base::endpoint> peer_group::everyone(base::monotonic_time now) const {
+    std::vector<base::endpoint> addresses;
+    for (const auto& [name, one] : m_peers) {
+        if (is_known(one, now)) {
+            addresses.push_back(one.peer.address);
+        }
+    }
+    return addresses;
+}
+
 bool peer_group::follows(const base::engine_name& holder, const base::zone_name& zone,
                          base::monotonic_time now) const {
     const std::uint64_t key = base::hash_bytes(holder.value);
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -66,6 +66,8 @@
     std::size_t block_size(base::monotonic_time now) const { return block(now).size() + 1; }
     /// @return the other routers of this one's block.
     std::vector<base::endpoint> targets(base::monotonic_time now) const;
+    /// @return all other routers that are known, of whatever block.
+    std::vector<base::endpoint> everyone(base::monotonic_time now) const;
     /// @return whether this router follows the holder for its block: one that is alive and, if
     /// there is one, in the holder's zone.
     bool follows(const base::engine_name& holder, const base::zone_name& zone,
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -4,6 +4,7 @@
 
 #include "ferryroad/coordination/rollout/weights_rollout.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/peer_exchange.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/upstream.hpp"
 #include "ferryroad/runtime/log.hpp"
@@ -11,6 +12,7 @@
 
 #include <concepts>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -35,6 +37,11 @@
     running_requests running = running_requests::carry_on;
     base::duration period = std::chrono::milliseconds(50);
     base::duration call_limit = std::chrono::milliseconds(700);
+    /// From the question that comes before an order to the order's arrival.
+    base::duration order_lead = std::chrono::milliseconds(150);
+    /// How long an engine is expected to load, of the time that it took of late: others load
+    /// longer, and are said to have loaded as soon as they have.
+    double expected_load_share = 1.2;
 };
 
 /// @param allowed how long requests may begin on outdated weights. @return within which an
@@ -51,6 +58,8 @@
     engine_registry& registry;
     const policy_source& policies;
     Lease& lease;
+    /// Told what other routers should know at once, where there are any.
+    std::function<void(const rollout_news&)> announce;
 };
 
 /// Used from the event loop's thread; kept until the loop has ended.
@@ -83,12 +92,16 @@
             const auto engines = views();
             m_ports.lease.intend(m_rollout.has_work(engines));
             step(engines);
+            tell_others();
         }
     }
 
     void step(const std::vector<coordination::rollout::engine_view>& engines) {
         const base::monotonic_time now = m_ports.scheduler.now();
         const auto steps = m_rollout.next(engines, now);
+        for (const auto& coming : steps.coming) {
+            expect(coming, now);
+        }
         for (const auto& wanted : steps.reports) {
             m_ports.scheduler.spawn(component, ask(wanted.engine));
         }
@@ -97,6 +110,23 @@
         }
     }
 
+    /// Told before the order goes out, so that no router sends requests that meet it there.
+    void expect(const coordination::rollout::coming_load& coming, base::monotonic_time now) {
+        const double load = base::to_seconds(m_rollout.load_time());
+        const base::duration ready_in =
+            m_settings.order_lead + base::from_seconds(load * m_settings.expected_load_share);
+        m_ports.registry.expect_weights(coming.engine, coming.model, coming.version,
+                                        now + ready_in);
+        m_news.loading.push_back({coming.engine, coming.model, coming.version, ready_in});
+    }
+
+    void tell_others() {
+        if (m_ports.announce && !m_news.empty()) {
+            m_ports.announce(m_news);
+        }
+        m_news = {};
+    }
+
     std::vector<coordination::rollout::engine_view> views() const {
         const base::monotonic_time now = m_ports.scheduler.now();
         std::vector<coordination::rollout::engine_view> engines;
@@ -143,6 +173,9 @@
             co_return;
         }
         m_ports.registry.saw_version(name, model, report->version);
+        if (m_rollout.under_way(name) && report->version >= m_rollout.wanted(model)) {
+            m_news.loaded.push_back({name, model, report->version});
+        }
         m_rollout.reported(name, *report, now);
     }
 
@@ -173,6 +206,7 @@
     rollout_ports<Upstream, Lease> m_ports;
     rollout_settings m_settings;
     coordination::rollout::weights_rollout m_rollout;
+    rollout_news m_news;  ///< Since others were told last.
     std::uint64_t m_orders_sent = 0;
     bool m_stopped = false;
 };
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -110,7 +110,8 @@
     placement::engine_candidate candidate;
     candidate.name = engine.listed.name;
     candidate.same_zone = engine.listed.zone == m_settings.zone;
-    const bool refuses = now < engine.refuses_until || one.others.refuses;
+    const bool refuses =
+        now < std::max(engine.refuses_until, engine.loading_until) || one.others.refuses;
     candidate.suspended = engine.health.suspended(now) || refuses;
     candidate.running = engine.running + one.others.running;
     candidate.slots = engine.listed.slots;
--- a/test/core/execution/request_execution_test.cpp
+++ b/test/core/execution/request_execution_test.cpp
@@ -1,7 +1,8 @@
 /// What the execution machine does about each failure, row by row.
-#include "ferryroad/core/admission/retry_budget.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
 
+#include "ferryroad/core/admission/retry_budget.hpp"
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
--- a/test/peer/traffic_notice_test.cpp
+++ b/test/peer/traffic_notice_test.cpp
@@ -21,6 +21,7 @@
     notice.weights = {{base::engine_name("e1"), "m", 4}};
     notice.expected = {{base::engine_name("e2"), {{part_key(7), 2520}, {part_key(8), 3780}}}};
     notice.changes = {{base::engine_name("store/10.0.0.1:1"), 77, 118, 120, {{part_key(9), 0}}}};
+    notice.loading = {{base::engine_name("e3"), "m", 5, 1200ms}};
     return notice;
 }
 
@@ -47,7 +48,16 @@
         const std::string name = "i-0123456789" + std::to_string(index);
         notice.loads.push_back({base::engine_name(name), 30, 100000, 100ms});
     }
+    notice.loading.clear();  // Told in notices of their own, as below.
     cr_assert_leq(encode(notice).size(), largest_datagram);
+    traffic_notice rollout;
+    rollout.sender.value = "front-with-a-long-name-1";
+    rollout.zone.value = "a-zone-with-a-long-name";
+    for (int index = 0; index < 16; ++index) {
+        const std::string name = "i-0123456789" + std::to_string(index);
+        rollout.loading.push_back({base::engine_name(name), "a-model-of-a-long-name", 1000, 9s});
+    }
+    cr_assert_leq(encode(rollout).size(), largest_datagram);
     traffic_notice changes;
     changes.sender.value = "front-with-a-long-name-1";
     changes.changes = {{base::engine_name("i-0123456789"), 1, 1, 60, {}}};
--- a/test/relay/peer_exchange_test.cpp
+++ b/test/relay/peer_exchange_test.cpp
@@ -4,6 +4,9 @@
 #include "test/http/loopback.hpp"
 #include "test/relay/fake_network.hpp"
 
+#include <memory>
+#include <vector>
+
 using namespace ferryroad;
 using namespace ferryroad::relay;
 using namespace ferryroad::relay::test;
@@ -145,3 +148,28 @@
     exchange.tell({engine, 1, 0, 1, {}});
     cr_assert_eq(network.sent, 0);
 }
+
+/// Who brings engines to new weights tells every router at once, before any asked there in vain;
+/// a router of another zone (another block) is told, too.
+Test(peer_exchange, all_routers_hear_at_once_which_engines_load_and_which_have_loaded) {
+    fixture at;
+    std::vector<std::unique_ptr<router>> others;
+    std::vector<peer_address> present{at.first.self, at.second.self};
+    for (std::uint16_t port = 3; port < 30; ++port) {
+        others.push_back(std::make_unique<router>(at.loop, at.network, port));
+        others.back()->self.zone.value = "far";
+        present.push_back(others.back()->self);
+    }
+    at.first.exchange.set_routers(present);
+    const router& far = *others.back();
+    const auto now = at.loop.scheduler.now();
+    at.first.exchange.announce({{{engine, "m", 2, 1200ms}}, {}});
+    const known_engine* seen = others.back()->registry.find(engine);
+    cr_assert_geq((seen->loading_until - now).count(), base::duration(1200ms).count());
+    cr_assert_eq(far.registry.engines().at(engine).version_of("m"), 1);
+    at.first.exchange.announce({{}, {{engine, "m", 2}}});
+    cr_assert_eq(seen->version_of("m"), 2);
+    cr_assert(seen->loading_until == base::monotonic_time{}, "it serves again");
+    at.first.exchange.announce({{{engine, "m", 2, 1200ms}}, {}});
+    cr_assert(seen->loading_until == base::monotonic_time{}, "late news of what has ended");
+}
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -27,7 +27,14 @@
     policy_source policies{policy_bounds{}};
     fake_lease lease;
     rollout_service<fake_upstream, fake_lease> service{
-        {loop.scheduler, upstream, registry, policies, lease}, settings()};
+        {loop.scheduler, upstream, registry, policies, lease,
+         [this](const rollout_news& told) {
+             orders_when_told.push_back(upstream.orders.size());
+             news.push_back(told);
+         }},
+        settings()};
+    std::vector<rollout_news> news;
+    std::vector<std::size_t> orders_when_told;
 
     fixture() {
         for (const char* name : {"e1", "e2", "e3"}) {
@@ -96,3 +103,22 @@
     cr_assert_eq(at.upstream.orders.size(), 6);
     cr_assert_not(at.lease.acting);
 }
+
+Test(rollout_service, others_are_told_before_an_engine_is_ordered_and_when_it_has_loaded) {
+    fixture at;
+    at.lease.current = base::fencing_token(1);
+    at.service.start();
+    const auto loaded = [&] {
+        std::size_t count = 0;
+        for (const rollout_news& told : at.news) {
+            count += told.loaded.size();
+        }
+        return count;
+    };
+    at.run_until([&] { return loaded() == 3; });
+    cr_assert_eq(at.orders_when_told.front(), 0, "before the first order");
+    const peer::loading_weights& first = at.news.front().loading.front();
+    cr_assert(first.model == "m" && first.version == 2 && first.ready_in > 0ms);
+    at.run_for(20ms);
+    cr_assert_eq(loaded(), 3, "each once");
+}
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -247,6 +247,17 @@
     cr_assert(at.registry.find(base::engine_name(home))->refuses_until < start);
 }
 
+Test(selection, an_engine_that_is_about_to_load_is_passed_over_until_it_has) {
+    fixture at;
+    const base::engine_name home = at.select()->target.name;
+    at.registry.expect_weights(home, "m", 2, start + 1s);
+    cr_assert(at.select()->target.name != home);
+    cr_assert(at.select(nullptr, {}, start + 1s)->target.name == home, "no news: asked again");
+    at.registry.saw_version(home, "m", 2);
+    at.registry.expect_weights(home, "m", 2, start + 1s);
+    cr_assert(at.registry.find(home)->loading_until < start, "late news of what has ended");
+}
+
 Test(engine_registry, loads_are_counted_while_requests_live) {
     fixture at;
     const base::engine_name name("e1");
