Connections: among near equals an engine that a connection is kept to

Cause: each router met each engine of its zone once in some seconds (half of the pauses between two requests of a router at an engine were over 1.6 s, a quarter over 5.6 s; 5,025 pairs of router and engine in 34 s), so that connections ended idle. Now up to half of the engines drawn for a request are such that a connection is kept to, and opening one costs 8 ms in the weighing. Ruled out: keeping connections longer (the engines end them).

--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -54,6 +54,7 @@
     double cost = prefill_cost(query, engine, tunables) + queue + crowd;
     cost += interference_cost(query, engine, tunables);
     cost += engine.same_zone ? 0.0 : tunables.other_zone_ms + unseen_zone;
+    cost += engine.connected ? 0.0 : tunables.connect_ms;
     cost += engine.outdated ? tunables.outdated_ms : 0.0;
     cost += engine.suspended ? tunables.suspended_ms : 0.0;
     return cost;
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -19,6 +19,7 @@
     bool same_zone = true;
     bool home = false;          ///< Where all routers send a prefix that nobody holds.
     bool suspended = false;     ///< Taken only where no other is left.
+    bool connected = true;      ///< No connection need be opened.
     bool outdated = false;      ///< Runs weights older than the newest named, and not yet too old.
     std::uint32_t running = 0;  ///< Of the requests that are known here.
     std::uint32_t slots = 1;
@@ -65,6 +66,9 @@
     double harmless_gap_share = 0.3;
     double late_gap_share = 1.0;
     double late_stream_ms = 40;
+    /// Opening a connection: two ways' delay, and work at both ends. So little that a connection
+    /// only decides among near equals.
+    double connect_ms = 8;
     double outdated_ms = 150;
     double suspended_ms = 5000;
 };
--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -15,6 +15,10 @@
 
 client::~client() = default;
 
+bool client::keeps_connection(const base::endpoint& address) const {
+    return state_->pool->keeps(address);
+}
+
 runtime::task<result<response>> client::send(const base::endpoint& address, request message,
                                              base::duration limit, resend again) {
     return send_request(state_->pool, {address, std::move(message), limit, again});
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -75,6 +75,8 @@
     client(const client&) = delete;
     client& operator=(const client&) = delete;
 
+    /// @return whether an idle connection to the address is kept, so that none need be opened.
+    bool keeps_connection(const base::endpoint& address) const;
     /// @param limit for the whole exchange.
     runtime::task<result<response>> send(const base::endpoint& address, request message,
                                          base::duration limit, resend again);
--- a/src/ferryroad/http/connection_pool.cpp
+++ b/src/ferryroad/http/connection_pool.cpp
@@ -32,6 +32,12 @@
     return nullptr;
 }
 
+bool connection_pool::keeps(const base::endpoint& address) const {
+    const auto found = idle_.find(address);
+    const bool any = found != idle_.end() && !found->second.empty();
+    return any && found->second.back().until > scheduler_.now();
+}
+
 std::shared_ptr<connection> connection_pool::make() {
     return std::make_shared<connection>(connection::socket_type(scheduler_.executor()));
 }
--- a/src/ferryroad/http/connection_pool.hpp
+++ b/src/ferryroad/http/connection_pool.hpp
@@ -17,6 +17,8 @@
 
     /// @return the idle connection used last that still looks alive, or null.
     std::shared_ptr<connection> take(const base::endpoint& address);
+    /// @return whether `take` is likely to find one.
+    bool keeps(const base::endpoint& address) const;
     /// @return a connection that isn't connected yet.
     std::shared_ptr<connection> make();
     /// Keeps `link` for another request, or closes it where it can't carry one.
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -16,6 +16,20 @@
 /// What a few routers know says little of a fleet that is so many times as large.
 constexpr double most_unseen_load = 8;
 
+/// An engine that a request may be weighed for.
+struct drawn_engine {
+    bool sound = false;  ///< These are drawn before others.
+    std::uint64_t score = 0;
+    std::size_t index = 0;
+};
+
+void put_best_first(std::vector<drawn_engine>& engines, std::size_t count) {
+    std::partial_sort(engines.begin(), engines.begin() + static_cast<std::ptrdiff_t>(count),
+                      engines.end(), [](const drawn_engine& a, const drawn_engine& b) {
+                          return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
+                      });
+}
+
 }  // namespace
 
 std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version) {
@@ -113,6 +127,7 @@
     const bool refuses =
         now < std::max(engine.refuses_until, engine.loading_until) || one.others.refuses;
     candidate.suspended = engine.health.suspended(now) || refuses;
+    candidate.connected = !m_keeps_connection || m_keeps_connection(engine.listed.address);
     candidate.running = engine.running + one.others.running;
     candidate.slots = engine.listed.slots;
     candidate.pending_prefill_tokens = engine.pending_prefill_tokens + one.others.prefill_tokens;
@@ -155,13 +170,9 @@
     if (engines.size() <= m_settings.drawn_engines) {
         return;
     }
-    struct drawn_engine {
-        bool sound = false;  ///< These are drawn before others.
-        std::uint64_t score = 0;
-        std::size_t index = 0;
-    };
     const std::uint64_t key = base::hash_bytes(id.value);
     std::vector<drawn_engine> others;
+    std::vector<drawn_engine> connected;
     std::vector<std::size_t> kept;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
@@ -171,16 +182,23 @@
             kept.push_back(index);
         } else {
             const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
-            others.push_back({!candidate.suspended, score, index});
+            auto& drawn = candidate.connected && !candidate.suspended ? connected : others;
+            drawn.push_back({!candidate.suspended, score, index});
         }
     }
-    const std::size_t count = std::min(others.size(), m_settings.drawn_engines);
-    std::partial_sort(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(count),
-                      others.end(), [](const drawn_engine& a, const drawn_engine& b) {
-                          return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
-                      });
-    for (std::size_t place = 0; place < count; ++place) {
-        kept.push_back(others[place].index);
+    // Those beyond their part are drawn with the others.
+    std::size_t count = std::min(connected.size(), m_settings.drawn_connected);
+    put_best_first(connected, count);
+    others.insert(others.end(), connected.begin() + static_cast<std::ptrdiff_t>(count),
+                  connected.end());
+    connected.resize(count);
+    count = std::min(others.size(), m_settings.drawn_engines - count);
+    put_best_first(others, count);
+    others.resize(count);
+    for (const auto* drawn : {&connected, &others}) {
+        for (const drawn_engine& one : *drawn) {
+            kept.push_back(one.index);
+        }
     }
     std::vector<weighed> left;
     std::vector<placement::engine_candidate> candidates;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -13,6 +13,7 @@
 #include "ferryroad/relay/types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
     /// id; all where there are fewer. What routers know of load is some 100 ms old: if each took
     /// the least loaded of all, they would meet there.
     std::size_t drawn_engines = 16;
+    /// Of these, at most so many are drawn among those that a connection is kept to: routers keep
+    /// different ones.
+    std::size_t drawn_connected = 8;
 };
 
 /// What is to be placed.
@@ -74,6 +78,10 @@
           m_settings(std::move(settings)) {}
 
     void change_settings(selection_settings settings) { m_settings = std::move(settings); }
+    /// @param keeps whether a connection to an engine is open and free; without it all are.
+    void ask_connections(std::function<bool(const base::endpoint&)> keeps) {
+        m_keeps_connection = std::move(keeps);
+    }
 
     /// Routers that aren't heard send requests, too, and are taken to load each engine as those
     /// do that are.
@@ -147,6 +155,7 @@
     const core::placement::engine_load_view& m_loads;
     selection_settings m_settings;
     std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
+    std::function<bool(const base::endpoint&)> m_keeps_connection;
     double m_unseen_load = 1;
 };
 
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -313,6 +313,29 @@
     }
 }
 
+/// A router keeps connections to some of many equal engines: it stays with these while they are no
+/// more loaded, so that it opens few anew.
+Test(selection, of_equals_those_are_taken_that_a_connection_is_kept_to) {
+    fixture at;
+    at.registry.replace_all({});
+    for (int index = 10; index < 90; ++index) {
+        at.add(("e" + std::to_string(index)).c_str(), "z1", 1);
+    }
+    at.call.prompt->parts = {{"own", 500}};
+    at.call.prompt->input_tokens = 500;
+    at.selection.ask_connections(
+        [](const base::endpoint& address) { return address.to_string().ends_with("7:1"); });
+    for (int request = 0; request < 200; ++request) {
+        at.call.id.value = std::to_string(request);
+        cr_assert(at.select()->target.name.value.ends_with("7"));
+    }
+    for (int index = 17; index < 90; index += 10) {
+        at.registry.find(base::engine_name("e" + std::to_string(index)))->pending_prefill_tokens =
+            900;
+    }
+    cr_assert_not(at.select()->target.name.value.ends_with("7"), "a prompt waits there");
+}
+
 Test(selection, sound_engines_are_drawn_before_suspended_ones) {
     fixture at;
     at.call.prompt->parts = {{"own", 600}};
