--- a/test/relay/selection_regions_test.cpp
+++ b/test/relay/selection_regions_test.cpp
@@ -125,7 +125,7 @@
     for (int number = 0; number < 100; ++number) {
         at.call.id = base::request_id("request-" + std::to_string(number));
         const auto chosen = at.select();
-        cr_assert_eq(chosen->candidates, settings.drawn_engines);
+        cr_assert_eq(chosen->candidates, settings.drawn.engines);
         own.insert(chosen->target.name.value);
     }
     cr_assert_geq(own.size(), 20);
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -247,6 +247,17 @@
     cr_assert(at.registry.find(base::engine_name(home))->refuses_until < start);
 }
 
+Test(selection, an_engine_that_is_about_to_load_is_passed_over_until_it_has) {
+    fixture at;
+    const base::engine_name home = at.select()->target.name;
+    at.registry.expect_weights(home, "m", 2, start + 1s);
+    cr_assert(at.select()->target.name != home);
+    cr_assert(at.select(nullptr, {}, start + 1s)->target.name == home, "no news: asked again");
+    at.registry.saw_version(home, "m", 2);
+    at.registry.expect_weights(home, "m", 2, start + 1s);
+    cr_assert(at.registry.find(home)->loading_until < start, "late news of what has ended");
+}
+
 Test(engine_registry, loads_are_counted_while_requests_live) {
     fixture at;
     const base::engine_name name("e1");
@@ -282,7 +293,7 @@
     for (int number = 0; number < 60; ++number) {
         at.call.id = base::request_id("request-" + std::to_string(number));
         const auto selected = at.select();
-        cr_assert_leq(selected->candidates, selection_settings{}.drawn_engines + 1);
+        cr_assert_leq(selected->candidates, selection_settings{}.drawn.engines + 1);
         chosen.insert(selected->target.name.value);
     }
     cr_assert_geq(chosen.size(), 20);
@@ -302,6 +313,29 @@
     }
 }
 
+/// A router keeps connections to some of many equal engines: it stays with these while they are no
+/// more loaded, so that it opens few anew.
+Test(selection, of_equals_those_are_taken_that_a_connection_is_kept_to) {
+    fixture at;
+    at.registry.replace_all({});
+    for (int index = 10; index < 90; ++index) {
+        at.add(("e" + std::to_string(index)).c_str(), "z1", 1);
+    }
+    at.call.prompt->parts = {{"own", 500}};
+    at.call.prompt->input_tokens = 500;
+    at.selection.ask_connections(
+        [](const base::endpoint& address) { return address.to_string().ends_with("7:1"); });
+    for (int request = 0; request < 200; ++request) {
+        at.call.id.value = std::to_string(request);
+        cr_assert(at.select()->target.name.value.ends_with("7"));
+    }
+    for (int index = 17; index < 90; index += 10) {
+        at.registry.find(base::engine_name("e" + std::to_string(index)))->pending_prefill_tokens =
+            900;
+    }
+    cr_assert_not(at.select()->target.name.value.ends_with("7"), "a prompt waits there");
+}
+
 Test(selection, sound_engines_are_drawn_before_suspended_ones) {
     fixture at;
     at.call.prompt->parts = {{"own", 600}};
