--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -206,9 +206,10 @@
     core::placement::warm_state warm;
     core::placement::engine_load_view loads;
     engine_selection selection{registry, policies, warm, loads, selection_of()};
+    canary_traffic releases{registry, {}};
     std::vector<relay_outcome> outcomes;
     relay_service<fake_upstream> service{
-        {loop.scheduler, upstream, registry, selection, policies},
+        {loop.scheduler, upstream, registry, selection, policies, {}, {}, &releases},
         settings_of(),
         [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
     recorded_writer writer{loop.scheduler};
@@ -216,7 +217,10 @@
     relay_fixture() {
         policies.offer(declared());
         policies.confirm(loop.scheduler.now());
-        registry.replace_all({listed("e1"), listed("e2")});
+        registry.replace_all({listed("e1"), listed("e2")}, loop.scheduler.now());
+        releases.engines_changed(loop.scheduler.now());
+        releases.confirmed(loop.scheduler.now());
+        selection.heed(releases);
     }
 
     static selection_settings selection_of() {
@@ -264,6 +268,20 @@
         one.slots = 8;
         return one;
     }
+    /// An engine of another software version, and a trial of it.
+    void begin_trial() {
+        namespace release = coordination::release;
+        const base::monotonic_time now = loop.scheduler.now();
+        const release::release_order order{release::order_number(7), base::pool_name("p"),
+                                           release::software_version("v2"),
+                                           std::chrono::seconds(12)};
+        releases.order(order);
+        listed_engine one = listed("n1");
+        one.software = order.target;
+        registry.put(one, now);
+        releases.engines_changed(now);
+        releases.told({order.pool, order.number, order.target, release::release_phase::trial}, now);
+    }
     relay_call call(const std::string& path) const {
         relay_call one;
         one.id.value = "r1";
@@ -277,6 +295,7 @@
     }
     /// Serves one call to its end.
     void serve(relay_call one) {
+        loop.context.restart();
         const bool ended = loop.run(
             [&]() -> runtime::task<void> { co_await service.handle(std::move(one), writer); });
         cr_assert(ended);
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -411,3 +411,58 @@
     cr_assert_eq(fixture.upstream.dispatches.size(), 8 + 3, "%zu",
                  fixture.upstream.dispatches.size());
 }
+
+Test(relay_service, in_a_trial_a_share_of_first_dispatches_goes_to_the_canary) {
+    relay_fixture fixture;
+    fixture.begin_trial();
+    for (int request = 0; request < 30; ++request) {
+        fixture.answer(whole(200, "x"));
+        fixture.serve(fixture.call("/unsafe/"));
+    }
+    const auto& engines = fixture.upstream.engines;
+    cr_assert_eq(std::count(engines.begin(), engines.end(), "n1"), 2);
+    const auto* own = fixture.releases.find(base::pool_name("p"));
+    const auto& counts = own->counts.at(base::route_name("/unsafe/"));
+    cr_assert_eq(counts.canary.answered, 2);
+    cr_assert_eq(counts.current.answered, 28);
+    cr_assert_eq(own->exposed, 2);
+}
+
+Test(relay_service, retries_and_resumed_streams_never_go_to_the_canary) {
+    relay_fixture fixture;
+    fixture.begin_trial();
+    for (int request = 0; request < 60; ++request) {
+        fixture.answer(whole(500, "x"));
+        fixture.answer(whole(200, "x"));
+        relay_call again = fixture.call("/resumable/");
+        again.last_event_id = 3;
+        fixture.serve(std::move(again));
+    }
+    const auto& engines = fixture.upstream.engines;
+    cr_assert_eq(std::count(engines.begin(), engines.end(), "n1"), 0);
+    for (int request = 0; request < 30; ++request) {
+        fixture.upstream.answers.clear();
+        fixture.upstream.engines.clear();
+        fixture.answer(whole(500, "x"));
+        fixture.answer(whole(200, "x"));
+        fixture.serve(fixture.call("/safe/"));
+        for (std::size_t retry = 1; retry < engines.size(); ++retry) {
+            cr_assert(engines[retry] != "n1");
+        }
+    }
+}
+
+Test(relay_service, a_request_for_a_canary_that_takes_none_goes_to_the_version_in_force) {
+    relay_fixture fixture;
+    fixture.begin_trial();
+    fixture.registry.find(base::engine_name("n1"))->refuses_until =
+        fixture.loop.scheduler.now() + 1h;
+    for (int request = 0; request < 30; ++request) {
+        fixture.answer(whole(200, "x"));
+        fixture.serve(fixture.call("/unsafe/"));
+    }
+    cr_assert_eq(fixture.upstream.engines.size(), 30);
+    const auto& engines = fixture.upstream.engines;
+    cr_assert_eq(std::count(engines.begin(), engines.end(), "n1"), 0);
+    cr_assert_eq(fixture.releases.find(base::pool_name("p"))->exposed, 0);
+}
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -319,3 +319,33 @@
         cr_assert(at.select()->target.name == base::engine_name("e42"));
     }
 }
+
+Test(selection, software_that_is_not_released_gets_nothing_and_a_refused_one_gives_nothing) {
+    namespace release = coordination::release;
+    fixture at;
+    canary_traffic releases(at.registry, {});
+    at.selection.heed(releases);
+    const release::release_order order{release::order_number(7), base::pool_name("p"),
+                                       release::software_version("v2"), 12s};
+    releases.order(order);
+    for (const char* name : {"e2", "e3"}) {
+        listed_engine changed = at.registry.find(base::engine_name(name))->listed;
+        changed.software = order.target;
+        at.registry.put(changed, start);
+    }
+    releases.engines_changed(start);
+    releases.confirmed(start);
+    at.hold("e2", "shared/1");
+    cr_assert(at.select()->target.name == base::engine_name("e1"));
+    cr_assert_not(at.select(nullptr, {base::engine_name("e1")}).has_value());
+    release::phase_notice told{order.pool, order.number, order.target,
+                               release::release_phase::trial};
+    releases.told(told, start);
+    cr_assert(at.select()->target.name == base::engine_name("e1"));
+    cr_assert(at.select()->fetch_state_from->to_string() == "10.0.0.2:1");
+    told.phase = release::release_phase::rolled_back;
+    told.refused = {order.target};
+    releases.told(told, start);
+    cr_assert(at.select()->target.name == base::engine_name("e1"));
+    cr_assert(at.select()->fetch_state_from->to_string() == "10.0.0.9:9", "the store");
+}
