--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -102,7 +102,68 @@
         static_cast<double>(now.table_requests_malformed));
     set("ferryroad_relay_store_calls", "Calls to follow the store's tables and for leases.",
         static_cast<double>(now.store_calls));
+    set("ferryroad_relay_release_reports_sent", "Reports sent to coordinators of releases.",
+        static_cast<double>(now.release_traffic.reports_sent));
+    set("ferryroad_relay_release_reports_unanswered", "Those that were not answered in time.",
+        static_cast<double>(now.release_traffic.reports_unanswered));
+    set("ferryroad_relay_release_reports_taken", "Reports taken as coordinator of a release.",
+        static_cast<double>(now.release_traffic.reports_taken));
+    set("ferryroad_relay_release_table_calls", "Calls to the store as coordinator of a release.",
+        static_cast<double>(now.release_traffic.table_calls));
+    set("ferryroad_relay_releases_led", "Releases that this router coordinates.",
+        static_cast<double>(now.releases_led));
+    for (const own_release& one : now.releases) {
+        set_release(one);
+    }
     return m_registry.to_text();
 }
 
+void relay_metrics::set_release(const own_release& one) {
+    using coordination::release::release_phase;
+    const std::string& pool = one.order.pool.value;
+    for (const auto phase : {release_phase::trial, release_phase::promoted,
+                             release_phase::completed, release_phase::rolled_back}) {
+        m_registry
+            .gauge_of("ferryroad_relay_release_phase",
+                      "1 for the phase of the pool's order that was told last.",
+                      {{"pool", pool}, {"phase", std::string(to_string(phase))}})
+            .set(one.phase == phase ? 1 : 0);
+    }
+    const auto set = [&](const char* name, const char* help, double value) {
+        m_registry.gauge_of(name, help, {{"pool", pool}}).set(value);
+    };
+    set("ferryroad_relay_release_requests", "Requests of the pool while a trial was allowed.",
+        static_cast<double>(one.requests));
+    set("ferryroad_relay_release_exposed", "Of these, sent to the version on trial.",
+        static_cast<double>(one.exposed));
+    set("ferryroad_relay_release_evidence",
+        "Of this router alone, that the version is bad (logarithm of a likelihood ratio).",
+        one.found.evidence);
+    set("ferryroad_relay_release_evidence_bound", "Evidence from which on it is bad.",
+        one.found.bound);
+    set_answers(one);
+}
+
+void relay_metrics::set_answers(const own_release& one) {
+    core::canary::outcome_counts current;
+    core::canary::outcome_counts canary;
+    for (const auto& [route, counted] : one.counts) {
+        current.answered += counted.current.answered;
+        current.failed += counted.current.failed;
+        canary.answered += counted.canary.answered;
+        canary.failed += counted.canary.failed;
+    }
+    const auto set = [&](const char* group, const char* outcome, std::uint32_t count) {
+        m_registry
+            .gauge_of("ferryroad_relay_release_answers",
+                      "Answers under the pool's order, by the engine's version and by outcome.",
+                      {{"pool", one.order.pool.value}, {"group", group}, {"outcome", outcome}})
+            .set(count);
+    };
+    set("current", "failed", current.failed);
+    set("current", "answered", current.answered - current.failed);
+    set("canary", "failed", canary.failed);
+    set("canary", "answered", canary.answered - canary.failed);
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -4,11 +4,13 @@
 
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/relay_driver.hpp"
+#include "ferryroad/relay/release_service.hpp"
 #include "ferryroad/runtime/metrics.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace ferryroad::relay {
 
@@ -37,6 +39,9 @@
     std::uint64_t table_answers_to_peers = 0;
     std::uint64_t table_requests_malformed = 0;
     std::uint64_t store_calls = 0;
+    std::vector<own_release> releases;  ///< Of each pool that was ever ordered to change.
+    release_counters release_traffic;
+    std::size_t releases_led = 0;  ///< That this router coordinates.
 };
 
 /// Used from the event loop's thread; the registry outlives it.
@@ -50,6 +55,9 @@
     std::string to_text(const relay_gauges& now);
 
   private:
+    void set_release(const own_release& one);
+    void set_answers(const own_release& one);
+
     runtime::metrics& m_registry;
 };
 
