Releases: engines that have just started aren't timed; no coordinator before routers are known

A router that has just started took itself for the only one until its first list of routers, and could have judged by its own few answers. Rows tell how much longer an engine is slow from its start: its answers' durations say nothing of its software, failures do; warm engines are taken for the canary where there are some.

--- a/src/ferryroad/peer/release_message_codec.cpp
+++ b/src/ferryroad/peer/release_message_codec.cpp
@@ -118,6 +118,7 @@
 offset<version_list> write_versions(buffer_builder& builder,
                                     const std::set<software_version>& versions) {
     std::vector<offset<flatbuffers::String>> names;
+    names.reserve(versions.size());
     for (const software_version& each : versions) {
         names.push_back(builder.CreateString(each.value));
     }
--- a/src/ferryroad/relay/canary_traffic.cpp
+++ b/src/ferryroad/relay/canary_traffic.cpp
@@ -132,17 +132,21 @@
 
 void canary_traffic::choose_engines(pool_release& one, base::monotonic_time now) const {
     std::vector<base::engine_name> candidates;
+    std::vector<base::engine_name> warming;
     std::size_t current = 0;
     for (const auto& [name, engine] : m_registry.engines()) {
         if (engine.listed.pool != one.own.order.pool || engine.listed.leaving) {
             continue;
         }
         if (engine.listed.software == one.own.order.target) {
-            candidates.push_back(name);
+            (now < engine.warm_at ? warming : candidates).push_back(name);
         } else if (permits(engine, now) == release::permission::all) {
             ++current;
         }
     }
+    if (candidates.empty()) {
+        candidates = std::move(warming);  // Their failures count already.
+    }
     const auto chosen = canary::canary_engines(one.own.order.number.value, candidates, current,
                                                m_settings.exposure.share);
     one.canaries = {chosen.begin(), chosen.end()};
@@ -210,7 +214,7 @@
     ++counts.answered;
     if (result.failed) {
         ++counts.failed;
-    } else {
+    } else if (result.timed) {
         ++counts.durations[canary::duration_class_of(result.taken)];
     }
 }
--- a/src/ferryroad/relay/canary_traffic.hpp
+++ b/src/ferryroad/relay/canary_traffic.hpp
@@ -43,6 +43,7 @@
     bool failed = false;                        ///< The engine ran it and failed.
     bool broken_off = false;                    ///< Of these: its stream ended early.
     base::duration taken{};                     ///< For the same work, where it didn't fail.
+    bool timed = true;                          ///< `taken` says something of the software.
 
     friend bool operator==(const exchange_result&, const exchange_result&) = default;
 };
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -27,6 +27,7 @@
     known_engine& engine = entry->second;
     if (is_new || engine.listed.software != one.software) {
         engine.listed_at = now;
+        engine.warm_at = now + one.warming;
     }
     engine.listed = one;
     for (const auto& [model, version] : one.versions) {
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -29,6 +29,7 @@
     bool leaving = false;
     std::map<std::string, std::uint64_t> versions;  ///< Of weights, by model.
     coordination::release::software_version software;
+    base::duration warming{};  ///< When its row was written: how much longer it is slow at first.
 
     friend bool operator==(const listed_engine&, const listed_engine&) = default;
 };
@@ -43,6 +44,7 @@
     std::uint64_t pending_prefill_tokens = 0;
     base::monotonic_time refuses_until{};  ///< It said that it takes no work for now.
     base::monotonic_time listed_at{};      ///< This process was first in the list then.
+    base::monotonic_time warm_at{};        ///< Slow until then, as it started not long before.
 
     std::uint64_t version_of(const std::string& model) const;
 };
--- a/src/ferryroad/relay/exchange_evidence.cpp
+++ b/src/ferryroad/relay/exchange_evidence.cpp
@@ -27,6 +27,7 @@
     }
     m_result = exchange_result{plan.pool, plan.on->name, engine->listed.name,
                                engine->listed.software, *order};
+    m_result->timed = now >= engine->warm_at;
     m_began_at = now;
     m_reading = reading;
     m_events = 0;
--- a/src/ferryroad/relay/exchange_evidence.hpp
+++ b/src/ferryroad/relay/exchange_evidence.hpp
@@ -19,7 +19,8 @@
     /// @param releases may be null.
     explicit exchange_evidence(canary_traffic* releases) : m_releases(releases) {}
 
-    /// A dispatch begins. @param reading expected of the parts of the prompt that aren't warm.
+    /// A dispatch begins. Times of an engine that has just started are not taken: it is slow
+    /// whatever its software. @param reading expected of the parts of the prompt that aren't warm.
     void begin(const relay_plan& plan, const known_engine* engine, base::duration reading,
                base::monotonic_time now);
     /// An event of the engine's stream came.
--- a/src/ferryroad/relay/release_service.cpp
+++ b/src/ferryroad/relay/release_service.cpp
@@ -77,6 +77,7 @@
         m_addresses.emplace(one.name, one.address);
     }
     m_homes.declare(std::move(names));
+    m_knows_routers = true;
 }
 
 runtime::task<void> release_service::run() {
@@ -98,6 +99,9 @@
             state.looked_at = now;
             state.saw_bad = m_traffic.look(pool) || state.saw_bad;
         }
+        if (!m_knows_routers) {
+            continue;
+        }
         if (!state.sent_at || now - *state.sent_at >= pace()) {
             report(pool, state, now);
         }
@@ -246,7 +250,7 @@
 std::optional<peer::release_notice> release_service::take_report(
     const peer::release_report& report) {
     const release::release_order* order = m_traffic.gate().order_of(report.pool);
-    if (order == nullptr || order->number < report.order) {
+    if (!m_knows_routers || order == nullptr || order->number < report.order) {
         return std::nullopt;  // Another is asked, as long as this router hasn't read the order.
     }
     ++m_counters.reports_taken;
--- a/src/ferryroad/relay/release_service.hpp
+++ b/src/ferryroad/relay/release_service.hpp
@@ -155,6 +155,8 @@
     std::map<base::pool_name, coordination::release::order_number> m_done;
     std::map<base::pool_name, led_release> m_led;
     release_counters m_counters;
+    /// Until the first list of routers: one that takes itself for the only one would judge alone.
+    bool m_knows_routers = false;
     bool m_stopped = false;
 };
 
--- a/test/relay/canary_traffic_test.cpp
+++ b/test/relay/canary_traffic_test.cpp
@@ -215,6 +215,27 @@
     cr_assert_eq(at.counts().canary.durations[class_of(1ms)], 1, "read faster than expected");
 }
 
+Test(exchange_evidence, engines_that_have_just_started_are_not_timed) {
+    fixture at;
+    at.begin_trial();
+    listed_engine slow = at.engine("n1").listed;
+    slow.name.value = "n2";
+    slow.warming = 5s;
+    at.registry.put(slow, start + 2s);
+    at.traffic.engines_changed(start + 2s);
+    cr_assert_gt(at.choose(100, start + 2s), 0);
+    cr_assert_not(at.allows("n2", true, start + 2s), "one is warm");
+    at.begun("n2").answered(200, start + 3s);
+    at.begun("n2").answered(500, start + 3s);
+    cr_assert_eq(at.counts().canary.answered, 2);
+    cr_assert_eq(at.counts().canary.failed, 1);
+    cr_assert_eq(at.counts().canary.durations[class_of(1s)], 0);
+    at.registry.remove(base::engine_name("n1"));
+    at.traffic.engines_changed(start + 2s);
+    cr_assert_gt(at.choose(100, start + 2s), 0);
+    cr_assert(at.allows("n2", true, start + 2s), "none is");
+}
+
 Test(exchange_evidence, only_what_the_engine_did_counts) {
     fixture at;
     at.begin_trial();
--- a/test/relay/release_service_test.cpp
+++ b/test/relay/release_service_test.cpp
@@ -215,6 +215,20 @@
     cr_assert_gt(run.sent_to("v1", run.time.now() - 1s, 0), 0);
 }
 
+Test(release_service, a_router_that_does_not_know_the_others_yet_leads_nothing) {
+    simulated_release run(3);
+    begin(run);
+    run.run_for(3s);
+    run.routers[0].reset();
+    run.routers[0] =
+        std::make_unique<release_router>(run.time, run.network, run.rows, run.statuses, 0, 99);
+    run.routers[0]->service.order(*run.routers[1]->service.traffic().gate().order_of(the_pool));
+    run.routers[0]->registry.replace_all({}, {});
+    run.time.run_until(run.time.now() + 500ms);
+    cr_assert_eq(run.routers[0]->service.led(), 0);
+    cr_assert_eq(run.routers[0]->service.counters().table_calls, 0);
+}
+
 Test(release_service, what_makes_no_sense_is_counted_and_left) {
     simulated_release run(2);
     run.routers[0]->service.take({"10.0.0.9", 9}, "nonsense");
