--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -222,6 +222,7 @@
     const placement::engine_candidate& candidate = placed.candidates[choice->candidate];
     selected_engine chosen;
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
+    chosen.software = one.engine->listed.software;
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
     chosen.running = candidate.running;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -49,6 +49,7 @@
 struct selected_engine {
     engine_target target;
     base::zone_name zone;
+    coordination::release::software_version software;
     std::optional<std::uint64_t> expected_version;
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
