--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -240,16 +240,30 @@
                       {"epoch", std::to_string(holder.epoch)}});
     }
 
+    bool is_far(const followed_holder& holder) const {
+        return m_sharing.is_far && m_sharing.is_far(holder.zone);
+    }
+
     base::duration pace_of(const followed_holder& holder) const {
-        const bool far = m_sharing.is_far && m_sharing.is_far(holder.zone);
-        return far ? m_settings.far_pace : m_settings.pace;
+        return is_far(holder) ? m_settings.far_pace : m_settings.pace;
+    }
+
+    std::uint64_t asked_since(const followed_holder& holder) const {
+        const bool goes_on = is_far(holder) && holder.position > 0;
+        return goes_on ? holder.position : holder.missed_from.value_or(holder.position);
     }
 
     bool is_silent(const followed_holder& holder) const {
         return m_scheduler.now() - holder.news_at > m_settings.news_lifetime;
     }
 
+    /// Of a holder of another region, only the router that follows it asks. What was told before
+    /// this router was there isn't asked for: whole histories, asked for by each router that
+    /// starts, were most of what crossed regions.
     bool must_ask(const followed_holder& holder) const {
+        if (is_far(holder)) {
+            return false;
+        }
         const bool lacks_news = holder.missed_from || is_silent(holder);
         return lacks_news && m_scheduler.now() >= m_catch_up_from;
     }
@@ -270,7 +284,7 @@
 
     runtime::task<bool> ask(holder_pointer holder, bool follows) {
         engine_target asked = holder->target;
-        const std::uint64_t since = holder->missed_from.value_or(holder->position);
+        const std::uint64_t since = asked_since(*holder);
         const base::duration wait = follows ? m_settings.wait : m_settings.short_wait;
         const auto answer = co_await m_source.state_changes_of(std::move(asked), since, wait);
         if (!answer) {
--- a/test/relay/state_follower_test.cpp
+++ b/test/relay/state_follower_test.cpp
@@ -26,6 +26,7 @@
     runtime::task<std::optional<state_changes>> state_changes_of(engine_target, std::uint64_t since,
                                                                  base::duration) {
         ++asked;
+        told_since.push_back(since);
         if (silent) {
             co_return std::nullopt;
         }
@@ -43,6 +44,7 @@
     std::uint64_t kept = 1000;
     std::set<std::uint64_t> gone;  ///< Changes that remove their part instead.
     std::size_t asked = 0;
+    std::vector<std::uint64_t> told_since;
     bool silent = false;
 };
 
@@ -286,3 +288,28 @@
     cr_assert(loop.run([&] { return loop.until([&] { return near_source.asked > 20; }); }));
     cr_assert_leq(far_source.asked, 1);
 }
+
+Test(state_follower, the_history_of_a_far_holder_is_not_asked_for_by_all) {
+    ferryroad::test::loopback loop;
+    fake_holder near_source;
+    fake_holder far_source;
+    router near(loop, near_source, false);
+    router far(loop, far_source, false);
+    far.is_far = true;
+    // A peer tells both of changes whose beginning they missed.
+    for (router* one : {&near, &far}) {
+        one->follower.learn({holder.name, 7, 40, 45, {part(45).front()}});
+    }
+    near_source.last = 45;
+    far_source.last = 45;
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return near.held(1) == 10; }); }));
+    cr_assert_eq(far_source.asked, 0);
+    cr_assert_eq(far.held(45), 10);
+    // It becomes the one that follows the holder.
+    far.follows = true;
+    far_source.last = 50;
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return far.held(50) == 10; }); }));
+    cr_assert_eq(far_source.told_since.front(), 45);
+}
