--- a/test/relay/state_follower_test.cpp
+++ b/test/relay/state_follower_test.cpp
@@ -50,9 +50,10 @@
 
 /// A router that follows the holder for others or learns from them.
 struct router {
-    router(ferryroad::test::loopback& on, fake_holder& source, bool asks)
+    router(ferryroad::test::loopback& on, fake_holder& source, bool asks, bool far = false)
         : loop(on),
           follows(asks),
+          is_far(far),
           follower(loop.scheduler, source, warm,
                    {[this](const auto&, const auto&) { return follows; },
                     [this](peer::holder_changes told) { tell(std::move(told)); }, [] { return 2; },
@@ -87,7 +88,7 @@
 
     ferryroad::test::loopback& loop;
     bool follows;
-    bool is_far = false;
+    bool is_far;
     std::size_t told_parts = 0;
     double loss = 0;
     base::seeded_random random{20261202};
@@ -282,8 +283,7 @@
     fake_holder near_source;
     fake_holder far_source;
     router near(loop, near_source, true);
-    router far(loop, far_source, true);
-    far.is_far = true;
+    router far(loop, far_source, true, true);
     loop.context.restart();
     cr_assert(loop.run([&] { return loop.until([&] { return near_source.asked > 20; }); }));
     cr_assert_leq(far_source.asked, 1);
@@ -294,8 +294,7 @@
     fake_holder near_source;
     fake_holder far_source;
     router near(loop, near_source, false);
-    router far(loop, far_source, false);
-    far.is_far = true;
+    router far(loop, far_source, false, true);
     // A peer tells both of changes whose beginning they missed.
     for (router* one : {&near, &far}) {
         one->follower.learn({holder.name, 7, 40, 45, {part(45).front()}});
