--- a/src/ferryroad/relay/canary_traffic.cpp
+++ b/src/ferryroad/relay/canary_traffic.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace ferryroad::relay {
 
@@ -294,13 +295,16 @@
 release::permission release_filter::permission_of(const known_engine& engine) {
     const auto confirmed_at = m_releases->confirmed_at();
     const bool confirmed = confirmed_at && engine.listed_at <= *confirmed_at;
-    for (const known_permission& one : m_known) {
+    for (std::size_t index = 0; index < m_known_count; ++index) {
+        const known_permission& one = m_known[index];
         if (one.confirmed == confirmed && *one.software == engine.listed.software) {
             return one.found;
         }
     }
     const auto found = m_releases->permits(engine, m_now);
-    m_known.push_back({&engine.listed.software, confirmed, found});
+    if (m_known_count < m_known.size()) {
+        m_known[m_known_count++] = {&engine.listed.software, confirmed, found};
+    }
     return found;
 }
 
--- a/src/ferryroad/relay/canary_traffic.hpp
+++ b/src/ferryroad/relay/canary_traffic.hpp
@@ -12,11 +12,12 @@
 #include "ferryroad/core/canary/types.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
-#include <vector>
 
 namespace ferryroad::relay {
 
@@ -162,7 +163,10 @@
     const canary_traffic* m_releases;
     bool m_canary;
     base::monotonic_time m_now;
-    std::vector<known_permission> m_known;
+    /// Of the versions met first; of others, of which a pool seldom has any, the gate is asked
+    /// anew.
+    std::array<known_permission, 4> m_known;
+    std::size_t m_known_count = 0;
 };
 
 }  // namespace ferryroad::relay
