--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -27,6 +27,7 @@
     known_engine& engine = entry->second;
     if (is_new || engine.listed.software != one.software) {
         engine.listed_at = now;
+        engine.warm_at = now + one.warming;
     }
     engine.listed = one;
     for (const auto& [model, version] : one.versions) {
@@ -66,6 +67,7 @@
         if (version > newest) {
             newest = version;
             engine->refuses_until = {};  // What it was busy with has ended.
+            engine->loading_until = {};
             if (m_newer_weights) {
                 m_newer_weights(name, model, version);
             }
@@ -73,6 +75,14 @@
     }
 }
 
+void engine_registry::expect_weights(const base::engine_name& name, const std::string& model,
+                                     std::uint64_t version, base::monotonic_time until) {
+    known_engine* engine = find(name);
+    if (engine != nullptr && engine->version_of(model) < version) {
+        engine->loading_until = std::max(engine->loading_until, until);
+    }
+}
+
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
                          std::uint64_t prefill_tokens, bool repeatable)
     : m_registry(registry),
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -30,6 +30,7 @@
     bool leaving = false;
     std::map<std::string, std::uint64_t> versions;  ///< Of weights, by model.
     coordination::release::software_version software;
+    base::duration warming{};  ///< When its row was written: how much longer it is slow at first.
 
     friend bool operator==(const listed_engine&, const listed_engine&) = default;
 };
@@ -44,6 +45,8 @@
     std::uint64_t pending_prefill_tokens = 0;
     base::monotonic_time refuses_until{};  ///< It said that it takes no work for now.
     base::monotonic_time listed_at{};      ///< This process was first in the list then.
+    base::monotonic_time loading_until{};  ///< It is said to take new weights until then.
+    base::monotonic_time warm_at{};        ///< Slow until then, as it started not long before.
 
     std::uint64_t version_of(const std::string& model) const;
 };
@@ -77,6 +80,10 @@
     /// An engine showed the version of its weights.
     void saw_version(const base::engine_name& name, const std::string& model,
                      std::uint64_t version);
+    /// An engine is about to take weights. Who tells it is no witness: the belief ends by itself
+    /// `until` then, and with the first sign of weights as new.
+    void expect_weights(const base::engine_name& name, const std::string& model,
+                        std::uint64_t version, base::monotonic_time until);
 
   private:
     std::map<base::engine_name, known_engine> m_engines;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -144,8 +144,10 @@
     candidate.name = engine.listed.name;
     candidate.away = m_settings.zones.between(m_settings.zone, engine.listed.zone);
     candidate.path_ms = base::to_seconds(m_paths.beyond_own(engine.listed.zone, now)) * 1000;
-    const bool refuses = now < engine.refuses_until || one.others.refuses;
+    const bool refuses =
+        now < std::max(engine.refuses_until, engine.loading_until) || one.others.refuses;
     candidate.suspended = engine.health.suspended(now) || refuses;
+    candidate.connected = !m_keeps_connection || m_keeps_connection(engine.listed.address);
     candidate.running = engine.running + one.others.running;
     candidate.slots = engine.listed.slots;
     candidate.pending_prefill_tokens = engine.pending_prefill_tokens + one.others.prefill_tokens;
@@ -205,16 +207,11 @@
 
 void engine_selection::draw(const base::request_id& id, std::vector<weighed>& engines,
                             placement::placement_query& placed) const {
-    if (engines.size() <= m_settings.drawn_engines) {
+    if (engines.size() <= m_settings.drawn.engines) {
         return;
     }
-    struct drawn_engine {
-        bool sound = false;  ///< These are drawn before others.
-        std::uint64_t score = 0;
-        std::size_t index = 0;
-    };
     const std::uint64_t key = base::hash_bytes(id.value);
-    std::vector<drawn_engine> others;
+    std::vector<placement::drawable_engine> others;
     std::vector<std::size_t> kept;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
@@ -222,38 +219,14 @@
             placed.shared_tokens > 0 && candidate.warm_tokens >= placed.shared_tokens;
         if (candidate.home || holds_all) {
             kept.push_back(index);
-        } else {
-            const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
-            others.push_back({!candidate.suspended, score, index});
-        }
-    }
-    const auto goes_before = [](const drawn_engine& a, const drawn_engine& b) {
-        return std::tie(a.sound, a.score) > std::tie(b.sound, b.score);
-    };
-    std::sort(others.begin(), others.end(), goes_before);
-    std::size_t far_left = m_settings.drawn_far;
-    std::vector<std::size_t> spare;  // Of other regions, beyond their part.
-    std::size_t left_to_draw = std::min(others.size(), m_settings.drawn_engines);
-    for (const drawn_engine& one : others) {
-        const bool far =
-            placed.candidates[one.index].away == core::topology::distance::other_region;
-        if (left_to_draw == 0) {
-            break;
-        }
-        if (far && one.sound && far_left == 0) {
-            spare.push_back(one.index);
             continue;
         }
-        if (!one.sound && !spare.empty()) {
-            break;  // Sound ones, however far, come first.
-        }
-        far_left -= far && far_left > 0 ? 1 : 0;
-        kept.push_back(one.index);
-        --left_to_draw;
-    }
-    for (std::size_t place = 0; place < std::min(left_to_draw, spare.size()); ++place) {
-        kept.push_back(spare[place]);
+        const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
+        const bool far = candidate.away == core::topology::distance::other_region;
+        others.push_back({index, score, !candidate.suspended, candidate.connected, far});
     }
+    const auto drawn = placement::draw_engines(others, m_settings.drawn);
+    kept.insert(kept.end(), drawn.begin(), drawn.end());
     std::vector<weighed> left;
     std::vector<placement::engine_candidate> candidates;
     for (const std::size_t index : kept) {
@@ -296,6 +269,7 @@
     const placement::engine_candidate& candidate = placed.candidates[choice->candidate];
     selected_engine chosen;
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
+    chosen.software = one.engine->listed.software;
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
     chosen.running = candidate.running;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -3,6 +3,7 @@
 /// `core/placement`, and turns the answer into the terms of a dispatch.
 #pragma once
 
+#include "ferryroad/core/placement/engine_draw.hpp"
 #include "ferryroad/core/placement/engine_load_view.hpp"
 #include "ferryroad/core/placement/gap_pressure.hpp"
 #include "ferryroad/core/placement/placement.hpp"
@@ -16,6 +17,7 @@
 #include "ferryroad/relay/types.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,13 +34,8 @@
     std::optional<base::duration> outdated_limit;
     /// From then on older weights cost worth, so that newer ones are preferred.
     base::duration outdated_grace{};
-    /// Engines without all of the prompt's shared state that a request is weighed for, drawn by its
-    /// id; all where there are fewer. What routers know of load is some 100 ms old: if each took
-    /// the least loaded of all, they would meet there.
-    std::size_t drawn_engines = 16;
-    /// Of these, where there are several regions, those of other regions: enough for a request to
-    /// go where there is room, few enough that the own region is seen well.
-    std::size_t drawn_far = 4;
+    /// Engines without all of the prompt's shared state that a request is weighed for.
+    core::placement::draw_limits drawn;
     /// A region with fewer sound engines than this has no homes of its own.
     std::size_t least_homes = 2;
 };
@@ -57,6 +54,7 @@
 struct selected_engine {
     engine_target target;
     base::zone_name zone;
+    coordination::release::software_version software;
     std::optional<std::uint64_t> expected_version;
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
@@ -92,6 +90,10 @@
     /// Engines get only what releases of their pool's software allow. @param releases outlives
     /// this.
     void heed(const canary_traffic& releases) { m_releases = &releases; }
+    /// @param keeps whether a connection to an engine is open and free; without it all are.
+    void ask_connections(std::function<bool(const base::endpoint&)> keeps) {
+        m_keeps_connection = std::move(keeps);
+    }
 
     /// Routers that aren't heard send requests, too, and are taken to load each engine as those
     /// do that are.
@@ -197,6 +199,7 @@
     const canary_traffic* m_releases = nullptr;
     std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
     core::topology::path_costs m_paths;
+    std::function<bool(const base::endpoint&)> m_keeps_connection;
     double m_unseen_load = 1;
 };
 
