--- a/src/ferryroad/relay/release_service.cpp
+++ b/src/ferryroad/relay/release_service.cpp
@@ -361,13 +361,30 @@
     }
 }
 
-void release_service::tell_all(const release::phase_notice& told) {
-    const peer::release_notice notice{m_self, told.pool, told.order, told, false};
+/// A decision at the deadline has no verdict of its own: the evidence nearest to its bound tells
+/// why.
+void release_service::log_decision(const release::phase_notice& told) {
+    const led_release* one = find_led(told.pool, told.order);
+    const canary::judgement found = one == nullptr ? canary::judgement{} : one->trial.last();
+    const auto at_deadline = one == nullptr ? canary::verdict::undecided : one->trial.at_deadline();
     runtime::log(runtime::log_level::info, component, "phase told to all",
                  {{"pool", told.pool.value},
                   {"order", std::to_string(told.order.value)},
                   {"phase", std::string(release::to_string(told.phase))},
-                  {"routers", std::to_string(m_addresses.size())}});
+                  {"routers", std::to_string(m_addresses.size())},
+                  {"found", std::string(canary::to_string(found.found))},
+                  {"at_deadline", std::string(canary::to_string(at_deadline))},
+                  {"route", found.route.value},
+                  {"test", found.by_duration ? "duration" : "failures"},
+                  {"answers", std::to_string(found.answers)},
+                  {"bad_answers", std::to_string(found.bad_answers)},
+                  {"evidence", std::to_string(found.evidence)},
+                  {"bound", std::to_string(found.bound)}});
+}
+
+void release_service::tell_all(const release::phase_notice& told) {
+    const peer::release_notice notice{m_self, told.pool, told.order, told, false};
+    log_decision(told);
     take_notice(notice);
     for (const auto& [name, address] : m_addresses) {
         if (name != m_self) {
--- a/src/ferryroad/relay/release_service.hpp
+++ b/src/ferryroad/relay/release_service.hpp
@@ -143,6 +143,7 @@
     led_release* find_led(const base::pool_name& pool, coordination::release::order_number order);
     void carry_out(const coordination::release::release_order& order,
                    const coordination::release::coordinator_action& wanted);
+    void log_decision(const coordination::release::phase_notice& told);
     void tell_all(const coordination::release::phase_notice& told);
     runtime::task<void> read(coordination::release::release_order order);
     runtime::task<void> write(coordination::release::release_order order,
