--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -89,7 +89,7 @@
     void change_settings(selection_settings settings) { m_settings = std::move(settings); }
     /// Engines get only what releases of their pool's software allow. @param releases outlives
     /// this.
-    void heed(const canary_traffic& releases) { m_releases = &releases; }
+    void follow_releases(const canary_traffic& releases) { m_releases = &releases; }
     /// @param keeps whether a connection to an engine is open and free; without it all are.
     void ask_connections(std::function<bool(const base::endpoint&)> keeps) {
         m_keeps_connection = std::move(keeps);
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -220,7 +220,7 @@
         registry.replace_all({listed("e1"), listed("e2")}, loop.scheduler.now());
         releases.engines_changed(loop.scheduler.now());
         releases.confirmed(loop.scheduler.now());
-        selection.heed(releases);
+        selection.follow_releases(releases);
     }
 
     static selection_settings selection_of() {
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -358,7 +358,7 @@
     namespace release = coordination::release;
     fixture at;
     canary_traffic releases(at.registry, {});
-    at.selection.heed(releases);
+    at.selection.follow_releases(releases);
     const release::release_order order{release::order_number(7), base::pool_name("p"),
                                        release::software_version("v2"), 12s};
     releases.order(order);
