Sight: what came of each read of a table, and how old the list of engines was

Cause: the logs of both incidents name who was asked for a table, not what came of it, and a dispatch tells the policy's age but not that of the list of engines it relied on. So two hypotheses (an old copy ends the read; what is known of sources is shared by all tables) can't be told apart, nor a time limit from a loss. Change: a line for each read that does not make the copy current, two counters, a gauge and a field for the list's age. No decision changes.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -48,6 +48,7 @@
                                      : "none"},
                   {"policy", std::to_string(plan.policy->version())},
                   {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
+                  {"engines_age_ms", std::to_string(base::to_milliseconds(moment.engines_age))},
                   {"left_ms", std::to_string(base::to_milliseconds(plan.deadline - moment.now))}});
 }
 
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -12,10 +12,12 @@
 
 namespace ferryroad::relay {
 
-/// When a dispatch was decided, and how old the policy was that it relied on.
+/// When a dispatch was decided, and how old the policy and the list of engines were that it
+/// relied on.
 struct dispatch_moment {
     base::monotonic_time now{};
     base::duration policy_age{};
+    base::duration engines_age{};
 };
 
 /// Used from the event loop's thread, as all here.
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -35,6 +35,14 @@
     }
 }
 
+void engine_registry::confirm(base::monotonic_time as_of) {
+    m_confirmed_at = std::max(as_of, m_confirmed_at.value_or(as_of));
+}
+
+base::duration engine_registry::age(base::monotonic_time now) const {
+    return m_confirmed_at ? now - *m_confirmed_at : base::duration::max();
+}
+
 void engine_registry::remove(const base::engine_name& name) {
     m_engines.erase(name);
 }
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -69,6 +69,10 @@
     std::vector<const known_engine*> active(base::monotonic_time now);
     /// A request goes to the engine: it counts as active until it is seen not to be.
     void mark_active(const base::engine_name& name) { m_active.insert(name); }
+    /// Everything that the list's owner took before `as_of` has been told.
+    void confirm(base::monotonic_time as_of);
+    /// @return time since the list was last confirmed; the greatest while it never was.
+    base::duration age(base::monotonic_time now) const;
     /// @return whether a whole list has been taken yet.
     bool known() const { return m_known; }
 
@@ -90,6 +94,7 @@
     std::set<base::engine_name> m_active;
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
         m_newer_weights;
+    std::optional<base::monotonic_time> m_confirmed_at;
     bool m_known = false;
 };
 
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -246,8 +246,8 @@
         if (m_with.dispatched) {
             m_with.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
         }
-        const base::duration policy_age = m_with.policies.age(now);
-        log_dispatch(m_plan, m_selected, attempt.attempt, {now, policy_age});
+        log_dispatch(m_plan, m_selected, attempt.attempt,
+                     {now, m_with.policies.age(now), m_with.registry.age(now)});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         meter(traffic_kind::request, size_of(m_plan.call->message));
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -57,6 +57,8 @@
     };
     set("ferryroad_relay_policy_age_seconds", "Since the policy was confirmed.",
         now.policy_age_seconds);
+    set("ferryroad_relay_engines_age_seconds", "Since the list of engines was confirmed.",
+        now.engines_age_seconds);
     set("ferryroad_relay_policy_version", "Version in force.",
         static_cast<double>(now.policy_version));
     set("ferryroad_relay_engines_ready", "Engines that may get work.",
@@ -100,6 +102,12 @@
     set("ferryroad_relay_table_requests_malformed",
         "Requests for copies of tables that made no sense.",
         static_cast<double>(now.table_requests_malformed));
+    set("ferryroad_relay_table_reads_behind",
+        "Copies of tables told by other routers that were too old.",
+        static_cast<double>(now.table_reads_behind));
+    set("ferryroad_relay_table_reads_failed",
+        "Reads of tables, from the store or other routers, without an answer.",
+        static_cast<double>(now.table_reads_failed));
     set("ferryroad_relay_store_calls", "Calls to follow the store's tables and for leases.",
         static_cast<double>(now.store_calls));
     for (const metered_bytes& one : now.exchanged) {
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -18,6 +18,7 @@
 /// What is read off the parts of a router when its metrics are asked for.
 struct relay_gauges {
     double policy_age_seconds = 0;
+    double engines_age_seconds = 0;
     std::uint64_t policy_version = 0;
     std::size_t engines_ready = 0;
     std::size_t engines_leaving = 0;
@@ -39,6 +40,8 @@
     std::uint64_t table_calls_to_peers = 0;
     std::uint64_t table_answers_to_peers = 0;
     std::uint64_t table_requests_malformed = 0;
+    std::uint64_t table_reads_behind = 0;
+    std::uint64_t table_reads_failed = 0;
     std::uint64_t store_calls = 0;
     std::vector<metered_bytes> exchanged;
     std::vector<own_release> releases;  ///< Of each pool that was ever ordered to change.
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -86,6 +86,10 @@
     bool reads_owner() const { return m_sources.reads_owner(); }
     std::uint64_t owner_calls() const { return m_owner_calls; }
     std::uint64_t peer_calls() const { return m_peer_calls; }
+    /// @return answers of other routers whose copies were too old.
+    std::uint64_t reads_behind() const { return m_reads_behind; }
+    /// @return reads, from the owner or from other routers, that ended without an answer.
+    std::uint64_t reads_failed() const { return m_reads_failed; }
 
     runtime::task<batch_result> read_all(std::string table, base::duration limit) {
         return read({std::move(table), 0, true, {}, limit});
@@ -119,6 +123,16 @@
         std::optional<source> from;  ///< As last noted in the log.
     };
 
+    /// One read that did not make the copy current, for the log.
+    struct read_report {
+        std::string table;
+        source from;
+        std::string_view outcome;
+        base::duration took{};
+        base::duration limit{};
+        base::duration told_age{};  ///< Of the copy that was told, if any.
+    };
+
     static constexpr std::string_view component = "relay.tables";
 
     runtime::task<batch_result> read_once_routers_are_known(reading wanted) {
@@ -176,6 +190,8 @@
         }
         const base::monotonic_time now = m_scheduler.now();
         if (!answers(batch)) {
+            ++m_reads_failed;
+            note_read({wanted.table, std::nullopt, "no answer", now - asked_at, held.limit, {}});
             m_sources.failed(std::nullopt, now);
             co_return batch;
         }
@@ -214,21 +230,29 @@
         ++m_peer_calls;
         const base::endpoint address = m_addresses[from];
         peer::message_bytes bytes = peer::encode(request);
-        const auto told =
-            co_await m_transport.call(address, std::move(bytes), hold + m_settings.call_margin);
+        const base::duration limit = hold + m_settings.call_margin;
+        const auto told = co_await m_transport.call(address, std::move(bytes), limit);
         const base::monotonic_time now = m_scheduler.now();
         auto answer = decode(told);
         if (!answer) {
+            ++m_reads_failed;
+            note_read({wanted.table, from, "no answer", now - sent_at, limit, {}});
             m_sources.failed(from, now);
             co_return feed_fault::unavailable;
         }
         if (!answer->known) {
+            note_read({wanted.table, from, "no copy", now - sent_at, limit, {}});
             m_sources.answered(from, true, now);  // It has just started, or ends.
             co_return feed_fault::unavailable;
         }
         // The request arrived no earlier than it was sent, so that this is a lower bound.
         const base::monotonic_time as_of = std::min(sent_at + answer->confirmed_after, now);
-        m_sources.answered(from, is_too_old(table, as_of, now), now);
+        const bool behind = is_too_old(table, as_of, now);
+        if (behind) {
+            ++m_reads_behind;
+            note_read({wanted.table, from, "too old", now - sent_at, limit, now - as_of});
+        }
+        m_sources.answered(from, behind, now);
         co_return batch_of(std::move(*answer), wanted, table, as_of, began);
     }
 
@@ -286,6 +310,16 @@
         table.from.emplace(from);
     }
 
+    static void note_read(const read_report& read) {
+        runtime::log(runtime::log_level::info, component, "copy not made current",
+                     {{"table", read.table},
+                      {"source", read.from ? read.from->value : "owner"},
+                      {"outcome", std::string(read.outcome)},
+                      {"took_ms", std::to_string(base::to_milliseconds(read.took))},
+                      {"limit_ms", std::to_string(base::to_milliseconds(read.limit))},
+                      {"told_age_ms", std::to_string(base::to_milliseconds(read.told_age))}});
+    }
+
     runtime::scheduler& m_scheduler;
     Owner& m_owner;
     peer::transport& m_transport;
@@ -296,6 +330,8 @@
     std::map<std::string, table_state> m_tables;
     std::uint64_t m_owner_calls = 0;
     std::uint64_t m_peer_calls = 0;
+    std::uint64_t m_reads_behind = 0;
+    std::uint64_t m_reads_failed = 0;
     std::optional<base::monotonic_time> m_first_told_at;  ///< Of the other routers.
     std::optional<base::monotonic_time> m_first_call_at;  ///< For changes.
 };
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -56,3 +56,11 @@
     registry.remove(base::engine_name("e0"));
     cr_assert(registry.active(start).empty());
 }
+
+Test(engine_registry, the_list_is_as_old_as_its_newest_confirmation) {
+    engine_registry registry;
+    cr_assert(registry.age(start) == base::duration::max());
+    registry.confirm(start + 300ms);
+    registry.confirm(start + 100ms);  // Told late, by another source.
+    cr_assert(registry.age(start + 450ms) == 150ms);
+}
