Tables: each has its own memory of sources, an answer counts by its age, bounds come from settings

Cause of the late news of engines that leave: (1) what was known of sources was kept once for all tables, so that answers on a table that was current everywhere wiped out which copies of the list of engines were old, and made the feed count as current for both; (2) an answer made the copy count as current for 2 s from its arrival, however old it was, and 2.5 s passed as current while a deployment allows 2 s; (3) after an old answer the follower rested for the table's pace. Ruled out: that the store refused the router (no call of it in the store's record).

--- a/src/ferryroad/coordination/reading/source_selector.cpp
+++ b/src/ferryroad/coordination/reading/source_selector.cpp
@@ -5,9 +5,9 @@
 
 namespace ferryroad::coordination::reading {
 
-source_selector::source_selector(tree_member self, selector_settings settings,
+source_selector::source_selector(tree_member self, selector_settings settings, source_reach& reach,
                                  base::random_source& random)
-    : m_self(std::move(self)), m_settings(settings), m_random(random) {}
+    : m_self(std::move(self)), m_settings(settings), m_reach(reach), m_random(random) {}
 
 void source_selector::declare(const std::vector<tree_member>& members) {
     m_others.clear();
@@ -16,7 +16,7 @@
             m_others.push_back(one);
         }
     }
-    std::erase_if(m_records, [&](const auto& entry) {
+    std::erase_if(m_old_until, [&](const auto& entry) {
         return std::none_of(m_others.begin(), m_others.end(),
                             [&](const tree_member& one) { return one.name == entry.first; });
     });
@@ -24,12 +24,9 @@
 
 bool source_selector::is_usable(const source& from, leave_out rule,
                                 base::monotonic_time now) const {
-    const auto known = from ? m_records.find(*from) : m_records.end();
-    const record_of_source none;
-    const record_of_source& record =
-        !from ? m_owner : (known == m_records.end() ? none : known->second);
-    const bool is_old = rule == leave_out::absent_or_old && now < record.old_until;
-    return now >= record.absent_until && !is_old;
+    const auto known = from ? m_old_until.find(*from) : m_old_until.end();
+    const bool is_old = known != m_old_until.end() && now < known->second;
+    return m_reach.is_present(from, now) && !(rule == leave_out::absent_or_old && is_old);
 }
 
 std::vector<tree_member> source_selector::usable(leave_out rule, base::monotonic_time now) const {
@@ -46,7 +43,7 @@
         m_chosen = *m_detour;
     } else {
         m_detour.reset();
-        m_chosen = now < m_current_until ? choose_while_current(now) : choose_while_old(now);
+        m_chosen = is_current(now) ? choose_while_current(now) : choose_while_old(now);
     }
     return m_chosen;
 }
@@ -57,7 +54,7 @@
     if (owner_answers) {
         return place_in_tree(m_self, others, m_settings.tree).parent;
     }
-    return others.empty() ? first_back() : nearest_reader(others);
+    return others.empty() ? m_reach.first_back(m_others) : nearest_reader(others);
 }
 
 source source_selector::choose_while_old(base::monotonic_time now) {
@@ -73,7 +70,7 @@
     if (!others.empty()) {
         return any_of(others);
     }
-    return answering.empty() ? first_back() : any_of(answering);
+    return answering.empty() ? m_reach.first_back(m_others) : any_of(answering);
 }
 
 source source_selector::nearest_reader(const std::vector<tree_member>& others) const {
@@ -94,54 +91,43 @@
     return others[m_random.below(others.size())].name;
 }
 
-source source_selector::first_back() const {
-    source first;
-    base::monotonic_time earliest = m_owner.absent_until;
-    for (const tree_member& one : m_others) {
-        const auto known = m_records.find(one.name);
-        if (known != m_records.end() && known->second.absent_until < earliest) {
-            earliest = known->second.absent_until;
-            first = one.name;
-        }
-    }
-    return first;
-}
-
-void source_selector::answered(const source& from, bool is_old, base::monotonic_time now) {
-    record_of_source& known = from ? m_records[*from] : m_owner;
-    known = {};
-    if (is_old) {
-        known.old_until = now + jittered(m_settings.old_copy_pause);
+void source_selector::answered(const source& from, base::monotonic_time as_of,
+                               base::monotonic_time now) {
+    m_reach.answered(from);
+    const bool was_current = is_current(now);
+    m_as_of = std::max(m_as_of.value_or(as_of), as_of);
+    if (now - as_of > m_settings.oldest_copy) {
+        leave_old(from, now);
         return;
     }
-    const bool was_old = now >= m_current_until;
+    if (from) {
+        m_old_until.erase(*from);
+    }
     const auto others = usable(leave_out::absent, now);
-    if (was_old && from != place_in_tree(m_self, others, m_settings.tree).parent) {
+    if (!was_current && from != place_in_tree(m_self, others, m_settings.tree).parent) {
         m_detour.emplace(from);
         m_detour_until = now + jittered(m_settings.detour);
     }
-    m_current_until = now + m_settings.oldest_copy;
 }
 
-void source_selector::failed(const source& from, base::monotonic_time now) {
+void source_selector::has_no_copy(const source& from, base::monotonic_time now) {
+    m_reach.answered(from);
+    leave_old(from, now);
+}
+
+void source_selector::leave_old(const source& from, base::monotonic_time now) {
     if (from) {
-        record_of_source& known = m_records[*from];
-        const base::duration absence = std::max(known.next_absence, m_settings.first_absence);
-        known.absent_until = now + jittered(absence);
-        known.next_absence = std::min(2 * absence, m_settings.longest_absence);
-        if (is_usable(std::nullopt, leave_out::absent, now)) {
-            m_detour.emplace(std::nullopt);
-            m_detour_until = now + jittered(m_settings.detour);
-        }
-        return;
+        m_old_until[*from] = now + jittered(m_settings.old_copy_pause);
+    }
+}
+
+void source_selector::failed(const source& from, base::monotonic_time now) {
+    const bool reads = place_in_tree(m_self, m_others, m_settings.tree).reads_owner;
+    m_reach.failed(from, reads ? reading_role::reader : reading_role::other, now);
+    if (from && m_reach.is_present(std::nullopt, now)) {
+        m_detour.emplace(std::nullopt);
+        m_detour_until = now + jittered(m_settings.detour);
     }
-    const bool is_reader = place_in_tree(m_self, m_others, m_settings.tree).reads_owner;
-    const base::duration longest =
-        is_reader ? m_settings.longest_reader_pause : m_settings.longest_owner_pause;
-    const base::duration pause =
-        std::min(std::max(m_owner.next_absence, m_settings.first_owner_pause), longest);
-    m_owner.absent_until = now + jittered(pause);
-    m_owner.next_absence = 2 * pause;
 }
 
 base::duration source_selector::jittered(base::duration pause) {
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -23,8 +23,19 @@
 
 namespace ferryroad::relay {
 
+/// What is expected of a router's copy of one table.
+struct table_terms {
+    /// Between two reads of the owner, at least. Other routers tell news as they have it.
+    base::duration owner_pace{};
+    /// A copy that is older is behind: its source is left, and the owner asked before long.
+    base::duration oldest = coordination::reading::selector_settings().oldest_copy;
+
+    friend bool operator==(const table_terms&, const table_terms&) = default;
+};
+
 struct shared_feed_settings {
     coordination::reading::selector_settings sources;
+    coordination::reading::reach_settings reach;
     core::topology::zone_map zones;  ///< With their regions.
     /// A call to another router may be held so long for news. Short, so that a router that
     /// stopped to answer is found out well within the time in which changes must be in force.
@@ -36,8 +47,9 @@
     base::duration call_margin = std::chrono::milliseconds(300);
     /// Before the next source is tried, so that a row of them is not asked all at once.
     base::duration retry_pause = std::chrono::milliseconds(30);
-    /// The same while all that is known is old: an outage may last, and everyone asks around.
-    base::duration old_copy_pause = std::chrono::milliseconds(200);
+    /// Between two questions to other routers while all that is known is old: an outage may
+    /// last, and everyone asks around.
+    base::duration old_copy_pause = std::chrono::milliseconds(150);
     /// Other routers tried in one call before it ends as unavailable.
     int attempts = 3;
     /// A router that has just started reads whole tables from the owner at once, and waits so
@@ -62,28 +74,34 @@
           m_transport(transport),
           m_self(std::move(self)),
           m_settings(std::move(settings)),
-          m_sources(member_of(m_self), m_settings.sources, scheduler.random()) {}
+          m_reach(m_settings.reach, scheduler.random()) {}
 
     /// Takes the routers that are present, as the owner's table names them: no others are asked.
     void set_routers(const std::vector<peer_address>& present) {
-        std::vector<coordination::reading::tree_member> members;
+        m_members.clear();
         m_addresses.clear();
         for (const peer_address& one : present) {
-            members.push_back(member_of(one));
+            m_members.push_back(member_of(one));
             m_addresses[one.name] = one.address;
         }
-        m_sources.declare(members);
+        m_reach.declare(m_members);
+        for (auto& [name, table] : m_tables) {
+            table.sources.declare(m_members);
+        }
         if (!m_first_told_at) {
             m_first_told_at = m_scheduler.now();
         }
     }
 
-    /// Whoever reads the owner asks for a table only so often, so that copies of it are so much
-    /// older than those of others.
-    void expect_pace(const std::string& table, base::duration pace) { m_tables[table].pace = pace; }
+    /// Holds from the next read on.
+    void expect(const std::string& name, table_terms terms) {
+        table_state& table = state_of(name);
+        table.terms = terms;
+        table.sources.change_oldest(terms.oldest);
+    }
 
     /// @return whether this router reads the owner now, for itself and for others.
-    bool reads_owner() const { return m_sources.reads_owner(); }
+    bool reads_owner() const { return m_reads_owner; }
     std::uint64_t owner_calls() const { return m_owner_calls; }
     std::uint64_t peer_calls() const { return m_peer_calls; }
     /// @return answers of other routers whose copies were too old.
@@ -117,12 +135,28 @@
 
     /// What this router knows of a table.
     struct table_state {
+        coordination::reading::source_selector sources;
+        table_terms terms;
         std::uint64_t version = 0;
         base::monotonic_time as_of{};
-        base::duration pace{};
-        std::optional<source> from;  ///< As last noted in the log.
+        base::monotonic_time next_owner_read{};  ///< Not sooner, by the pace.
+        base::monotonic_time next_old_read{};    ///< Of another router, while the copy is old.
+        std::optional<source> from;              ///< As last noted in the log.
     };
 
+    table_state& state_of(const std::string& name) {
+        const auto found = m_tables.find(name);
+        if (found != m_tables.end()) {
+            return found->second;
+        }
+        coordination::reading::source_selector sources(member_of(m_self), m_settings.sources,
+                                                       m_reach, m_scheduler.random());
+        sources.declare(m_members);
+        table_terms terms;
+        terms.oldest = m_settings.sources.oldest_copy;
+        return m_tables.emplace(name, table_state{std::move(sources), terms}).first->second;
+    }
+
     /// One read that did not make the copy current, for the log.
     struct read_report {
         std::string table;
@@ -154,10 +188,11 @@
     }
 
     runtime::task<batch_result> read(reading wanted) {
-        table_state& table = m_tables[wanted.table];
+        table_state& table = state_of(wanted.table);
         const base::monotonic_time began = m_scheduler.now();
         for (int attempt = 0; attempt < m_settings.attempts; ++attempt) {
-            const source from = m_sources.choose(m_scheduler.now());
+            const source from = table.sources.choose(m_scheduler.now());
+            m_reads_owner = !from;
             note_source(table, wanted.table, from);
             batch_result batch = feed_fault::unavailable;
             if (from) {
@@ -175,7 +210,11 @@
 
     runtime::task<batch_result> read_owner(reading wanted, table_state& table,
                                            base::monotonic_time began) {
+        if (!wanted.whole && m_scheduler.now() < table.next_owner_read) {
+            co_await m_scheduler.sleep_until(table.next_owner_read);
+        }
         base::monotonic_time asked_at = m_scheduler.now();
+        table.next_owner_read = asked_at + table.terms.owner_pace;
         const bool may_wait = asked_at - table.as_of < m_settings.waits_while_younger;
         reading held = wanted;
         held.wait = may_wait ? wanted.wait : base::duration{};
@@ -192,10 +231,10 @@
         if (!answers(batch)) {
             ++m_reads_failed;
             note_read({wanted.table, std::nullopt, "no answer", now - asked_at, held.limit, {}});
-            m_sources.failed(std::nullopt, now);
+            table.sources.failed(std::nullopt, now);
             co_return batch;
         }
-        m_sources.answered(std::nullopt, false, now);
+        table.sources.answered(std::nullopt, asked_at, now);
         if (batch) {
             batch->owner_asked_after = asked_at - began;
             take(table, *batch, asked_at);
@@ -217,14 +256,11 @@
 
     runtime::task<batch_result> read_peer(base::router_name from, reading wanted,
                                           table_state& table, base::monotonic_time began) {
-        const base::monotonic_time asked_at = m_scheduler.now();
-        // Whoever has an old copy looks for a better one and doesn't wait for news of a worse.
-        const bool is_old = is_too_old(table, table.as_of, asked_at);
-        const base::duration hold = is_old ? base::duration{} : m_settings.hold;
-        if (is_old && m_settings.old_copy_pause > base::duration{} && !wanted.whole) {
-            co_await m_scheduler.sleep_for(m_settings.old_copy_pause);
+        if (!wanted.whole && is_behind(table, m_scheduler.now())) {
+            co_await pause_while_behind(table);
         }
         const base::monotonic_time sent_at = m_scheduler.now();
+        const base::duration hold = hold_for(table, sent_at);
         peer::table_request request{m_self.name, wanted.table, wanted.after, wanted.whole,
                                     std::chrono::duration_cast<std::chrono::milliseconds>(hold)};
         ++m_peer_calls;
@@ -237,22 +273,21 @@
         if (!answer) {
             ++m_reads_failed;
             note_read({wanted.table, from, "no answer", now - sent_at, limit, {}});
-            m_sources.failed(from, now);
+            table.sources.failed(from, now);
             co_return feed_fault::unavailable;
         }
         if (!answer->known) {
             note_read({wanted.table, from, "no copy", now - sent_at, limit, {}});
-            m_sources.answered(from, true, now);  // It has just started, or ends.
+            table.sources.has_no_copy(from, now);  // It has just started, or ends.
             co_return feed_fault::unavailable;
         }
         // The request arrived no earlier than it was sent, so that this is a lower bound.
         const base::monotonic_time as_of = std::min(sent_at + answer->confirmed_after, now);
-        const bool behind = is_too_old(table, as_of, now);
-        if (behind) {
+        if (now - as_of > table.terms.oldest) {
             ++m_reads_behind;
             note_read({wanted.table, from, "too old", now - sent_at, limit, now - as_of});
         }
-        m_sources.answered(from, behind, now);
+        table.sources.answered(from, as_of, now);
         co_return batch_of(std::move(*answer), wanted, table, as_of, began);
     }
 
@@ -285,9 +320,25 @@
         return batch;
     }
 
-    bool is_too_old(const table_state& table, base::monotonic_time as_of,
-                    base::monotonic_time now) const {
-        return now - as_of > m_settings.sources.oldest_copy + table.pace;
+    static bool is_behind(const table_state& table, base::monotonic_time now) {
+        return now - table.as_of > table.terms.oldest;
+    }
+
+    /// The first question is asked at once: often the source is behind no longer.
+    runtime::task<void> pause_while_behind(table_state& table) {
+        const base::monotonic_time now = m_scheduler.now();
+        const base::monotonic_time start = std::max(now, table.next_old_read);
+        table.next_old_read = start + m_settings.old_copy_pause;
+        if (start > now) {
+            co_await m_scheduler.sleep_until(start);
+        }
+    }
+
+    /// A call that ends without news, or without an answer, ends before the copy is behind, so
+    /// that there is time to ask another source. Whoever is behind doesn't wait for news.
+    base::duration hold_for(const table_state& table, base::monotonic_time now) const {
+        const base::duration left = table.as_of + table.terms.oldest - now;
+        return std::clamp(left - m_settings.call_margin, base::duration{}, m_settings.hold);
     }
 
     static void take(table_state& table, const record_batch& batch, base::monotonic_time as_of) {
@@ -325,9 +376,11 @@
     peer::transport& m_transport;
     peer_address m_self;
     shared_feed_settings m_settings;
-    coordination::reading::source_selector m_sources;
+    coordination::reading::source_reach m_reach;
+    std::vector<coordination::reading::tree_member> m_members;
     std::map<base::router_name, base::endpoint> m_addresses;
     std::map<std::string, table_state> m_tables;
+    bool m_reads_owner = true;  ///< As chosen last, for any table.
     std::uint64_t m_owner_calls = 0;
     std::uint64_t m_peer_calls = 0;
     std::uint64_t m_reads_behind = 0;
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/http/client.hpp"
 #include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/leases/presence.hpp"
+#include "ferryroad/relay/shared_feed.hpp"
 #include "ferryroad/relay/table_follower.hpp"
 
 #include <chrono>
@@ -30,16 +31,36 @@
     return settings;
 }
 
-/// Engines change all the time: changes are fetched in batches.
+/// Engines write all the time that they live: changes are fetched from the store in batches.
+inline constexpr base::duration engine_list_pace = std::chrono::milliseconds(500);
+
+/// Other routers tell the changes that mean something as soon as they know them.
 inline follower_settings follow_engines(std::string table,
                                         coordination::reading::same_meaning same_meaning) {
     follower_settings settings;
     settings.table = std::move(table);
-    settings.pace = std::chrono::milliseconds(500);
     settings.same_meaning = std::move(same_meaning);
     return settings;
 }
 
+/// @param bound after an engine said that it leaves, how long requests may still reach it.
+/// @return what is expected of the list of engines. A router turns to the store when its copy is
+/// 0.6 of the bound old: a silent source before that and a lost call to the store after it (0.3 s
+/// each) still fit. Where 2.5 s passed as current with a bound of 2 s, a request reached an engine
+/// 2.45 s after (logs of a fleet of 8).
+inline table_terms engine_list_terms(base::duration bound) {
+    constexpr double used_share = 0.6;
+    return {engine_list_pace, base::from_seconds(base::to_seconds(bound) * used_share)};
+}
+
+/// @param bound after a change of what operators declare, how long until it must be in force.
+/// @return what is expected of it. A reader's copy of an idle table is up to 1.5 s old, as it waits
+/// 0.75 s for news: a lower share would make readers of all routers.
+inline table_terms declaration_terms(base::duration bound) {
+    constexpr double used_share = 0.8;
+    return {{}, base::from_seconds(base::to_seconds(bound) * used_share)};
+}
+
 /// Who takes part changes seldom, and nothing waits for it; but routers that start together
 /// read the store all by themselves until they know each other.
 inline follower_settings follow_routers(std::string table) {
@@ -52,6 +73,13 @@
     return settings;
 }
 
+/// @return what is expected of the list of routers, which is asked for so often.
+inline table_terms router_list_terms(const follower_settings& asked) {
+    table_terms terms;
+    terms.oldest += asked.pace;
+    return terms;
+}
+
 /// Short, so that a holder that ended is followed soon.
 inline leases::lease_service_settings rollout_lease_settings() {
     leases::lease_service_settings settings;
--- a/test/coordination/reading/reading_simulation_test.cpp
+++ b/test/coordination/reading/reading_simulation_test.cpp
@@ -25,8 +25,8 @@
 using namespace ferryroad::coordination::reading;
 using namespace std::chrono_literals;
 
-constexpr base::duration call_limit = 900ms;
-constexpr base::duration hold = 600ms;
+constexpr base::duration call_margin = 300ms;
+constexpr base::duration longest_hold = 600ms;
 constexpr base::duration pace = 500ms;
 constexpr base::duration retry = 100ms;
 
@@ -142,6 +142,7 @@
         tree_member self;
         base::duration clock_offset{};
         std::unique_ptr<table_mirror> copy;
+        std::unique_ptr<source_reach> reach;
         std::unique_ptr<source_selector> sources;
         std::uint64_t life = 0;
         std::uint64_t call = 0;  ///< Answers to earlier ones are dropped.
@@ -188,7 +189,9 @@
         one.running = true;
         one.seen_version = 0;
         one.copy = std::make_unique<table_mirror>();
-        one.sources = std::make_unique<source_selector>(one.self, selector_settings{}, m_random);
+        one.reach = std::make_unique<source_reach>(reach_settings{}, m_random);
+        one.sources =
+            std::make_unique<source_selector>(one.self, selector_settings{}, *one.reach, m_random);
         one.sources->declare(m_members);
         in_process(one, base::duration(m_random.below(300'000'000)), [this, &one] { follow(one); });
     }
@@ -216,14 +219,21 @@
             ++one.call;
             take_answer(one, from, asked_at, answer);
         };
-        in_process(one, call_limit, [take] { take(std::nullopt); });
+        const base::duration hold = from ? hold_of(one) : longest_hold;
+        in_process(one, hold + call_margin, [take] { take(std::nullopt); });
         if (from) {
-            ask_peer(one, *from, take);
+            ask_peer(one, *from, hold, take);
         } else {
             ask_owner(one, take);
         }
     }
 
+    /// As routers do: a call ends before the copy is too old.
+    base::duration hold_of(const router& one) const {
+        const base::duration left = selector_settings{}.oldest_copy - age(index_of(one.self.name));
+        return std::clamp(left - call_margin, base::duration{}, longest_hold);
+    }
+
     void ask_owner(router& one, std::function<void(std::optional<call_answer>)> take) {
         ++m_owner_calls;
         const std::uint64_t after_version = one.copy->version();
@@ -240,7 +250,7 @@
         });
     }
 
-    void ask_peer(router& one, const base::router_name& name,
+    void ask_peer(router& one, const base::router_name& name, base::duration hold,
                   std::function<void(std::optional<call_answer>)> take) {
         const std::size_t to = index_of(name);
         const std::size_t from = index_of(one.self.name);
@@ -249,10 +259,9 @@
             return;
         }
         const std::uint64_t after_version = one.copy->version();
-        const bool is_old = age(from) > selector_settings{}.oldest_copy;
-        in_process(other, way(), [this, &one, &other, from, to, after_version, is_old, take] {
+        in_process(other, way(), [this, &one, &other, from, to, after_version, hold, take] {
             const base::monotonic_time received_at = local(other);
-            const bool at_once = is_old || other.copy->has_changes_after(after_version);
+            const bool at_once = other.copy->has_changes_after(after_version);
             in_process(other, at_once ? base::duration{} : hold,
                        [this, &one, &other, from, to, after_version, received_at, take] {
                            answer_peer(one, other, received_at, after_version,
@@ -284,7 +293,7 @@
             return;
         }
         const base::monotonic_time as_of = std::min(asked_at + answer->confirmed_after, now);
-        one.sources->answered(from, now - as_of > selector_settings{}.oldest_copy, now);
+        one.sources->answered(from, as_of, now);
         if (answer->version >= one.copy->version()) {
             if (answer->changes) {
                 for (const record& row : *answer->changes) {
@@ -297,7 +306,7 @@
         one.copy->confirm({std::max(answer->version, one.copy->version()), as_of, {}});
         judge(one);
         const bool is_old = age(index_of(one.self.name)) > selector_settings{}.oldest_copy;
-        in_process(one, from ? (is_old ? 200ms : 20ms) : pace, [this, &one] { follow(one); });
+        in_process(one, from ? (is_old ? 150ms : 20ms) : pace, [this, &one] { follow(one); });
     }
 
     void judge(router& one) {
--- a/test/coordination/reading/source_selector_test.cpp
+++ b/test/coordination/reading/source_selector_test.cpp
@@ -17,9 +17,12 @@
 }
 
 const base::monotonic_time start = at(100s);
+/// Older than any copy may be.
+constexpr base::duration long_ago = 50s;
 
 struct fixture {
     base::seeded_random random{7};
+    source_reach reach{{}, random};
     std::vector<tree_member> members;
     tree_member self;
 
@@ -39,9 +42,9 @@
     }
     /// A selector of a router whose copy is current.
     source_selector selector() {
-        source_selector made(self, {}, random);
+        source_selector made(self, {}, reach, random);
         made.declare(members);
-        made.answered(made.choose(start), false, start);
+        made.answered(made.choose(start), start, start);
         return made;
     }
 };
@@ -50,7 +53,7 @@
 
 Test(source_selector, a_router_that_knows_nobody_reads_the_owner) {
     fixture with(false);
-    source_selector selector(with.self, {}, with.random);
+    source_selector selector(with.self, {}, with.reach, with.random);
     cr_assert(!selector.choose(start));
     cr_assert(selector.reads_owner());
 }
@@ -69,7 +72,7 @@
     selector.failed(first, start);
     cr_assert(selector.choose(start) == std::nullopt, "a second silent one would take too long");
     cr_assert(selector.choose(start + 10s) == first);
-    selector.answered(first, false, start + 10s);
+    selector.answered(first, start + 10s, start + 10s);
     cr_assert(selector.choose(start + 10s) == first);
 }
 
@@ -88,7 +91,7 @@
     fixture with(false);
     source_selector selector = with.selector();
     const source first = selector.choose(start);
-    selector.answered(first, true, start);
+    selector.answered(first, start - long_ago, start);
     cr_assert(selector.choose(start) != first);
     cr_assert(selector.choose(start + 1500ms) == first);
 }
@@ -114,7 +117,7 @@
     selector.failed(std::nullopt, start);
     const source other = selector.choose(start);
     cr_assert(other.has_value());
-    selector.answered(other, false, start);
+    selector.answered(other, start, start);
     cr_assert(selector.choose(start + 1s) == std::nullopt, "tries the owner again soon");
 }
 
@@ -143,7 +146,7 @@
         const source from = selector.choose(now);
         if (from) {
             ++peer_calls;
-            selector.answered(from, true, now);
+            selector.answered(from, now - long_ago, now);
         } else {
             ++owner_calls;
             selector.failed(from, now);
@@ -160,11 +163,42 @@
     const source first = selector.choose(start);
     const base::monotonic_time later = start + 5s;  // Nothing current was heard meanwhile.
     cr_assert(selector.choose(later) == first);
-    selector.answered(first, true, later);
+    selector.answered(first, later - long_ago, later);
     selector.failed(std::nullopt, later);
     const source found = selector.choose(later);
     cr_assert(found && found != first);
-    selector.answered(found, false, later);
+    selector.answered(found, later, later);
     cr_assert(selector.choose(later + 1500ms) == found);
     cr_assert(selector.choose(later + 4s) == first);
 }
+
+Test(source_selector, what_is_old_of_one_table_stays_old_when_another_is_current) {
+    fixture with(false);
+    source_selector engines = with.selector();
+    source_selector declarations = with.selector();
+    const source first = engines.choose(start);
+    engines.answered(first, start - long_ago, start);
+    declarations.answered(first, start, start);
+    cr_assert(engines.choose(start) != first);
+    cr_assert(declarations.choose(start) == first);
+}
+
+Test(source_selector, silence_concerns_all_tables) {
+    fixture with(false);
+    source_selector engines = with.selector();
+    source_selector declarations = with.selector();
+    const source first = engines.choose(start);
+    engines.failed(first, start);
+    cr_assert(declarations.choose(start) != first);
+}
+
+Test(source_selector, a_copy_counts_as_current_by_its_own_age) {
+    fixture with(false);
+    source_selector selector = with.selector();
+    const base::duration oldest = selector_settings{}.oldest_copy;
+    const source first = selector.choose(start);
+    // All it tells from now on is as of `start`.
+    selector.answered(first, start, start + oldest - 10ms);
+    selector.answered(first, start, start + oldest + 10ms);
+    cr_assert(selector.choose(start + oldest + 10ms) == std::nullopt);
+}
--- a/test/relay/shared_feed_test.cpp
+++ b/test/relay/shared_feed_test.cpp
@@ -119,9 +119,9 @@
     settings.old_copy_pause = 2ms;
     settings.sources.oldest_copy = 100ms;
     settings.sources.old_copy_pause = 20ms;
-    settings.sources.first_owner_pause = 10ms;
-    settings.sources.longest_reader_pause = 20ms;
-    settings.sources.longest_owner_pause = 50ms;
+    settings.reach.first_owner_pause = 10ms;
+    settings.reach.longest_reader_pause = 20ms;
+    settings.reach.longest_owner_pause = 50ms;
     return settings;
 }
 
--- a/test/relay/table_freshness_test.cpp
+++ b/test/relay/table_freshness_test.cpp
@@ -59,14 +59,19 @@
     void send(const base::endpoint&, peer::message_bytes) override {}
     runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
                                                           peer::message_bytes request,
-                                                          base::duration) override {
-        return answer(std::move(request));
+                                                          base::duration limit) override {
+        return are_silent ? say_nothing(limit) : answer(std::move(request));
     }
     const peer::transport_counters& counters() const override { return m_counters; }
 
     base::monotonic_time engines_read_until = base::monotonic_time::max();
+    bool are_silent = false;
 
   private:
+    runtime::task<peer::result<peer::message_bytes>> say_nothing(base::duration limit) {
+        co_await m_scheduler.sleep_for(limit);
+        co_return peer::error{peer::error_code::timed_out, "no answer in time"};
+    }
     runtime::task<peer::result<peer::message_bytes>> answer(peer::message_bytes bytes) {
         const base::monotonic_time received_at = m_scheduler.now();
         const auto request = peer::decode_table_request(bytes);
@@ -109,7 +114,9 @@
                                 {[](const auto&) {}, [](const auto&) {}, [](const auto&) {}}),
           followed_engines(scheduler, feed, follow_engines(engines, {}),
                            {[](const auto&) {}, [](const auto&) {},
-                            [this](const confirmation& told) { engines_as_of = told.as_of; }}) {
+                            [this](const confirmation& told) {
+                                engines_as_of = std::max(engines_as_of, told.as_of);
+                            }}) {
         scheduler.run([this] {
             feed.set_routers(eight_routers());
             followed_declarations.start();
@@ -152,3 +159,33 @@
                       self.name.value.c_str());
     }
 }
+
+Test(table_freshness, the_list_of_engines_keeps_to_the_bound_for_engines_that_leave) {
+    constexpr base::duration bound = 2000ms;
+    // To choose an engine, and for the request to get there.
+    constexpr base::duration to_send = 200ms;
+    std::uint64_t seed = 1;
+    for (const bool silent : {false, true}) {
+        for (const peer_address& self : eight_routers()) {
+            router one(seed++, self);
+            one.feed.expect(engines, engine_list_terms(bound));
+            one.time.run_until(one.time.now() + 5s);
+            one.others.engines_read_until = one.scheduler.now();
+            one.others.are_silent = silent;
+            const base::duration oldest = one.oldest_engines_for(20s);
+            cr_expect_leq(base::to_milliseconds(oldest), base::to_milliseconds(bound - to_send),
+                          "%s, %s", self.name.value.c_str(), silent ? "silent" : "behind");
+        }
+    }
+}
+
+Test(table_freshness, the_owner_is_read_no_faster_than_its_pace) {
+    router one(1, eight_routers().front());
+    one.feed.expect(engines, engine_list_terms(2s));
+    one.time.run_until(one.time.now() + 5s);
+    one.others.are_silent = true;
+    one.time.run_until(one.time.now() + 5s);
+    const int before = one.owner.engine_calls;
+    one.time.run_until(one.time.now() + 10s);
+    cr_assert_leq(one.owner.engine_calls - before, 10s / engine_list_pace + 1);
+}
