Large changes: announced at once, read from the store by each router, for as long as more comes

Cause: a read of a table was given up a fixed time after its start (0.5 s beyond the hold at the store, 0.3 s between routers), whatever had come. A configuration of 2,800 routes takes 0.9 s on a link of 10 Mbit/s: every router threw away what it had and began again elsewhere, links stayed full, copies grew old, keys were no longer confirmed. And a router passes its copy on to up to 16 others over the same narrow link: 11.5 s for 0.9 MB, with the limits mended. Weighed, for a row of 0.9 MB, links of 10 Mbit/s, a store of 4,000 Mbit/s (reckoned): passed on whole over the tree, 11.5 s a level at 79 and 370 routers; passed on compressed ten to one, 0.9 s to the first reader and 1.2 s a level, 3.3 s (79) and 4.5 s (370); read by each from the store one level after another, 0.9 s a level; announced and read by all at once, 0.95 s at 79, 1 s at 370, 2.4 s at 1,000 (the store's link binds). Change: http::client::fetch (limits to the first byte, between parts, and for the whole); the store's feed tells that a large answer about a table has begun, and table_server wakes those who wait with 'at the owner'; what is over 24 KiB is never passed on, unless the store doesn't answer the asker. A request says whether its sender understands the redirection.

--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -24,6 +24,12 @@
     return send_request(state_->pool, {address, std::move(message), limit, again});
 }
 
+runtime::task<result<response>> client::fetch(const base::endpoint& address, request message,
+                                              fetch_options options, resend again) {
+    exchange_order order{address, std::move(message), options.first, again};
+    return fetch_answer(state_->pool, std::move(order), std::move(options));
+}
+
 runtime::task<result<std::unique_ptr<response_stream>>> client::open(const base::endpoint& address,
                                                                      request message,
                                                                      base::duration limit,
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -10,6 +10,8 @@
 #include "ferryroad/http/message.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -66,6 +68,16 @@
     bool fresh_connection = false;
 };
 
+/// How long the answer to a `fetch` is waited for, and who is told that it is large.
+struct fetch_options {
+    base::duration first{};    ///< Until the answer's headers have come.
+    base::duration pause{};    ///< Without any more of the body.
+    base::duration longest{};  ///< For the whole exchange, however steadily it goes on.
+    /// Called once, as soon as so many bytes of the body have come; not for a smaller one.
+    std::size_t large_bytes = 0;
+    std::function<void()> is_large;
+};
+
 /// Used from the event loop's thread; outlives its streams. Cancelling a coroutine in one of
 /// the calls closes the connection and throws boost::system::system_error (operation_aborted).
 class client {
@@ -80,6 +92,9 @@
     /// @param limit for the whole exchange.
     runtime::task<result<response>> send(const base::endpoint& address, request message,
                                          base::duration limit, resend again);
+    /// As `send`, for answers whose size isn't known: goes on for as long as more of it comes.
+    runtime::task<result<response>> fetch(const base::endpoint& address, request message,
+                                          fetch_options options, resend again);
     /// @param limit until the answer's headers have come.
     runtime::task<result<std::unique_ptr<response_stream>>> open(const base::endpoint& address,
                                                                  request message,
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -55,6 +55,13 @@
     }
 }
 
+response head_of(exchange& answered) {
+    response answer;
+    answer.status = answered.decoder().status();
+    answer.headers = answered.decoder().headers();
+    return answer;
+}
+
 }  // namespace
 
 exchange::exchange(std::shared_ptr<connection_pool> pool, base::endpoint address,
@@ -300,13 +307,40 @@
     if (!read) {
         co_return read.error();
     }
-    response answer;
-    answer.status = current.decoder().status();
-    answer.headers = current.decoder().headers();
+    response answer = head_of(current);
     answer.body = current.decoder().take_body();
     co_return answer;
 }
 
+runtime::task<result<response>> fetch_answer(std::shared_ptr<connection_pool> pool,
+                                             exchange_order order, fetch_options options) {
+    const base::monotonic_time deadline = pool->scheduler().now() + options.longest;
+    const std::size_t body_bytes = pool->limits().body_bytes;
+    auto started = co_await start_exchange(pool, std::move(order), body_bytes);
+    if (!started) {
+        co_return started.error();
+    }
+    exchange& current = **started;
+    response answer = head_of(current);
+    answer.body = current.decoder().take_body();
+    bool told = false;
+    for (;;) {
+        if (!told && options.is_large && answer.body.size() >= options.large_bytes) {
+            told = true;
+            options.is_large();
+        }
+        if (current.is_complete()) {
+            co_return answer;
+        }
+        const base::monotonic_time next = current.deadline_after(options.pause);
+        const auto read = co_await current.read_some(std::min(next, deadline));
+        if (!read) {
+            co_return read.error();
+        }
+        answer.body += current.decoder().take_body();
+    }
+}
+
 runtime::task<result<std::unique_ptr<response_stream>>> open_stream(
     std::shared_ptr<connection_pool> pool, exchange_order order) {
     auto started = co_await start_exchange(pool, std::move(order), std::nullopt);
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -17,6 +17,8 @@
 
 runtime::task<result<response>> send_request(std::shared_ptr<connection_pool> pool,
                                              exchange_order order);
+runtime::task<result<response>> fetch_answer(std::shared_ptr<connection_pool> pool,
+                                             exchange_order order, fetch_options options);
 runtime::task<result<std::unique_ptr<response_stream>>> open_stream(
     std::shared_ptr<connection_pool> pool, exchange_order order);
 
--- a/src/ferryroad/peer/table_call.hpp
+++ b/src/ferryroad/peer/table_call.hpp
@@ -20,6 +20,11 @@
 
 /// Rows of one answer at most; a table that is larger is read from its owner.
 inline constexpr std::size_t most_table_rows = 8192;
+/// Bytes of keys and values that routers pass on to each other; what is larger is read from the
+/// owner. A router may have 16 others below it: to tell all of them so much takes 0.31 s on a link
+/// of 10 Mbit/s, about the time that a call may take beyond its hold. A row of 0.9 MB would take
+/// 11.5 s there, and 0.9 s where each of them reads it from the owner over its own link.
+inline constexpr std::size_t most_relayed_bytes = std::size_t{24} * 1024;
 
 struct table_request {
     base::router_name sender;
@@ -28,6 +33,7 @@
     bool whole = false;       ///< The asker needs all rows.
     /// The answer may wait so long for news.
     std::chrono::milliseconds hold{};
+    bool may_redirect = false;  ///< The answer may be that the owner is to be read.
 
     friend bool operator==(const table_request&, const table_request&) = default;
 };
@@ -40,6 +46,8 @@
     /// The owner was asked this long after the request arrived; negative: before.
     std::chrono::microseconds confirmed_after{};
     std::chrono::milliseconds owner_time{};  ///< The owner's steady clock, as it answered.
+    /// What is new is large, and to be read from the owner: there are no rows here.
+    bool at_owner = false;
 
     friend bool operator==(const table_answer&, const table_answer&) = default;
 };
--- a/src/ferryroad/peer/table_call_codec.cpp
+++ b/src/ferryroad/peer/table_call_codec.cpp
@@ -35,7 +35,7 @@
     const auto hold = std::clamp<std::int64_t>(request.hold.count(), 0, longest_hold_milliseconds);
     return finish(builder,
                   wire::CreateTableRequest(builder, sender, table, request.after, request.whole,
-                                           static_cast<std::uint32_t>(hold)));
+                                           static_cast<std::uint32_t>(hold), request.may_redirect));
 }
 
 message_bytes encode(const table_answer& answer) {
@@ -46,7 +46,7 @@
     return finish(builder,
                   wire::CreateTableAnswer(builder, answer.known, answer.whole, answer.version, rows,
                                           answer.confirmed_after.count(),
-                                          static_cast<std::uint64_t>(owner_time)));
+                                          static_cast<std::uint64_t>(owner_time), answer.at_owner));
 }
 
 result<table_request> decode_table_request(std::string_view bytes) {
@@ -63,6 +63,7 @@
     request.whole = root->whole();
     reader.require(root->hold_milliseconds() <= longest_hold_milliseconds, "a shorter hold");
     request.hold = std::chrono::milliseconds(root->hold_milliseconds());
+    request.may_redirect = root->may_redirect();
     if (reader.fault() != nullptr) {
         return malformed(std::string("table request: expected ") + reader.fault());
     }
@@ -85,6 +86,7 @@
     });
     answer.confirmed_after = std::chrono::microseconds(root->confirmed_after());
     answer.owner_time = std::chrono::milliseconds(root->owner_milliseconds());
+    answer.at_owner = root->at_owner();
     if (reader.fault() != nullptr) {
         return malformed(std::string("table answer: expected ") + reader.fault());
     }
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -50,6 +50,8 @@
     /// Between two questions to other routers while all that is known is old: an outage may
     /// last, and everyone asks around.
     base::duration old_copy_pause = std::chrono::milliseconds(150);
+    /// For an answer of any size, where the owner doesn't answer this router.
+    base::duration large_answer_limit = std::chrono::milliseconds(3000);
     /// Other routers tried in one call before it ends as unavailable.
     int attempts = 3;
     /// A router that has just started reads whole tables from the owner at once, and waits so
@@ -261,12 +263,33 @@
         }
         const base::monotonic_time sent_at = m_scheduler.now();
         const base::duration hold = hold_for(table, sent_at);
-        peer::table_request request{m_self.name, wanted.table, wanted.after, wanted.whole,
-                                    std::chrono::duration_cast<std::chrono::milliseconds>(hold)};
+        peer_question question;
+        question.to = std::move(from);
+        question.request = {m_self.name,
+                            wanted.table,
+                            wanted.after,
+                            wanted.whole,
+                            std::chrono::duration_cast<std::chrono::milliseconds>(hold),
+                            true};
+        question.limit = hold + m_settings.call_margin;
+        co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
+    }
+
+    /// A call to another router.
+    struct peer_question {
+        base::router_name to;
+        peer::table_request request;
+        base::duration limit{};
+    };
+
+    runtime::task<batch_result> ask_peer(peer_question question, reading wanted, table_state& table,
+                                         base::monotonic_time began) {
         ++m_peer_calls;
+        const base::router_name& from = question.to;
+        const base::duration limit = question.limit;
+        const base::monotonic_time sent_at = m_scheduler.now();
         const base::endpoint address = m_addresses[from];
-        peer::message_bytes bytes = peer::encode(request);
-        const base::duration limit = hold + m_settings.call_margin;
+        peer::message_bytes bytes = peer::encode(question.request);
         const auto told = co_await m_transport.call(address, std::move(bytes), limit);
         const base::monotonic_time now = m_scheduler.now();
         auto answer = decode(told);
@@ -276,6 +299,10 @@
             table.sources.failed(from, now);
             co_return feed_fault::unavailable;
         }
+        if (answer->at_owner) {
+            batch_result batch = co_await read_large(std::move(question), wanted, table, began);
+            co_return batch;
+        }
         if (!answer->known) {
             note_read({wanted.table, from, "no copy", now - sent_at, limit, {}});
             table.sources.has_no_copy(from, now);  // It has just started, or ends.
@@ -291,6 +318,30 @@
         co_return batch_of(std::move(*answer), wanted, table, as_of, began);
     }
 
+    /// A router has, or is about to have, what is too large to be passed on. Where the owner
+    /// doesn't answer this router, it is passed on all the same.
+    runtime::task<batch_result> read_large(peer_question question, reading wanted,
+                                           table_state& table, base::monotonic_time began) {
+        const std::uint64_t known = table.version;
+        runtime::log(runtime::log_level::info, component, "large change, read at the owner",
+                     {{"table", wanted.table},
+                      {"told_by", question.to.value},
+                      {"version", std::to_string(known)}});
+        reading at_once = wanted;
+        at_once.wait = {};
+        batch_result batch = co_await read_owner(std::move(at_once), table, began);
+        if (answers(batch)) {
+            if (table.version == known) {
+                co_await m_scheduler.sleep_for(m_settings.old_copy_pause);  // Told too early.
+            }
+            co_return batch;
+        }
+        question.request.may_redirect = false;
+        question.request.hold = {};
+        question.limit = m_settings.large_answer_limit;
+        co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
+    }
+
     std::optional<peer::table_answer> decode(const peer::result<peer::message_bytes>& told) const {
         if (!told) {
             return std::nullopt;
--- a/src/ferryroad/relay/table_follower.hpp
+++ b/src/ferryroad/relay/table_follower.hpp
@@ -30,7 +30,8 @@
 };
 
 /// `read_all` reads a table as of one moment; `read_changes` answers what changed after a
-/// version, waiting up to `wait` for something. Both give up after `limit`.
+/// version, waiting up to `wait` for something. Both give up where nothing has come within
+/// `limit`, not while more of an answer comes.
 template <typename T>
 concept record_feed = requires(T& feed, const std::string& table, std::uint64_t after,
                                base::duration wait, base::duration limit) {
--- a/src/ferryroad/relay/table_server.cpp
+++ b/src/ferryroad/relay/table_server.cpp
@@ -6,11 +6,25 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace ferryroad::relay {
 
+using coordination::reading::record;
 using coordination::reading::table_mirror;
 
+namespace {
+
+std::size_t bytes_of(const std::vector<record>& rows) {
+    std::size_t bytes = 0;
+    for (const record& row : rows) {
+        bytes += row.key.size() + row.value.size();
+    }
+    return bytes;
+}
+
+}  // namespace
+
 /// A call that waits for news; registered while it lives.
 class table_server::held_call {
   public:
@@ -40,7 +54,7 @@
     : m_scheduler(scheduler), m_transport(transport), m_settings(settings) {}
 
 void table_server::offer(const std::string& table, const table_mirror& copy) {
-    m_tables[table] = std::make_shared<offered_table>(offered_table{&copy, {}});
+    m_tables[table] = std::make_shared<offered_table>(offered_table{&copy, false, {}});
 }
 
 void table_server::start() {
@@ -56,14 +70,32 @@
 
 void table_server::news(const std::string& table) {
     const auto found = m_tables.find(table);
-    if (found == m_tables.end()) {
-        return;
+    if (found != m_tables.end()) {
+        found->second->owner_has_more = false;
+        wake_all(*found->second);
     }
-    for (const auto& [number, call] : found->second->held) {
+}
+
+void table_server::large_news_at_owner(const std::string& table) {
+    const auto found = m_tables.find(table);
+    if (found != m_tables.end()) {
+        found->second->owner_has_more = true;
+        wake_all(*found->second);
+    }
+}
+
+void table_server::wake_all(const offered_table& table) {
+    for (const auto& [number, call] : table.held) {
         call->wake();
     }
 }
 
+/// Whoever knows more than this copy has read what the owner was sending.
+bool table_server::is_to_read_owner(const offered_table& table,
+                                    const peer::table_request& request) const {
+    return request.may_redirect && table.owner_has_more && request.after <= table.copy->version();
+}
+
 runtime::task<peer::message_bytes> table_server::answer(peer::message_bytes bytes) {
     const base::monotonic_time received_at = m_scheduler.now();
     const auto request = peer::decode_table_request(bytes);
@@ -77,8 +109,8 @@
         co_return peer::encode(peer::table_answer{});
     }
     const table_pointer table = found->second;
-    const bool has_news =
-        request->whole || table->copy->has_changes_after(request->after) || m_stopped;
+    const bool has_news = request->whole || table->copy->has_changes_after(request->after) ||
+                          is_to_read_owner(*table, *request) || m_stopped;
     if (table->copy->confirmed() && !has_news && table->held.size() < m_settings.held_calls) {
         const auto longest = std::min<base::duration>(request->hold, m_settings.longest_hold);
         co_await hold(table, longest);
@@ -103,6 +135,11 @@
     answer.known = true;
     answer.whole = !changes.has_value();
     answer.rows = changes ? std::move(*changes) : table.copy->rows();
+    answer.at_owner = is_to_read_owner(table, request) ||
+                      (request.may_redirect && bytes_of(answer.rows) > peer::most_relayed_bytes);
+    if (answer.at_owner) {
+        answer.rows.clear();
+    }
     answer.version = confirmed->version;
     answer.confirmed_after =
         std::chrono::floor<std::chrono::microseconds>(confirmed->as_of - received_at);
--- a/src/ferryroad/relay/table_server.hpp
+++ b/src/ferryroad/relay/table_server.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// Answers other routers from this router's copies of outside tables. A call is held until
-/// there is news, so that news passes on at once and an idle table costs few calls.
+/// there is news, so that news passes on at once and an idle table costs few calls. News that is
+/// too large for that is only announced: each router reads it from the owner over its own link.
 #pragma once
 
 #include "ferryroad/coordination/reading/table_mirror.hpp"
@@ -40,6 +41,9 @@
     void stop();
     /// The copy of a table has a new confirmation.
     void news(const std::string& table);
+    /// The owner is sending large news of a table, which are not in the copy yet. Those who wait
+    /// are told at once, so that all routers read them at the same time and not one after another.
+    void large_news_at_owner(const std::string& table);
 
     std::uint64_t answers() const { return m_answers; }
     std::uint64_t malformed_requests() const { return m_malformed; }
@@ -49,6 +53,7 @@
 
     struct offered_table {
         const coordination::reading::table_mirror* copy = nullptr;
+        bool owner_has_more = false;  ///< Until the copy's next confirmation.
         std::map<std::uint64_t, held_call*> held;
     };
 
@@ -57,6 +62,8 @@
 
     runtime::task<peer::message_bytes> answer(peer::message_bytes bytes);
     runtime::task<void> hold(table_pointer table, base::duration longest);
+    void wake_all(const offered_table& table);
+    bool is_to_read_owner(const offered_table& table, const peer::table_request& request) const;
     peer::table_answer answer_now(const offered_table& table, const peer::table_request& request,
                                   base::monotonic_time received_at) const;
 
--- a/test/peer/table_call_test.cpp
+++ b/test/peer/table_call_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 table_request sample_request() {
-    return {base::router_name("r1"), "t", 77, false, 600ms};
+    return {base::router_name("r1"), "t", 77, false, 600ms, true};
 }
 
 table_answer sample_answer() {
@@ -36,6 +36,13 @@
     cr_assert(*answer == sample_answer());
 }
 
+Test(table_call, an_answer_may_name_the_owner) {
+    table_answer answer = sample_answer();
+    answer.rows.clear();
+    answer.at_owner = true;
+    cr_assert(*decode_table_answer(encode(answer)) == answer);
+}
+
 Test(table_call, an_answer_without_a_copy_says_so) {
     const auto answer = decode_table_answer(encode(table_answer{}));
     cr_assert(answer.has_value());
--- a/test/relay/shared_feed_test.cpp
+++ b/test/relay/shared_feed_test.cpp
@@ -414,3 +414,58 @@
     loop.context.restart();
     cr_assert(loop.run([&] { return loop.until([&] { return alone.copy["b"] == "2"; }); }));
 }
+
+Test(shared_feed, what_is_large_is_read_from_the_owner_and_not_passed_on) {
+    fleet all(6);
+    all.start();
+    cr_assert(settle(all));
+    std::size_t largest = 0;
+    for (const auto& one : all.routers) {
+        all.net.tampered[one->self.address] = [&largest](peer::message_bytes bytes) {
+            largest = std::max(largest, bytes.size());
+            return bytes;
+        };
+    }
+    router& other = all.other();
+    const int before = other.direct.calls;
+    const std::string large(peer::most_relayed_bytes + 1, '2');
+    all.source.put("b", large);
+    cr_assert(all.run_until([&] { return all.all_have("b", large); }));
+    cr_assert_gt(other.direct.calls, before);
+    cr_assert_lt(largest, peer::most_relayed_bytes);
+}
+
+Test(shared_feed, what_is_large_is_passed_on_to_a_router_that_the_owner_turns_away) {
+    fleet all(5);
+    all.start();
+    cr_assert(settle(all));
+    router& other = all.other();
+    other.direct.turned_away = true;
+    const std::string large(2 * peer::most_relayed_bytes, '2');
+    all.source.put("b", large);
+    cr_assert(all.run_until([&] { return all.all_have("b", large); }));
+}
+
+/// One behind another, routers would be told of a large change only once the one above has it all.
+Test(shared_feed, large_news_are_announced_before_they_are_there) {
+    fleet all(5);
+    all.start();
+    cr_assert(settle(all));
+    std::vector<router*> others;
+    for (const auto& one : all.routers) {
+        if (one->feed.reads_owner()) {
+            one->follower.stop();  // What it reads now takes long.
+        } else {
+            others.push_back(one.get());
+            one->feed.expect(table_name, {{}, 1h});  // No age sends it to the owner.
+        }
+    }
+    all.source.put("b", "2");
+    for (const auto& one : all.routers) {
+        one->server.large_news_at_owner(table_name);
+    }
+    cr_assert(all.run_until([&] {
+        return std::all_of(others.begin(), others.end(),
+                           [](router* one) { return one->copy["b"] == "2"; });
+    }));
+}
