--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -323,23 +323,28 @@
     runtime::task<batch_result> read_large(peer_question question, reading wanted,
                                            table_state& table, base::monotonic_time began) {
         const std::uint64_t known = table.version;
-        runtime::log(runtime::log_level::info, component, "large change, read at the owner",
+        const bool owner_answers = m_reach.is_present(std::nullopt, m_scheduler.now());
+        runtime::log(runtime::log_level::info, component, "large change told",
                      {{"table", wanted.table},
                       {"told_by", question.to.value},
-                      {"version", std::to_string(known)}});
-        reading at_once = wanted;
-        at_once.wait = {};
-        batch_result batch = co_await read_owner(std::move(at_once), table, began);
-        if (answers(batch)) {
-            if (table.version == known) {
-                co_await m_scheduler.sleep_for(m_settings.old_copy_pause);  // Told too early.
-            }
-            co_return batch;
+                      {"version", std::to_string(known)},
+                      {"read_from", owner_answers ? "owner" : question.to.value}});
+        batch_result batch = feed_fault::unavailable;
+        if (owner_answers) {
+            reading at_once = wanted;
+            at_once.wait = {};
+            batch = co_await read_owner(std::move(at_once), table, began);
         }
-        question.request.may_redirect = false;
-        question.request.hold = {};
-        question.limit = m_settings.large_answer_limit;
-        co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
+        if (!answers(batch)) {
+            question.request.may_redirect = false;
+            question.request.hold = {};
+            question.limit = m_settings.large_answer_limit;
+            batch = co_await ask_peer(std::move(question), std::move(wanted), table, began);
+        }
+        if (table.version == known) {
+            co_await m_scheduler.sleep_for(m_settings.old_copy_pause);  // Told too early.
+        }
+        co_return batch;
     }
 
     std::optional<peer::table_answer> decode(const peer::result<peer::message_bytes>& told) const {
