Sight: repeats of a request have one digest in the log, and a failed dispatch says how far it had come

Cause: lines of attempts that are the same request had nothing in common, so that a request under which engines end could not be told from load that moves on. Ruled out: nothing yet. Change: 128-bit digest of method, host, path, caller and body in 'dispatched' and 'dispatch failed'; events of the exchange and this router's requests at the engine in the latter. No decision changes.

--- /dev/null
+++ b/src/ferryroad/core/quarantine/request_identity.hpp
@@ -0,0 +1,42 @@
+/// @file
+/// What makes two requests the same, whatever ids, deadlines and routers they come with.
+#pragma once
+
+#include "ferryroad/base/hash.hpp"
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace ferryroad::core::quarantine {
+
+/// What a request asks for and who asks; equal for its repeats at any router.
+struct request_content {
+    std::string_view method;
+    std::string_view host;
+    std::string_view target;  ///< Path and query.
+    std::string_view caller;  ///< The tenant; empty on public routes.
+    std::string_view body;
+};
+
+/// Digest of a request's content. Immutable value; thread-safe, as all here.
+struct request_identity {
+    base::wide_hash digest;
+
+    friend auto operator<=>(const request_identity&, const request_identity&) = default;
+};
+
+request_identity identity_of(const request_content& content);
+
+/// @return 32 lower-case hex digits.
+std::string to_string(const request_identity& identity);
+
+}  // namespace ferryroad::core::quarantine
+
+template <>
+struct std::hash<ferryroad::core::quarantine::request_identity> {
+    std::size_t operator()(const ferryroad::core::quarantine::request_identity& one) const {
+        return one.digest.low;
+    }
+};
--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -28,6 +28,7 @@
                   core::execution::attempt_number attempt, const dispatch_moment& moment) {
     runtime::log(runtime::log_level::info, component, "dispatched",
                  {{"request_id", plan.call->id.value},
+                  {"digest", core::quarantine::to_string(plan.identity)},
                   {"attempt", std::to_string(attempt.value)},
                   {"engine", selected.target.name.value},
                   {"software", selected.software.value},
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -232,6 +232,7 @@
         const base::monotonic_time now = m_with.scheduler.now();
         m_exchange = attempt.exchange;
         m_exchange_began = now;
+        m_exchange_events = 0;
         ++m_outcome.dispatches;
         if (m_outcome.events == 0) {
             m_admission.sent();
@@ -336,14 +337,23 @@
         }
         runtime::log(runtime::log_level::warning, component, "dispatch failed",
                      {{"request_id", m_plan.call->id.value},
+                      {"digest", core::quarantine::to_string(m_plan.identity)},
                       {"engine", m_selected.target.name.value},
                       {"reason", failure.message},
+                      {"events", std::to_string(m_exchange_events)},
+                      {"running", std::to_string(running_there())},
                       {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
         end_exchange();
         feed(execution::exchange_failed{m_exchange, failure.kind, failure.proof,
                                         failure.retry_after});
     }
 
+    /// @return this router's requests at the engine of the exchange, this one included.
+    std::uint32_t running_there() const {
+        const known_engine* engine = m_with.registry.find(m_selected.target.name);
+        return engine == nullptr ? 0 : engine->running;
+    }
+
     void fail_exchange(execution::failure_kind kind, std::string message) {
         note_failure({kind, execution::failure_proof::unknown, std::nullopt, std::nullopt,
                       std::move(message)});
@@ -447,6 +457,7 @@
             m_load->prefilled();
         }
         ++m_outcome.events;
+        ++m_exchange_events;
         m_outbox += event.bytes;
         feed(execution::token_received{m_exchange, m_machine.emitted_tokens()});
     }
@@ -527,6 +538,7 @@
     std::optional<engine_load> m_load;
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
+    std::uint64_t m_exchange_events = 0;
     std::optional<opened_answer> m_answer;
     core::stream::event_splitter m_splitter;
     std::string m_whole;                   ///< Of an answer that is no stream, so far.
--- a/src/ferryroad/relay/relay_plan.cpp
+++ b/src/ferryroad/relay/relay_plan.cpp
@@ -11,6 +11,19 @@
     return stream ? on.resumable : on.kind == core::traffic::request_kind::safe;
 }
 
+core::quarantine::request_identity identity_of(const relay_plan& plan) {
+    const http::request& message = plan.call->message;
+    core::quarantine::request_content content;
+    content.method = message.method;
+    content.host = plan.call->host;
+    content.target = message.target;
+    if (plan.tenant != nullptr) {
+        content.caller = plan.tenant->name.value;
+    }
+    content.body = message.body;
+    return core::quarantine::identity_of(content);
+}
+
 execution::execution_rules rules_of(const relay_plan& plan) {
     execution::execution_rules rules;
     rules.repeatable = is_repeatable(*plan.on);
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
+#include "ferryroad/core/quarantine/request_identity.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/types.hpp"
@@ -48,11 +49,14 @@
     base::pool_name pool;
     base::monotonic_time deadline{};
     std::uint32_t priority = 0;
+    core::quarantine::request_identity identity;
 };
 
 /// @return whether the route's requests may run more than once. Thread-safe, as all here but
 /// `blame`.
 bool is_repeatable(const core::traffic::route& on);
+/// @return what the request's repeats have in common. Call and tenant are resolved.
+core::quarantine::request_identity identity_of(const relay_plan& plan);
 core::execution::execution_rules rules_of(const relay_plan& plan);
 core::execution::tunables limits_of(const relay_plan& plan, const driver_tunables& tunables);
 
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -160,6 +160,7 @@
         plan.deadline = call->arrived + allowed;
         const bool own_priority = plan.tenant != nullptr && plan.tenant->priority;
         plan.priority = own_priority ? *plan.tenant->priority : plan.on->priority;
+        plan.identity = identity_of(plan);
         return plan;
     }
 
