Requests that end engines are found out by all routers together and held back

Cause: a failure was remembered at the engine and forgotten with the request that caused it; each repeat, under a new id and at any router, was placed like a first request. Ruled out: the routers' own retries (one dispatch each on the route of the report); load that moves on (engines end 31 to 474 ms after one silent request, also with nothing else in progress). Change: core/quarantine charges an engine's end to what was in progress there: silent requests before others, shared among them, once only, and to none that ended well of late. An end is believed where the address refuses a connection or a new process is known. Routers tell each other by datagrams and by rows of the product's table; a request charged with two ends of its own, or three, gets 503 with when to come back, everywhere.

--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -19,6 +19,16 @@
     return state_->pool->keeps(address);
 }
 
+runtime::task<bool> client::is_refused(base::endpoint address) {
+    const std::shared_ptr<connection> link = state_->pool->make();
+    link->set_limit(state_->pool->limits().connect);
+    const boost::system::error_code failure = co_await link->connect(address);
+    link->throw_if_cancelled(failure);
+    const bool refused = failure == boost::asio::error::connection_refused;
+    link->close();
+    co_return refused;
+}
+
 runtime::task<result<response>> client::send(const base::endpoint& address, request message,
                                              base::duration limit, resend again) {
     return send_request(state_->pool, {address, std::move(message), limit, again});
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -89,6 +89,9 @@
 
     /// @return whether an idle connection to the address is kept, so that none need be opened.
     bool keeps_connection(const base::endpoint& address) const;
+    /// Opens a connection and closes it. @return whether the machine answered that nothing listens
+    /// at the address; not where no answer came in the limit for connecting.
+    runtime::task<bool> is_refused(base::endpoint address);
     /// @param limit for the whole exchange.
     runtime::task<result<response>> send(const base::endpoint& address, request message,
                                          base::duration limit, resend again);
--- /dev/null
+++ b/src/ferryroad/peer/crash_message_codec.cpp
@@ -0,0 +1,111 @@
+#include "ferryroad/peer/codec_fields.hpp"
+#include "ferryroad/peer/crash_message.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace ferryroad::peer {
+
+namespace {
+
+using core::quarantine::crash_candidate;
+using core::quarantine::request_identity;
+
+constexpr const char* news_identifier = "FRCN";
+/// More than a datagram or a row holds.
+constexpr std::size_t most_entries = 1024;
+/// An age is not believed beyond this: it would overflow a time.
+constexpr std::uint64_t longest_age_ms = 100'000'000'000;
+
+void write_digest(std::vector<std::uint64_t>& digests, const request_identity& request) {
+    digests.push_back(request.digest.high);
+    digests.push_back(request.digest.low);
+}
+
+std::vector<request_identity> read_digests(field_reader& reader,
+                                           const flatbuffers::Vector<std::uint64_t>* digests) {
+    const std::size_t size = digests == nullptr ? 0 : digests->size();
+    const bool sound = size % 2 == 0 && size <= 2 * most_entries;
+    reader.require(sound, "two numbers for each request");
+    std::vector<request_identity> requests;
+    for (std::size_t index = 0; sound && index < size; index += 2) {
+        const auto place = static_cast<flatbuffers::uoffset_t>(index);
+        requests.push_back({{digests->Get(place), digests->Get(place + 1)}});
+    }
+    return requests;
+}
+
+offset<wire::EngineCrash> write_crash(buffer_builder& builder, const told_crash& crash) {
+    std::vector<std::uint64_t> digests;
+    std::vector<std::uint8_t> silent;
+    for (const crash_candidate& one : crash.candidates) {
+        write_digest(digests, one.request);
+        silent.push_back(one.silent ? 1 : 0);
+    }
+    const auto age = std::max<std::int64_t>(0, base::to_milliseconds(crash.age));
+    const auto engine = write_text(builder, crash.engine.value);
+    const auto digest_list = builder.CreateVector(digests);
+    const auto silent_list = builder.CreateVector(silent);
+    return wire::CreateEngineCrash(builder, engine, static_cast<std::uint64_t>(age), digest_list,
+                                   silent_list, crash.unnamed);
+}
+
+told_crash read_crash(field_reader& reader, const wire::EngineCrash& told) {
+    told_crash crash;
+    crash.engine = reader.name<base::engine_name>(told.engine());
+    reader.require(told.age_milliseconds() <= longest_age_ms, "a lower age");
+    crash.age = std::chrono::milliseconds(std::min(told.age_milliseconds(), longest_age_ms));
+    crash.unnamed = told.unnamed();
+    const auto requests = read_digests(reader, told.digests());
+    const std::size_t marks = told.silent() == nullptr ? 0 : told.silent()->size();
+    reader.require(marks == requests.size(), "a mark for each request");
+    for (std::size_t index = 0; marks == requests.size() && index < marks; ++index) {
+        const bool silent = told.silent()->Get(static_cast<flatbuffers::uoffset_t>(index)) != 0;
+        crash.candidates.push_back({requests[index], silent});
+    }
+    return crash;
+}
+
+}  // namespace
+
+message_bytes encode(const crash_news& news) {
+    buffer_builder builder(largest_datagram);
+    const auto crashes = write_list<wire::EngineCrash>(
+        builder, news.crashes, [&](const auto& one) { return write_crash(builder, one); });
+    std::vector<std::uint64_t> digests;
+    for (const request_identity& one : news.cleared) {
+        write_digest(digests, one);
+    }
+    const auto cleared = builder.CreateVector(digests);
+    const auto sender = write_text(builder, news.sender.value);
+    return finish(builder,
+                  wire::CreateCrashNews(builder, sender, news.owner_time, crashes, cleared),
+                  news_identifier);
+}
+
+bool is_crash_news(std::string_view bytes) {
+    constexpr std::size_t least = 2 * sizeof(flatbuffers::uoffset_t);
+    return bytes.size() >= least && flatbuffers::BufferHasIdentifier(bytes.data(), news_identifier);
+}
+
+result<crash_news> decode_crash_news(std::string_view bytes) {
+    const aligned_bytes aligned(bytes);
+    const auto* root = verified_root<wire::CrashNews>(aligned.view(), news_identifier);
+    if (root == nullptr) {
+        return malformed("no news of crashes");
+    }
+    field_reader reader;
+    crash_news news;
+    news.sender = reader.name<base::router_name>(root->sender());
+    news.owner_time = root->owner_milliseconds();
+    news.crashes = reader.list(root->crashes(), most_entries,
+                               [&](const auto& one) { return read_crash(reader, one); });
+    news.cleared = read_digests(reader, root->cleared());
+    if (reader.fault() != nullptr) {
+        return malformed(std::string("news of crashes: expected ") + reader.fault());
+    }
+    return news;
+}
+
+}  // namespace ferryroad::peer
--- a/src/ferryroad/relay/refusal.cpp
+++ b/src/ferryroad/relay/refusal.cpp
@@ -80,6 +80,8 @@
             return "malformed";
         case refusal_cause::over_quota:
             return "over_quota";
+        case refusal_cause::quarantined:
+            return "quarantined";
         case refusal_cause::no_engine:
             return "no_engine";
         case refusal_cause::overloaded:
--- a/src/ferryroad/relay/refusal.hpp
+++ b/src/ferryroad/relay/refusal.hpp
@@ -19,6 +19,7 @@
     unknown_key,        ///< No tenant holds the key.
     malformed,          ///< A header of the call makes no sense.
     over_quota,         ///< The tenant's limit over all routers is used up.
+    quarantined,        ///< Engines ended that ran the same request.
     no_engine,          ///< No engine may get the request now.
     overloaded,         ///< Engines refused it.
     engine_failed,      ///< It was sent, and no answer of use came back.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -18,6 +18,7 @@
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/refusal.hpp"
 #include "ferryroad/relay/relay_plan.hpp"
+#include "ferryroad/relay/request_quarantine.hpp"
 #include "ferryroad/relay/selection.hpp"
 #include "ferryroad/relay/stream_admission.hpp"
 #include "ferryroad/relay/upstream.hpp"
@@ -60,6 +61,8 @@
     quota_counter count_quota;
     /// Chooses requests for versions on trial, and is told what came of them; may be null.
     canary_traffic* releases = nullptr;
+    /// Holds requests back that end engines, and is told how exchanges end; may be null.
+    request_quarantine* quarantine = nullptr;
     /// Counts bytes by their distance, where it is there.
     distance_meter* meter = nullptr;
 };
@@ -170,6 +173,11 @@
                holder->name == m_plan.tenant->name;
     }
 
+    /// Engines may have ended under the request's repeats, or under this one, since it came.
+    bool is_quarantined() const {
+        return m_with.quarantine != nullptr && m_with.quarantine->find(m_plan.identity) != nullptr;
+    }
+
     /// Only a request's first dispatch may go to a version on trial; where that has no engine for
     /// it, it goes to the version in force.
     std::optional<selected_engine> place(selection_query query, base::monotonic_time now) {
@@ -197,7 +205,7 @@
             return;
         }
         std::optional<selected_engine> chosen;
-        if (key_still_holds()) {
+        if (key_still_holds() && !is_quarantined()) {
             chosen = place(query, now);
         }
         if (!chosen) {
@@ -343,11 +351,23 @@
                       {"events", std::to_string(m_exchange_events)},
                       {"running", std::to_string(running_there())},
                       {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
+        if (failure.kind == execution::failure_kind::broken) {
+            note_break();
+        }
         end_exchange();
         feed(execution::exchange_failed{m_exchange, failure.kind, failure.proof,
                                         failure.retry_after});
     }
 
+    /// The engine may have ended under this request, unless it was about to leave.
+    void note_break() {
+        const known_engine* engine = m_with.registry.find(m_selected.target.name);
+        if (m_with.quarantine != nullptr && engine != nullptr && !engine->listed.leaving) {
+            m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity,
+                                              m_exchange_events == 0);
+        }
+    }
+
     /// @return this router's requests at the engine of the exchange, this one included.
     std::uint32_t running_there() const {
         const known_engine* engine = m_with.registry.find(m_selected.target.name);
@@ -487,6 +507,9 @@
         if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
             engine->health.record_success();
         }
+        if (m_with.quarantine != nullptr) {
+            m_with.quarantine->ended_well(m_plan.identity);
+        }
     }
 
     // ---- The end ----
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -161,6 +161,16 @@
         const bool own_priority = plan.tenant != nullptr && plan.tenant->priority;
         plan.priority = own_priority ? *plan.tenant->priority : plan.on->priority;
         plan.identity = identity_of(plan);
+        // A repeat has a new id and comes to any router: 26 engines ended under one request while
+        // each router forgot it with its answer (logs of a fleet of 7).
+        if (m_with.quarantine != nullptr) {
+            if (const auto* found = m_with.quarantine->find(plan.identity)) {
+                log_quarantined(*call, *found);
+                return relay_refusal{refusal_cause::quarantined,
+                                     core::execution::execution_report::not_run,
+                                     found->until - now};
+            }
+        }
         return plan;
     }
 
@@ -203,6 +213,18 @@
              {"policy_age_ms", std::to_string(base::to_milliseconds(m_with.policies.age(now)))}});
     }
 
+    void log_quarantined(const relay_call& call,
+                         const core::quarantine::quarantined_request& found) const {
+        const base::monotonic_time now = m_with.scheduler.now();
+        runtime::log(
+            runtime::log_level::warning, component, "held back",
+            {{"request_id", call.id.value},
+             {"digest", core::quarantine::to_string(found.request)},
+             {"crashes", std::to_string(found.crashes)},
+             {"since_ms", std::to_string(base::to_milliseconds(now - found.since))},
+             {"retry_after_ms", std::to_string(base::to_milliseconds(found.until - now))}});
+    }
+
     void log_over_quota(const relay_plan& plan, const quotas::rate_limit& limit, double amount,
                         const quotas::quota_decision& decided) const {
         const base::duration taken = m_with.scheduler.now() - plan.call->arrived;
--- a/src/ferryroad/relay/table_follower.hpp
+++ b/src/ferryroad/relay/table_follower.hpp
@@ -51,8 +51,8 @@
     base::duration first_pace{};
     std::uint32_t first_calls = 0;
     base::duration call_limit = std::chrono::milliseconds(500);  ///< Beyond `wait`.
-    /// Rows under other keys are passed over.
-    std::string key_prefix;
+    /// Rows whose keys begin with none of these are passed over; empty: none is.
+    std::vector<std::string> key_prefixes;
     /// Changes of which other routers need not be told; none where empty.
     coordination::reading::same_meaning same_meaning;
     base::duration first_backoff = std::chrono::milliseconds(100);
@@ -167,9 +167,14 @@
     }
 
     void keep_wanted(std::vector<record>& records) const {
-        std::erase_if(records, [&](const record& one) {
-            return !one.key.starts_with(m_settings.key_prefix);
-        });
+        std::erase_if(records, [&](const record& one) { return !is_wanted(one.key); });
+    }
+
+    bool is_wanted(const std::string& key) const {
+        const auto& prefixes = m_settings.key_prefixes;
+        return prefixes.empty() ||
+               std::any_of(prefixes.begin(), prefixes.end(),
+                           [&](const std::string& one) { return key.starts_with(one); });
     }
 
     std::string version_text() const { return std::to_string(m_copy.version()); }
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/http/client.hpp"
 #include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/leases/presence.hpp"
+#include "ferryroad/relay/crash_exchange.hpp"
 #include "ferryroad/relay/shared_feed.hpp"
 #include "ferryroad/relay/table_follower.hpp"
 
@@ -66,7 +67,8 @@
 inline follower_settings follow_routers(std::string table) {
     follower_settings settings;
     settings.table = std::move(table);
-    settings.key_prefix = leases::presence_key_prefix;
+    settings.key_prefixes = {std::string(leases::presence_key_prefix),
+                             std::string(crash_key_prefix)};
     settings.pace = std::chrono::milliseconds(2000);
     settings.first_pace = std::chrono::milliseconds(400);
     settings.first_calls = 3;
--- /dev/null
+++ b/test/core/quarantine/crash_suspects_test.cpp
@@ -0,0 +1,315 @@
+/// Who is charged with the end of an engine: the request that ended it, and hardly ever one that
+/// was merely in progress.
+#include "ferryroad/core/quarantine/crash_suspects.hpp"
+
+#include "ferryroad/base/random.hpp"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace ferryroad;
+using namespace ferryroad::core::quarantine;
+using namespace std::chrono_literals;
+
+request_identity request(std::uint64_t number) {
+    return {{number, number * 7919}};
+}
+
+engine_crash crash(const std::string& engine, base::monotonic_time at,
+                   const std::vector<std::uint64_t>& silent,
+                   const std::vector<std::uint64_t>& running = {}) {
+    engine_crash made;
+    made.engine = base::engine_name(engine);
+    made.at = at;
+    for (const std::uint64_t number : silent) {
+        made.candidates.push_back({request(number), true});
+    }
+    for (const std::uint64_t number : running) {
+        made.candidates.push_back({request(number), false});
+    }
+    return made;
+}
+
+constexpr base::monotonic_time start{std::chrono::hours(1)};
+
+}  // namespace
+
+Test(crash_suspects, two_crashes_alone_are_enough) {
+    crash_suspects suspects;
+    cr_assert(suspects.record_crash(crash("a", start, {1}), start));
+    cr_assert_null(suspects.find(request(1), start + 1s), "one crash is chance");
+    suspects.record_crash(crash("b", start + 2s, {1}), start + 2s);
+    const auto* found = suspects.find(request(1), start + 3s);
+    cr_assert_not_null(found);
+    cr_assert_eq(found->crashes, 2);
+    cr_assert_eq(found->engines.size(), 2);
+    cr_assert_null(suspects.find(request(2), start + 3s));
+}
+
+Test(crash_suspects, other_routers_reports_are_waited_for) {
+    crash_suspects suspects;
+    suspects.record_crash(crash("a", start, {1}), start);
+    suspects.record_crash(crash("b", start + 2s, {1}), start + 2s);
+    cr_assert_null(suspects.find(request(1), start + 2s));
+    // Another router had two more in progress at each of the two.
+    suspects.record_crash(crash("a", start, {2, 3}), start + 2s + 30ms);
+    suspects.record_crash(crash("b", start + 2s, {4, 5}), start + 2s + 30ms);
+    cr_assert_null(suspects.find(request(1), start + 10s), "a third of two crashes");
+    suspects.record_crash(crash("c", start + 11s, {1, 6}), start + 11s);
+    cr_assert_not_null(suspects.find(request(1), start + 12s), "three are enough");
+}
+
+Test(crash_suspects, who_has_brought_output_is_charged_only_where_nobody_is_silent) {
+    crash_suspects suspects;
+    for (int number = 0; number < 4; ++number) {
+        const auto at = start + number * 2s;
+        suspects.record_crash(crash("a" + std::to_string(number), at, {100U + number}, {1}), at);
+    }
+    cr_assert_null(suspects.find(request(1), start + 20s));
+    for (int number = 0; number < 3; ++number) {
+        const auto at = start + 30s + number * 2s;
+        suspects.record_crash(crash("b" + std::to_string(number), at, {}, {1}), at);
+    }
+    cr_assert_not_null(suspects.find(request(1), start + 40s));
+}
+
+Test(crash_suspects, a_crash_counts_for_nobody_else_once_its_cause_is_known) {
+    crash_suspects suspects;
+    for (int number = 0; number < 4; ++number) {
+        const auto at = start + number * 2s;
+        suspects.record_crash(crash("a" + std::to_string(number), at, {1}), at);
+    }
+    cr_assert_not_null(suspects.find(request(1), start + 8s));
+    for (int number = 0; number < 4; ++number) {
+        const auto at = start + 8s + number * 10ms;  // It was on its way already.
+        suspects.record_crash(crash("b" + std::to_string(number), at, {1, 2}), at);
+    }
+    cr_assert_null(suspects.find(request(2), start + 20s));
+}
+
+Test(crash_suspects, a_good_end_clears) {
+    crash_suspects suspects;
+    suspects.record_crash(crash("a", start, {1}), start);
+    cr_assert(suspects.record_good_end(request(1), start + 1s));
+    cr_assert_not(suspects.record_good_end(request(1), start + 1s), "nothing left to clear");
+    suspects.record_crash(crash("b", start + 2s, {1}), start + 2s);
+    cr_assert_null(suspects.find(request(1), start + 3s));
+    suspects.record_crash(crash("c", start + 14s, {1}), start + 14s);
+    suspects.record_crash(crash("d", start + 16s, {1}), start + 16s);
+    cr_assert_not_null(suspects.find(request(1), start + 30s), "the good end is long past");
+    cr_assert(suspects.record_good_end(request(1), start + 31s), "a run that began before");
+    cr_assert_null(suspects.find(request(1), start + 32s));
+}
+
+Test(crash_suspects, one_that_is_sent_often_is_not_charged) {
+    crash_suspects suspects;
+    for (int number = 0; number < 50; ++number) {
+        const auto at = start + number * 400ms;
+        suspects.record_good_end(request(1), at);
+        suspects.record_crash(crash("a" + std::to_string(number), at + 1ms, {1}), at + 1ms);
+        cr_assert_null(suspects.find(request(1), at + 300ms));
+    }
+}
+
+Test(crash_suspects, one_end_is_one_crash_whoever_tells_it) {
+    crash_suspects suspects;
+    for (int teller = 0; teller < 7; ++teller) {
+        suspects.record_crash(crash("a", start + teller * 60ms, {1}), start + 500ms);
+    }
+    cr_assert_eq(suspects.crashes(), 1);
+    cr_assert_null(suspects.find(request(1), start + 10s));
+    cr_assert_not(suspects.record_crash(crash("a", start, {1}), start + 11s), "nothing new");
+    suspects.record_crash(crash("a", start + 3s, {1}), start + 11s);
+    cr_assert_eq(suspects.crashes(), 2, "back under its name, and ended again");
+}
+
+Test(crash_suspects, quarantine_ends_and_comes_back_longer) {
+    crash_suspects suspects;
+    suspects.record_crash(crash("a", start, {1}), start);
+    suspects.record_crash(crash("b", start + 2s, {1}), start + 2s);
+    cr_assert_not_null(suspects.find(request(1), start + 3s));
+    cr_assert_null(suspects.find(request(1), start + 11min), "what was wrong may be mended");
+    suspects.record_crash(crash("c", start + 12min, {1}), start + 12min);
+    cr_assert_not_null(suspects.find(request(1), start + 12min + 1s), "one is enough now");
+    cr_assert_not_null(suspects.find(request(1), start + 31min));
+    cr_assert_null(suspects.find(request(1), start + 33min));
+}
+
+Test(crash_suspects, memory_is_bounded_however_many_requests_end_engines) {
+    suspects_tunables tunables;
+    tunables.crashes = 50;
+    tunables.quarantined = 20;
+    crash_suspects suspects(tunables);
+    for (std::uint64_t number = 0; number < 500; ++number) {
+        const auto at = start + number * 3s;
+        for (const char* engine : {"a", "b"}) {
+            suspects.record_crash(crash(engine + std::to_string(number), at, {number}), at);
+        }
+        cr_assert_not_null(suspects.find(request(number), at + 1s));
+        cr_assert_leq(suspects.crashes(), 50);
+        cr_assert_leq(suspects.quarantined(at + 1s), 20);
+    }
+}
+
+Test(crash_suspects, reports_in_any_order_come_to_the_same) {
+    rc::check([] {
+        std::vector<engine_crash> reports;
+        const int crashes = *rc::gen::inRange(1, 12);
+        for (int number = 0; number < crashes; ++number) {
+            const auto in_progress = *rc::gen::container<std::vector<std::uint64_t>>(
+                rc::gen::inRange<std::uint64_t>(0, 8));
+            reports.push_back(
+                crash("e" + std::to_string(number % 4), start + number * 2s, in_progress));
+        }
+        std::vector<engine_crash> shuffled = reports;
+        std::rotate(shuffled.begin(), shuffled.begin() + *rc::gen::inRange(0, crashes),
+                    shuffled.end());
+        crash_suspects first;
+        crash_suspects second;
+        for (const auto& one : reports) {
+            first.record_crash(one, start + 1min);
+        }
+        for (const auto& one : shuffled) {
+            second.record_crash(one, start + 1min);
+            second.record_crash(one, start + 1min);
+        }
+        for (std::uint64_t number = 0; number < 8; ++number) {
+            const bool held = first.find(request(number), start + 2min) != nullptr;
+            RC_ASSERT(held == (second.find(request(number), start + 2min) != nullptr));
+        }
+    });
+}
+
+namespace {
+
+/// Engines with requests in progress, of which some end engines; callers repeat what was lost.
+struct pool_model {
+    std::size_t engines = 8;
+    double ordinary_per_s = 80;
+    std::size_t bad = 3;
+    double bad_per_s = 8;  ///< Of each.
+    double random_crashes_per_s = 0;
+    double seconds = 30;
+};
+
+struct model_result {
+    std::size_t ordinary = 0;
+    std::size_t ordinary_refused = 0;
+    std::map<std::uint64_t, std::size_t> ended_by;  ///< Engines, by bad request.
+};
+
+struct running_request {
+    std::uint64_t number;
+    double ends_at;
+};
+
+constexpr double step_s = 0.001;
+constexpr double work_s = 0.05;
+constexpr double crash_after_s = 0.02;
+constexpr double restart_s = 2.2;
+constexpr std::size_t slots = 8;
+constexpr std::uint64_t first_ordinary = 1000;
+
+model_result play(const pool_model& model, std::uint64_t seed) {
+    base::seeded_random random(seed);
+    crash_suspects suspects;
+    std::vector<std::vector<running_request>> running(model.engines);
+    std::vector<double> back_at(model.engines, 0);
+    std::vector<std::uint64_t> repeats;
+    model_result result;
+    std::uint64_t next = first_ordinary;
+    const auto moment = [](double seconds) { return start + base::from_seconds(seconds); };
+    const auto end_engine = [&](std::size_t index, double at) {
+        std::vector<std::uint64_t> in_progress;
+        for (const running_request& one : running[index]) {
+            in_progress.push_back(one.number);
+            if (one.number >= first_ordinary) {
+                repeats.push_back(one.number);  // Its caller tries again.
+            }
+        }
+        running[index].clear();
+        back_at[index] = at + restart_s;
+        suspects.record_crash(crash("e" + std::to_string(index), moment(at), in_progress),
+                              moment(at));
+    };
+    const auto send = [&](std::uint64_t number, double at) {
+        const std::size_t index = random.below(model.engines);
+        if (at < back_at[index] || running[index].size() >= slots) {
+            return;  // Refused by the engine as not run.
+        }
+        if (suspects.find(request(number), moment(at)) != nullptr) {
+            result.ordinary_refused += number >= first_ordinary ? 1 : 0;
+            return;
+        }
+        const bool is_bad = number < first_ordinary;
+        running[index].push_back({number, at + (is_bad ? crash_after_s : work_s)});
+    };
+    for (double at = 0; at < model.seconds; at += step_s) {
+        if (random.unit() < model.ordinary_per_s * step_s) {
+            ++result.ordinary;
+            send(next++, at);
+        }
+        for (const std::uint64_t number : std::exchange(repeats, {})) {
+            send(number, at);
+        }
+        for (std::uint64_t number = 0; number < model.bad; ++number) {
+            if (random.unit() < model.bad_per_s * step_s) {
+                send(number, at);
+            }
+        }
+        for (std::size_t index = 0; index < model.engines; ++index) {
+            const bool by_chance = random.unit() < model.random_crashes_per_s * step_s /
+                                                       static_cast<double>(model.engines);
+            if (by_chance && at >= back_at[index]) {
+                end_engine(index, at);
+                continue;
+            }
+            for (const running_request& one : std::vector(running[index])) {
+                if (one.ends_at > at) {
+                    continue;
+                }
+                if (one.number < first_ordinary) {
+                    ++result.ended_by[one.number];
+                    end_engine(index, at);
+                    break;
+                }
+                suspects.record_good_end(request(one.number), moment(at));
+                std::erase_if(running[index],
+                              [&](const auto& other) { return other.number == one.number; });
+            }
+        }
+    }
+    return result;
+}
+
+}  // namespace
+
+Test(crash_suspects, bad_requests_are_found_and_ordinary_ones_served) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        const model_result result = play({}, seed);
+        cr_assert_leq(result.ordinary_refused * 1000, result.ordinary, "seed %lu: %zu of %zu", seed,
+                      result.ordinary_refused, result.ordinary);
+        for (const auto& [number, ended] : result.ended_by) {
+            cr_assert_leq(ended, 5, "seed %lu: request %lu ended %zu engines", seed, number, ended);
+        }
+    }
+}
+
+Test(crash_suspects, engines_that_end_by_chance_make_no_request_refused) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        pool_model model;
+        model.bad = 0;
+        model.ordinary_per_s = 800;
+        model.random_crashes_per_s = 2;
+        const model_result result = play(model, seed);
+        cr_assert_leq(result.ordinary_refused * 1000, result.ordinary, "seed %lu: %zu of %zu", seed,
+                      result.ordinary_refused, result.ordinary);
+    }
+}
--- /dev/null
+++ b/test/peer/crash_message_test.cpp
@@ -0,0 +1,77 @@
+/// News of engines that ended survive the way over the wire; other bytes are an error.
+#include "ferryroad/peer/crash_message.hpp"
+
+#include "ferryroad/base/random.hpp"
+#include "ferryroad/peer/release_message.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace ferryroad;
+using namespace ferryroad::peer;
+using namespace std::chrono_literals;
+
+namespace {
+
+crash_news sample() {
+    crash_news news;
+    news.sender.value = "r1";
+    news.owner_time = 123456789;
+    news.crashes.push_back(
+        {base::engine_name("e1"), 1234ms, {{{{1, 2}}, true}, {{{3, 4}}, false}}, 5});
+    news.crashes.push_back({base::engine_name("e2"), 0ms, {}, 0});
+    news.cleared = {{{7, 8}}};
+    return news;
+}
+
+}  // namespace
+
+Test(crash_message, survives_the_wire) {
+    const auto news = decode_crash_news(encode(sample()));
+    cr_assert(news.has_value());
+    cr_assert(*news == sample());
+    cr_assert(is_crash_news(encode(sample())));
+    cr_assert_not(is_release_report(encode(sample())));
+    cr_assert_not(is_crash_news(""));
+}
+
+Test(crash_message, as_much_as_is_sent_fits_into_a_datagram) {
+    crash_news news;
+    news.sender.value = std::string(64, 'r');
+    told_crash crash{base::engine_name(std::string(64, 'e')), 100h, {}, 9};
+    for (std::uint64_t number = 0; number < requests_of_crash_datagram; ++number) {
+        crash.candidates.push_back({{{~number, ~number}}, true});
+    }
+    news.crashes.push_back(crash);
+    cr_assert_leq(encode(news).size(), largest_datagram);
+    crash_news cleared;
+    cleared.sender.value = std::string(64, 'r');
+    cleared.cleared.resize(requests_of_crash_datagram);
+    cr_assert_leq(encode(cleared).size(), largest_datagram);
+}
+
+Test(crash_message, what_is_wrong_is_refused) {
+    crash_news nameless = sample();
+    nameless.sender.value.clear();
+    cr_assert_not(decode_crash_news(encode(nameless)).has_value());
+    crash_news no_engine = sample();
+    no_engine.crashes[0].engine.value.clear();
+    cr_assert_not(decode_crash_news(encode(no_engine)).has_value());
+    crash_news ancient = sample();
+    ancient.crashes[0].age = 100h * 1000;
+    cr_assert_not(decode_crash_news(encode(ancient)).has_value());
+}
+
+Test(crash_message, random_bytes_break_nothing) {
+    base::seeded_random random(20261203);
+    const message_bytes good = encode(sample());
+    for (int round = 0; round < 20000; ++round) {
+        message_bytes bytes = good;
+        for (std::uint64_t change = 1 + random.below(6); change > 0; --change) {
+            bytes[random.below(bytes.size())] = static_cast<char>(random.below(256));
+        }
+        bytes.resize(bytes.size() - random.below(3) * random.below(bytes.size()) / 2);
+        (void)decode_crash_news(bytes);
+    }
+}
--- /dev/null
+++ b/test/relay/crash_exchange_test.cpp
@@ -0,0 +1,255 @@
+/// What one router finds out about a request that ends engines, all know: told at once, read from
+/// a row by those that were not reached, and taken back where an engine lived through it.
+#include "ferryroad/relay/crash_exchange.hpp"
+
+#include "test/http/loopback.hpp"
+#include "test/relay/fake_network.hpp"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+using core::quarantine::request_identity;
+
+namespace {
+
+/// The product's table, without conditions; down or not.
+class kept_rows final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        ++calls;
+        if (down) {
+            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
+        }
+        for (const platform::transaction& one : transactions) {
+            for (const platform::row_write& write : one.writes) {
+                rows[write.key.value] = *write.value;
+            }
+        }
+        co_return std::vector<platform::transaction_outcome>(transactions.size());
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key>) override {
+        co_return std::vector<platform::row>{};
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        co_return std::vector<platform::row>{};
+    }
+    std::map<std::string, std::string> rows;
+    bool down = false;
+    int calls = 0;
+};
+
+struct router {
+    router(ferryroad::test::loopback& loop, fake_network& network, platform::table& table,
+           const std::set<base::endpoint>& ended, std::uint16_t port)
+        : scheduler(loop.scheduler),
+          self{base::router_name("r" + std::to_string(port)),
+               base::zone_name("z"),
+               {"10.0.0.1", port}},
+          transport(network, self.address),
+          quarantine(loop.scheduler,
+                     [&ended](base::endpoint address) -> runtime::task<bool> {
+                         co_return ended.contains(address);
+                     },
+                     {{}, 2ms, 200ms, 24}),
+          exchange({loop.scheduler, transport, table, quarantine, clock}, self.name,
+                   {3, 5ms, 5ms, 10ms, 16}) {
+        const auto now = scheduler.now();
+        clock.observe(now, now,
+                      std::chrono::milliseconds(base::to_milliseconds(now.time_since_epoch())));
+        transport.on_datagram([this](const base::endpoint& from, std::string_view bytes) {
+            exchange.take(from, bytes);
+        });
+        exchange.start();
+    }
+    void read_rows(const kept_rows& table) {
+        for (const auto& [key, value] : table.rows) {
+            exchange.take_row(value);
+        }
+        exchange.rows_confirmed();
+    }
+
+    runtime::scheduler& scheduler;
+    peer_address self;
+    fake_transport transport;
+    owner_clock clock;
+    request_quarantine quarantine;
+    crash_exchange exchange;
+};
+
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_network network;
+    kept_rows table;
+    std::set<base::endpoint> ended;  ///< Nothing listens there.
+    std::vector<std::unique_ptr<router>> routers;
+
+    explicit fixture(std::uint16_t size) {
+        for (std::uint16_t port = 1; port <= size; ++port) {
+            add(port);
+        }
+    }
+    router& add(std::uint16_t port) {
+        routers.push_back(std::make_unique<router>(loop, network, table, ended, port));
+        std::vector<peer_address> present;
+        for (const auto& one : routers) {
+            present.push_back(one->self);
+        }
+        for (const auto& one : routers) {
+            one->exchange.set_routers(present);
+        }
+        return *routers.back();
+    }
+    void run_for(base::duration time) {
+        loop.context.restart();
+        cr_assert(
+            loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
+    }
+};
+
+engine_target listed(std::uint16_t number) {
+    return {base::engine_name("e" + std::to_string(number)), {"10.0.1.1", number}};
+}
+
+const request_identity bad{{1, 1}};
+const request_identity other{{2, 2}};
+
+}  // namespace
+
+Test(crash_exchange, crashes_seen_by_different_routers_add_up_everywhere) {
+    fixture all(4);
+    all.ended = {listed(1).address, listed(2).address};
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.run_for(250ms);
+    for (const auto& one : all.routers) {
+        cr_assert_not_null(one->quarantine.find(bad), "%s", one->self.name.value.c_str());
+        cr_assert_null(one->quarantine.find(other));
+    }
+}
+
+Test(crash_exchange, an_engine_that_lives_on_ends_under_nothing) {
+    fixture all(2);
+    for (std::uint16_t number = 1; number < 8; ++number) {
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+    }
+    all.run_for(250ms);
+    cr_assert_null(all.routers[0]->quarantine.find(bad));
+    cr_assert_eq(all.routers[0]->quarantine.counters().breaks_unconfirmed, 7);
+    cr_assert_eq(all.table.calls, 0, "nothing is written while nothing ends");
+    cr_assert_eq(all.network.sent, 0);
+}
+
+Test(crash_exchange, an_engine_that_is_back_already_is_known_by_its_new_process) {
+    fixture all(2);
+    for (std::uint16_t number = 1; number <= 2; ++number) {
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+        all.run_for(20ms);
+        all.routers[0]->quarantine.engine_restarted(listed(number).name);
+    }
+    all.run_for(200ms);
+    cr_assert_not_null(all.routers[1]->quarantine.find(bad));
+}
+
+Test(crash_exchange, who_starts_later_or_hears_nobody_reads_the_rows) {
+    fixture all(2);
+    all.network.handlers.clear();  // Routers don't reach each other.
+    all.ended = {listed(1).address, listed(2).address};
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.run_for(250ms);
+    cr_assert_null(all.routers[0]->quarantine.find(bad));
+    cr_assert_eq(all.table.rows.size(), 2);
+    router& late = all.add(3);
+    late.read_rows(all.table);
+    all.routers[0]->read_rows(all.table);
+    all.run_for(20ms);
+    cr_assert_not_null(all.routers[0]->quarantine.find(bad));
+    cr_assert_not_null(late.quarantine.find(bad));
+}
+
+Test(crash_exchange, a_router_that_starts_again_keeps_what_its_row_says) {
+    fixture all(1);
+    all.ended = {listed(1).address, listed(2).address, listed(3).address};
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.run_for(50ms);
+    all.routers[0]->quarantine.exchange_broke(listed(2), bad, true);
+    all.run_for(50ms);
+    all.routers[0]->exchange.stop();
+    fixture next(0);
+    next.table.rows = all.table.rows;
+    next.ended = all.ended;
+    router& again = next.add(1);
+    again.read_rows(next.table);
+    again.quarantine.exchange_broke(listed(3), other, true);
+    next.run_for(250ms);
+    cr_assert_not_null(again.quarantine.find(bad));
+    router& third = next.add(2);
+    third.read_rows(next.table);
+    next.run_for(30ms);
+    cr_assert_not_null(third.quarantine.find(bad), "it is in the row that was written anew, too");
+}
+
+Test(crash_exchange, a_row_is_written_once_the_table_is_back) {
+    fixture all(1);
+    all.table.down = true;
+    all.ended = {listed(1).address};
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.run_for(60ms);
+    cr_assert_eq(all.table.rows.size(), 0);
+    all.table.down = false;
+    all.run_for(40ms);
+    cr_assert_eq(all.table.rows.size(), 1);
+    const int calls = all.table.calls;
+    all.run_for(60ms);
+    cr_assert_eq(all.table.calls, calls, "once");
+}
+
+Test(crash_exchange, a_good_end_anywhere_frees_the_request_everywhere) {
+    fixture all(3);
+    all.ended = {listed(1).address, listed(2).address};
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.run_for(250ms);
+    cr_assert_not_null(all.routers[0]->quarantine.find(bad));
+    all.routers[2]->quarantine.ended_well(bad);
+    all.run_for(50ms);
+    for (const auto& one : all.routers) {
+        cr_assert_null(one->quarantine.find(bad), "%s", one->self.name.value.c_str());
+    }
+    router& late = all.add(4);
+    late.read_rows(all.table);
+    all.run_for(200ms);
+    cr_assert_null(late.quarantine.find(bad), "rows no longer name it");
+}
+
+Test(crash_exchange, who_knows_better_answers_the_teller) {
+    fixture all(3);
+    all.ended = {listed(1).address, listed(2).address, listed(3).address};
+    all.routers[2]->quarantine.ended_well(bad);
+    for (std::uint16_t number = 1; number <= 3; ++number) {
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+    }
+    all.run_for(250ms);
+    cr_assert_null(all.routers[0]->quarantine.find(bad));
+    cr_assert_null(all.routers[1]->quarantine.find(bad));
+}
+
+Test(crash_exchange, rows_and_datagrams_that_make_no_sense_are_counted) {
+    fixture all(1);
+    all.routers[0]->exchange.take({"10.0.0.9", 9}, "FRCN or not");
+    all.routers[0]->exchange.take_row("none");
+    all.routers[0]->exchange.rows_confirmed();
+    cr_assert_eq(all.routers[0]->exchange.malformed(), 2);
+}
