Quarantine: a suspect whose exchange breaks again isn't sent on in the same attempt

Cause: a repeatable request ended up to 4 engines, as its second attempt's retry was under way before the first ends were known to be its own. Ruled out: fewer crashes for a verdict (two are needed to tell the cause from chance).

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -173,9 +173,15 @@
                holder->name == m_plan.tenant->name;
     }
 
-    /// Engines may have ended under the request's repeats, or under this one, since it came.
-    bool is_quarantined() const {
-        return m_with.quarantine != nullptr && m_with.quarantine->find(m_plan.identity) != nullptr;
+    /// Engines may have ended under the request's repeats, or under this one, since it came. One
+    /// whose exchange just broke isn't sent on where an engine had ended under it before: it would
+    /// most likely be the third (4 engines under each repeatable request where 3 are enough).
+    bool is_held_back() const {
+        if (m_with.quarantine == nullptr) {
+            return false;
+        }
+        return m_with.quarantine->find(m_plan.identity) != nullptr ||
+               (m_broke && m_with.quarantine->is_suspect(m_plan.identity));
     }
 
     /// Only a request's first dispatch may go to a version on trial; where that has no engine for
@@ -205,7 +211,7 @@
             return;
         }
         std::optional<selected_engine> chosen;
-        if (key_still_holds() && !is_quarantined()) {
+        if (key_still_holds() && !is_held_back()) {
             chosen = place(query, now);
         }
         if (!chosen) {
@@ -363,6 +369,7 @@
     void note_break() {
         const known_engine* engine = m_with.registry.find(m_selected.target.name);
         if (m_with.quarantine != nullptr && engine != nullptr && !engine->listed.leaving) {
+            m_broke = true;
             m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity,
                                               m_exchange_events == 0);
         }
@@ -570,6 +577,7 @@
     std::optional<std::uint64_t> m_last_id;
     base::monotonic_time m_last_event_at{};
     bool m_begun = false;            ///< The caller has the answer's head.
+    bool m_broke = false;            ///< An exchange did, and its engine wasn't about to leave.
     bool m_lost_connection = false;  ///< The last failure was no answer of an engine.
     relay_outcome m_outcome;
 };
--- a/src/ferryroad/relay/request_quarantine.hpp
+++ b/src/ferryroad/relay/request_quarantine.hpp
@@ -59,6 +59,10 @@
     /// next call.
     const core::quarantine::quarantined_request* find(
         const core::quarantine::request_identity& request);
+    /// @return whether an engine is known to have ended with the request in progress.
+    bool is_suspect(const core::quarantine::request_identity& request) const {
+        return m_suspects.is_candidate(request);
+    }
     /// An exchange broke, and the engine is not known to leave.
     /// @param silent whether it had brought nothing yet.
     void exchange_broke(const engine_target& engine,
