Time goes on while a machine is suspended: one clock, since boot, for all ages and timers

Cause: the steady clock doesn't count suspensions, so that keys' confirmations, leases, tables and retry windows woke up too young, and timers late.

--- a/src/ferryroad/base/time.hpp
+++ b/src/ferryroad/base/time.hpp
@@ -10,7 +10,8 @@
 
 using duration = std::chrono::nanoseconds;
 
-/// Tag of the process's monotonic clock (real or simulated); it has no now() of its own.
+/// Tag of the process's clock (real or simulated): time since an arbitrary start that goes on while
+/// the machine is suspended. It has no now() of its own.
 struct monotonic_clock {
     using rep = std::chrono::nanoseconds::rep;
     using period = std::chrono::nanoseconds::period;
--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/http/connection.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
@@ -92,9 +94,7 @@
 
 void connection::set_limit(base::duration delay) {
     const std::uint64_t generation = ++limit_generation_;
-    const auto steady_delay =
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(delay);
-    timer_.expires_after(steady_delay);
+    timer_.expires_after(delay);
     timer_.async_wait([weak = weak_from_this(), generation](boost::system::error_code failure) {
         const auto self = weak.lock();
         if (failure || !self || self->limit_generation_ != generation) {
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -5,10 +5,10 @@
 
 #include "ferryroad/base/endpoint.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/task.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <memory>
@@ -64,7 +64,7 @@
     void make_non_blocking();
 
     socket_type socket_;
-    boost::asio::steady_timer timer_;
+    runtime::boot_timer timer_;
     std::string received_;
     std::uint64_t limit_generation_ = 0;
     bool expired_ = false;
--- a/src/ferryroad/http/connection_pool.cpp
+++ b/src/ferryroad/http/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/http/connection_pool.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
+
 #include <algorithm>
 
 namespace ferryroad::http {
@@ -65,8 +67,7 @@
         return;
     }
     sweeping_ = true;
-    sweep_timer_.expires_after(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(limits_.idle));
+    sweep_timer_.expires_after(limits_.idle);
     sweep_timer_.async_wait([weak = weak_from_this()](boost::system::error_code) {
         if (const auto self = weak.lock()) {
             self->sweeping_ = false;
--- a/src/ferryroad/http/connection_pool.hpp
+++ b/src/ferryroad/http/connection_pool.hpp
@@ -4,6 +4,7 @@
 
 #include "ferryroad/http/client.hpp"
 #include "ferryroad/http/connection.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 
 #include <list>
 #include <map>
@@ -42,7 +43,7 @@
     runtime::scheduler& scheduler_;
     client_limits limits_;
     std::map<base::endpoint, idle_list> idle_;
-    boost::asio::steady_timer sweep_timer_;
+    runtime::boot_timer sweep_timer_;
     bool sweeping_ = false;
 };
 
--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -1,11 +1,11 @@
 #include "ferryroad/http/server.hpp"
 
 #include "ferryroad/http/session.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/log.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <unordered_set>
@@ -44,7 +44,7 @@
 
     runtime::scheduler& scheduler;
     tcp::acceptor acceptor;
-    asio::steady_timer emptied;  ///< Cancelled when the last session ends.
+    runtime::boot_timer emptied;  ///< Cancelled when the last session ends.
     std::shared_ptr<server_shared> shared;
     std::unordered_set<session*> sessions;
 };
@@ -122,7 +122,7 @@
         one->drain();
     }
     while (!sessions.empty()) {
-        emptied.expires_at(asio::steady_timer::time_point::max());
+        emptied.expires_at(runtime::boot_timer::time_point::max());
         co_await emptied.async_wait(as_result);
     }
 }
--- a/src/ferryroad/http/session_writer.cpp
+++ b/src/ferryroad/http/session_writer.cpp
@@ -1,7 +1,8 @@
 #include "ferryroad/http/session_writer.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
+
 #include <boost/asio/error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -109,8 +110,8 @@
         }
     }
     const auto executor = co_await boost::asio::this_coro::executor;
-    boost::asio::steady_timer never(executor);
-    never.expires_at(boost::asio::steady_timer::time_point::max());
+    runtime::boot_timer never(executor);
+    never.expires_at(runtime::boot_timer::time_point::max());
     co_await never.async_wait(boost::asio::use_awaitable);
 }
 
--- a/src/ferryroad/peer/framed_connection.cpp
+++ b/src/ferryroad/peer/framed_connection.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/peer/framed_connection.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read.hpp>
@@ -17,7 +19,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using steady = std::chrono::steady_clock;
 using frame_header = std::array<unsigned char, frame_header_bytes>;
 
 constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
@@ -75,8 +76,7 @@
 }
 
 void framed_connection::limit(base::monotonic_time when) {
-    timer_.expires_at(
-        steady::time_point(std::chrono::duration_cast<steady::duration>(when.time_since_epoch())));
+    timer_.expires_at(runtime::boot_clock::time_point(when.time_since_epoch()));
     const std::uint64_t mine = ++limits_set_;
     timer_.async_wait([weak = weak_from_this(), mine](const boost::system::error_code& cancelled) {
         const auto self = weak.lock();
--- a/src/ferryroad/peer/framed_connection.hpp
+++ b/src/ferryroad/peer/framed_connection.hpp
@@ -5,10 +5,10 @@
 
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/peer/transport.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/task.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -42,7 +42,7 @@
     error fault(const boost::system::error_code& failure) const;
 
     boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer timer_;
+    runtime::boot_timer timer_;
     std::size_t largest_frame_;
     std::uint64_t limits_set_ = 0;
     bool expired_ = false;
--- a/src/ferryroad/platform/call_batcher.hpp
+++ b/src/ferryroad/platform/call_batcher.hpp
@@ -4,10 +4,10 @@
 
 #include "ferryroad/platform/call_pacer.hpp"
 #include "ferryroad/platform/errors.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -65,7 +65,7 @@
         queue_.push_back(one);
         start();
         while (!one->outcome) {
-            one->ready.expires_at(boost::asio::steady_timer::time_point::max());
+            one->ready.expires_at(runtime::boot_timer::time_point::max());
             co_await one->ready.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
         }
         co_return std::move(*one->outcome);
@@ -79,7 +79,7 @@
 
         std::vector<Item> items;
         base::monotonic_time deadline;
-        boost::asio::steady_timer ready;  ///< Cancelled once there is an outcome.
+        runtime::boot_timer ready;  ///< Cancelled once there is an outcome.
         std::optional<answers> outcome;
         bool abandoned = false;  ///< The caller has gone.
     };
--- a/src/ferryroad/relay/quota_datagrams.cpp
+++ b/src/ferryroad/relay/quota_datagrams.cpp
@@ -1,9 +1,9 @@
 #include "ferryroad/relay/quota_datagrams.hpp"
 
 #include "ferryroad/peer/codec.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
@@ -46,7 +46,7 @@
     quota_datagrams& m_owner;
     base::router_name m_home;
     std::uint64_t m_number;
-    boost::asio::steady_timer m_timer;
+    runtime::boot_timer m_timer;
     std::optional<quota_verdict> m_verdict;
 };
 
--- a/src/ferryroad/relay/table_server.cpp
+++ b/src/ferryroad/relay/table_server.cpp
@@ -1,7 +1,8 @@
 #include "ferryroad/relay/table_server.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
+
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -46,7 +47,7 @@
   private:
     table_pointer m_table;
     std::uint64_t m_number;
-    boost::asio::steady_timer m_timer;
+    runtime::boot_timer m_timer;
 };
 
 table_server::table_server(runtime::scheduler& scheduler, peer::transport& transport,
--- a/src/ferryroad/runtime/asio_scheduler.cpp
+++ b/src/ferryroad/runtime/asio_scheduler.cpp
@@ -1,9 +1,9 @@
 #include "ferryroad/runtime/asio_scheduler.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
@@ -13,18 +13,11 @@
 
 namespace ferryroad::runtime {
 
-namespace {
-
-using steady = std::chrono::steady_clock;
-
-}  // namespace
-
 asio_scheduler::asio_scheduler(boost::asio::io_context& context, std::uint64_t seed)
     : context_(context), random_(seed) {}
 
 base::monotonic_time asio_scheduler::now() const {
-    return base::monotonic_time(
-        std::chrono::duration_cast<base::duration>(steady::now().time_since_epoch()));
+    return base::monotonic_time(boot_clock::now().time_since_epoch());
 }
 
 std::int64_t asio_scheduler::unix_milliseconds() const {
@@ -32,9 +25,8 @@
 }
 
 task<void> asio_scheduler::sleep_until(base::monotonic_time when) {
-    boost::asio::steady_timer timer(context_);
-    timer.expires_at(
-        steady::time_point(std::chrono::duration_cast<steady::duration>(when.time_since_epoch())));
+    boot_timer timer(context_);
+    timer.expires_at(boot_clock::time_point(when.time_since_epoch()));
     co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
--- a/src/ferryroad/runtime/log.cpp
+++ b/src/ferryroad/runtime/log.cpp
@@ -1,5 +1,6 @@
 #include "ferryroad/runtime/log.hpp"
 
+#include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/bounded_output.hpp"
 
 #include <boost/asio/error.hpp>
@@ -44,8 +45,8 @@
         m_layout->format(formatted, event, pool);
         LOG4CXX_ENCODE_CHAR(text, formatted);
         const bool is_warning = event->getLevel()->toInt() >= log4cxx::Level::WARN_INT;
-        const auto steady = std::chrono::steady_clock::now().time_since_epoch();
-        m_output.write(text, is_warning, base::monotonic_time(steady));
+        const base::duration since_boot = boot_clock::now().time_since_epoch();
+        m_output.write(text, is_warning, base::monotonic_time(since_boot));
     }
     void close() override { m_output.flush(); }
     bool requiresLayout() const override { return true; }
