--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -11,6 +11,13 @@
     return found == versions.end() ? 0 : found->second;
 }
 
+bool is_new_process(const listed_engine& before, const listed_engine& now) {
+    if (before.born && now.born) {
+        return before.born != now.born;
+    }
+    return before.address != now.address || now.warming > before.warming;
+}
+
 void engine_registry::replace_all(const std::vector<listed_engine>& listed,
                                   base::monotonic_time now) {
     std::set<base::engine_name> names;
@@ -23,8 +30,19 @@
 }
 
 void engine_registry::put(const listed_engine& one, base::monotonic_time now) {
-    const auto [entry, is_new] = m_engines.try_emplace(one.name);
+    const auto [entry, is_added] = m_engines.try_emplace(one.name);
     known_engine& engine = entry->second;
+    const bool is_restarted = !is_added && is_new_process(engine.listed, one);
+    if (is_restarted) {
+        if (m_new_process) {
+            m_new_process(one.name);
+        }
+        engine = known_engine();  // What was known is of the process before.
+    }
+    const bool is_new = is_added || is_restarted;
+    if (is_new) {
+        engine.process = ++m_processes;
+    }
     if (is_new || engine.listed.software != one.software) {
         engine.listed_at = now;
         engine.warm_at = now + one.warming;
@@ -97,28 +115,34 @@
       m_name(std::move(name)),
       m_prefill_tokens(prefill_tokens),
       m_repeatable(repeatable) {
-    if (known_engine* engine = m_registry.find(m_name)) {
-        ++engine->running;
+    if (known_engine* listed = m_registry.find(m_name)) {
+        m_process = listed->process;
+        ++listed->running;
         m_registry.mark_active(m_name);
-        engine->unrepeatable += m_repeatable ? 0 : 1;
-        engine->pending_prefill_tokens += m_prefill_tokens;
+        listed->unrepeatable += m_repeatable ? 0 : 1;
+        listed->pending_prefill_tokens += m_prefill_tokens;
     }
 }
 
 engine_load::~engine_load() {
     prefilled();
-    known_engine* engine = m_registry.find(m_name);
-    if (engine != nullptr && engine->running > 0) {
-        --engine->running;
-        engine->unrepeatable -= std::min<std::uint32_t>(m_repeatable ? 0 : 1, engine->unrepeatable);
+    known_engine* listed = engine();
+    if (listed != nullptr && listed->running > 0) {
+        --listed->running;
+        listed->unrepeatable -= std::min<std::uint32_t>(m_repeatable ? 0 : 1, listed->unrepeatable);
     }
 }
 
 void engine_load::prefilled() {
     const std::uint64_t tokens = std::exchange(m_prefill_tokens, 0);
-    if (known_engine* engine = m_registry.find(m_name)) {
-        engine->pending_prefill_tokens -= std::min(tokens, engine->pending_prefill_tokens);
+    if (known_engine* listed = engine()) {
+        listed->pending_prefill_tokens -= std::min(tokens, listed->pending_prefill_tokens);
     }
 }
 
+known_engine* engine_load::engine() const {
+    known_engine* listed = m_registry.find(m_name);
+    return listed != nullptr && listed->process == m_process ? listed : nullptr;
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -31,13 +31,21 @@
     std::map<std::string, std::uint64_t> versions;  ///< Of weights, by model.
     coordination::release::software_version software;
     base::duration warming{};  ///< When its row was written: how much longer it is slow at first.
+    /// When its process started, in Unix milliseconds of its own clock; nothing where it doesn't
+    /// say.
+    std::optional<std::uint64_t> born;
 
     friend bool operator==(const listed_engine&, const listed_engine&) = default;
 };
 
-/// A listed engine with what this router knows beyond the list.
+/// @return whether the engine of that name has started anew between the two. Where it doesn't say
+/// when it started, another address or a longer time to be slow shows it. Thread-safe.
+bool is_new_process(const listed_engine& before, const listed_engine& now);
+
+/// A listed engine with what this router knows beyond the list, all of it of one process.
 struct known_engine {
     listed_engine listed;
+    std::uint64_t process = 0;  ///< Of this router's own count: tells one process from the next.
     core::placement::engine_health health;
     std::map<std::string, std::uint64_t> versions;  ///< The newest seen, from whatever source.
     std::uint32_t running = 0;
@@ -76,6 +84,10 @@
     /// @return whether a whole list has been taken yet.
     bool known() const { return m_known; }
 
+    /// @param told of each engine whose name is that of a new process, before that is taken.
+    void on_new_process(std::function<void(const base::engine_name&)> told) {
+        m_new_process = std::move(told);
+    }
     /// @param told of each engine that shows newer weights than were known.
     void on_newer_weights(
         std::function<void(const base::engine_name&, const std::string&, std::uint64_t)> told) {
@@ -94,7 +106,9 @@
     std::set<base::engine_name> m_active;
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
         m_newer_weights;
+    std::function<void(const base::engine_name&)> m_new_process;
     std::optional<base::monotonic_time> m_confirmed_at;
+    std::uint64_t m_processes = 0;  ///< Seen so far.
     bool m_known = false;
 };
 
@@ -111,10 +125,13 @@
 
     /// The prompt has been read: the first event came.
     void prefilled();
+    /// @return the engine, or null where that process is no longer listed.
+    known_engine* engine() const;
 
   private:
     engine_registry& m_registry;
     base::engine_name m_name;
+    std::uint64_t m_process = 0;
     std::uint64_t m_prefill_tokens;
     bool m_repeatable;
 };
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -346,7 +346,7 @@
         m_evidence.failed(failure, streaming, now < m_plan.deadline, now);
         m_lost_connection = failure.proof != execution::failure_proof::not_run;
         saw_version(failure.version);
-        if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
+        if (known_engine* engine = asked_engine()) {
             blame(*engine, failure, has_outdated_weights(*engine), m_tunables, now);
         }
         runtime::log(runtime::log_level::warning, component, "dispatch failed",
@@ -367,17 +367,22 @@
 
     /// The engine may have ended under this request, unless it was about to leave.
     void note_break() {
-        const known_engine* engine = m_with.registry.find(m_selected.target.name);
-        if (m_with.quarantine != nullptr && engine != nullptr && !engine->listed.leaving) {
-            m_broke = true;
-            m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity,
-                                              m_exchange_events == 0);
+        const known_engine* listed = m_with.registry.find(m_selected.target.name);
+        if (m_with.quarantine == nullptr || listed == nullptr || listed->listed.leaving) {
+            return;
         }
+        m_broke = true;
+        m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity,
+                                          {m_exchange_events == 0, asked_engine() == nullptr});
     }
 
+    /// @return the engine of the exchange under way, or null where its process is no longer
+    /// listed: what is still on its way from it says nothing of the next one.
+    known_engine* asked_engine() const { return m_load ? m_load->engine() : nullptr; }
+
     /// @return this router's requests at the engine of the exchange, this one included.
     std::uint32_t running_there() const {
-        const known_engine* engine = m_with.registry.find(m_selected.target.name);
+        const known_engine* engine = asked_engine();
         return engine == nullptr ? 0 : engine->running;
     }
 
@@ -511,7 +516,7 @@
     }
 
     void note_success() {
-        if (known_engine* engine = m_with.registry.find(m_selected.target.name)) {
+        if (known_engine* engine = asked_engine()) {
             engine->health.record_success();
         }
         if (m_with.quarantine != nullptr) {
--- a/src/ferryroad/relay/request_quarantine.cpp
+++ b/src/ferryroad/relay/request_quarantine.cpp
@@ -45,7 +45,8 @@
 }
 
 void request_quarantine::exchange_broke(const engine_target& engine,
-                                        const request_identity& request, bool silent) {
+                                        const request_identity& request,
+                                        const broken_exchange& how) {
     const base::monotonic_time now = m_scheduler.now();
     if (m_suspects.ended_well_lately(request, now)) {
         return;
@@ -57,15 +58,16 @@
         broken.at = now;
         m_scheduler.spawn(component, confirm(engine.name));
     }
+    broken.replaced = broken.replaced || how.replaced;
     const auto same =
         std::find_if(broken.candidates.begin(), broken.candidates.end(),
                      [&](const crash_candidate& one) { return one.request == request; });
     if (same != broken.candidates.end()) {
-        same->silent = same->silent || silent;
+        same->silent = same->silent || how.silent;
     } else if (broken.candidates.size() < m_settings.named) {
-        broken.candidates.push_back({request, silent});
+        broken.candidates.push_back({request, how.silent});
     } else {
-        broken.unnamed += silent ? 1 : 0;
+        broken.unnamed += how.silent ? 1 : 0;
     }
 }
 
@@ -76,6 +78,8 @@
     auto found = m_broken.extract(name);
     if (refuses) {
         confirmed(found.mapped(), "connection refused");
+    } else if (found.mapped().replaced) {
+        confirmed(found.mapped(), "new process");
     } else {
         wait_for_restart(std::move(found.mapped()));
     }
--- a/src/ferryroad/relay/request_quarantine.hpp
+++ b/src/ferryroad/relay/request_quarantine.hpp
@@ -40,6 +40,11 @@
     std::uint64_t released = 0;            ///< Freed by a good end.
 };
 
+struct broken_exchange {
+    bool silent = true;     ///< It had brought nothing yet.
+    bool replaced = false;  ///< A new process is known under the engine's name.
+};
+
 /// What this router found out, for the others.
 struct quarantine_news {
     std::function<void(const core::quarantine::engine_crash&)> crash;
@@ -64,9 +69,9 @@
         return m_suspects.is_candidate(request);
     }
     /// An exchange broke, and the engine is not known to leave.
-    /// @param silent whether it had brought nothing yet.
     void exchange_broke(const engine_target& engine,
-                        const core::quarantine::request_identity& request, bool silent);
+                        const core::quarantine::request_identity& request,
+                        const broken_exchange& how);
     /// An engine answered the request to the end, whatever the answer.
     void ended_well(const core::quarantine::request_identity& request);
     /// The engine of that name is a new process.
@@ -92,6 +97,7 @@
         base::monotonic_time at{};
         std::vector<core::quarantine::crash_candidate> candidates;
         std::uint32_t unnamed = 0;
+        bool replaced = false;
     };
 
     runtime::task<void> confirm(base::engine_name name);
--- a/test/relay/crash_exchange_test.cpp
+++ b/test/relay/crash_exchange_test.cpp
@@ -130,8 +130,8 @@
 Test(crash_exchange, crashes_seen_by_different_routers_add_up_everywhere) {
     fixture all(4);
     all.ended = {listed(1).address, listed(2).address};
-    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
-    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, {});
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, {});
     all.run_for(250ms);
     for (const auto& one : all.routers) {
         cr_assert_not_null(one->quarantine.find(bad), "%s", one->self.name.value.c_str());
@@ -142,7 +142,7 @@
 Test(crash_exchange, an_engine_that_lives_on_ends_under_nothing) {
     fixture all(2);
     for (std::uint16_t number = 1; number < 8; ++number) {
-        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, {});
     }
     all.run_for(250ms);
     cr_assert_null(all.routers[0]->quarantine.find(bad));
@@ -154,7 +154,7 @@
 Test(crash_exchange, an_engine_that_is_back_already_is_known_by_its_new_process) {
     fixture all(2);
     for (std::uint16_t number = 1; number <= 2; ++number) {
-        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, {});
         all.run_for(20ms);
         all.routers[0]->quarantine.engine_restarted(listed(number).name);
     }
@@ -166,8 +166,8 @@
     fixture all(2);
     all.network.handlers.clear();  // Routers don't reach each other.
     all.ended = {listed(1).address, listed(2).address};
-    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
-    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, {});
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, {});
     all.run_for(250ms);
     cr_assert_null(all.routers[0]->quarantine.find(bad));
     cr_assert_eq(all.table.rows.size(), 2);
@@ -182,9 +182,9 @@
 Test(crash_exchange, a_router_that_starts_again_keeps_what_its_row_says) {
     fixture all(1);
     all.ended = {listed(1).address, listed(2).address, listed(3).address};
-    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, {});
     all.run_for(50ms);
-    all.routers[0]->quarantine.exchange_broke(listed(2), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(2), bad, {});
     all.run_for(50ms);
     all.routers[0]->exchange.stop();
     fixture next(0);
@@ -192,7 +192,7 @@
     next.ended = all.ended;
     router& again = next.add(1);
     again.read_rows(next.table);
-    again.quarantine.exchange_broke(listed(3), other, true);
+    again.quarantine.exchange_broke(listed(3), other, {});
     next.run_for(250ms);
     cr_assert_not_null(again.quarantine.find(bad));
     router& third = next.add(2);
@@ -205,7 +205,7 @@
     fixture all(1);
     all.table.down = true;
     all.ended = {listed(1).address};
-    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, {});
     all.run_for(60ms);
     cr_assert_eq(all.table.rows.size(), 0);
     all.table.down = false;
@@ -219,8 +219,8 @@
 Test(crash_exchange, a_good_end_anywhere_frees_the_request_everywhere) {
     fixture all(3);
     all.ended = {listed(1).address, listed(2).address};
-    all.routers[0]->quarantine.exchange_broke(listed(1), bad, true);
-    all.routers[1]->quarantine.exchange_broke(listed(2), bad, true);
+    all.routers[0]->quarantine.exchange_broke(listed(1), bad, {});
+    all.routers[1]->quarantine.exchange_broke(listed(2), bad, {});
     all.run_for(250ms);
     cr_assert_not_null(all.routers[0]->quarantine.find(bad));
     all.routers[2]->quarantine.ended_well(bad);
@@ -239,7 +239,7 @@
     all.ended = {listed(1).address, listed(2).address, listed(3).address};
     all.routers[2]->quarantine.ended_well(bad);
     for (std::uint16_t number = 1; number <= 3; ++number) {
-        all.routers[0]->quarantine.exchange_broke(listed(number), bad, true);
+        all.routers[0]->quarantine.exchange_broke(listed(number), bad, {});
     }
     all.run_for(250ms);
     cr_assert_null(all.routers[0]->quarantine.find(bad));
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <vector>
 
 using namespace ferryroad;
 using namespace ferryroad::relay;
@@ -64,3 +65,69 @@
     registry.confirm(start + 100ms);  // Told late, by another source.
     cr_assert(registry.age(start + 450ms) == 150ms);
 }
+
+namespace {
+
+listed_engine process_of(std::optional<std::uint64_t> born) {
+    listed_engine one;
+    one.name.value = "e";
+    one.born = born;
+    return one;
+}
+
+}  // namespace
+
+Test(engine_registry, a_new_process_under_a_name_has_nothing_of_the_one_before) {
+    engine_registry registry;
+    std::vector<base::engine_name> told;
+    registry.on_new_process([&](const base::engine_name& name) { told.push_back(name); });
+    registry.put(process_of(1000), start);
+    std::optional<engine_load> sent(std::in_place, registry, base::engine_name("e"), 10);
+    known_engine* before = registry.find(base::engine_name("e"));
+    before->health.record_failure(true, start);
+    before->refuses_until = start + 1h;
+    registry.saw_version(base::engine_name("e"), "m", 7);
+    const std::uint64_t first = before->process;
+
+    registry.put(process_of(1000), start + 1s);
+    cr_assert(told.empty(), "the same process");
+    cr_assert_eq(registry.find(base::engine_name("e"))->process, first);
+
+    registry.put(process_of(2000), start + 2s);
+    cr_assert_eq(told.size(), 1);
+    const known_engine* now = registry.find(base::engine_name("e"));
+    cr_assert_neq(now->process, first);
+    cr_assert_eq(now->running, 0);
+    cr_assert_eq(now->pending_prefill_tokens, 0);
+    cr_assert_eq(now->version_of("m"), 0);
+    cr_assert(now->refuses_until == base::monotonic_time{});
+    cr_assert_not(now->health.suspended(start + 2s));
+    cr_assert(now->listed_at == start + 2s);
+
+    const engine_load next(registry, base::engine_name("e"), 20);
+    cr_assert_null(sent->engine(), "what was sent to the one before says nothing of this one");
+    sent.reset();
+    cr_assert_eq(now->running, 1);
+    cr_assert_eq(now->pending_prefill_tokens, 20);
+}
+
+Test(engine_registry, without_a_start_other_signs_show_a_new_process) {
+    cr_assert_not(is_new_process(process_of({}), process_of({})));
+    cr_assert_not(is_new_process(process_of({}), process_of(1000)), "it says it from now on");
+    listed_engine warming = process_of({});
+    warming.warming = 2s;
+    cr_assert(is_new_process(process_of({}), warming));
+    cr_assert_not(is_new_process(warming, process_of({})));
+    listed_engine moved = process_of({});
+    moved.address = {"10.0.0.2", 1};
+    cr_assert(is_new_process(process_of({}), moved));
+}
+
+Test(engine_registry, the_whole_list_tells_new_processes_too) {
+    engine_registry registry;
+    int told = 0;
+    registry.on_new_process([&](const base::engine_name&) { ++told; });
+    registry.replace_all({process_of(1000)}, start);
+    registry.replace_all({process_of(2000)}, start + 1s);
+    cr_assert_eq(told, 1);
+}
