--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -51,6 +51,27 @@
         .observe(base::to_seconds(outcome.longest_gap));
 }
 
+void relay_metrics::set_quarantine(const relay_gauges& now) {
+    const auto set = [this](const char* name, const char* help, double value) {
+        m_registry.gauge_of(name, help).set(value);
+    };
+    const quarantine_counters& counted = now.quarantine;
+    set("ferryroad_relay_quarantined_requests", "Requests now held back: engines ended under them.",
+        static_cast<double>(now.quarantined_requests));
+    set("ferryroad_relay_engine_crashes_seen", "Engines that ended with requests of this router.",
+        static_cast<double>(counted.crashes_seen));
+    set("ferryroad_relay_engine_crashes_told", "Ends of engines that other routers told.",
+        static_cast<double>(counted.crashes_told));
+    set("ferryroad_relay_breaks_unconfirmed", "Broken exchanges whose engine took a connection.",
+        static_cast<double>(counted.breaks_unconfirmed));
+    set("ferryroad_relay_requests_quarantined", "Requests that came into quarantine.",
+        static_cast<double>(counted.quarantined));
+    set("ferryroad_relay_requests_cleared", "Requests of ended engines that another lived through.",
+        static_cast<double>(counted.released));
+    set("ferryroad_relay_crash_rows_written", "Writes of this router's row of ended engines.",
+        static_cast<double>(now.crash_rows_written));
+}
+
 std::string relay_metrics::to_text(const relay_gauges& now) {
     const auto set = [this](const char* name, const char* help, double value) {
         m_registry.gauge_of(name, help).set(value);
@@ -134,6 +155,7 @@
         static_cast<double>(now.release_traffic.table_calls));
     set("ferryroad_relay_releases_led", "Releases that this router coordinates.",
         static_cast<double>(now.releases_led));
+    set_quarantine(now);
     for (const own_release& one : now.releases) {
         set_release(one);
     }
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -43,6 +43,9 @@
     std::uint64_t table_reads_behind = 0;
     std::uint64_t table_reads_failed = 0;
     std::uint64_t store_calls = 0;
+    quarantine_counters quarantine;
+    std::size_t quarantined_requests = 0;
+    std::uint64_t crash_rows_written = 0;
     std::vector<metered_bytes> exchanged;
     std::vector<own_release> releases;  ///< Of each pool that was ever ordered to change.
     release_counters release_traffic;
@@ -60,6 +63,7 @@
     std::string to_text(const relay_gauges& now);
 
   private:
+    void set_quarantine(const relay_gauges& now);
     void set_release(const own_release& one);
     void set_answers(const own_release& one);
 
