--- a/src/ferryroad/base/hash.hpp
+++ b/src/ferryroad/base/hash.hpp
@@ -2,7 +2,6 @@
 /// Hashing by xxHash (XXH3): stable between processes and machines.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <initializer_list>
 #include <string_view>
@@ -20,7 +19,10 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const wide_hash&, const wide_hash&) = default;
+    friend bool operator==(const wide_hash&, const wide_hash&) = default;
+    friend bool operator<(const wide_hash& first, const wide_hash& second) {
+        return first.high != second.high ? first.high < second.high : first.low < second.low;
+    }
 };
 
 /// @return XXH3 (128 bits) of the fields' own hashes in order, so that bytes can't move from one
--- a/src/ferryroad/core/quarantine/request_identity.hpp
+++ b/src/ferryroad/core/quarantine/request_identity.hpp
@@ -4,7 +4,6 @@
 
 #include "ferryroad/base/hash.hpp"
 
-#include <compare>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -24,7 +23,10 @@
 struct request_identity {
     base::wide_hash digest;
 
-    friend auto operator<=>(const request_identity&, const request_identity&) = default;
+    friend bool operator==(const request_identity&, const request_identity&) = default;
+    friend bool operator<(const request_identity& first, const request_identity& second) {
+        return first.digest < second.digest;
+    }
 };
 
 request_identity identity_of(const request_content& content);
