Quarantine: an engine whose row lapsed and came back has not ended

Cause: a broken exchange was taken as an engine's end where the engine was listed anew, as after an outage of the store. Change: only another start that both rows name shows a new process; two tests.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -374,9 +374,12 @@
         }
         m_broke = true;
         const base::duration taken = m_with.scheduler.now() - m_exchange_began;
-        const bool silent = m_exchange_events == 0 && taken >= m_tunables.least_run;
-        m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity,
-                                          {silent, asked_engine() == nullptr, m_engine_born});
+        broken_exchange how;
+        how.silent = m_exchange_events == 0 && taken >= m_tunables.least_run;
+        // A row that lapsed and came back is no new process.
+        how.replaced = m_engine_born && listed->listed.born && m_engine_born != listed->listed.born;
+        how.born = m_engine_born;
+        m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity, how);
     }
 
     /// @return the engine of the exchange under way, or null where its process is no longer
--- a/src/ferryroad/relay/request_quarantine.hpp
+++ b/src/ferryroad/relay/request_quarantine.hpp
@@ -42,7 +42,7 @@
 };
 
 struct broken_exchange {
-    bool silent = true;                 ///< It had brought nothing yet.
+    bool silent = true;                 ///< As in `crash_candidate`.
     bool replaced = false;              ///< A new process is known under the engine's name.
     std::optional<std::uint64_t> born;  ///< What the engine said of its start.
 };
--- a/test/relay/request_quarantine_test.cpp
+++ b/test/relay/request_quarantine_test.cpp
@@ -54,6 +54,25 @@
         send("/unsafe/", "in progress at the end");
         restart_engines();
     }
+    void send_as_the_row_lapses() {
+        breaks();
+        loop.scheduler.spawn("lapse", lapse_soon());
+        send("/unsafe/", "lost answer");
+    }
+    runtime::task<void> lapse_soon() {
+        co_await loop.scheduler.sleep_for(5ms);
+        registry.replace_all({}, loop.scheduler.now());
+        registry.replace_all({listed("e1"), listed("e2")}, loop.scheduler.now());
+    }
+    void send_as_the_engine_restarts() {
+        breaks();
+        loop.scheduler.spawn("restart", restart_soon());
+        send("/unsafe/", "in progress at the end");
+    }
+    runtime::task<void> restart_soon() {
+        co_await loop.scheduler.sleep_for(5ms);
+        restart_engines();
+    }
     runtime::task<void> leave_soon() {
         co_await loop.scheduler.sleep_for(5ms);
         registry.replace_all({}, loop.scheduler.now());
@@ -160,3 +179,21 @@
     }
     cr_assert_eq(fixture.quarantine.counters().crashes_seen, 0);
 }
+
+Test(request_quarantine, a_row_that_lapses_and_comes_back_is_no_end) {
+    quarantine_fixture fixture;
+    fixture.engines_end = false;
+    for (int repeat = 0; repeat < 4; ++repeat) {
+        fixture.send_as_the_row_lapses();
+    }
+    cr_assert_eq(fixture.quarantine.counters().crashes_seen, 0);
+    cr_assert_eq(fixture.quarantine.counters().breaks_unconfirmed, 4);
+}
+
+Test(request_quarantine, an_engine_that_is_back_under_its_name_ended) {
+    quarantine_fixture fixture;
+    fixture.engines_end = false;  // Its address takes connections again.
+    fixture.restart_engines();
+    fixture.send_as_the_engine_restarts();
+    cr_assert_eq(fixture.quarantine.counters().crashes_seen, 1);
+}
