Quarantine: which end of an engine a report is of is told by when its exchanges began

Cause: ends were told apart by what the engine's row said of its start; while the store is away the row is behind, and the next process's end was merged into the one before, which another request had been charged with. Ruled out: both signs together (a router that knows the start and one that doesn't would count one end twice). Change: two reports of one name are of one end unless an exchange of the later began after the earlier.

--- a/src/ferryroad/core/quarantine/crash_suspects.cpp
+++ b/src/ferryroad/core/quarantine/crash_suspects.cpp
@@ -30,17 +30,11 @@
     return static_cast<std::size_t>(named) + crash.unnamed;
 }
 
-base::duration apart(base::monotonic_time first, base::monotonic_time second) {
-    return std::max(first, second) - std::min(first, second);
-}
-
 }  // namespace
 
 bool is_same_crash(const engine_crash& first, const engine_crash& second) {
-    if (first.engine != second.engine || first.born != second.born) {
-        return false;
-    }
-    return first.born || apart(first.at, second.at) < same_crash;
+    return first.engine == second.engine && first.began <= second.at + crash_slack &&
+           second.began <= first.at + crash_slack;
 }
 
 crash_suspects::crash_suspects(suspects_tunables tunables)
@@ -54,7 +48,7 @@
     engine_crash* known = find_crash(told);
     const bool is_new = known == nullptr;
     if (is_new) {
-        m_crashes.push_back({told.engine, told.born, told.at, {}, 0});
+        m_crashes.push_back({told.engine, told.at, told.began, {}, 0});
         known = &m_crashes.back();
     }
     const bool news = merge(*known, told) || is_new;
@@ -72,6 +66,8 @@
 }
 
 bool crash_suspects::merge(engine_crash& known, const engine_crash& told) const {
+    known.at = std::min(known.at, told.at);
+    known.began = std::max(known.began, told.began);
     bool news = told.unnamed > known.unnamed;
     known.unnamed = std::max(known.unnamed, told.unnamed);
     for (const crash_candidate& one : told.candidates) {
--- a/src/ferryroad/core/quarantine/crash_suspects.hpp
+++ b/src/ferryroad/core/quarantine/crash_suspects.hpp
@@ -36,20 +36,19 @@
 /// The end of an engine process, as one router saw it.
 struct engine_crash {
     base::engine_name engine;
-    /// Which process of that name, by what it said of its start; nothing where it said nothing.
-    std::optional<std::uint64_t> born;
-    base::monotonic_time at{};  ///< When it was noticed: a router that stood still is late.
+    base::monotonic_time at{};     ///< When it was noticed: a router that stood still is late.
+    base::monotonic_time began{};  ///< When the newest exchange with it had been begun.
     std::vector<crash_candidate> candidates;
     std::uint32_t unnamed = 0;  ///< Further ones in progress there that aren't named.
 
     friend bool operator==(const engine_crash&, const engine_crash&) = default;
 };
 
-/// Without a start, reports of one name within this time are of one process: those of routers that
-/// stood still are seconds late, and an engine that is back says when it started.
-inline constexpr base::duration same_crash = std::chrono::seconds(30);
+/// Clocks of routers are compared by the ages that they tell: off by the way of a message.
+inline constexpr base::duration crash_slack = std::chrono::milliseconds(250);
 
-/// @return whether both tell of one process: it ends once. Thread-safe.
+/// @return whether both tell of one process's end: an exchange that was begun after an end was with
+/// the next process. What an engine says of its start may be behind. Thread-safe.
 bool is_same_crash(const engine_crash& first, const engine_crash& second);
 
 /// A request that is sent to no engine for a while.
--- a/src/ferryroad/peer/crash_message.hpp
+++ b/src/ferryroad/peer/crash_message.hpp
@@ -11,7 +11,6 @@
 #include "ferryroad/peer/transport.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -20,8 +19,8 @@
 /// An engine's end as one router saw it, by its age: clocks of routers differ.
 struct told_crash {
     base::engine_name engine;
-    std::optional<std::uint64_t> born;  ///< As in `engine_crash`.
-    base::duration age{};               ///< To the millisecond.
+    base::duration age{};        ///< To the millisecond, as the next.
+    base::duration began_age{};  ///< Of the newest exchange with it.
     std::vector<core::quarantine::crash_candidate> candidates;
     std::uint32_t unnamed = 0;
 
--- a/src/ferryroad/peer/crash_message_codec.cpp
+++ b/src/ferryroad/peer/crash_message_codec.cpp
@@ -18,6 +18,15 @@
 /// An age is not believed beyond this: it would overflow a time.
 constexpr std::uint64_t longest_age_ms = 100'000'000'000;
 
+std::uint64_t write_age(base::duration age) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, base::to_milliseconds(age)));
+}
+
+base::duration read_age(field_reader& reader, std::uint64_t told_ms) {
+    reader.require(told_ms <= longest_age_ms, "a lower age");
+    return std::chrono::milliseconds(std::min(told_ms, longest_age_ms));
+}
+
 void write_digest(std::vector<std::uint64_t>& digests, const request_identity& request) {
     digests.push_back(request.digest.high);
     digests.push_back(request.digest.low);
@@ -43,24 +52,19 @@
         write_digest(digests, one.request);
         silent.push_back(one.silent ? 1 : 0);
     }
-    const auto age = std::max<std::int64_t>(0, base::to_milliseconds(crash.age));
     const auto engine = write_text(builder, crash.engine.value);
     const auto digest_list = builder.CreateVector(digests);
     const auto silent_list = builder.CreateVector(silent);
-    return wire::CreateEngineCrash(builder, engine, static_cast<std::uint64_t>(age), digest_list,
-                                   silent_list, crash.unnamed, crash.born.has_value(),
-                                   crash.born.value_or(0));
+    return wire::CreateEngineCrash(builder, engine, write_age(crash.age), digest_list, silent_list,
+                                   crash.unnamed, write_age(crash.began_age));
 }
 
 told_crash read_crash(field_reader& reader, const wire::EngineCrash& told) {
     told_crash crash;
     crash.engine = reader.name<base::engine_name>(told.engine());
-    reader.require(told.age_milliseconds() <= longest_age_ms, "a lower age");
-    crash.age = std::chrono::milliseconds(std::min(told.age_milliseconds(), longest_age_ms));
+    crash.age = read_age(reader, told.age_milliseconds());
+    crash.began_age = read_age(reader, told.began_age_milliseconds());
     crash.unnamed = told.unnamed();
-    if (told.says_born()) {
-        crash.born = told.born();
-    }
     const auto requests = read_digests(reader, told.digests());
     const std::size_t marks = told.silent() == nullptr ? 0 : told.silent()->size();
     reader.require(marks == requests.size(), "a mark for each request");
--- a/src/ferryroad/relay/crash_exchange.cpp
+++ b/src/ferryroad/relay/crash_exchange.cpp
@@ -41,8 +41,8 @@
 }
 
 peer::told_crash crash_exchange::told(const engine_crash& crash) const {
-    return {crash.engine, crash.born, m_ports.scheduler.now() - crash.at, crash.candidates,
-            crash.unnamed};
+    const base::monotonic_time now = m_ports.scheduler.now();
+    return {crash.engine, now - crash.at, now - crash.began, crash.candidates, crash.unnamed};
 }
 
 runtime::task<void> crash_exchange::send_crash(engine_crash crash) {
@@ -86,7 +86,8 @@
     peer::crash_news answer;
     answer.sender = m_self;
     for (const peer::told_crash& one : news->crashes) {
-        const engine_crash crash{one.engine, one.born, now - one.age, one.candidates, one.unnamed};
+        const engine_crash crash{one.engine, now - one.age, now - one.began_age, one.candidates,
+                                 one.unnamed};
         for (const request_identity& known_well :
              m_ports.quarantine.learn(crash, news->sender.value)) {
             answer.cleared.push_back(known_well);
@@ -134,8 +135,8 @@
     const base::monotonic_time written =
         m_ports.clock.to_local_latest(static_cast<std::int64_t>(news->owner_time));
     for (const peer::told_crash& one : news->crashes) {
-        const engine_crash crash{one.engine, one.born, written - one.age, one.candidates,
-                                 one.unnamed};
+        const engine_crash crash{one.engine, written - one.age, written - one.began_age,
+                                 one.candidates, one.unnamed};
         m_ports.quarantine.learn(crash, news->sender.value);
         if (news->sender == m_self) {
             keep_own(crash);  // Of the process before this one.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -378,7 +378,7 @@
         how.silent = m_exchange_events == 0 && taken >= m_tunables.least_run;
         // A row that lapsed and came back is no new process.
         how.replaced = m_engine_born && listed->listed.born && m_engine_born != listed->listed.born;
-        how.born = m_engine_born;
+        how.began = m_exchange_began;
         m_with.quarantine->exchange_broke(m_selected.target, m_plan.identity, how);
     }
 
--- a/src/ferryroad/relay/request_quarantine.cpp
+++ b/src/ferryroad/relay/request_quarantine.cpp
@@ -56,10 +56,10 @@
     if (is_first) {
         broken.engine = engine;
         broken.at = now;
-        broken.born = how.born;
         m_scheduler.spawn(component, confirm(engine.name));
     }
     broken.replaced = broken.replaced || how.replaced;
+    broken.began = std::max(broken.began, how.began);
     const auto same =
         std::find_if(broken.candidates.begin(), broken.candidates.end(),
                      [&](const crash_candidate& one) { return one.request == request; });
@@ -109,7 +109,7 @@
 void request_quarantine::confirmed(const broken_exchanges& broken, std::string_view evidence) {
     ++m_counters.crashes_seen;
     const base::engine_name& name = broken.engine.name;
-    const engine_crash crash{name, broken.born, broken.at, broken.candidates, broken.unnamed};
+    const engine_crash crash{name, broken.at, broken.began, broken.candidates, broken.unnamed};
     const base::duration age = m_scheduler.now() - broken.at;
     runtime::log(runtime::log_level::warning, component, "engine ended",
                  {{"engine", name.value},
--- a/src/ferryroad/relay/request_quarantine.hpp
+++ b/src/ferryroad/relay/request_quarantine.hpp
@@ -12,7 +12,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,9 +41,9 @@
 };
 
 struct broken_exchange {
-    bool silent = true;                 ///< As in `crash_candidate`.
-    bool replaced = false;              ///< A new process is known under the engine's name.
-    std::optional<std::uint64_t> born;  ///< What the engine said of its start.
+    bool silent = true;            ///< As in `crash_candidate`.
+    bool replaced = false;         ///< A new process is known under the engine's name.
+    base::monotonic_time began{};  ///< When the exchange did.
 };
 
 /// What this router found out, for the others.
@@ -100,7 +99,7 @@
         std::vector<core::quarantine::crash_candidate> candidates;
         std::uint32_t unnamed = 0;
         bool replaced = false;
-        std::optional<std::uint64_t> born;
+        base::monotonic_time began{};  ///< The newest of them.
     };
 
     runtime::task<void> confirm(base::engine_name name);
