Codecs: one function looks at a datagram's identifier

Cause: the same look stood in three codecs; the third came with the news of crashes. Ruled out: the pairs of equal shape in lists of settings, which have no logic in common. Change: has_identifier is in codec_fields.hpp; no behaviour changes.

--- a/src/ferryroad/peer/codec_fields.hpp
+++ b/src/ferryroad/peer/codec_fields.hpp
@@ -121,6 +121,12 @@
     return {reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize()};
 }
 
+/// @return whether the bytes say that they are a message of the kind; they may still be malformed.
+inline bool has_identifier(std::string_view bytes, const char* identifier) {
+    constexpr std::size_t least = 2 * sizeof(flatbuffers::uoffset_t);
+    return bytes.size() >= least && flatbuffers::BufferHasIdentifier(bytes.data(), identifier);
+}
+
 /// @param identifier of the message's kind, 4 characters, where messages of several kinds come the
 /// same way; else null.
 /// @return the root table if every offset and length within `bytes` holds, else null.
--- a/src/ferryroad/peer/crash_message_codec.cpp
+++ b/src/ferryroad/peer/crash_message_codec.cpp
@@ -93,8 +93,7 @@
 }
 
 bool is_crash_news(std::string_view bytes) {
-    constexpr std::size_t least = 2 * sizeof(flatbuffers::uoffset_t);
-    return bytes.size() >= least && flatbuffers::BufferHasIdentifier(bytes.data(), news_identifier);
+    return has_identifier(bytes, news_identifier);
 }
 
 result<crash_news> decode_crash_news(std::string_view bytes) {
--- a/src/ferryroad/peer/release_message_codec.cpp
+++ b/src/ferryroad/peer/release_message_codec.cpp
@@ -22,11 +22,6 @@
 /// Of routes and versions: more than fit into a datagram.
 constexpr std::size_t most_entries = 256;
 
-bool has_identifier(std::string_view bytes, const char* identifier) {
-    constexpr std::size_t least = 2 * sizeof(flatbuffers::uoffset_t);
-    return bytes.size() >= least && flatbuffers::BufferHasIdentifier(bytes.data(), identifier);
-}
-
 wire::ReleasePhase write_phase(const std::optional<release_phase>& phase) {
     if (!phase) {
         return wire::ReleasePhase::none;
--- a/src/ferryroad/peer/traffic_notice_codec.cpp
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -149,9 +149,7 @@
 }
 
 bool is_traffic_notice(std::string_view bytes) {
-    constexpr std::size_t least = 2 * sizeof(flatbuffers::uoffset_t);
-    return bytes.size() >= least &&
-           flatbuffers::BufferHasIdentifier(bytes.data(), notice_identifier);
+    return has_identifier(bytes, notice_identifier);
 }
 
 result<traffic_notice> decode_traffic_notice(std::string_view bytes) {
