Sight: dispatches say under which weights and how outdated, answers under which they began

Cause looked for: requests that begin on outdated weights. The logs could not tell whether a request was sent late, or waited at its engine. Now dispatched has weights and weights_outdated_ms, ended has weights and begun_outdated_ms, and ferryroad_relay_begun_outdated_seconds counts how outdated weights were as requests began on them.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -18,6 +18,16 @@
     return address ? address->to_string() : "none";
 }
 
+std::string text_of(const std::optional<std::uint64_t>& version) {
+    return version ? std::to_string(*version) : "none";
+}
+
+/// @return since when weights are outdated, in milliseconds; `none` of the newest.
+std::string outdated_ms(const std::optional<base::monotonic_time>& since,
+                        base::monotonic_time now) {
+    return since ? std::to_string(base::to_milliseconds(now - *since)) : "none";
+}
+
 std::uint64_t shared_tokens(const relay_plan& plan) {
     return plan.call->prompt ? plan.call->prompt->shared_tokens() : 0;
 }
@@ -47,6 +57,8 @@
                   {"fetch_over", selected.moved_bytes > 0
                                      ? std::string(core::topology::to_string(selected.moved_over))
                                      : "none"},
+                  {"weights", text_of(selected.expected_version)},
+                  {"weights_outdated_ms", outdated_ms(selected.outdated_since, moment.now)},
                   {"policy", std::to_string(plan.policy->version())},
                   {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
                   {"engines_age_ms", std::to_string(base::to_milliseconds(moment.engines_age))},
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -77,6 +77,10 @@
     base::duration longest_gap{};               ///< Between two events.
     std::string engine;                         ///< The last one asked.
     double predicted_ms = 0;                    ///< What choosing it was estimated to cost.
+    std::optional<std::uint64_t> weights;       ///< That the engine said it has.
+    /// How long newer weights had been named as an exchange's first event came; the longest of all
+    /// exchanges, nothing where all began on the newest.
+    std::optional<base::duration> begun_outdated;
 };
 
 /// One request, from its selection to its final answer. Used from the event loop's thread.
@@ -328,11 +332,25 @@
 
     void saw_version(const std::optional<std::uint64_t>& version) {
         if (version && m_plan.call->prompt) {
+            m_outcome.weights = version;
             m_with.registry.saw_version(m_selected.target.name, m_plan.call->prompt->model,
                                         *version);
         }
     }
 
+    /// The engine has begun with the request, under the weights that it said in its answer's head.
+    void note_beginning(base::monotonic_time now) {
+        if (!m_plan.call->prompt || !m_answer->version) {
+            return;
+        }
+        const auto since =
+            m_with.policies.outdated_since(m_plan.call->prompt->model, *m_answer->version);
+        if (since) {
+            const base::duration before = m_outcome.begun_outdated.value_or(base::duration{});
+            m_outcome.begun_outdated = std::max(before, now - *since);
+        }
+    }
+
     bool has_outdated_weights(const known_engine& engine) const {
         if (!m_plan.call->prompt) {
             return false;
@@ -494,6 +512,9 @@
         if (m_load) {
             m_load->prefilled();
         }
+        if (m_exchange_events == 0) {
+            note_beginning(now);
+        }
         ++m_outcome.events;
         ++m_exchange_events;
         m_outbox += event.bytes;
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -34,6 +34,13 @@
                         {{"kind", kind}})
             .add(outcome.dispatches - 1);
     }
+    if (outcome.begun_outdated) {
+        m_registry
+            .histogram_of("ferryroad_relay_begun_outdated_seconds",
+                          "Since newer weights were named, as requests began on older ones.",
+                          second_bounds)
+            .observe(base::to_seconds(*outcome.begun_outdated));
+    }
     if (!outcome.first_event) {
         return;
     }
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -259,6 +259,10 @@
              {"events", std::to_string(outcome.events)},
              {"first_event_ms", std::to_string(base::to_milliseconds(first))},
              {"longest_gap_ms", std::to_string(base::to_milliseconds(outcome.longest_gap))},
+             {"weights", outcome.weights ? std::to_string(*outcome.weights) : "none"},
+             {"begun_outdated_ms", outcome.begun_outdated ? std::to_string(base::to_milliseconds(
+                                                                *outcome.begun_outdated))
+                                                          : std::string("none")},
              {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -284,7 +284,10 @@
     chosen.fetchable_tokens =
         plan.from_far ? candidate.far_fetchable_tokens : candidate.fetchable_tokens;
     if (one.prompt != nullptr) {
-        chosen.expected_version = one.engine->version_of(query.call.prompt->model);
+        const std::string& model = query.call.prompt->model;
+        const std::uint64_t version = one.engine->version_of(model);
+        chosen.expected_version = version;
+        chosen.outdated_since = m_policies.outdated_since(model, version);
         chosen.cache_scope = one.prompt->scope;
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
         chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -56,6 +56,9 @@
     base::zone_name zone;
     coordination::release::software_version software;
     std::optional<std::uint64_t> expected_version;
+    /// When newer weights than the engine's may have been named first; nothing where it has the
+    /// newest.
+    std::optional<base::monotonic_time> outdated_since;
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
     std::optional<base::endpoint> save_state_to;
