Red: requests that wait at their engine begin on weights that are too old by then

Cause: the age of an engine's weights is looked at when a request is sent, with a constant of 800 ms for its wait there; nothing bounds when it begins.

--- /dev/null
+++ b/test/relay/outdated_begin_test.cpp
@@ -0,0 +1,111 @@
+/// Requests began on outdated weights up to 8,196 ms after newer ones had been named, where 8,000
+/// are allowed. A router looked at how outdated an engine's weights were when it sent a request,
+/// and set aside 800 ms for what it might wait there. But the engine read other prompts first, and
+/// a long one itself, and began 2.5 s later; nobody looked again. The router had expected as much:
+///   dispatched  engine=i-f4c0f8cbd2 cost_ms=2820 prefill_tokens=42509 running=31 slots=32
+///   ended       engine=i-f4c0f8cbd2 cause=answered dispatches=1 first_event_ms=2586
+/// the first of them 5,518 ms after the weights had been named.
+#include "test/relay/queueing_upstream.hpp"
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t long_prompt = 42509;
+constexpr std::uint64_t short_prompt = 300;
+constexpr std::uint64_t short_answer = 30;
+/// An answer that lasts longer than outdated weights may be used.
+constexpr std::uint64_t long_answer = 4000;
+
+/// Sends a request each 50 ms until the weights are too old. @param path of its route.
+void send_until_the_limit(queueing_router& router, const std::string& path,
+                          std::uint64_t input_tokens, std::uint64_t output_tokens) {
+    while (router.scheduler.now() < router.named_at + queueing_router::allowed) {
+        router.send(path, input_tokens, output_tokens);
+        router.run_for(50ms);
+    }
+    router.run_for(12s);
+}
+
+}  // namespace
+
+Test(outdated_begin, what_waits_long_at_its_engine_does_not_begin_after_the_limit) {
+    queueing_router router({{"e1", {1, 2586ms, 250ms}}, {"e2", {1, 2457ms, 300ms}}});
+    router.name_weights(2);
+    send_until_the_limit(router, "/resumable/", long_prompt, short_answer);
+    cr_assert_gt(router.upstream.begun.size(), 0);
+    cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
+}
+
+Test(outdated_begin, nor_what_may_not_be_repeated) {
+    queueing_router router({{"e1", {1, 2586ms, 250ms}}, {"e2", {1, 2457ms, 300ms}}});
+    router.name_weights(2);
+    send_until_the_limit(router, "/stream/", long_prompt, short_answer);
+    cr_assert_gt(router.upstream.begun.size(), 0);
+    cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
+}
+
+Test(outdated_begin, nor_where_the_wait_is_none_that_the_prompt_explains) {
+    queueing_router router({{"e1", {1, 2586ms, 50ms}}, {"e2", {1, 3100ms, 50ms}}});
+    router.name_weights(2);
+    send_until_the_limit(router, "/stream/", short_prompt, short_answer);
+    cr_assert_gt(router.upstream.begun.size(), 0);
+    cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
+}
+
+Test(outdated_begin, nor_at_an_engine_that_keeps_what_waits_when_its_connection_is_closed) {
+    queueing_engine keeps{1, 2586ms, 250ms};
+    keeps.drops_closed = false;
+    queueing_router router({{"e1", keeps}, {"e2", keeps}});
+    router.name_weights(2);
+    send_until_the_limit(router, "/resumable/", long_prompt, short_answer);
+    cr_assert_gt(router.upstream.begun.size(), 0);
+    cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
+}
+
+Test(outdated_begin, nor_where_the_answer_lasts_longer_than_the_weights_may) {
+    queueing_router router({{"e1", {1, 2586ms, 9s}}, {"e2", {1, 2457ms, 9s}}});
+    router.name_weights(2);
+    send_until_the_limit(router, "/resumable/", long_prompt, long_answer);
+    cr_assert_gt(router.upstream.begun.size(), 0);
+    cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
+}
+
+Test(outdated_begin, what_is_withdrawn_begins_at_an_engine_with_the_newest_weights) {
+    queueing_router router({{"e1", {1, 6s, 250ms}}});
+    router.name_weights(2);
+    router.run_for(4s);
+    router.send("/resumable/", short_prompt, short_answer);
+    router.run_for(1s);
+    listed_engine fresh = relay_fixture::listed("e2");
+    fresh.versions["m"] = 2;
+    router.upstream.engines["e2"] = {2, 100ms, 250ms};
+    router.registry.put(fresh, router.scheduler.now());
+    router.run_for(8s);
+    cr_assert_eq(router.upstream.begun.size(), 1);
+    cr_assert_str_eq(router.upstream.begun[0].engine.c_str(), "e2");
+    cr_assert_eq(router.writers[0]->status, 200);
+}
+
+Test(outdated_begin, what_can_begin_in_time_still_goes_to_outdated_engines) {
+    queueing_router router({{"e1", {1, 100ms, 50ms}}});
+    router.name_weights(2);
+    router.run_for(7s);
+    router.send("/resumable/", short_prompt, short_answer);
+    router.run_for(3s);
+    cr_assert_eq(router.upstream.begun.size(), 1);
+    cr_assert_eq(router.writers[0]->status, 200);
+}
+
+Test(outdated_begin, a_refusal_says_that_it_has_not_run) {
+    queueing_router router({{"e1", {1, 100ms, 50ms}}});
+    router.name_weights(2);
+    router.run_for(7900ms);
+    router.send("/stream/", short_prompt, short_answer);
+    router.run_for(3s);
+    cr_assert(router.upstream.begun.empty());
+    cr_assert_eq(router.writers[0]->status, 503);
+}
