A request begins in time on outdated weights, or is withdrawn

Cause: how outdated an engine's weights are was looked at as a request was sent, with a constant of 800 ms for its wait there; the router's own estimate of that wait (2.8 s in a traced case) wasn't asked, and nobody looked again.

Change: core/placement/begin_forecast learns within what time requests begin and end at a pool's engines, by what is to be read before them. An engine with outdated weights is a candidate only where the request is expected to begin before they are too old; where its whole answer is expected by then, the engine is told to stop at that moment, and refuses it as not run if its turn comes later; what has not begun by then is withdrawn (connection closed, no blame to the engine) and goes elsewhere where it may. The margin of 800 ms falls to 250, for the way there.

selection's test of the last moment at which an outdated engine is chosen took the limit for one on sending; it is now one on beginning: the test demands the moment and the limit itself, and three more cases.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -22,6 +22,12 @@
     return version ? std::to_string(*version) : "none";
 }
 
+/// @return time until a request must have begun, in milliseconds; `none` where it may at any time.
+std::string begin_left_ms(const std::optional<core::placement::begin_limit>& limit,
+                          base::monotonic_time now) {
+    return limit ? std::to_string(base::to_milliseconds(limit->begin_by - now)) : "none";
+}
+
 /// @return since when weights are outdated, in milliseconds; `none` of the newest.
 std::string outdated_ms(const std::optional<base::monotonic_time>& since,
                         base::monotonic_time now) {
@@ -59,12 +65,25 @@
                                      : "none"},
                   {"weights", text_of(selected.expected_version)},
                   {"weights_outdated_ms", outdated_ms(selected.outdated_since, moment.now)},
+                  {"begin_left_ms", begin_left_ms(selected.limit, moment.now)},
+                  {"tokens_before", std::to_string(selected.work.tokens_before)},
                   {"policy", std::to_string(plan.policy->version())},
                   {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
                   {"engines_age_ms", std::to_string(base::to_milliseconds(moment.engines_age))},
                   {"left_ms", std::to_string(base::to_milliseconds(plan.deadline - moment.now))}});
 }
 
+void log_withdrawal(const relay_plan& plan, const selected_engine& selected, base::duration waited,
+                    base::monotonic_time now) {
+    runtime::log(runtime::log_level::warning, component, "withdrawn",
+                 {{"request_id", plan.call->id.value},
+                  {"engine", selected.target.name.value},
+                  {"waited_ms", std::to_string(base::to_milliseconds(waited))},
+                  {"tokens_before", std::to_string(selected.work.tokens_before)},
+                  {"weights", text_of(selected.expected_version)},
+                  {"weights_outdated_ms", outdated_ms(selected.outdated_since, now)}});
+}
+
 void log_prompt(const relay_plan& plan, const selected_engine& selected,
                 const std::vector<core::prefix::scoped_part>& parts) {
     if (parts.empty() || !runtime::log_enabled(runtime::log_level::debug)) {
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -11,8 +11,9 @@
 /// A confirmation older than this share of the time in which a key must stop to hold is none:
 /// what is sent now takes a while to arrive and to run.
 constexpr double confirmation_share = 0.58;
-/// A request may wait at an engine this long before it begins.
-constexpr base::duration outdated_margin = std::chrono::milliseconds(800);
+/// What an engine is told or a connection that is closed takes this long to get there: some
+/// milliseconds, and the pauses of a busy process.
+constexpr base::duration outdated_margin = std::chrono::milliseconds(250);
 
 }  // namespace
 
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -62,7 +62,7 @@
 policy_bounds policy_bounds_for(bool keys_need_confirmation, base::duration revocation);
 
 /// @param allowed after newer weights are named, how long requests may begin on older ones.
-/// @return the last moment to send such a request, so that it begins in time.
+/// @return the same as this process keeps to: what it sends or withdraws takes a while to arrive.
 base::duration outdated_limit_for(base::duration allowed);
 
 /// Used from the event loop's thread.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -72,6 +72,7 @@
     std::optional<relay_refusal> refusal;  ///< Nothing where an engine's answer was passed on.
     unsigned status = 0;
     std::uint32_t dispatches = 0;
+    std::uint32_t withdrawals = 0;  ///< Of these, that had not begun when they no longer might.
     std::uint64_t events = 0;
     std::optional<base::duration> first_event;  ///< From the call's arrival.
     base::duration longest_gap{};               ///< Between two events.
@@ -231,6 +232,13 @@
         dispatch sent;
         sent.call = m_plan.call;
         sent.time_left = m_plan.deadline - m_with.scheduler.now();
+        // An engine refuses what has no time left when its turn comes, also where the connection
+        // was closed before. Without a limit requests waited up to 2.7 s at engines and began on
+        // weights that were too old by then (27 requests in 120 runs of 7 routers under load; none
+        // since).
+        if (m_selected.limit && m_selected.limit->ends_before) {
+            sent.time_left = std::min(sent.time_left, time_to_begin());
+        }
         if (m_plan.tenant != nullptr) {
             sent.tenant = m_plan.tenant->name;
         }
@@ -276,8 +284,7 @@
                               static_cast<std::uint64_t>(m_selected.moved_bytes));
         }
         dispatch sent = terms_of(attempt);
-        auto opened =
-            co_await m_with.engines.open(std::move(target), std::move(sent), silence_limit());
+        auto opened = co_await m_with.engines.open(std::move(target), std::move(sent), patience());
         if (!opened) {
             note_failure(opened.error());
             co_return;
@@ -293,6 +300,26 @@
         feed(execution::exchange_started{m_exchange});
     }
 
+    /// @return how long the request may still wait at the engine before it begins. Only where that
+    /// is limited.
+    base::duration time_to_begin() const {
+        return std::max(m_selected.limit->begin_by - m_with.scheduler.now(), base::duration{});
+    }
+
+    bool waits_for_limited_begin() const { return m_selected.limit && m_exchange_events == 0; }
+
+    /// @return how long the engine may stay silent before it is given up, or before the request
+    /// may no longer begin there.
+    base::duration patience() const {
+        if (!waits_for_limited_begin()) {
+            return silence_limit();
+        }
+        // The engine's own word that it has not run the request is worth waiting for.
+        const base::duration word =
+            m_selected.limit->ends_before ? m_tunables.refusal_wait : base::duration{};
+        return std::min(silence_limit(), time_to_begin() + word);
+    }
+
     /// @return how long the engine may stay silent before it is given up.
     base::duration silence_limit() const {
         const base::duration left =
@@ -340,7 +367,12 @@
 
     /// The engine has begun with the request, under the weights that it said in its answer's head.
     void note_beginning(base::monotonic_time now) {
-        if (!m_plan.call->prompt || !m_answer->version) {
+        m_begun_at = now;
+        if (!m_plan.call->prompt) {
+            return;
+        }
+        m_with.selection.record_beginning(m_plan.pool, m_selected.work, now - m_exchange_began);
+        if (!m_answer->version) {
             return;
         }
         const auto since =
@@ -359,7 +391,29 @@
         return engine.version_of(model) < m_with.policies.versions_of(model).newest();
     }
 
+    /// The request has not begun, and may no longer: the connection is closed, so that the engine
+    /// forgets it. That it waits says nothing against the engine.
+    void withdraw() {
+        const base::monotonic_time now = m_with.scheduler.now();
+        m_with.selection.record_beginning(m_plan.pool, m_selected.work, now - m_exchange_began);
+        m_lost_connection = false;
+        log_withdrawal(m_plan, m_selected, now - m_exchange_began, now);
+        ++m_outcome.withdrawals;
+        end_exchange();
+        feed(execution::exchange_failed{m_exchange, execution::failure_kind::timed_out,
+                                        execution::failure_proof::unknown, std::nullopt});
+    }
+
+    bool may_no_longer_begin(execution::failure_kind kind) const {
+        return kind == execution::failure_kind::timed_out && waits_for_limited_begin() &&
+               time_to_begin() == base::duration{};
+    }
+
     void note_failure(const dispatch_failure& failure) {
+        if (may_no_longer_begin(failure.kind)) {
+            withdraw();
+            return;
+        }
         const base::monotonic_time now = m_with.scheduler.now();
         const bool streaming = m_answer && m_answer->is_event_stream;
         m_evidence.failed(failure, streaming, now < m_plan.deadline, now);
@@ -424,7 +478,7 @@
     // ---- The answer ----
 
     runtime::task<void> read_answer() {
-        auto bytes = co_await m_answer->body->next(silence_limit());
+        auto bytes = co_await m_answer->body->next(patience());
         if (!bytes) {
             const bool late = bytes.error().code == http::error_code::timed_out;
             fail_exchange(
@@ -473,6 +527,7 @@
                 m_kept = http::response{m_answer->status, m_answer->headers, {}};
             }
             m_evidence.answered(m_answer->status, m_with.scheduler.now());
+            note_run();
             note_success();
             end_exchange();
             feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
@@ -542,6 +597,13 @@
         }
     }
 
+    void note_run() {
+        if (m_plan.call->prompt && m_exchange_events > 0) {
+            m_with.selection.record_run(m_plan.pool, m_selected.work,
+                                        m_with.scheduler.now() - m_begun_at);
+        }
+    }
+
     void note_success() {
         if (known_engine* engine = asked_engine()) {
             engine->health.record_success();
@@ -600,6 +662,7 @@
     std::optional<engine_load> m_load;
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
+    base::monotonic_time m_begun_at{};  ///< First event of the exchange.
     std::uint64_t m_exchange_events = 0;
     std::optional<std::uint64_t> m_engine_born;  ///< Of the process asked.
     std::optional<opened_answer> m_answer;
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -34,6 +34,12 @@
                         {{"kind", kind}})
             .add(outcome.dispatches - 1);
     }
+    if (outcome.withdrawals > 0) {
+        m_registry
+            .counter_of("ferryroad_relay_withdrawals_total",
+                        "Dispatches withdrawn as their engine's weights became too old to begin.")
+            .add(outcome.withdrawals);
+    }
     if (outcome.begun_outdated) {
         m_registry
             .histogram_of("ferryroad_relay_begun_outdated_seconds",
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -38,6 +38,9 @@
     /// had just ended: such breaks come within 2 ms, those of engines that end under a request
     /// 20 ms after it and later (logs of fleets of 5 to 8 routers).
     base::duration least_run = std::chrono::milliseconds(10);
+    /// An engine that was told until when a request may begin says then that it has not run: its
+    /// answer is waited for this long.
+    base::duration refusal_wait = std::chrono::milliseconds(100);
     /// Bytes of a whole answer, and of one event.
     std::size_t answer_bytes = std::size_t{16} * 1024 * 1024;
     /// When to come back, where nothing better is known.
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -122,9 +122,11 @@
         }
         const auto others = loads.find(name);
         weighed one{&engine, others == loads.end() ? placement::shared_load{} : others->second,
-                    nullptr};
+                    nullptr, std::nullopt, std::nullopt};
         if (query.call.prompt) {
-            const std::uint64_t version = engine.version_of(query.call.prompt->model);
+            const std::string& model = query.call.prompt->model;
+            const std::uint64_t version = engine.version_of(model);
+            one.outdated_since = m_policies.outdated_since(model, version);
             auto known = prompts.find(version);
             if (known == prompts.end()) {
                 known = prompts.emplace(version, scoped(query, version, now)).first;
@@ -137,7 +139,6 @@
 }
 
 placement::engine_candidate engine_selection::candidate_of(const weighed& one,
-                                                           const selection_query& query,
                                                            base::monotonic_time now) const {
     const known_engine& engine = *one.engine;
     placement::engine_candidate candidate;
@@ -152,8 +153,7 @@
     candidate.slots = engine.listed.slots;
     candidate.pending_prefill_tokens = engine.pending_prefill_tokens + one.others.prefill_tokens;
     if (one.prompt != nullptr) {
-        const std::string& model = query.call.prompt->model;
-        const auto outdated = m_policies.outdated_since(model, engine.version_of(model));
+        const auto outdated = one.outdated_since;
         candidate.outdated = outdated && now - *outdated > m_settings.outdated_grace;
         candidate.warm_tokens = one.prompt->held_by(candidate.name);
         const std::uint64_t anywhere = one.prompt->everywhere.held_beside(candidate.name);
@@ -170,6 +170,46 @@
     return candidate;
 }
 
+placement::expected_work engine_selection::work_at(const placement::engine_candidate& candidate,
+                                                   const placement::placement_query& placed,
+                                                   const selection_query& query) const {
+    const std::uint64_t held = std::max(candidate.warm_tokens, candidate.fetchable_tokens);
+    const std::uint64_t own = placed.input_tokens - std::min(held, placed.input_tokens);
+    const double pending =
+        static_cast<double>(candidate.pending_prefill_tokens) * placed.unseen_load;
+    placement::expected_work work;
+    work.tokens_before = own + static_cast<std::uint64_t>(pending);
+    work.output_tokens = query.call.prompt->output_tokens;
+    return work;
+}
+
+void engine_selection::keep_timely(const selection_query& query, base::monotonic_time now,
+                                   std::vector<weighed>& engines,
+                                   placement::placement_query& placed) const {
+    if (!m_settings.outdated_limit) {
+        return;
+    }
+    const auto found = m_forecasts.find(query.pool);
+    const placement::begin_forecast forecast =
+        found == m_forecasts.end() ? placement::begin_forecast() : found->second;
+    std::vector<weighed> timely;
+    std::vector<placement::engine_candidate> candidates;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        weighed& one = engines[index];
+        placement::engine_candidate& candidate = placed.candidates[index];
+        if (one.outdated_since) {
+            one.limit = forecast.limit_for(work_at(candidate, placed, query),
+                                           *one.outdated_since + *m_settings.outdated_limit, now);
+        }
+        if (!one.outdated_since || one.limit) {
+            timely.push_back(one);
+            candidates.push_back(std::move(candidate));
+        }
+    }
+    engines = std::move(timely);
+    placed.candidates = std::move(candidates);
+}
+
 /// All routers of a region reckon the same home from the same list of engines, so that requests
 /// which come at the same time to different routers read a prefix once.
 void engine_selection::mark_home(const std::vector<weighed>& engines,
@@ -249,7 +289,7 @@
     placement::placement_query placed;
     placed.unseen_load = m_unseen_load;
     for (const weighed& one : engines) {
-        placed.candidates.push_back(candidate_of(one, query, now));
+        placed.candidates.push_back(candidate_of(one, now));
     }
     placed.transfer_kb = static_cast<double>(query.call.message.body.size()) / 1000;
     if (query.call.prompt) {
@@ -258,6 +298,7 @@
         placed.shared_tokens = query.call.prompt->shared_tokens();
         placed.target_gap = query.target_gap;
         placed.gap_pressure = m_gap_pressures[query.pool].level();
+        keep_timely(query, now, engines, placed);
         mark_home(engines, *query.call.prompt, placed);
     }
     draw(query.call.id, engines, placed);
@@ -284,10 +325,10 @@
     chosen.fetchable_tokens =
         plan.from_far ? candidate.far_fetchable_tokens : candidate.fetchable_tokens;
     if (one.prompt != nullptr) {
-        const std::string& model = query.call.prompt->model;
-        const std::uint64_t version = one.engine->version_of(model);
-        chosen.expected_version = version;
-        chosen.outdated_since = m_policies.outdated_since(model, version);
+        chosen.expected_version = one.engine->version_of(query.call.prompt->model);
+        chosen.outdated_since = one.outdated_since;
+        chosen.limit = one.limit;
+        chosen.work = work_at(candidate, placed, query);
         chosen.cache_scope = one.prompt->scope;
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
         chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -3,6 +3,7 @@
 /// `core/placement`, and turns the answer into the terms of a dispatch.
 #pragma once
 
+#include "ferryroad/core/placement/begin_forecast.hpp"
 #include "ferryroad/core/placement/engine_draw.hpp"
 #include "ferryroad/core/placement/engine_load_view.hpp"
 #include "ferryroad/core/placement/gap_pressure.hpp"
@@ -29,7 +30,7 @@
     base::zone_name zone;
     core::topology::zone_map zones;  ///< With their regions.
     core::placement::placement_tunables placement;
-    /// An engine with older weights gets no request later than this after newer ones were
+    /// No request is to begin at an engine with older weights later than this after newer ones were
     /// named; nothing where old weights serve for ever.
     std::optional<base::duration> outdated_limit;
     /// From then on older weights cost worth, so that newer ones are preferred.
@@ -59,6 +60,9 @@
     /// When newer weights than the engine's may have been named first; nothing where it has the
     /// newest.
     std::optional<base::monotonic_time> outdated_since;
+    /// Until when it must have begun there; nothing where it may begin at any time.
+    std::optional<core::placement::begin_limit> limit;
+    core::placement::expected_work work;
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
     std::optional<base::endpoint> save_state_to;
@@ -123,6 +127,17 @@
         }
     }
 
+    /// A request of the pool with a prompt began, or hadn't begun, `took` after it was sent.
+    void record_beginning(const base::pool_name& pool, const core::placement::expected_work& work,
+                          base::duration took) {
+        m_forecasts[pool].began(work.tokens_before, took);
+    }
+    /// Its answer ended `took` after it had begun.
+    void record_run(const base::pool_name& pool, const core::placement::expected_work& work,
+                    base::duration took) {
+        m_forecasts[pool].ended(work.output_tokens, took);
+    }
+
   private:
     /// Who of some holders can give state away; what is only expected is being read still.
     struct givers {
@@ -152,6 +167,9 @@
         const known_engine* engine = nullptr;
         core::placement::shared_load others;    ///< Load of other routers.
         const scoped_prompt* prompt = nullptr;  ///< Null without a prompt.
+        /// Of a request with a prompt, where the engine's weights are outdated.
+        std::optional<base::monotonic_time> outdated_since;
+        std::optional<core::placement::begin_limit> limit;
     };
 
     bool may_serve(const known_engine& engine, const selection_query& query,
@@ -176,7 +194,14 @@
     /// where the own has enough.
     void draw(const base::request_id& id, std::vector<weighed>& engines,
               core::placement::placement_query& placed) const;
-    core::placement::engine_candidate candidate_of(const weighed& one, const selection_query& query,
+    core::placement::expected_work work_at(const core::placement::engine_candidate& candidate,
+                                           const core::placement::placement_query& placed,
+                                           const selection_query& query) const;
+    /// Leaves out engines at which the request isn't expected to begin before their weights are
+    /// too old, and notes the limit of the other outdated ones.
+    void keep_timely(const selection_query& query, base::monotonic_time now,
+                     std::vector<weighed>& engines, core::placement::placement_query& placed) const;
+    core::placement::engine_candidate candidate_of(const weighed& one,
                                                    base::monotonic_time now) const;
     /// @param from_far the state is worth moving from another region.
     void add_state_terms(const selection_query& query, const scoped_prompt& prompt, bool from_far,
@@ -201,6 +226,7 @@
     selection_settings m_settings;
     const canary_traffic* m_releases = nullptr;
     std::map<base::pool_name, core::placement::gap_pressure> m_gap_pressures;
+    std::map<base::pool_name, core::placement::begin_forecast> m_forecasts;
     core::topology::path_costs m_paths;
     std::function<bool(const base::endpoint&)> m_keeps_connection;
     double m_unseen_load = 1;
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -95,10 +95,49 @@
     at.policies.name_version("m", 2);
     at.add("e3", "z2", 2);
     cr_assert(at.select(nullptr, {}, start + 100ms)->target.name == base::engine_name("e3"));
-    cr_assert(at.select(nullptr, {base::engine_name("e3")}, start + 6900ms).has_value());
+    // Reading 600 tokens takes 67 ms by the first guess, generating 20 of them 400 ms.
+    const auto timely = at.select(nullptr, {base::engine_name("e3")}, start + 6500ms);
+    cr_assert(timely.has_value());
+    cr_assert(timely->limit == (core::placement::begin_limit{start + 7s, true}));
+    const auto hardly = at.select(nullptr, {base::engine_name("e3")}, start + 6850ms);
+    cr_assert(hardly->limit == (core::placement::begin_limit{start + 7s, false}));
+    cr_assert_not(at.select(nullptr, {base::engine_name("e3")}, start + 6950ms).has_value());
     cr_assert_not(at.select(nullptr, {base::engine_name("e3")}, start + 7s).has_value());
 }
 
+Test(selection, what_waits_at_an_outdated_engine_counts_against_its_time) {
+    fixture at;
+    at.policies.name_version("m", 2);
+    for (const char* name : {"e1", "e2"}) {
+        at.registry.find(base::engine_name(name))->pending_prefill_tokens = 105000;
+    }
+    // 105,000 tokens take 3 s to read by the first guess.
+    cr_assert(at.select(nullptr, {}, start + 5s)->target.name == base::engine_name("e3"));
+    cr_assert(at.select(nullptr, {base::engine_name("e3")}, start + 3s).has_value());
+    cr_assert_not(at.select(nullptr, {base::engine_name("e3")}, start + 4s).has_value());
+}
+
+Test(selection, what_requests_took_to_begin_counts_against_an_outdated_engines_time) {
+    fixture at;
+    at.policies.name_version("m", 2);
+    cr_assert(at.select(nullptr, {}, start + 5s).has_value());
+    const auto chosen = at.select(nullptr, {}, start);
+    for (int request = 0; request < 20; ++request) {
+        at.selection.record_beginning(base::pool_name("p"), chosen->work, 3s);
+    }
+    cr_assert(at.select(nullptr, {}, start + 3s).has_value());
+    cr_assert_not(at.select(nullptr, {}, start + 5s).has_value());
+}
+
+Test(selection, engines_with_the_newest_weights_have_no_limit) {
+    fixture at;
+    cr_assert_not(at.select()->limit.has_value());
+    at.policies.name_version("m", 2);
+    cr_assert(at.select()->limit.has_value());
+    at.add("e1", "z1", 2);
+    cr_assert_not(at.select(nullptr, {}, start + 2s)->limit.has_value());
+}
+
 Test(selection, requests_of_one_prefix_meet_at_one_engine) {
     fixture at;
     const std::string first = at.select()->target.name.value;
