Dispatch: what it stands on is asked again right before the first byte

Cause: between the choice of an engine and the first byte lies the opening of a connection: up to 300 ms, and as long as the process stands still. A key taken away, a confirmation grown too old, a quarantine, an engine that leaves, is gone or is another process, weights past their limit: nothing of this was asked again. X-Deadline-Ms was that of the choice.

Ruled out: a wait for a connection (there is no queue), and the time of kept connections (none passes). By a slow connection alone X-Deadline-Ms is at most 300 ms too long, inside the 500 ms that are tolerated; a process that stands still has no such bound.

Change: http::relay_options::last_look is asked once the connection is there, and may change headers or take the request back: error_code::withheld, no byte sent, the unused connection closed. relay::dispatch::look_again answers it with what was lost and the time left. The driver asks key, quarantine, process, leaving, engine_selection::still_serves (may_serve, so that the rule stays in one place; the expected weights; the software's permission) and the deadline. failure_kind::withheld proves not_sent, takes nothing of the retry budget, blames no engine and makes no connection suspect; another engine is chosen, or 503 given. The dispatch isn't counted, and a trial's share is given back. Sight: `not sent after all` with `lost`.

Tests: the property test of executions draws the new kind, too; the fake engines ask as real ones do.

Left: a long body is written piece by piece and nothing is asked between pieces; a dispatch that is taken back leaves the belief that its prompt's parts will be at that engine, as a failed connection does.

--- a/bench/load/caller.cpp
+++ b/bench/load/caller.cpp
@@ -58,6 +58,8 @@
     switch (code) {
         case http::error_code::connect_failed:
             return "connect_failed";
+        case http::error_code::withheld:
+            return "withheld";
         case http::error_code::connection_lost:
             return "connection_lost";
         case http::error_code::timed_out:
--- a/src/ferryroad/core/execution/events.hpp
+++ b/src/ferryroad/core/execution/events.hpp
@@ -63,14 +63,15 @@
 };
 
 enum class failure_kind {
-    unreachable,    ///< No connection.
-    stale_target,   ///< Another incarnation or version than expected, or leaving.
-    overloaded,     ///< The engine's queue is full.
-    rejected,       ///< No engine can ever run it.
-    attempt_gone,   ///< The engine no longer holds the attempt to resume.
-    broken,         ///< The connection broke, or the answer made no sense.
-    timed_out,      ///< Nothing came in time.
-    engine_failure  ///< The engine ran it and failed.
+    unreachable,     ///< No connection.
+    stale_target,    ///< Another incarnation or version than expected, or leaving.
+    overloaded,      ///< The engine's queue is full.
+    rejected,        ///< No engine can ever run it.
+    attempt_gone,    ///< The engine no longer holds the attempt to resume.
+    broken,          ///< The connection broke, or the answer made no sense.
+    timed_out,       ///< Nothing came in time.
+    engine_failure,  ///< The engine ran it and failed.
+    withheld         ///< Not sent after all: what the choice of the engine stood on had ended.
 };
 
 /// What a failure proves of the exchange's request.
--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -17,7 +17,7 @@
     if (kind == failure_kind::stale_target) {
         return !limits.stale_target_is_free;
     }
-    return kind != failure_kind::unreachable;
+    return kind != failure_kind::unreachable && kind != failure_kind::withheld;
 }
 
 refusal_reason reason_of(failure_kind kind) {
--- a/src/ferryroad/engine/http_client.cpp
+++ b/src/ferryroad/engine/http_client.cpp
@@ -20,6 +20,7 @@
 error from_http(const http::error& failure) {
     switch (failure.code) {
         case http::error_code::connect_failed:
+        case http::error_code::withheld:
             return {error_code::connect_failed, proof::not_sent, failure.message, std::nullopt};
         case http::error_code::connection_lost:
             return {error_code::connection_lost, proof::unknown, failure.message, std::nullopt};
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -66,6 +66,11 @@
     /// to an earlier request of the connection: it is skipped, and the connection not used again.
     std::optional<header> echoed;
     bool fresh_connection = false;
+    /// Asked once the connection is there, right before the first byte is written, where it is set:
+    /// opening a connection takes a while, and longer where the process stands still. May change
+    /// the headers. @return whether the request is still to be sent; otherwise it ends as
+    /// `withheld`.
+    std::function<bool(header_list&)> last_look;
 };
 
 /// How long the answer to a `fetch` is waited for, and who is told that it is large.
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -27,16 +27,22 @@
            reason.code == error_code::connection_lost;
 }
 
+result<std::string> head_to_send(const exchange_order& order) {
+    try {
+        return encode_head(order.message, order.address.to_string());
+    } catch (const std::invalid_argument& fault) {
+        return error{error_code::malformed, fault.what()};
+    }
+}
+
 runtime::task<started_exchange> start_exchange(std::shared_ptr<connection_pool> pool,
                                                exchange_order order,
                                                std::optional<std::size_t> body_bytes) {
     const base::monotonic_time deadline = pool->scheduler().now() + order.limit;
     const response_decoder::limits limits{answer_header_bytes, body_bytes};
-    std::string head;
-    try {
-        head = encode_head(order.message, order.address.to_string());
-    } catch (const std::invalid_argument& fault) {
-        co_return error{error_code::malformed, fault.what()};
+    const auto head = head_to_send(order);
+    if (!head) {
+        co_return head.error();
     }
     for (bool fresh = false;; fresh = true) {
         auto attempt =
@@ -45,7 +51,7 @@
         if (!connected) {
             co_return connected.error();
         }
-        const auto started = co_await attempt->start(head, order.message.body, deadline);
+        const auto started = co_await attempt->start(*head, order.message.body, deadline);
         if (started) {
             co_return started_exchange(std::move(attempt));
         }
@@ -357,12 +363,6 @@
     std::shared_ptr<connection_pool> pool, exchange_order order, relay_options options) {
     const base::monotonic_time deadline = pool->scheduler().now() + order.limit;
     const response_decoder::limits limits{answer_header_bytes, std::nullopt};
-    std::string head;
-    try {
-        head = encode_head(order.message, order.address.to_string());
-    } catch (const std::invalid_argument& fault) {
-        co_return error{error_code::malformed, fault.what()};
-    }
     auto attempt =
         std::make_unique<exchange>(pool, order.address, limits, order.message.method == "HEAD");
     attempt->relay_with(std::move(options.echoed));
@@ -370,7 +370,14 @@
     if (!connected) {
         co_return connected.error();
     }
-    const auto started = co_await attempt->start(head, order.message.body, deadline);
+    if (options.last_look && !options.last_look(order.message.headers)) {
+        co_return error{error_code::withheld, "not sent: what it stood on had ended"};
+    }
+    const auto head = head_to_send(order);
+    if (!head) {
+        co_return head.error();
+    }
+    const auto started = co_await attempt->start(*head, order.message.body, deadline);
     if (!started) {
         co_return started.error();
     }
--- a/src/ferryroad/http/errors.hpp
+++ b/src/ferryroad/http/errors.hpp
@@ -8,6 +8,7 @@
 
 enum class error_code {
     connect_failed,   ///< No connection: no byte was sent.
+    withheld,         ///< The sender took it back as the connection was there: no byte was sent.
     connection_lost,  ///< Cut or reset after at least one byte was sent.
     timed_out,        ///< No whole answer in time after at least one byte was sent.
     malformed,        ///< Not HTTP, or not the JSON that was expected.
--- a/src/ferryroad/http/message.cpp
+++ b/src/ferryroad/http/message.cpp
@@ -39,6 +39,16 @@
     entries_.push_back(header{std::move(name), std::move(value)});
 }
 
+void header_list::set(std::string_view name, std::string value) {
+    for (header& entry : entries_) {
+        if (boost::algorithm::iequals(entry.name, name)) {
+            entry.value = std::move(value);
+            return;
+        }
+    }
+    add(std::string(name), std::move(value));
+}
+
 std::optional<std::string_view> header_list::find(std::string_view name) const {
     for (const header& entry : entries_) {
         if (boost::algorithm::iequals(entry.name, name)) {
--- a/src/ferryroad/http/message.hpp
+++ b/src/ferryroad/http/message.hpp
@@ -20,6 +20,8 @@
     header_list() = default;
     header_list(std::initializer_list<header> initial) : entries_(initial) {}
     void add(std::string name, std::string value);
+    /// Gives the first header of that name another value, or adds one.
+    void set(std::string_view name, std::string value);
     /// @return the first value of that name.
     std::optional<std::string_view> find(std::string_view name) const;
     const std::vector<header>& entries() const { return entries_; }
--- a/src/ferryroad/platform/http_services.cpp
+++ b/src/ferryroad/platform/http_services.cpp
@@ -26,6 +26,7 @@
     const bool changes = kind == http_caller::effect::changes;
     switch (fault.code) {
         case http::error_code::connect_failed:
+        case http::error_code::withheld:
             return {error_code::unavailable, fault.message, std::nullopt};
         case http::error_code::connection_lost:
         case http::error_code::timed_out:
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -200,10 +200,14 @@
         return m_with.selection.select(query, now);
     }
 
+    selection_query query_without(std::vector<base::engine_name> excluded) const {
+        return {*m_plan.call,  *m_plan.policy,      m_plan.pool,
+                m_plan.tenant, std::move(excluded), m_plan.on->target_gap};
+    }
+
     void select(const execution::select_engine& wanted) {
         const base::monotonic_time now = m_with.scheduler.now();
-        const selection_query query{*m_plan.call,  *m_plan.policy,  m_plan.pool,
-                                    m_plan.tenant, wanted.excluded, m_plan.on->target_gap};
+        const selection_query query = query_without(wanted.excluded);
         if (m_outcome.dispatches == 0 && m_admission.refuses()) {
             feed(execution::selection_failed{
                 execution::selection_problem::deadline_too_near,
@@ -223,8 +227,36 @@
         feed(execution::engine_selected{{m_selected.target.name, {}}});
     }
 
+    /// Time has passed since the engine was chosen, as a connection to it was opened.
+    /// @return what doesn't hold any more of what the choice stood on.
+    std::optional<dispatch_ground> lost_ground(base::monotonic_time now) const {
+        if (!key_still_holds()) {
+            return dispatch_ground::key;
+        }
+        if (is_held_back()) {
+            return dispatch_ground::no_quarantine;
+        }
+        const known_engine* engine = asked_engine();
+        if (engine == nullptr) {
+            return dispatch_ground::engine_process;
+        }
+        if (engine->listed.leaving) {
+            return dispatch_ground::engine_stays;
+        }
+        if (!m_with.selection.still_serves(m_selected, query_without({}), now)) {
+            return dispatch_ground::engine_serves;
+        }
+        return now < m_plan.deadline ? std::nullopt : std::optional(dispatch_ground::time_left);
+    }
+
+    last_look look_again() const {
+        const base::monotonic_time now = m_with.scheduler.now();
+        return {lost_ground(now), m_plan.deadline - now};
+    }
+
     dispatch terms_of(const execution::dispatch_attempt& attempt) const {
         dispatch sent;
+        sent.look_again = [this] { return look_again(); };
         sent.call = m_plan.call;
         sent.time_left = m_plan.deadline - m_with.scheduler.now();
         if (m_plan.tenant != nullptr) {
@@ -345,16 +377,22 @@
         const base::monotonic_time now = m_with.scheduler.now();
         const bool streaming = m_answer && m_answer->is_event_stream;
         m_evidence.failed(failure, streaming, now < m_plan.deadline, now);
-        m_lost_connection = failure.proof != execution::failure_proof::not_run;
+        if (failure.lost) {
+            take_back_dispatch();
+        } else {
+            m_lost_connection = failure.proof != execution::failure_proof::not_run;
+        }
         saw_version(failure.version);
         if (known_engine* engine = asked_engine()) {
             blame(*engine, failure, has_outdated_weights(*engine), m_tunables, now);
         }
-        runtime::log(runtime::log_level::warning, component, "dispatch failed",
+        runtime::log(runtime::log_level::warning, component,
+                     failure.lost ? "not sent after all" : "dispatch failed",
                      {{"request_id", m_plan.call->id.value},
                       {"digest", core::quarantine::to_string(m_plan.identity)},
                       {"engine", m_selected.target.name.value},
                       {"reason", failure.message},
+                      {"lost", failure.lost ? std::string(to_string(*failure.lost)) : "none"},
                       {"events", std::to_string(m_exchange_events)},
                       {"running", std::to_string(running_there())},
                       {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
@@ -366,6 +404,14 @@
                                         failure.retry_after});
     }
 
+    /// Nothing was sent: the dispatch counts for nothing.
+    void take_back_dispatch() {
+        --m_outcome.dispatches;
+        if (m_selected.canary) {
+            m_with.releases->give_back(m_plan.pool, m_plan.on->name);
+        }
+    }
+
     /// The engine may have ended under this request, unless it was about to leave.
     void note_break() {
         const known_engine* listed = m_with.registry.find(m_selected.target.name);
--- a/src/ferryroad/relay/relay_plan.cpp
+++ b/src/ferryroad/relay/relay_plan.cpp
@@ -56,6 +56,7 @@
             }
             return;
         case execution::failure_kind::rejected:
+        case execution::failure_kind::withheld:
             return;
         default:
             engine.health.record_failure(failure.kind == execution::failure_kind::unreachable, now);
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -48,6 +48,26 @@
     return !outdated || now - *outdated < *m_settings.outdated_limit;
 }
 
+bool engine_selection::still_serves(const selected_engine& chosen, const selection_query& query,
+                                    base::monotonic_time now) const {
+    const known_engine* engine = m_registry.find(chosen.target.name);
+    if (engine == nullptr || !may_serve(*engine, query, now)) {
+        return false;
+    }
+    if (query.call.prompt &&
+        engine->version_of(query.call.prompt->model) != chosen.expected_version) {
+        return false;  // It would refuse the version, and memory of the older one isn't its own.
+    }
+    if (m_releases == nullptr) {
+        return true;
+    }
+    // Which engines are on trial is drawn anew every now and then: that one of them got the request
+    // stays right while the trial lasts.
+    const auto permitted = m_releases->permits(*engine, now);
+    return permitted == coordination::release::permission::all ||
+           (chosen.canary && permitted == coordination::release::permission::canary);
+}
+
 std::uint64_t engine_selection::scoped_prompt::held_by(const base::engine_name& holder) const {
     const auto found = std::lower_bound(
         holdings.begin(), holdings.end(), holder,
@@ -270,6 +290,7 @@
     selected_engine chosen;
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
     chosen.software = one.engine->listed.software;
+    chosen.canary = query.canary;
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
     chosen.running = candidate.running;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -66,6 +66,7 @@
     std::uint64_t prefill_tokens = 0;  ///< Expected to be read anew.
     double moved_bytes = 0;            ///< Of state that is believed to be fetched.
     core::topology::distance moved_over = core::topology::distance::same_zone;
+    bool canary = false;  ///< Chosen for the version on trial.
     double cost_ms = 0;
     std::size_t candidates = 0;
     std::uint32_t running = 0;  ///< Requests there, as far as is known here.
@@ -107,6 +108,10 @@
 
     /// @return nothing where no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
+    /// @param chosen for the same query. @return whether its engine may get the request still: time
+    /// has passed since. Load and cost aren't weighed anew.
+    bool still_serves(const selected_engine& chosen, const selection_query& query,
+                      base::monotonic_time now) const;
     /// The engine reads the prompt of a dispatch: it will hold the prompt's parts.
     /// @return these parts.
     std::vector<core::prefix::scoped_part> record_dispatch(const relay_call& call,
--- /dev/null
+++ b/src/ferryroad/relay/types.cpp
@@ -0,0 +1,32 @@
+#include "ferryroad/relay/types.hpp"
+
+namespace ferryroad::relay {
+
+std::string_view to_string(dispatch_ground ground) {
+    switch (ground) {
+        case dispatch_ground::key:
+            return "key";
+        case dispatch_ground::no_quarantine:
+            return "no_quarantine";
+        case dispatch_ground::engine_process:
+            return "engine_process";
+        case dispatch_ground::engine_stays:
+            return "engine_stays";
+        case dispatch_ground::engine_serves:
+            return "engine_serves";
+        case dispatch_ground::time_left:
+            break;
+    }
+    return "time_left";
+}
+
+dispatch_failure withheld_for(dispatch_ground ground) {
+    dispatch_failure failure;
+    failure.kind = core::execution::failure_kind::withheld;
+    failure.proof = core::execution::failure_proof::not_sent;
+    failure.lost = ground;
+    failure.message = "not sent: lost " + std::string(to_string(ground));
+    return failure;
+}
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -12,9 +12,11 @@
 #include "ferryroad/http/message.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -40,6 +42,27 @@
     friend bool operator==(const engine_target&, const engine_target&) = default;
 };
 
+/// What a dispatch stands on, and may lose while its connection is opened.
+enum class dispatch_ground {
+    key,             ///< The caller's, as confirmed.
+    no_quarantine,   ///< No engine is known to have ended under the request.
+    engine_process,  ///< The one chosen is listed.
+    engine_stays,    ///< It isn't about to leave.
+    engine_serves,   ///< Its weights and software may get the request.
+    time_left        ///< Of the caller's.
+};
+
+/// @return the ground's name for logs. Thread-safe.
+std::string_view to_string(dispatch_ground ground);
+
+/// What holds of a dispatch right before its first byte is written.
+struct last_look {
+    std::optional<dispatch_ground> lost;  ///< Then it must not be sent.
+    base::duration time_left{};
+
+    friend bool operator==(const last_look&, const last_look&) = default;
+};
+
 /// What a dispatch adds to the caller's call.
 struct dispatch {
     std::shared_ptr<const relay_call> call;
@@ -52,6 +75,9 @@
     std::optional<std::uint32_t> priority;  ///< 0 is the most urgent.
     std::optional<std::uint64_t> resume_after;
     bool fresh_connection = false;
+    /// Asked where it is set, once a connection is there and no byte was written. To be asked from
+    /// the event loop's thread, and not after `upstream::open` has ended.
+    std::function<last_look()> look_again;
 };
 
 /// An engine's answer, from its head on.
@@ -70,8 +96,12 @@
     std::optional<base::duration> retry_after;
     std::optional<std::uint64_t> version;  ///< That the engine said it has.
     std::string message;
+    std::optional<dispatch_ground> lost;  ///< Where it was withheld: why.
 };
 
+/// @return the failure of a dispatch that was not sent, as it had lost `ground`. Thread-safe.
+dispatch_failure withheld_for(dispatch_ground ground);
+
 /// What happens to the requests that run at an engine which takes new weights.
 enum class running_requests {
     end_first,  ///< The engine waits for them, and takes no new ones meanwhile.
--- a/src/ferryroad/relay/upstream.hpp
+++ b/src/ferryroad/relay/upstream.hpp
@@ -13,8 +13,9 @@
 namespace ferryroad::relay {
 
 /// `open` sends a dispatch and returns once the answer's head is there, or says what its
-/// failure proves. `report` asks an engine about itself. `order` sends a fenced order.
-/// All are called from the event loop's thread and end by exception where cancelled.
+/// failure proves; it asks `dispatch::look_again` before the first byte. `report` asks an engine
+/// about itself. `order` sends a fenced order. All are called from the event loop's thread and end
+/// by exception where cancelled.
 template <typename T>
 concept upstream = requires(T& port, const engine_target& target, dispatch sent,
                             weights_order order, base::duration limit) {
--- a/test/core/execution/request_execution_property_test.cpp
+++ b/test/core/execution/request_execution_property_test.cpp
@@ -23,6 +23,7 @@
     int kind = 0;
     std::uint32_t skew = 0;
     int detail = 0;
+    int failure = 0;
     int proof = 0;
     bool late = false;
 };
@@ -34,6 +35,7 @@
         rc::gen::set(&step::skew,
                      rc::gen::weightedElement<std::uint32_t>({{8, 0}, {1, 1}, {1, 2}})),
         rc::gen::set(&step::detail, rc::gen::inRange(0, 8)),
+        rc::gen::set(&step::failure, rc::gen::inRange(0, 9)),
         rc::gen::set(&step::proof, rc::gen::inRange(0, 3)),
         rc::gen::set(&step::late, rc::gen::weightedElement<bool>({{60, false}, {1, true}})));
 }
@@ -165,7 +167,7 @@
         case 5:
             return exchange_ended{exchange, known.emitted() + (drawn.detail == 0 ? 1 : 0)};
         default:
-            return exchange_failed{exchange, static_cast<failure_kind>(drawn.detail),
+            return exchange_failed{exchange, static_cast<failure_kind>(drawn.failure),
                                    static_cast<failure_proof>(drawn.proof)};
     }
 }
--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -99,8 +99,61 @@
     cr_assert_eq(server.connections(), connections, "%s", header);
 }
 
+/// A request that is looked at once its connection is there. @return how often it was.
+runtime::task<void> look(ferryroad::test::loopback& loop, bool still_to_be_sent, int& looks) {
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    ferryroad::test::scripted_server server(loop, {{{answer}, false}});
+    http::client client(loop.scheduler, http::client_limits{});
+    http::request message = post("");
+    http::relay_options options;
+    options.limit = 2s;
+    options.last_look = [still_to_be_sent, &looks](http::header_list&) {
+        ++looks;
+        return still_to_be_sent;
+    };
+    auto stream = co_await client.relay(server.address(), std::move(message), std::move(options));
+    cr_assert_eq(stream.has_value(), still_to_be_sent);
+    co_await loop.until([&server] { return server.connections() == 1; });
+    cr_assert_eq(server.requests(), still_to_be_sent ? 1 : 0);
+    if (!still_to_be_sent) {
+        cr_assert(stream.error().code == http::error_code::withheld);
+        cr_assert_not(client.keeps_connection(server.address()));
+    }
+}
+
+/// Nothing listens there.
+runtime::task<void> look_without_connection(ferryroad::test::loopback& loop, int& looks) {
+    boost::asio::ip::tcp::acceptor closed(loop.context,
+                                          {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const base::endpoint address{"127.0.0.1", closed.local_endpoint().port()};
+    closed.close();
+    http::client client(loop.scheduler, http::client_limits{});
+    http::request message = post("");
+    http::relay_options options;
+    options.limit = 2s;
+    options.last_look = [&looks](http::header_list&) {
+        ++looks;
+        return true;
+    };
+    auto stream = co_await client.relay(address, std::move(message), std::move(options));
+    cr_assert(stream.error().code == http::error_code::connect_failed);
+}
+
 }  // namespace
 
+Test(client_relay, a_request_is_looked_at_once_as_its_connection_is_there) {
+    for (const bool still_to_be_sent : {true, false}) {
+        ferryroad::test::loopback loop;
+        int looks = 0;
+        cr_assert(loop.run([&] { return look(loop, still_to_be_sent, looks); }));
+        cr_assert_eq(looks, 1);
+    }
+    ferryroad::test::loopback loop;
+    int looks = 0;
+    cr_assert(loop.run([&] { return look_without_connection(loop, looks); }));
+    cr_assert_eq(looks, 0);
+}
+
 Test(client_relay, bodies_end_as_they_say) {
     for (const answer_row& row : rows) {
         ferryroad::test::loopback loop;
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -79,6 +79,7 @@
     std::string signature = "sig";
     std::vector<body_step> body;
     base::duration delay{};
+    base::duration connecting{};  ///< Before that, until the connection is there.
 };
 
 inline dispatch_failure failure(core::execution::failure_kind kind,
@@ -99,8 +100,16 @@
                                                                          dispatch sent,
                                                                          base::duration limit) {
         engines.push_back(target.name.value);
-        dispatches.push_back(std::move(sent));
+        dispatches.push_back(sent);
         limits.push_back(limit);
+        if (!answers.empty() && answers.front().connecting > base::duration{}) {
+            co_await m_scheduler.sleep_for(answers.front().connecting);
+        }
+        const last_look look = sent.look_again();
+        looks.push_back(look);
+        if (look.lost) {
+            co_return withheld_for(*look.lost);  // Nothing was sent: the script stays as it is.
+        }
         if (answers.empty()) {
             co_await m_scheduler.sleep_for(limit);
             co_return failure(core::execution::failure_kind::timed_out,
@@ -140,6 +149,7 @@
     std::deque<scripted_answer> answers;
     std::vector<std::string> engines;
     std::vector<dispatch> dispatches;
+    std::vector<last_look> looks;  ///< Of each dispatch, once its connection was there.
     std::map<std::string, coordination::rollout::engine_report> reports;
     std::vector<weights_order> orders;
     std::vector<base::duration> limits;  ///< Of each dispatch's silence.
--- a/test/relay/relay_plan_test.cpp
+++ b/test/relay/relay_plan_test.cpp
@@ -75,6 +75,9 @@
     blame(engine, failure(failure_kind::rejected), true, {}, start);
     cr_assert(engine.refuses_until <= start);
     cr_assert_not(engine.health.suspended(start));
+    blame(engine, failure(failure_kind::withheld), true, {}, start);
+    cr_assert(engine.refuses_until <= start);
+    cr_assert_not(engine.health.suspended(start));
     blame(engine, failure(failure_kind::unreachable), false, {}, start);
     cr_assert(engine.health.suspended(start));
 }
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -43,6 +43,27 @@
     at.policies.offer(std::move(changed));
 }
 
+/// An answer on a connection that takes a while to open.
+scripted_answer slowly_connected(scripted_answer one) {
+    one.connecting = 20ms;
+    return one;
+}
+
+runtime::task<void> list_anew_once_sent(relay_fixture& at, bool leaving) {
+    co_await at.loop.until([&at] { return !at.upstream.dispatches.empty(); });
+    listed_engine one = relay_fixture::listed(at.upstream.engines[0].c_str());
+    one.leaving = leaving;
+    at.registry.replace_all({one}, at.loop.scheduler.now());
+}
+
+void serve_with(relay_fixture& at, relay_service<fake_upstream>& service, relay_call one) {
+    at.loop.context.restart();
+    const auto served = [&]() -> runtime::task<void> {
+        co_await service.handle(std::move(one), at.writer);
+    };
+    cr_assert(at.loop.run(served));
+}
+
 std::string header(const recorded_writer& writer, std::string_view name) {
     return std::string(writer.headers.find(name).value_or(""));
 }
@@ -297,6 +318,75 @@
     cr_assert_eq(fixture.writer.status, 503);
 }
 
+Test(relay_service, a_key_taken_away_while_a_connection_is_opened_stops_to_hold) {
+    relay_fixture fixture;
+    fixture.answer(slowly_connected(whole(200, "ok")));
+    fixture.loop.scheduler.spawn("revoke", take_key_away_once_sent(fixture));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert_not(header(fixture.writer, "Retry-After").empty());
+    cr_assert_eq(fixture.upstream.answers.size(), 1, "nothing was sent");
+    cr_assert_eq(fixture.outcomes.at(0).dispatches, 0);
+    cr_assert(fixture.upstream.looks.at(0).lost == dispatch_ground::key);
+}
+
+Test(relay_service, an_engine_that_leaves_while_a_connection_is_opened_is_not_to_blame) {
+    relay_fixture fixture;
+    relay_settings settings = relay_fixture::settings_of();
+    settings.retries = {0.0, 0};  // Nothing was sent: that takes nothing of the budget.
+    fixture.service.change_settings(settings);
+    fixture.registry.replace_all({relay_fixture::listed("e1")}, fixture.loop.scheduler.now());
+    fixture.releases.engines_changed(fixture.loop.scheduler.now());
+    fixture.answer(slowly_connected(whole(200, "ok")));
+    fixture.loop.scheduler.spawn("leave", list_anew_once_sent(fixture, true));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert(fixture.upstream.looks.at(0).lost == dispatch_ground::engine_stays);
+    const known_engine* engine = fixture.registry.find(base::engine_name("e1"));
+    cr_assert_not(engine->health.suspended(fixture.loop.scheduler.now()));
+    cr_assert(engine->refuses_until <= fixture.loop.scheduler.now());
+    cr_assert_eq(engine->running, 0);
+}
+
+Test(relay_service, what_was_not_sent_goes_to_another_engine_without_a_retry_of_the_budget) {
+    for (const char* path : {"/unsafe/", "/safe/", "/stream/", "/resumable/"}) {
+        relay_fixture fixture;
+        relay_settings settings = relay_fixture::settings_of();
+        settings.retries = {0.0, 0};
+        fixture.service.change_settings(settings);
+        fixture.answer(slowly_connected(whole(200, "ok")));
+        const auto leave = [&fixture](const base::engine_name& chosen) {
+            listed_engine one = relay_fixture::listed(chosen.value.c_str());
+            one.leaving = true;
+            fixture.registry.put(one, fixture.loop.scheduler.now());
+        };
+        bool left = false;
+        relay_service<fake_upstream> told(
+            {fixture.loop.scheduler, fixture.upstream, fixture.registry, fixture.selection,
+             fixture.policies,
+             [&](const base::engine_name& chosen, const auto&, std::uint64_t) {
+                 if (!std::exchange(left, true)) {
+                     leave(chosen);
+                 }
+             }},
+            settings, [](const relay_plan&, const relay_outcome&) {});
+        serve_with(fixture, told, fixture.call(path));
+        cr_assert_eq(fixture.writer.status, 200, "%s", path);
+        cr_assert_eq(fixture.upstream.engines.size(), 2, "%s", path);
+        cr_assert_neq(fixture.upstream.engines[0], fixture.upstream.engines[1]);
+        cr_assert_not(fixture.upstream.dispatches[1].fresh_connection, "no connection broke");
+    }
+}
+
+Test(relay_service, the_time_left_is_counted_once_the_connection_is_there) {
+    relay_fixture fixture;
+    fixture.answer(slowly_connected(whole(200, "ok")));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 200);
+    const base::duration at_choice = fixture.upstream.dispatches.at(0).time_left;
+    cr_assert(fixture.upstream.looks.at(0).time_left <= at_choice - 20ms);
+}
+
 namespace {
 
 /// A service whose tenant has a limit, and what was counted.
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -99,6 +99,25 @@
     cr_assert_not(at.select(nullptr, {base::engine_name("e3")}, start + 7s).has_value());
 }
 
+Test(selection, what_was_chosen_serves_for_as_long_as_it_would_be_eligible) {
+    fixture at;
+    const selection_query query{at.call, *at.policies.current(), base::pool_name("p"), nullptr, {}};
+    const selected_engine chosen = *at.select();
+    const char* name = chosen.target.name.value.c_str();
+    cr_assert(at.selection.still_serves(chosen, query, start));
+    at.policies.name_version("m", 2);
+    cr_assert(at.selection.still_serves(chosen, query, start + 6900ms));
+    cr_assert_not(at.selection.still_serves(chosen, query, start + 7s));
+    at.add(name, "z1", 2);
+    cr_assert_not(at.selection.still_serves(chosen, query, start), "other weights than expected");
+    const selected_engine again = *at.select(nullptr, {}, start + 7s);
+    cr_assert(at.selection.still_serves(again, query, start + 8s));
+    at.registry.find(again.target.name)->listed.leaving = true;
+    cr_assert_not(at.selection.still_serves(again, query, start + 8s));
+    at.registry.remove(again.target.name);
+    cr_assert_not(at.selection.still_serves(again, query, start + 8s));
+}
+
 Test(selection, requests_of_one_prefix_meet_at_one_engine) {
     fixture at;
     const std::string first = at.select()->target.name.value;
