--- a/test/relay/outdated_begin_test.cpp
+++ b/test/relay/outdated_begin_test.cpp
@@ -74,6 +74,17 @@
     cr_assert_leq(router.latest_outdated().count(), queueing_router::allowed.count());
 }
 
+Test(outdated_begin, nor_what_was_sent_just_before_newer_weights_were_named) {
+    queueing_router router({{"e1", {1, 8500ms, 250ms}}});
+    router.send("/stream/", short_prompt, short_answer);
+    router.run_for(10ms);
+    router.name_weights(2);
+    router.run_for(12s);
+    cr_assert_eq(router.upstream.asked.size(), 1);
+    cr_assert(router.upstream.begun.empty());
+    cr_assert_eq(router.writers[0]->status, 503);
+}
+
 Test(outdated_begin, what_is_withdrawn_begins_at_an_engine_with_the_newest_weights) {
     queueing_router router({{"e1", {1, 6s, 250ms}}});
     router.name_weights(2);
