Dispatch: a test that a trial's share is given back where nothing was sent

Cause: the dispatch that is taken back may be one to a version on trial; that its share is given back had no test.

--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -580,3 +580,34 @@
     cr_assert_eq(std::count(engines.begin(), engines.end(), "n1"), 0);
     cr_assert_eq(fixture.releases.find(base::pool_name("p"))->exposed, 0);
 }
+
+Test(relay_service, a_canary_that_leaves_while_a_connection_is_opened_counts_for_nothing) {
+    relay_fixture fixture;
+    fixture.begin_trial();
+    const auto leave = [&fixture](const base::engine_name& chosen, const auto&, std::uint64_t) {
+        if (chosen.value == "n1") {
+            listed_engine one = fixture.registry.find(chosen)->listed;
+            one.leaving = true;
+            fixture.registry.put(one, fixture.loop.scheduler.now());
+        }
+    };
+    relay_service<fake_upstream> told({fixture.loop.scheduler,
+                                       fixture.upstream,
+                                       fixture.registry,
+                                       fixture.selection,
+                                       fixture.policies,
+                                       leave,
+                                       {},
+                                       &fixture.releases},
+                                      relay_fixture::settings_of(),
+                                      [](const relay_plan&, const relay_outcome&) {});
+    for (int request = 0; request < 30; ++request) {
+        fixture.answer(whole(200, "x"));
+        serve_with(fixture, told, fixture.call("/unsafe/"));
+        cr_assert_eq(fixture.writer.status, 200);
+    }
+    const auto& engines = fixture.upstream.engines;
+    cr_assert_eq(std::count(engines.begin(), engines.end(), "n1"), 1);
+    cr_assert_eq(engines.size(), 31);
+    cr_assert_eq(fixture.releases.find(base::pool_name("p"))->exposed, 0);
+}
