Rollout: the log shows which engines still lack an order

Cause: that engines waited for their first order could only be counted from all lines together. Change: "weights ordered" says how long ago the version was named, at most, and how many engines had no order for it as this one went out; "weights ordered everywhere" once for each naming and holder. One line an order as before, one a naming more. Not tested here: the lines themselves (tests have no appender).

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -33,6 +33,17 @@
     return outdated || !m_engines.empty();
 }
 
+std::size_t weights_rollout::without_order(const std::string& model,
+                                           const std::vector<engine_view>& engines) const {
+    const std::uint64_t newest = wanted(model);
+    const auto lacks = [&](const engine_view& one) {
+        const auto found = m_ordered.find(one.name);
+        const bool sent = found != m_ordered.end() && found->second >= newest;
+        return one.model == model && one.version < newest && !sent;
+    };
+    return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), lacks));
+}
+
 void weights_rollout::drop_ended(const std::vector<engine_view>& engines,
                                  base::monotonic_time now) {
     std::erase_if(m_engines, [&](const auto& entry) {
@@ -151,6 +162,9 @@
 
 rollout_steps weights_rollout::next(const std::vector<engine_view>& engines,
                                     base::monotonic_time now) {
+    if (!has_work(engines)) {
+        m_ordered.clear();
+    }
     drop_ended(engines, now);
     begin_some(engines, now);
     rollout_steps steps;
@@ -184,6 +198,7 @@
     state.stage = phase::ordering;
     state.version = wanted(seen.model);
     state.last_order = now;
+    m_ordered[seen.name] = state.version;
     steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken});
 }
 
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -110,6 +110,11 @@
     /// @return whether an engine has older weights than the newest, or an order is under way.
     bool has_work(const std::vector<engine_view>& engines) const;
 
+    /// @return how many engines have older weights than the newest of the model, and were sent no
+    /// order yet to take these.
+    std::size_t without_order(const std::string& model,
+                              const std::vector<engine_view>& engines) const;
+
     /// @param engines all that may be ordered now. @return the steps that are due.
     rollout_steps next(const std::vector<engine_view>& engines, base::monotonic_time now);
 
@@ -118,7 +123,10 @@
     void report_lost(const base::engine_name& engine, base::monotonic_time now);
     void ordered(const base::engine_name& engine, order_answer answer, base::monotonic_time now);
     /// The lease was lost or taken anew: whatever was under way is looked at afresh.
-    void reset() { m_engines.clear(); }
+    void reset() {
+        m_engines.clear();
+        m_ordered.clear();
+    }
 
   private:
     enum class phase {
@@ -175,6 +183,7 @@
     rollout_pace m_pace;
     std::map<std::string, std::uint64_t> m_wanted;
     std::map<base::engine_name, progress> m_engines;
+    std::map<base::engine_name, std::uint64_t> m_ordered;  ///< The newest version sent to each.
 };
 
 }  // namespace ferryroad::coordination::rollout
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -13,6 +13,7 @@
 #include <concepts>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <utility>
@@ -107,7 +108,11 @@
             m_ports.scheduler.spawn(component, ask(wanted.engine));
         }
         for (const auto& wanted : steps.orders) {
-            m_ports.scheduler.spawn(component, order(wanted));
+            const std::size_t without = m_rollout.without_order(wanted.model, engines);
+            m_ports.scheduler.spawn(component, order(wanted, without));
+        }
+        if (!steps.orders.empty()) {
+            tell_ordered_everywhere(engines, steps.orders.back());
         }
     }
 
@@ -181,7 +186,8 @@
         m_rollout.reported(name, *report, now);
     }
 
-    runtime::task<void> order(coordination::rollout::send_order wanted) {
+    /// @param without_order engines that were sent none to take that version, for the log.
+    runtime::task<void> order(coordination::rollout::send_order wanted, std::size_t without_order) {
         const auto target = target_of(wanted.engine);
         const auto token = m_ports.lease.token();  // Asked last: time may have passed.
         if (!target || !token) {
@@ -201,14 +207,39 @@
                       {"version", std::to_string(wanted.version)},
                       {"expected_orders", std::to_string(wanted.expected_orders)},
                       {"token", std::to_string(token->value)},
-                      {"answer", std::to_string(static_cast<int>(answer))}});
+                      {"answer", std::to_string(static_cast<int>(answer))},
+                      {"after_naming_at_most_ms", since_naming(wanted.model, wanted.version)},
+                      {"without_order", std::to_string(without_order)}});
         m_rollout.ordered(wanted.engine, answer, m_ports.scheduler.now());
     }
 
+    /// Once for each naming that this router has brought to all engines.
+    void tell_ordered_everywhere(const std::vector<coordination::rollout::engine_view>& engines,
+                                 const coordination::rollout::send_order& last) {
+        std::uint64_t& told = m_ordered_everywhere[last.model];
+        if (told >= last.version || m_rollout.without_order(last.model, engines) > 0) {
+            return;
+        }
+        told = last.version;
+        runtime::log(runtime::log_level::info, component, "weights ordered everywhere",
+                     {{"last_engine", last.engine.value},
+                      {"model", last.model},
+                      {"version", std::to_string(last.version)},
+                      {"after_naming_at_most_ms", since_naming(last.model, last.version)}});
+    }
+
+    /// @return milliseconds at most, or nothing where it isn't known when the version was named.
+    std::string since_naming(const std::string& model, std::uint64_t version) const {
+        const auto named = m_ports.policies.outdated_since(model, version - 1);
+        const base::monotonic_time now = m_ports.scheduler.now();
+        return named ? std::to_string(base::to_milliseconds(now - *named)) : std::string();
+    }
+
     rollout_ports<Upstream, Lease> m_ports;
     rollout_settings m_settings;
     coordination::rollout::weights_rollout m_rollout;
-    rollout_news m_news;  ///< Since others were told last.
+    rollout_news m_news;                                        ///< Since others were told last.
+    std::map<std::string, std::uint64_t> m_ordered_everywhere;  ///< Versions told, by model.
     std::uint64_t m_orders_sent = 0;
     bool m_stopped = false;
 };
--- a/test/coordination/rollout/unanswered_orders_test.cpp
+++ b/test/coordination/rollout/unanswered_orders_test.cpp
@@ -283,3 +283,16 @@
     cr_assert(steps.orders.empty());
     cr_assert(steps.reports.empty());
 }
+
+Test(unanswered_orders, engines_without_an_order_are_counted) {
+    late_fleet fleet(18, 1.0, 1);
+    fleet.carried_out = false;
+    cr_assert_eq(fleet.rollout.without_order(model, fleet.views()), 18);
+    fleet.run_until(3s);
+    cr_assert_eq(fleet.rollout.without_order(model, fleet.views()), 18 - fleet.first_order.size());
+    fleet.run_until(tunables.order_within + 1s);
+    cr_assert_eq(fleet.rollout.without_order(model, fleet.views()), 0);
+    fleet.rollout.want(model, 3);
+    cr_assert_eq(fleet.rollout.without_order(model, fleet.views()), 18);
+    cr_assert_eq(fleet.rollout.without_order("another", fleet.views()), 0);
+}
