Sight: within what time a request was expected to begin, and when it did

Purpose: whether the forecast holds can be read off each request's lines (begin_bound_ms, begun_after_ms) and off ferryroad_relay_begins_total.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -80,6 +80,9 @@
     std::string engine;                         ///< The last one asked.
     double predicted_ms = 0;                    ///< What choosing it was estimated to cost.
     std::optional<std::uint64_t> weights;       ///< That the engine said it has.
+    /// From the sending to the first event, of the last exchange that began; with a prompt only.
+    std::optional<base::duration> begun_after;
+    base::duration begin_bound{};  ///< Within what time that was expected.
     /// How long newer weights had been named as an exchange's first event came; the longest of all
     /// exchanges, nothing where all began on the newest.
     std::optional<base::duration> begun_outdated;
@@ -380,6 +383,10 @@
     /// The engine has begun with the request, under the weights that it said in its answer's head.
     void note_beginning(base::monotonic_time now) {
         const auto outdated = m_watch.begun(m_answer->version, now);
+        if (m_plan.call->prompt) {
+            m_outcome.begun_after = m_watch.since_sent(now);
+            m_outcome.begin_bound = m_selected.begin_bound;
+        }
         if (outdated) {
             const base::duration before = m_outcome.begun_outdated.value_or(base::duration{});
             m_outcome.begun_outdated = std::max(before, *outdated);
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -40,6 +40,14 @@
                         "Dispatches withdrawn as their engine's weights became too old to begin.")
             .add(outcome.withdrawals);
     }
+    if (outcome.begun_after) {
+        const bool within = *outcome.begun_after <= outcome.begin_bound;
+        m_registry
+            .counter_of("ferryroad_relay_begins_total",
+                        "Requests that began, by whether it was within the time expected.",
+                        {{"within", within ? "true" : "false"}})
+            .add();
+    }
     if (outcome.begun_outdated) {
         m_registry
             .histogram_of("ferryroad_relay_begun_outdated_seconds",
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -243,6 +243,10 @@
              {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
+    static std::string milliseconds_text(const std::optional<base::duration>& time) {
+        return time ? std::to_string(base::to_milliseconds(*time)) : "none";
+    }
+
     void log_end(const relay_plan& plan, const relay_outcome& outcome) const {
         const base::duration taken = m_with.scheduler.now() - plan.call->arrived;
         const auto first = outcome.first_event.value_or(base::duration{});
@@ -260,9 +264,9 @@
              {"first_event_ms", std::to_string(base::to_milliseconds(first))},
              {"longest_gap_ms", std::to_string(base::to_milliseconds(outcome.longest_gap))},
              {"weights", outcome.weights ? std::to_string(*outcome.weights) : "none"},
-             {"begun_outdated_ms", outcome.begun_outdated ? std::to_string(base::to_milliseconds(
-                                                                *outcome.begun_outdated))
-                                                          : std::string("none")},
+             {"begun_after_ms", milliseconds_text(outcome.begun_after)},
+             {"begin_bound_ms", std::to_string(base::to_milliseconds(outcome.begin_bound))},
+             {"begun_outdated_ms", milliseconds_text(outcome.begun_outdated)},
              {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -387,6 +387,7 @@
             chosen.begin_by = one.limit->begin_by;
         }
         chosen.work = work_at(candidate, placed, query);
+        chosen.begin_bound = forecast_of(query.pool).begins_within(chosen.work.tokens_before);
         chosen.stop_by = stop_by(query, one, chosen.work, now);
         chosen.cache_scope = one.prompt->scope;
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -66,6 +66,8 @@
     /// there will not begin later.
     std::optional<base::monotonic_time> stop_by;
     core::placement::expected_work work;
+    /// Within what time after it is sent it is expected to begin there, by requests like it.
+    base::duration begin_bound{};
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
     std::optional<base::endpoint> save_state_to;
