--- /dev/null
+++ b/test/relay/lease_router.hpp
@@ -0,0 +1,79 @@
+/// @file
+/// Scaffolding: the row of the rollout's lease, and a router that contends for it.
+#pragma once
+
+#include "ferryroad/relay/rollout_lease.hpp"
+#include "test/http/loopback.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ferryroad::relay::test {
+
+/// One row under conditions.
+class one_row final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        std::vector<platform::transaction_outcome> outcomes;
+        if (writes_refused) {
+            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
+        }
+        for (const platform::transaction& wanted : transactions) {
+            platform::transaction_outcome outcome;
+            outcome.committed = wanted.conditions.at(0).version == row.version;
+            if (outcome.committed) {
+                row = {wanted.writes.at(0).key, *wanted.writes.at(0).value,
+                       platform::row_version(row.version.value + 1)};
+                outcome.version = row.version;
+            } else {
+                outcome.conflicting = row;
+            }
+            outcomes.push_back(outcome);
+        }
+        co_return outcomes;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key>) override {
+        std::vector<platform::row> rows;
+        if (row.version.value > 0) {
+            rows.push_back(row);
+        }
+        co_return rows;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        co_return std::vector<platform::row>{};
+    }
+    platform::row row;
+    bool writes_refused = false;
+};
+
+/// Its clock is that of the row's owner.
+struct lease_router {
+    lease_router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process,
+                 base::duration turn = std::chrono::milliseconds(200))
+        : leases(loop.scheduler, table, {"router", base::incarnation(process)}, settings()),
+          lease(loop.scheduler, leases, clock, leases::lease_name("x"), turn) {
+        clock.observe(loop.scheduler.now(), loop.scheduler.now(),
+                      std::chrono::milliseconds(
+                          base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
+        leases.contend(leases::lease_name("x"), [] { return true; });
+    }
+    static leases::lease_service_settings settings() {
+        leases::lease_service_settings all;
+        all.lease.duration = std::chrono::milliseconds(400);
+        all.lease.margin = std::chrono::milliseconds(20);
+        all.lease.renew_after = std::chrono::milliseconds(50);
+        all.lease.poll_period = std::chrono::milliseconds(20);
+        all.lease.first_delay = std::chrono::milliseconds(5);
+        all.look_period = std::chrono::milliseconds(2);
+        return all;
+    }
+    owner_clock clock;
+    leases::lease_service leases;
+    rollout_lease lease;
+};
+
+}  // namespace ferryroad::relay::test
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -1,77 +1,16 @@
 /// A holder acts only after it said so, and waits only after one that may have acted just now.
 #include "ferryroad/relay/rollout_lease.hpp"
 
-#include "test/http/loopback.hpp"
+#include "test/relay/lease_router.hpp"
 
 using namespace ferryroad;
 using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-/// One row under conditions.
-class one_row final : public platform::table {
-  public:
-    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
-        std::vector<platform::transaction> transactions) override {
-        std::vector<platform::transaction_outcome> outcomes;
-        if (writes_refused) {
-            co_return platform::error{platform::error_code::unavailable, "down", std::nullopt};
-        }
-        for (const platform::transaction& wanted : transactions) {
-            platform::transaction_outcome outcome;
-            outcome.committed = wanted.conditions.at(0).version == row.version;
-            if (outcome.committed) {
-                row = {wanted.writes.at(0).key, *wanted.writes.at(0).value,
-                       platform::row_version(row.version.value + 1)};
-                outcome.version = row.version;
-            } else {
-                outcome.conflicting = row;
-            }
-            outcomes.push_back(outcome);
-        }
-        co_return outcomes;
-    }
-    runtime::task<platform::result<std::vector<platform::row>>> read(
-        std::vector<platform::row_key>) override {
-        std::vector<platform::row> rows;
-        if (row.version.value > 0) {
-            rows.push_back(row);
-        }
-        co_return rows;
-    }
-    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
-                                                                     std::uint32_t) override {
-        co_return std::vector<platform::row>{};
-    }
-    platform::row row;
-    bool writes_refused = false;
-};
-
-struct router {
-    router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process,
-           base::duration turn = 200ms)
-        : leases(loop.scheduler, table, {"router", base::incarnation(process)}, settings()),
-          lease(loop.scheduler, leases, clock, leases::lease_name("x"), turn) {
-        clock.observe(loop.scheduler.now(), loop.scheduler.now(),
-                      std::chrono::milliseconds(
-                          base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
-        leases.contend(leases::lease_name("x"), [] { return true; });
-    }
-    static leases::lease_service_settings settings() {
-        leases::lease_service_settings all;
-        all.lease.duration = 400ms;
-        all.lease.margin = 20ms;
-        all.lease.renew_after = 50ms;
-        all.lease.poll_period = 20ms;
-        all.lease.first_delay = 5ms;
-        all.look_period = 2ms;
-        return all;
-    }
-    owner_clock clock;
-    leases::lease_service leases;
-    rollout_lease lease;
-};
+using router = lease_router;
 
 /// Runs until the router may act, meaning to all the while. @return how long it took.
 base::duration time_to_act(ferryroad::test::loopback& loop, router& one) {
