Only an engine that has the scope's weights gives kept state

Cause: the scope of kept state names the version of the chosen engine's weights, and nobody asked whether a giver still has that version. One that took newer weights drops what it kept, but what it reads again of requests begun before is kept in their scope, made under the new weights, and told like any other part.

Ruled out: that a part's own events show it (they name neither version nor the weights it was made under).

Change: engine_selection leaves out of a prompt's holdings those of engines whose known version isn't the scope's, or that are about to load; so both what counts as fetchable and who is fetched from heed it. Stores are taken as before: a store's parts may come from an engine that was ordered while it read them; nothing here can tell.

--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -78,6 +78,15 @@
     return std::nullopt;
 }
 
+bool engine_selection::keeps_scope(const base::engine_name& holder, const std::string& model,
+                                   std::uint64_t version, base::monotonic_time now) const {
+    const known_engine* engine = m_registry.find(holder);
+    if (engine == nullptr) {
+        return true;
+    }
+    return engine->version_of(model) == version && now >= engine->loading_until;
+}
+
 void engine_selection::find_givers(const selection_query& query, scoped_prompt& prompt) const {
     for (const placement::holding& one : prompt.holdings) {
         if (!one.confirmed) {
@@ -106,6 +115,9 @@
     prompt.scope = cache_scope_of(query.tenant, version);
     prompt.parts = core::prefix::scoped_parts_of(*query.call.prompt, prompt.scope);
     prompt.holdings = m_warm.holdings(prompt.parts, now);
+    std::erase_if(prompt.holdings, [&](const placement::holding& one) {
+        return !keeps_scope(one.holder, query.call.prompt->model, version, now);
+    });
     find_givers(query, prompt);
     return prompt;
 }
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -177,6 +177,12 @@
     /// @return the zone of an engine or a store; nothing where neither is listed.
     std::optional<base::zone_name> zone_of(const selection_query& query,
                                            const base::engine_name& holder) const;
+    /// An order for other weights makes an engine drop what it kept. What it reads again of
+    /// requests that it had begun before is kept in their scope, but made under its new weights.
+    /// @return whether what the holder tells of a scope was made under the scope's weights; of a
+    /// store, which loads none, it is taken to be.
+    bool keeps_scope(const base::engine_name& holder, const std::string& model,
+                     std::uint64_t version, base::monotonic_time now) const;
     void find_givers(const selection_query& query, scoped_prompt& prompt) const;
     bool same_region(const base::zone_name& one, const base::zone_name& other) const {
         return m_settings.zones.same_region(one, other);
