The rollout's turn counts from when orders arrive

Cause: the lease noted the last act as the token was asked, while an order reaches its engine up to its call's limit later; a leader that ended left word of the earlier moment, and its successor's turn was shorter by the way of the order.

Ruled out: that the successor's own way makes up for it (it may be short).

Change: the service tells the lease when an order goes out and when its answer or time-out came. The latter is the last act; while one is out, the word says that acts may arrive until the call's limit (700 ms) from now. A successor believes a word up to that much beyond the end of the hold before, which was its bound so far.

Not covered: a leader that ends without a word while its order is out. There the turn still counts from the end of its hold.

--- a/src/ferryroad/relay/rollout_lease.cpp
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -49,9 +49,21 @@
     }
 }
 
-void rollout_lease::leave_word() {
+void rollout_lease::act_ended() {
+    --m_acts_out;
+    m_last_act = m_scheduler.now();
+}
+
+base::monotonic_time rollout_lease::last_arrival() const {
+    if (m_acts_out > 0) {
+        return m_scheduler.now() + longest_act;
+    }
     // Whoever never acted says since when it is known that nobody does.
-    const base::monotonic_time since = m_last_act.value_or(m_act_from - m_turn);
+    return m_last_act.value_or(m_act_from - m_turn);
+}
+
+void rollout_lease::leave_word() {
+    const base::monotonic_time since = last_arrival();
     const auto told = m_clock.known() ? m_clock.to_owner_latest(since) : 0;
     m_leases.set_note(m_name, std::max<std::int64_t>(told, note_acting + 1));
 }
@@ -77,9 +89,13 @@
     const bool told = predecessor_note > note_acting && m_clock.known();
     // It acted until its hold ended at the latest, whatever it has written.
     const base::monotonic_time latest = std::min(m_leases.predecessor_end(m_name), now);
-    const auto last_act =
-        told ? m_clock.to_local_latest(static_cast<std::int64_t>(predecessor_note)) : latest;
-    return std::clamp(last_act + m_turn, now, std::max(now, latest + m_turn));
+    if (!told) {
+        return std::max(now, latest + m_turn);
+    }
+    // An act that was out when the hold ended may have reached its engine after that.
+    const base::monotonic_time latest_arrival = latest + longest_act;
+    const auto last_act = m_clock.to_local_latest(static_cast<std::int64_t>(predecessor_note));
+    return std::max(now, std::min(last_act, latest_arrival) + m_turn);
 }
 
 std::optional<base::fencing_token> rollout_lease::token() {
--- a/src/ferryroad/relay/rollout_lease.hpp
+++ b/src/ferryroad/relay/rollout_lease.hpp
@@ -9,6 +9,7 @@
 #include "ferryroad/leases/lease_service.hpp"
 #include "ferryroad/relay/naming_journal.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -45,6 +46,10 @@
     /// To be asked right before each act. @return the token that it must carry, or nothing
     /// where this router may not act now.
     std::optional<base::fencing_token> token();
+    /// An act goes out; it may reach its engine at any moment until `act_ended`, which must follow.
+    void act_begins() { ++m_acts_out; }
+    /// Its answer came, or none in time: it has reached its engine by now, if ever.
+    void act_ended();
     /// @return whether this router holds the lease, acting or not.
     bool held() const { return m_leases.token(m_name).has_value(); }
 
@@ -53,7 +58,12 @@
     /// Before its turn a holder says that it acts only this much ahead: if it ends until then,
     /// the next one need not wait for it.
     static constexpr base::duration say_ahead = std::chrono::milliseconds(300);
+    /// Within which an act that is out reaches its engine: the call's limit
+    /// (`rollout_settings::call_limit`).
+    static constexpr base::duration longest_act = std::chrono::milliseconds(700);
 
+    /// @return a moment after which no act of this router reaches an engine, if it begins no more.
+    base::monotonic_time last_arrival() const;
     void leave_word();
     void note_new_hold();
     base::monotonic_time end_of_turn(std::uint64_t predecessor_note) const;
@@ -66,6 +76,7 @@
     std::optional<base::fencing_token> m_last_token;
     base::monotonic_time m_act_from{};
     std::optional<base::monotonic_time> m_last_act;
+    std::size_t m_acts_out = 0;  ///< Begun and not ended.
     bool m_finished = false;
 };
 
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -22,11 +22,14 @@
 
 /// `token` is asked right before each act: nothing where this process may not act. `intend`
 /// says whether there is something to do; `held` whether acts may follow once that was said.
+/// `act_begins` is told as an act goes out, `act_ended` when its answer or time-out came.
 template <typename T>
 concept fenced_lease = requires(T& lease, bool acting) {
     { lease.token() } -> std::same_as<std::optional<base::fencing_token>>;
     { lease.held() } -> std::same_as<bool>;
     lease.intend(acting);
+    lease.act_begins();
+    lease.act_ended();
 };
 
 struct rollout_settings {
@@ -189,11 +192,13 @@
             co_return;
         }
         ++m_orders_sent;
+        m_ports.lease.act_begins();
         engine_target engine = *target;
         weights_order sent{wanted.model,       wanted.version,    wanted.expected_orders,
                            m_settings.running, m_settings.holder, *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_limit);
+        m_ports.lease.act_ended();
         runtime::log(runtime::log_level::info, component, "weights ordered",
                      {{"engine", wanted.engine.value},
                       {"model", wanted.model},
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -15,9 +15,12 @@
 struct fake_lease {
     std::optional<base::fencing_token> current;
     bool acting = false;
+    int acts_out = 0;
     std::optional<base::fencing_token> token() const { return acting ? current : std::nullopt; }
     bool held() const { return current.has_value(); }
     void intend(bool wanted) { acting = wanted; }
+    void act_begins() { ++acts_out; }
+    void act_ended() { --acts_out; }
 };
 
 struct fixture {
@@ -102,6 +105,7 @@
     at.run_for(20ms);
     cr_assert_eq(at.upstream.orders.size(), 6);
     cr_assert_not(at.lease.acting);
+    cr_assert_eq(at.lease.acts_out, 0, "each order that began has ended");
 }
 
 Test(rollout_service, others_are_told_before_an_engine_is_ordered_and_when_it_has_loaded) {
