--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/coordination/rollout/weights_rollout.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -139,6 +140,7 @@
     for (const engine_view& one : engines) {
         under_way[one.zone] += m_engines.contains(one.name) ? 1 : 0;
     }
+    std::set<std::string> full;
     while (!outdated.empty()) {
         // Spread over zones, so that requests find engines with new weights near.
         const auto next = std::min_element(outdated.begin(), outdated.end(),
@@ -148,7 +150,9 @@
                                            });
         const engine_view* one = *next;
         outdated.erase(next);
-        if (!has_room(*one, engines)) {
+        // Those after it have newer weights or the same: there is no room for them either.
+        if (full.contains(one->model) || !has_room(*one, engines)) {
+            full.insert(one->model);
             continue;
         }
         ++under_way[one->zone];
@@ -185,10 +189,13 @@
     }
     std::stable_sort(lost.begin(), lost.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    std::set<std::string> full;
     for (const auto& [last_order, seen] : lost) {
-        if (has_room_to_repeat(seen->model, engines)) {
-            order(*seen, m_engines.at(seen->name), now, steps);
+        if (full.contains(seen->model) || !has_room_to_repeat(seen->model, engines)) {
+            full.insert(seen->model);
+            continue;
         }
+        order(*seen, m_engines.at(seen->name), now, steps);
     }
 }
 
