Rollout: a step counts the places of each model once

Cause: has_room() and sort_by_urgency() counted all engines anew for each outdated one, the choice of the next zone looked through all that were left for each one taken, and engines under way were sought by name in the list. A step grew with the square of the fleet, and took longer than the 50 ms between two steps at 1,200 engines.

Ruled out: fewer steps, as orders would go out later; stopping at a model's first engine without room, as what is left, a count for each engine begun and the look through the zones, still grows with the square.

Change: the places of each model are reckoned once a step and kept up to date as engines are begun or ordered again; outdated engines wait in a queue for each version and zone; names are looked up in an index made once a step. What is decided stays the same.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/coordination/rollout/weights_rollout.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <tuple>
 #include <utility>
 
@@ -8,11 +9,37 @@
 
 namespace {
 
-const engine_view* find(const std::vector<engine_view>& engines, const base::engine_name& name) {
-    const auto found = std::find_if(engines.begin(), engines.end(),
-                                    [&](const engine_view& one) { return one.name == name; });
-    return found == engines.end() ? nullptr : &*found;
-}
+/// Engines of one version in the order of their urgency, handed out so that zones get even shares:
+/// requests then find engines with new weights near.
+class zone_queues {
+  public:
+    /// @param position its place in the order; rises from call to call.
+    void add(const engine_view& one, std::size_t position) {
+        m_queues[one.zone].emplace_back(position, &one);
+    }
+    /// @param under_way engines begun in each zone. @return the next engine, of the zone with the
+    /// fewest; null where none is left.
+    const engine_view* take(const std::map<base::zone_name, std::size_t>& under_way) {
+        if (m_queues.empty()) {
+            return nullptr;
+        }
+        const auto rank = [&](const auto& entry) {
+            return std::pair(under_way.at(entry.first), entry.second.front().first);
+        };
+        const auto next =
+            std::min_element(m_queues.begin(), m_queues.end(),
+                             [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+        const engine_view* one = next->second.front().second;
+        next->second.pop_front();
+        if (next->second.empty()) {
+            m_queues.erase(next);
+        }
+        return one;
+    }
+
+  private:
+    std::map<base::zone_name, std::deque<std::pair<std::size_t, const engine_view*>>> m_queues;
+};
 
 }  // namespace
 
@@ -44,23 +71,52 @@
     return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), lacks));
 }
 
-void weights_rollout::drop_ended(const std::vector<engine_view>& engines,
-                                 base::monotonic_time now) {
+weights_rollout::engines_by_name weights_rollout::by_name(const std::vector<engine_view>& engines) {
+    engines_by_name found;
+    found.reserve(engines.size());
+    for (const engine_view& one : engines) {
+        found.emplace(one.name.value, &one);
+    }
+    return found;
+}
+
+void weights_rollout::drop_ended(const engines_by_name& engines, base::monotonic_time now) {
     std::erase_if(m_engines, [&](const auto& entry) {
-        const engine_view* seen = find(engines, entry.first);
-        const bool done = seen != nullptr && seen->version >= wanted(seen->model);
+        const auto seen = engines.find(entry.first.value);
+        if (seen == engines.end()) {
+            return true;
+        }
+        const bool done = seen->second->version >= wanted(seen->second->model);
         const bool silent = now - entry.second.since > m_tunables.give_up;
-        return seen == nullptr || (!entry.second.call_under_way && (done || silent));
+        return !entry.second.call_under_way && (done || silent);
     });
 }
 
-weights_rollout::places weights_rollout::places_of(const std::string& model,
-                                                   const std::vector<engine_view>& engines) const {
-    places counted;
+base::duration weights_rollout::places::longest() const {
+    const base::duration most =
+        outdated_for.empty() ? base::duration{} : outdated_for.rbegin()->first;
+    return std::max(most, base::duration{});
+}
+
+void weights_rollout::places::wait(const engine_view& one) {
+    ++waiting;
+    ++outdated_for[one.outdated_for];
+}
+
+void weights_rollout::places::begin(const engine_view& one) {
+    --waiting;
+    ++loading;
+    const auto same = outdated_for.find(one.outdated_for);
+    if (--same->second == 0) {
+        outdated_for.erase(same);
+    }
+}
+
+weights_rollout::fleet_places weights_rollout::places_of(
+    const std::vector<engine_view>& engines) const {
+    fleet_places fleet;
     for (const engine_view& one : engines) {
-        if (one.model != model) {
-            continue;
-        }
+        places& counted = fleet[one.model];
         ++counted.total;
         const auto found = m_engines.find(one.name);
         if (found != m_engines.end()) {
@@ -68,16 +124,15 @@
             counted.loading += state.unanswered ? 0 : 1;
             counted.unanswered += state.unanswered ? 1 : 0;
             counted.repeating += state.unanswered && state.stage == phase::ordering ? 1 : 0;
-        } else if (one.version < wanted(model)) {
-            ++counted.waiting;
-            counted.longest = std::max(counted.longest, one.outdated_for);
+        } else if (one.version < wanted(one.model)) {
+            counted.wait(one);
         }
     }
-    return counted;
+    return fleet;
 }
 
 std::size_t weights_rollout::allowed(const places& model) const {
-    return m_pace.allowed(model.total, model.waiting, m_tunables.order_within - model.longest);
+    return m_pace.allowed(model.total, model.waiting, m_tunables.order_within - model.longest());
 }
 
 bool weights_rollout::may_expose(const places& model, base::duration outdated_for) const {
@@ -88,30 +143,21 @@
 
 // An order without answer holds no place: with most of them lost, engines that had got none waited
 // for those that were ordered again and again.
-bool weights_rollout::has_room(const engine_view& one,
-                               const std::vector<engine_view>& engines) const {
-    const places model = places_of(one.model, engines);
+bool weights_rollout::has_room(const engine_view& one, const places& model) const {
     return model.loading < allowed(model) && may_expose(model, one.outdated_for);
 }
 
-bool weights_rollout::has_room_to_repeat(const std::string& model,
-                                         const std::vector<engine_view>& engines) const {
-    const places counted = places_of(model, engines);
-    const bool first_orders = counted.waiting > 0 && may_expose(counted, counted.longest);
-    const std::size_t kept =
-        first_orders ? std::max(counted.loading, allowed(counted)) : counted.loading;
-    return kept + counted.repeating < m_pace.most(counted.total);
+bool weights_rollout::has_room_to_repeat(const places& model) const {
+    const bool first_orders = model.waiting > 0 && may_expose(model, model.longest());
+    const std::size_t kept = first_orders ? std::max(model.loading, allowed(model)) : model.loading;
+    return kept + model.repeating < m_pace.most(model.total);
 }
 
-void weights_rollout::sort_by_urgency(std::vector<const engine_view*>& outdated,
-                                      const std::vector<engine_view>& engines) const {
+void weights_rollout::sort_by_urgency(engine_list& outdated, const fleet_places& fleet) const {
     std::map<std::string, bool> hurried;
-    for (const engine_view* one : outdated) {
-        if (!hurried.contains(one->model)) {
-            const places model = places_of(one->model, engines);
-            hurried[one->model] =
-                m_pace.hurries(model.total, model.waiting, m_tunables.order_within - model.longest);
-        }
+    for (const auto& [name, model] : fleet) {
+        hurried[name] =
+            m_pace.hurries(model.total, model.waiting, m_tunables.order_within - model.longest());
     }
     // The oldest weights first; of equals the least loaded, which is free the soonest. Where time
     // is short the longest queue: what waits there would begin too late, and the order turns it
@@ -126,68 +172,81 @@
                      [&](const engine_view* a, const engine_view* b) { return rank(a) < rank(b); });
 }
 
-void weights_rollout::begin_some(const std::vector<engine_view>& engines,
-                                 base::monotonic_time now) {
-    std::vector<const engine_view*> outdated;
+weights_rollout::engine_list weights_rollout::waiting(
+    const std::vector<engine_view>& engines) const {
+    engine_list outdated;
     for (const engine_view& one : engines) {
         if (one.version < wanted(one.model) && !m_engines.contains(one.name)) {
             outdated.push_back(&one);
         }
     }
-    sort_by_urgency(outdated, engines);
+    return outdated;
+}
+
+void weights_rollout::begin_some(const std::vector<engine_view>& engines, fleet_places& fleet,
+                                 base::monotonic_time now) {
+    engine_list outdated = waiting(engines);
+    sort_by_urgency(outdated, fleet);
     std::map<base::zone_name, std::size_t> under_way;
     for (const engine_view& one : engines) {
         under_way[one.zone] += m_engines.contains(one.name) ? 1 : 0;
     }
-    while (!outdated.empty()) {
-        // Spread over zones, so that requests find engines with new weights near.
-        const auto next = std::min_element(outdated.begin(), outdated.end(),
-                                           [&](const engine_view* a, const engine_view* b) {
-                                               return std::pair(a->version, under_way[a->zone]) <
-                                                      std::pair(b->version, under_way[b->zone]);
-                                           });
-        const engine_view* one = *next;
-        outdated.erase(next);
-        if (!has_room(*one, engines)) {
-            continue;
+    std::map<std::uint64_t, zone_queues> by_version;
+    for (std::size_t position = 0; position < outdated.size(); ++position) {
+        by_version[outdated[position]->version].add(*outdated[position], position);
+    }
+    for (auto& [version, queues] : by_version) {
+        while (const engine_view* one = queues.take(under_way)) {
+            places& model = fleet.at(one->model);
+            if (has_room(*one, model)) {
+                ++under_way[one->zone];
+                begin(*one, model, now);
+            }
         }
-        ++under_way[one->zone];
-        progress begun;
-        begun.version = wanted(one->model);
-        begun.since = now;
-        begun.next_call = now;
-        m_engines.emplace(one->name, begun);
     }
 }
 
+void weights_rollout::begin(const engine_view& one, places& model, base::monotonic_time now) {
+    progress begun;
+    begun.version = wanted(one.model);
+    begun.since = now;
+    begun.next_call = now;
+    m_engines.emplace(one.name, begun);
+    model.begin(one);
+}
+
 rollout_steps weights_rollout::next(const std::vector<engine_view>& engines,
                                     base::monotonic_time now) {
     if (!has_work(engines)) {
         m_ordered.clear();
     }
-    drop_ended(engines, now);
-    begin_some(engines, now);
+    const engines_by_name named = by_name(engines);
+    drop_ended(named, now);
+    fleet_places fleet = places_of(engines);
+    begin_some(engines, fleet, now);
     rollout_steps steps;
-    repeat_some(engines, now, steps);
+    repeat_some(named, fleet, now, steps);
     for (auto& [name, state] : m_engines) {
-        call(*find(engines, name), state, now, steps);
+        call(*named.at(name.value), state, now, steps);
     }
     return steps;
 }
 
-void weights_rollout::repeat_some(const std::vector<engine_view>& engines, base::monotonic_time now,
-                                  rollout_steps& steps) {
+void weights_rollout::repeat_some(const engines_by_name& engines, fleet_places& fleet,
+                                  base::monotonic_time now, rollout_steps& steps) {
     std::vector<std::pair<base::monotonic_time, const engine_view*>> lost;
     for (const auto& [name, state] : m_engines) {
         if (state.unanswered && state.stage == phase::ready && !state.call_under_way) {
-            lost.emplace_back(state.last_order, find(engines, name));
+            lost.emplace_back(state.last_order, engines.at(name.value));
         }
     }
     std::stable_sort(lost.begin(), lost.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     for (const auto& [last_order, seen] : lost) {
-        if (has_room_to_repeat(seen->model, engines)) {
+        places& model = fleet.at(seen->model);
+        if (has_room_to_repeat(model)) {
             order(*seen, m_engines.at(seen->name), now, steps);
+            ++model.repeating;
         }
     }
 }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -13,6 +13,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace ferryroad::coordination::rollout {
@@ -155,29 +157,45 @@
         std::size_t unanswered = 0;  ///< May begin to load at any time.
         std::size_t repeating = 0;   ///< Of these: an order is on its way again.
         std::size_t waiting = 0;     ///< Outdated, and not begun.
-        base::duration longest{};    ///< That one of those waiting has been outdated.
+        /// Of those waiting, how many have been outdated for how long: one entry a version in use.
+        std::map<base::duration, std::size_t> outdated_for;
+
+        /// @return how long one of those waiting has been outdated at the most.
+        base::duration longest() const;
+        void wait(const engine_view& one);
+        /// One of those waiting is begun.
+        void begin(const engine_view& one);
     };
-
-    void drop_ended(const std::vector<engine_view>& engines, base::monotonic_time now);
-    void sort_by_urgency(std::vector<const engine_view*>& outdated,
-                         const std::vector<engine_view>& engines) const;
-    void begin_some(const std::vector<engine_view>& engines, base::monotonic_time now);
+    /// By the name of the model.
+    using fleet_places = std::map<std::string, places>;
+    using engines_by_name = std::unordered_map<std::string_view, const engine_view*>;
+    using engine_list = std::vector<const engine_view*>;
+
+    static engines_by_name by_name(const std::vector<engine_view>& engines);
+    void drop_ended(const engines_by_name& engines, base::monotonic_time now);
+    /// @return the outdated engines that aren't begun.
+    engine_list waiting(const std::vector<engine_view>& engines) const;
+    void sort_by_urgency(engine_list& outdated, const fleet_places& fleet) const;
+    void begin_some(const std::vector<engine_view>& engines, fleet_places& fleet,
+                    base::monotonic_time now);
+    void begin(const engine_view& one, places& model, base::monotonic_time now);
     /// Orders engines whose last order got no answer once more.
-    void repeat_some(const std::vector<engine_view>& engines, base::monotonic_time now,
+    void repeat_some(const engines_by_name& engines, fleet_places& fleet, base::monotonic_time now,
                      rollout_steps& steps);
     void order(const engine_view& seen, progress& state, base::monotonic_time now,
                rollout_steps& steps);
     void call(const engine_view& seen, progress& state, base::monotonic_time now,
               rollout_steps& steps);
     void looked_idle(progress& state, base::monotonic_time now) const;
-    places places_of(const std::string& model, const std::vector<engine_view>& engines) const;
+    /// Counted once a step, and kept up to date from then on: counted anew for each outdated
+    /// engine, a step grows with the square of the fleet.
+    fleet_places places_of(const std::vector<engine_view>& engines) const;
     std::size_t allowed(const places& model) const;
     /// @return whether so long after its weights became outdated one engine more may load or be
     /// about to.
     bool may_expose(const places& model, base::duration outdated_for) const;
-    bool has_room(const engine_view& one, const std::vector<engine_view>& engines) const;
-    bool has_room_to_repeat(const std::string& model,
-                            const std::vector<engine_view>& engines) const;
+    bool has_room(const engine_view& one, const places& model) const;
+    bool has_room_to_repeat(const places& model) const;
 
     rollout_tunables m_tunables;
     rollout_pace m_pace;
