--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -162,7 +162,7 @@
 static_assert(upstream<fake_upstream>);
 
 /// Keeps the answer.
-class recorded_writer final : public http::response_writer {
+class recorded_writer : public http::response_writer {
   public:
     explicit recorded_writer(runtime::scheduler& scheduler) : m_scheduler(scheduler) {}
 
--- a/test/relay/queueing_upstream.hpp
+++ b/test/relay/queueing_upstream.hpp
@@ -8,8 +8,11 @@
 #include "test/relay/fake_upstream.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +26,21 @@
     base::duration run{};        ///< From its first event to the answer's end.
     bool drops_closed = true;    ///< Forgets what waits when its connection is closed.
     bool refuses_at_end = true;  ///< Says that a request whose time ended in the queue has not run.
+    /// From a request's arrival until the engine says that it has not run it, where it does.
+    std::optional<base::duration> refuses_after;
+    /// From a request's arrival until its connection breaks, where it does.
+    std::optional<base::duration> breaks_after;
+    bool breaks_in_answer = false;  ///< The connection breaks after the answer's first event.
+    /// What comes for the same moment is done after what the router does then.
+    bool turns_last = false;
+    base::duration close_delay{};  ///< Until it sees that a connection was closed.
+    bool whole_answers = false;    ///< Its answers are no streams.
+};
+
+/// A request came to an engine.
+struct arrival {
+    std::string request;
+    base::monotonic_time at{};
 };
 
 /// A request's first event at an engine.
@@ -30,37 +48,52 @@
     std::string engine;
     std::uint64_t version = 0;
     base::monotonic_time at{};
+    std::string request;
+    bool drops_closed = true;
+    base::monotonic_time told_end{};  ///< The engine was told to end the request by then.
 };
 
-/// Two events, the second one when the run ends; nothing more after the engine's time for it.
+/// Two events, the second one when the run ends; nothing more after the engine's time for it. A
+/// whole answer is one piece, when the run ends.
 class timed_body final : public http::byte_stream {
   public:
-    timed_body(runtime::scheduler& scheduler, base::duration run, base::duration allowed)
-        : m_scheduler(scheduler), m_run(run), m_allowed(allowed) {}
+    /// @param resume_after the event that the caller has.
+    timed_body(runtime::scheduler& scheduler, const queueing_engine& engine, base::duration allowed,
+               std::uint64_t resume_after = 0)
+        : m_scheduler(scheduler),
+          m_engine(engine),
+          m_allowed(allowed),
+          m_next(engine.whole_answers ? last : resume_after + 1) {}
     unsigned status() const override { return 200; }
     const http::header_list& headers() const override { return m_headers; }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
-        if (m_events == 0) {
-            ++m_events;
-            co_return std::optional<std::string>(event(1));
-        }
-        if (m_events == 2) {
+        if (m_next > last) {
             co_return std::optional<std::string>();
         }
-        const base::duration until = std::min({m_run, m_allowed, limit});
+        if (m_next < last) {
+            co_return std::optional<std::string>(event(m_next++));
+        }
+        if (m_engine.breaks_in_answer) {
+            co_await m_scheduler.sleep_for(std::min(limit, m_engine.run / 2));
+            co_return http::error{http::error_code::connection_lost, "broken"};
+        }
+        const base::duration until = std::min({m_engine.run, m_allowed, limit});
         co_await m_scheduler.sleep_for(until);
-        if (until < m_run) {
-            co_return http::error{http::error_code::connection_lost, "cut"};
+        if (until < m_engine.run) {
+            const bool silent = limit < std::min(m_engine.run, m_allowed);
+            co_return silent ? http::error{http::error_code::timed_out, "silent"}
+                             : http::error{http::error_code::connection_lost, "cut"};
         }
-        ++m_events;
-        co_return std::optional<std::string>(event(2));
+        co_return std::optional<std::string>(event(m_next++));
     }
 
   private:
+    static constexpr std::uint64_t last = 2;
+
     runtime::scheduler& m_scheduler;
-    base::duration m_run;
+    queueing_engine m_engine;
     base::duration m_allowed;
-    int m_events = 0;
+    std::uint64_t m_next;
     http::header_list m_headers;
 };
 
@@ -75,7 +108,6 @@
                                                                          base::duration limit) {
         using core::execution::failure_kind;
         using core::execution::failure_proof;
-        const queueing_engine engine = engines[target.name.value];
         co_await m_scheduler.sleep_for(connect_time);
         if (sent.look_again) {
             const last_look look = sent.look_again();
@@ -84,13 +116,27 @@
             }
             sent.time_left = look.time_left;
         }
-        asked.push_back(target.name.value);
+        const std::string name = target.name.value;
+        const queueing_engine engine = vary ? vary(engines[name], sent) : engines[name];
+        asked.push_back(name);
+        arrived.push_back({sent.call->id.value, m_scheduler.now()});
+        if (sent.expected_version && *sent.expected_version != engine.version) {
+            co_return other_version(engine);
+        }
         auto place = std::make_shared<queue_place>();
-        m_scheduler.spawn("engine", take_turn(target.name.value, engine, sent.time_left, place));
-        const leave_queue at_end{place, engine.drops_closed};
-        const base::monotonic_time give_up = m_scheduler.now() + limit;
-        while (!place->decided && m_scheduler.now() < give_up) {
-            co_await m_scheduler.sleep_for(std::chrono::milliseconds(1));
+        const leave_queue at_end{m_scheduler, place};
+        m_scheduler.spawn("engine", take_turn(name, engine, sent, place));
+        const base::monotonic_time came = m_scheduler.now();
+        const base::monotonic_time give_up = came + limit;
+        const base::monotonic_time breaks = came + engine.breaks_after.value_or(never);
+        base::monotonic_time look_at = came + decides_after(engine, sent.time_left);
+        while (!place->decided && m_scheduler.now() < std::min(give_up, breaks)) {
+            look_at = std::max(look_at, m_scheduler.now() + tick);
+            const base::monotonic_time next = std::min({look_at, give_up, breaks});
+            co_await m_scheduler.sleep_until(next);
+        }
+        if (m_scheduler.now() >= breaks) {
+            co_return failure(failure_kind::broken, failure_proof::unknown);
         }
         if (!place->decided) {
             co_return failure(failure_kind::timed_out, failure_proof::unknown);
@@ -98,7 +144,7 @@
         if (!place->begun) {
             co_return failure(failure_kind::overloaded, failure_proof::not_run);
         }
-        co_return answer_of(engine, sent.time_left - engine.wait);
+        co_return answer_of(engine, sent.time_left - engine.wait, sent.resume_after.value_or(0));
     }
     runtime::task<std::optional<coordination::rollout::engine_report>> report(engine_target,
                                                                               std::string,
@@ -111,45 +157,78 @@
     }
 
     std::map<std::string, queueing_engine> engines;
+    /// Asked, where it is set, how an engine treats one dispatch that has just come to it.
+    std::function<queueing_engine(const queueing_engine&, const dispatch&)> vary;
     base::duration connect_time{};  ///< What opening a connection takes.
     std::vector<std::string> asked;
+    std::vector<arrival> arrived;  ///< Those of `asked`, in their order.
     std::vector<beginning> begun;
 
   private:
+    static constexpr base::duration tick = std::chrono::milliseconds(1);
+    static constexpr base::duration never = std::chrono::hours(1);  ///< Beyond any run.
+
     struct queue_place {
         bool decided = false;
         bool begun = false;
-        bool closed = false;
+        std::optional<base::monotonic_time> closed_at;
     };
     /// The connection ends with the exchange.
     struct leave_queue {
+        runtime::scheduler& scheduler;
         std::shared_ptr<queue_place> place;
-        bool dropped = true;
-        ~leave_queue() { place->closed = dropped; }
+        ~leave_queue() { place->closed_at = scheduler.now(); }
     };
 
-    runtime::task<void> take_turn(std::string name, queueing_engine engine, base::duration allowed,
+    static bool begins_in_time(const queueing_engine& engine, base::duration allowed) {
+        return engine.wait < allowed;
+    }
+    /// @return from a request's arrival until its engine begins with it or refuses it.
+    static base::duration decides_after(const queueing_engine& engine, base::duration allowed) {
+        const bool begins = begins_in_time(engine, allowed);
+        const base::duration end = engine.refuses_at_end ? allowed : never;
+        return std::min(begins ? engine.wait : end, engine.refuses_after.value_or(never));
+    }
+
+    runtime::task<void> take_turn(std::string name, queueing_engine engine, dispatch sent,
                                   std::shared_ptr<queue_place> place) {
-        const bool in_time = engine.wait < allowed;
-        if (!in_time && !engine.refuses_at_end) {
+        const base::monotonic_time came = m_scheduler.now();
+        const base::duration decided = decides_after(engine, sent.time_left);
+        if (decided >= never) {
             co_return;
         }
-        co_await m_scheduler.sleep_for(in_time ? engine.wait : allowed);
+        co_await m_scheduler.sleep_for(decided);
+        if (engine.turns_last) {
+            co_await m_scheduler.sleep_for(base::duration{});
+        }
         place->decided = true;
-        if (place->closed || !in_time) {
+        const bool refused = engine.refuses_after && *engine.refuses_after <= engine.wait;
+        const base::monotonic_time now = m_scheduler.now();
+        const bool dropped = engine.drops_closed && place->closed_at &&
+                             *place->closed_at + engine.close_delay <= now;
+        if (dropped || refused || !begins_in_time(engine, sent.time_left)) {
             co_return;
         }
         place->begun = true;
-        begun.push_back({std::move(name), engine.version, m_scheduler.now()});
+        begun.push_back({std::move(name), engine.version, now, sent.call->id.value,
+                         engine.drops_closed, came + sent.time_left});
+    }
+
+    static dispatch_failure other_version(const queueing_engine& engine) {
+        dispatch_failure refused = failure(core::execution::failure_kind::stale_target,
+                                           core::execution::failure_proof::not_run);
+        refused.version = engine.version;
+        return refused;
     }
 
-    opened_answer answer_of(const queueing_engine& engine, base::duration allowed) {
+    opened_answer answer_of(const queueing_engine& engine, base::duration allowed,
+                            std::uint64_t resume_after) {
         opened_answer answer;
         answer.status = 200;
         answer.headers.add("X-Response-Signature", "sig");
-        answer.is_event_stream = true;
+        answer.is_event_stream = !engine.whole_answers;
         answer.version = engine.version;
-        answer.body = std::make_unique<timed_body>(m_scheduler, engine.run, allowed);
+        answer.body = std::make_unique<timed_body>(m_scheduler, engine, allowed, resume_after);
         return answer;
     }
 
@@ -163,24 +242,27 @@
     /// How long requests may begin on weights after newer ones were named.
     static constexpr base::duration allowed = std::chrono::seconds(8);
 
-    bench::simulation::virtual_time time{1};
-    bench::simulation::virtual_scheduler scheduler{time, 1};
+    bench::simulation::virtual_time time;
+    bench::simulation::virtual_scheduler scheduler;
     queueing_upstream upstream{scheduler};
     engine_registry registry;
     policy_source policies{policy_bounds{}};
     core::placement::warm_state warm;
     core::placement::engine_load_view loads;
     engine_selection selection{registry, policies, warm, loads, selection_of()};
-    std::vector<relay_outcome> outcomes;
+    std::map<std::string, relay_outcome> outcomes;  ///< By their requests' ids.
     relay_service<queueing_upstream> service{
         {scheduler, upstream, registry, selection, policies, {}, {}},
         {},
-        [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
+        [this](const relay_plan& plan, const relay_outcome& outcome) {
+            outcomes.emplace(plan.call->id.value, outcome);
+        }};
     std::vector<std::unique_ptr<recorded_writer>> writers;
     base::monotonic_time named_at{};
 
-    /// @param engines by their names.
-    explicit queueing_router(std::map<std::string, queueing_engine> engines) {
+    /// @param engines by their names. @param seed of the run.
+    explicit queueing_router(std::map<std::string, queueing_engine> engines, std::uint64_t seed = 1)
+        : time(seed), scheduler(time, seed) {
         upstream.engines = std::move(engines);
         for (const auto& [name, engine] : upstream.engines) {
             listed_engine one = relay_fixture::listed(name.c_str());
@@ -210,8 +292,9 @@
         policies.name_version("m", version);
     }
     void run_for(base::duration span) { time.run_until(time.now() + span); }
-    /// A caller sends a stream's request now. @param path of the route.
-    void send(const std::string& path, std::uint64_t input_tokens, std::uint64_t output_tokens) {
+    /// @return a stream's request that comes now. @param path of the route.
+    relay_call call_of(const std::string& path, std::uint64_t input_tokens,
+                       std::uint64_t output_tokens) const {
         relay_call call;
         call.id.value = "r" + std::to_string(writers.size());
         call.host = "h";
@@ -222,6 +305,11 @@
         call.arrived = scheduler.now();
         call.prompt = core::prefix::declared_prompt{
             "m", {{call.id.value, input_tokens}}, input_tokens, output_tokens};
+        return call;
+    }
+    /// A caller sends a stream's request now. @param path of the route.
+    void send(const std::string& path, std::uint64_t input_tokens, std::uint64_t output_tokens) {
+        relay_call call = call_of(path, input_tokens, output_tokens);
         policies.confirm(scheduler.now());
         writers.push_back(std::make_unique<recorded_writer>(scheduler));
         scheduler.spawn("call", service.handle(std::move(call), *writers.back()));
