Relay: what was withheld at the limit is no withdrawal

Cause: the weights became too old while a connection was opened, so that the last look withheld the dispatch. The driver saw that the request might no longer begin, and withdrew it: a dispatch and a withdrawal were counted of which no byte was sent, the retry budget paid for the next engine, a trial's share wasn't given back, and the forecast learnt the time of the connection as a wait.

Ruled out: a lost arrival in the test's engines (they note each one that passes the last look).

Change: a failure with a lost ground takes the way of all withheld dispatches.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -410,7 +410,8 @@
 
     void note_failure(const dispatch_failure& failure) {
         const base::monotonic_time now = m_with.scheduler.now();
-        if (m_watch.may_no_longer_begin(now)) {
+        // What was withheld was never there to be withdrawn, and costs no retry.
+        if (!failure.lost && m_watch.may_no_longer_begin(now)) {
             withdraw(failure.proof);
             return;
         }
