Relay: a naming counts for what waits already at an engine

Cause: how long a request may wait was reckoned as it was sent. Where the engine had the newest weights, and was told no end as the answer is long, nothing looked again when newer weights were named meanwhile, and the request began up to 9,999 ms after, where 8,000 are allowed.

Change: such a request waits beside a look at the namings, which comes as soon as a naming could forbid its beginning by the last confirmation (one timer in some seconds; each 100 ms only while no confirmation is that fresh), and is withdrawn then. All other requests wait as before.

Not covered: an engine that sends its answer's head long before the first event.

--- a/src/ferryroad/relay/begin_watch.cpp
+++ b/src/ferryroad/relay/begin_watch.cpp
@@ -4,6 +4,14 @@
 
 namespace ferryroad::relay {
 
+namespace {
+
+/// Without a fresh confirmation, a naming may be learnt that is older than the limit: looked for
+/// this often, well within the margin that the limit leaves (`outdated_margin`, 250 ms).
+constexpr base::duration unconfirmed_look_period = std::chrono::milliseconds(100);
+
+}  // namespace
+
 void begin_watch::sent(const selected_engine& chosen, base::monotonic_time now) {
     m_work = chosen.work;
     m_expected_version = chosen.expected_version;
@@ -57,6 +65,19 @@
     return std::min(silence, std::max(*by - now, base::duration{}) + word);
 }
 
+bool begin_watch::depends_on_namings() const {
+    const bool weights_count = m_plan.call->prompt && m_expected_version;
+    return weights_count && waits() && !m_stop_by && m_selection.limits_outdated() && !begin_by();
+}
+
+base::monotonic_time begin_watch::next_look(base::monotonic_time now) const {
+    if (const auto by = begin_by()) {
+        return *by;
+    }
+    const auto earliest = m_selection.earliest_limit();
+    return earliest && *earliest > now ? *earliest : now + unconfirmed_look_period;
+}
+
 base::duration begin_watch::time_for_engine(base::monotonic_time now) const {
     // An engine refuses what has no time left when its turn comes, also where the connection was
     // closed before. Without it requests waited up to 2.7 s at engines and began on weights that
--- a/src/ferryroad/relay/begin_watch.hpp
+++ b/src/ferryroad/relay/begin_watch.hpp
@@ -38,6 +38,12 @@
     /// @return how long to wait for what comes next.
     base::duration patience(base::duration silence, base::duration refusal_wait,
                             base::monotonic_time now) const;
+    /// @return whether a naming to come may end the wait sooner than `patience` says: the engine
+    /// has the newest weights, and isn't told an end.
+    bool depends_on_namings() const;
+    /// @return when to look next whether the request may still begin, by what has been named until
+    /// now; after `now` while it may.
+    base::monotonic_time next_look(base::monotonic_time now) const;
     /// @return how long the engine may work at the request, its wait there included; not above 0
     /// where no time is left.
     base::duration time_for_engine(base::monotonic_time now) const;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -26,6 +26,8 @@
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -312,7 +314,7 @@
                               static_cast<std::uint64_t>(m_selected.moved_bytes));
         }
         dispatch sent = terms_of(attempt);
-        auto opened = co_await m_with.engines.open(std::move(target), std::move(sent), patience());
+        auto opened = co_await open_while_it_may_begin(std::move(target), std::move(sent));
         if (!opened) {
             note_failure(opened.error());
             co_return;
@@ -328,6 +330,36 @@
         feed(execution::exchange_started{m_exchange});
     }
 
+    using open_result = runtime::result<opened_answer, dispatch_failure>;
+
+    /// Newer weights may be named after `patience` was reckoned, while the request waits.
+    runtime::task<open_result> open_while_it_may_begin(engine_target target, dispatch sent) {
+        using boost::asio::experimental::awaitable_operators::operator||;
+        const base::duration limit = patience();
+        auto opening = m_with.engines.open(std::move(target), std::move(sent), limit);
+        if (!m_watch.depends_on_namings()) {
+            co_return co_await std::move(opening);
+        }
+        auto first = co_await (std::move(opening) || until_too_old());
+        if (first.index() == 0) {
+            co_return std::get<0>(std::move(first));
+        }
+        dispatch_failure too_old;
+        too_old.kind = execution::failure_kind::timed_out;
+        too_old.message = "the weights became too old";
+        co_return too_old;
+    }
+
+    /// Ends when the request may no longer begin.
+    runtime::task<void> until_too_old() const {
+        base::monotonic_time now = m_with.scheduler.now();
+        while (!m_watch.may_no_longer_begin(now)) {
+            const base::monotonic_time look_at = m_watch.next_look(now);
+            co_await m_with.scheduler.sleep_until(look_at);
+            now = m_with.scheduler.now();
+        }
+    }
+
     base::duration patience() const {
         return m_watch.patience(silence_limit(), m_tunables.refusal_wait, m_with.scheduler.now());
     }
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -57,6 +57,14 @@
     return *outdated + *m_settings.outdated_limit;
 }
 
+std::optional<base::monotonic_time> engine_selection::earliest_limit() const {
+    const auto confirmed_at = m_policies.confirmed_at();
+    if (!confirmed_at || !m_settings.outdated_limit) {
+        return std::nullopt;
+    }
+    return *confirmed_at + *m_settings.outdated_limit;
+}
+
 bool engine_selection::still_serves(const selected_engine& chosen, const selection_query& query,
                                     base::monotonic_time now) const {
     const known_engine* engine = m_registry.find(chosen.target.name);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -139,6 +139,11 @@
     /// until now; nothing where they are the newest.
     std::optional<base::monotonic_time> begin_by(const std::string& model,
                                                  std::uint64_t version) const;
+    /// @return whether there is a limit on how long older weights may be used.
+    bool limits_outdated() const { return m_settings.outdated_limit.has_value(); }
+    /// @return until when requests may begin under the newest weights, whatever is named from now
+    /// on; nothing without a limit or a confirmation.
+    std::optional<base::monotonic_time> earliest_limit() const;
     /// A request of the pool with a prompt began, or hadn't begun, `took` after it was sent.
     void record_beginning(const base::pool_name& pool, const core::placement::expected_work& work,
                           base::duration took) {
