Withdrawal races: a whole answer that began in time is cut, a case that fails

Cause: only an event counts as a beginning, so that an answer that is no stream waits until it ends, and is withdrawn at the limit while its engine runs it.

--- a/test/relay/withdrawal_races_test.cpp
+++ b/test/relay/withdrawal_races_test.cpp
@@ -537,3 +537,18 @@
     cr_assert_eq(faults_of(409, seen), 0);
     cr_assert_eq(faults_of(506, seen), 0);
 }
+
+/// The head of an answer that is no stream shows that its request began: it isn't cut at the limit.
+Test(withdrawal_races, a_whole_answer_that_began_in_time_is_not_cut) {
+    queueing_engine whole{1, 100ms, 1200ms};
+    whole.whole_answers = true;
+    queueing_router router({{"e1", whole}});
+    router.name_weights(2);
+    router.run_for(7s);
+    router.send("/unsafe/", 300, 4000);
+    router.run_for(5s);
+    cr_assert_eq(router.upstream.begun.size(), 1);
+    cr_assert_eq(router.writers[0]->final_answers, 1);
+    cr_assert_eq(router.writers[0]->status, 200);
+    cr_assert_eq(router.outcomes.at("r0").withdrawals, 0);
+}
