Relay: the head of a whole answer shows that its request began

Cause: the watch on beginnings heard of events only. An answer that is no stream has none, and was withdrawn at the limit although it ran.

Ruled out: counting its head as the moment of the beginning, for the forecast and the logs (some engines send it with the answer's end).

Change: once such a head is there, the exchange no longer waits to begin.

--- a/src/ferryroad/relay/begin_watch.hpp
+++ b/src/ferryroad/relay/begin_watch.hpp
@@ -26,6 +26,9 @@
     /// @return how long newer weights had been named; nothing where it has the newest.
     std::optional<base::duration> begun(const std::optional<std::uint64_t>& version,
                                         base::monotonic_time now);
+    /// The head of an answer that is no stream came, so that the request has begun. Some engines
+    /// send it with the answer's end: it says nothing of when.
+    void answered(base::monotonic_time now) { m_first_event_at = now; }
     /// The answer ended as the engine meant it to.
     void ended(base::monotonic_time now);
     /// The request will not begin there any more: it was withdrawn, or refused for want of time.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -325,6 +325,9 @@
         }
         saw_version(opened->version);
         m_answer = std::move(*opened);
+        if (!m_answer->is_event_stream) {
+            m_watch.answered(m_with.scheduler.now());
+        }
         m_whole.clear();
         m_splitter = core::stream::event_splitter();
         feed(execution::exchange_started{m_exchange});
