Selection: one function says when a naming could bind at the earliest

Ruled out: dropping the check for a fresh confirmation with it; only stop_by needs it, as it would stop answers while the owner is away. Change: stop_by asks earliest_limit. No decision changes.

--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -274,15 +274,15 @@
     if (one.limit) {
         return one.limit->ends_before ? std::optional(one.limit->begin_by) : std::nullopt;
     }
-    // Without the owner nothing can be named, and what runs is not to be stopped for that.
-    if (!m_settings.outdated_limit || !m_policies.refusals_hold(now)) {
+    // Newer weights may have been named right after the last confirmation, or may be while the
+    // request waits. Without the owner nothing can be named, and what runs is not to be stopped for
+    // that.
+    const auto earliest = earliest_limit();
+    if (!earliest || !m_policies.refusals_hold(now)) {
         return std::nullopt;
     }
-    // Newer weights may have been named right after the last confirmation, or may be while the
-    // request waits.
-    const base::monotonic_time earliest = *m_policies.confirmed_at() + *m_settings.outdated_limit;
-    const auto limit = forecast_of(query.pool).limit_for(work, earliest, now);
-    return limit && limit->ends_before ? std::optional(earliest) : std::nullopt;
+    const auto limit = forecast_of(query.pool).limit_for(work, *earliest, now);
+    return limit && limit->ends_before ? earliest : std::nullopt;
 }
 
 /// All routers of a region reckon the same home from the same list of engines, so that requests
