Event loop: coroutines end before what they use

Ruled out: the order of members alone; the loop must be there before what is made on it, and its I/O objects need its services to the end.

--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -10,10 +10,10 @@
 #include "ferryroad/router/node.hpp"
 #include "ferryroad/router/request/request_metrics.hpp"
 #include "ferryroad/runtime/asio_scheduler.hpp"
+#include "ferryroad/runtime/event_loop.hpp"
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/metrics.hpp"
 
-#include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
@@ -81,7 +81,7 @@
             [this](http::response& answer) { front.complete_refusal(answer); });
     }
 
-    boost::asio::io_context context{1};
+    runtime::event_loop context;
     runtime::asio_scheduler scheduler;
     runtime::metrics metrics;
     router::request_metrics executions{metrics};
@@ -143,6 +143,7 @@
                       {"operator_address", operators->to_string()},
                       {"peer_address", running.peer_address.to_string()}});
         running.context.run();
+        running.context.finish();
     } catch (const boost::system::system_error& failure) {
         runtime::log(runtime::log_level::error, log_component, "can't listen",
                      {{"error", failure.what()}});
