Signals: held back from a router's first instruction to its last

Cause: handlers of SIGHUP, SIGTERM and SIGINT came into place as the event loop began to run, after the settings and 4 ms after the first listener, and were given back before the process was gone; nobody handled SIGPIPE, though the log's output is written for a reader that goes away. SigBlk and SigCgt of /proc show it. Change: runtime/signal_delivery. The stand-alone router answers SIGHUP, which ended it, with a line.

--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -13,6 +13,7 @@
 #include "ferryroad/runtime/event_loop.hpp"
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/metrics.hpp"
+#include "ferryroad/runtime/signal_delivery.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -82,6 +83,8 @@
     }
 
     runtime::event_loop context;
+    boost::asio::signal_set stop_signals{context, SIGTERM, SIGINT};
+    boost::asio::signal_set reload_signals{context, SIGHUP};
     runtime::asio_scheduler scheduler;
     runtime::metrics metrics;
     router::request_metrics executions{metrics};
@@ -100,8 +103,7 @@
 
 /// A second signal changes nothing: requests at work still end.
 runtime::task<void> stop_at_signal(process& running, base::duration grace) {
-    boost::asio::signal_set signals(running.context, SIGTERM, SIGINT);
-    co_await signals.async_wait(boost::asio::use_awaitable);
+    co_await running.stop_signals.async_wait(boost::asio::use_awaitable);
     runtime::log(runtime::log_level::info, log_component, "planned stop begins");
     running.node.begin_stop();
     const base::monotonic_time latest = running.scheduler.now() + grace;
@@ -122,6 +124,16 @@
     running.context.stop();
 }
 
+/// Supervisors send a reload signal to what they run; it must not end a router that has nothing to
+/// reload: its settings hold for its life, and the configuration comes by operators' calls.
+runtime::task<void> tell_reload_signals(process& running) {
+    for (;;) {
+        co_await running.reload_signals.async_wait(boost::asio::use_awaitable);
+        runtime::log(runtime::log_level::warning, log_component,
+                     "reload signal changes nothing, settings are read at the start only");
+    }
+}
+
 }  // namespace
 
 int run_daemon(const daemon_settings& settings) {
@@ -137,11 +149,14 @@
         }
         running.node.start();
         running.scheduler.spawn(log_component, stop_at_signal(running, settings.stop_grace));
+        running.scheduler.spawn(log_component, tell_reload_signals(running));
         runtime::log(runtime::log_level::info, log_component, "serving",
                      {{"router", settings.name.value},
                       {"caller_address", callers.to_string()},
                       {"operator_address", operators->to_string()},
                       {"peer_address", running.peer_address.to_string()}});
+        // Not before: threads of the operators' server go on for a moment as the handlers go.
+        const runtime::signal_delivery delivered;
         running.context.run();
         running.context.finish();
     } catch (const boost::system::system_error& failure) {
