--- a/src/ferryroad/settings/schema.cpp
+++ b/src/ferryroad/settings/schema.cpp
@@ -112,16 +112,16 @@
         application.parse(argument_count, arguments);
     } catch (const CLI::ParseError& failure) {
         const int code = application.exit(failure);
-        return {code == 0 ? 0 : exit_bad_settings};
+        return {code == 0 ? 0 : exit_bad_settings, {}};
     }
     if (print_schema) {
         std::cout << reference();
-        return {0};
+        return {0, {}};
     }
 
     const auto refuse = [](const error& refused) {
         std::cerr << refused.to_string() << '\n';
-        return outcome{exit_bad_settings};
+        return outcome{exit_bad_settings, {}};
     };
     given_fields given;
     if (!file.empty()) {
@@ -142,9 +142,9 @@
     }
     if (check) {
         std::cout << "settings are valid\n";
-        return {0};
+        return {0, {}};
     }
-    return {};
+    return {std::nullopt, std::move(file)};
 }
 
 std::optional<error> schema::take_file(const std::string& file, given_fields& given) {
--- a/src/ferryroad/settings/schema.hpp
+++ b/src/ferryroad/settings/schema.hpp
@@ -22,6 +22,7 @@
 /// What the program does next: go on, or end with `exit_code` (help, check, refusal).
 struct outcome {
     std::optional<int> exit_code;
+    std::string file;  ///< That settings came from; empty where they came from flags alone.
 };
 
 /// Declares a program's settings. Targets outlive the schema. Not thread-safe.
--- a/test/settings/schema_test.cpp
+++ b/test/settings/schema_test.cpp
@@ -91,6 +91,7 @@
     cr_assert(target.lag == std::chrono::milliseconds(5));
     cr_assert(target.zone.value == "7");
     cr_assert_eq(target.seeds.size(), 1U);
+    cr_assert(outcome.file.empty(), "there is nothing to read again");
 }
 
 Test(schema, a_missing_required_setting_ends_with_code_2) {
