--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -78,8 +78,7 @@
     unsigned status = 0;
     std::uint32_t dispatches = 0;
     std::uint32_t withdrawals = 0;  ///< Of these, that had not begun when they no longer might.
-    bool quarantined_waiting =
-        false;  ///< The last of them, as engines had ended under its repeats.
+    bool quarantined_waiting = false;  ///< The last of them, for a quarantine.
     std::uint64_t events = 0;
     std::optional<base::duration> first_event;  ///< From the call's arrival.
     base::duration longest_gap{};               ///< Between two events.
--- a/test/relay/queueing_upstream.hpp
+++ b/test/relay/queueing_upstream.hpp
@@ -257,19 +257,32 @@
     core::placement::warm_state warm;
     core::placement::engine_load_view loads;
     engine_selection selection{registry, policies, warm, loads, selection_of()};
+    /// Its engines live on, whatever breaks; used only where the router holds requests back.
+    request_quarantine quarantine{
+        scheduler, [](base::endpoint) -> runtime::task<bool> { co_return false; }, {}};
     std::map<std::string, relay_outcome> outcomes;  ///< By their requests' ids.
-    relay_service<queueing_upstream> service{
-        {scheduler, upstream, registry, selection, policies, {}, {}},
-        {},
-        [this](const relay_plan& plan, const relay_outcome& outcome) {
-            outcomes.emplace(plan.call->id.value, outcome);
-        }};
+    relay_service<queueing_upstream> service;
     std::vector<std::unique_ptr<recorded_writer>> writers;
     base::monotonic_time named_at{};
 
     /// @param engines by their names. @param seed of the run.
-    explicit queueing_router(std::map<std::string, queueing_engine> engines, std::uint64_t seed = 1)
-        : time(seed), scheduler(time, seed) {
+    /// @param holds_back requests under which engines end.
+    explicit queueing_router(std::map<std::string, queueing_engine> engines, std::uint64_t seed = 1,
+                             bool holds_back = false)
+        : time(seed),
+          scheduler(time, seed),
+          service({scheduler,
+                   upstream,
+                   registry,
+                   selection,
+                   policies,
+                   {},
+                   {},
+                   nullptr,
+                   holds_back ? &quarantine : nullptr},
+                  {}, [this](const relay_plan& plan, const relay_outcome& outcome) {
+                      outcomes.emplace(plan.call->id.value, outcome);
+                  }) {
         upstream.engines = std::move(engines);
         for (const auto& [name, engine] : upstream.engines) {
             listed_engine one = relay_fixture::listed(name.c_str());
@@ -314,9 +327,12 @@
             "m", {{call.id.value, input_tokens}}, input_tokens, output_tokens};
         return call;
     }
-    /// A caller sends a stream's request now. @param path of the route.
-    void send(const std::string& path, std::uint64_t input_tokens, std::uint64_t output_tokens) {
+    /// A caller sends a stream's request now. @param path of the route. @param body by which
+    /// repeats of one request are known.
+    void send(const std::string& path, std::uint64_t input_tokens, std::uint64_t output_tokens,
+              std::string body = {}) {
         relay_call call = call_of(path, input_tokens, output_tokens);
+        call.message.body = std::move(body);
         policies.confirm(scheduler.now());
         writers.push_back(std::make_unique<recorded_writer>(scheduler));
         scheduler.spawn("call", service.handle(std::move(call), *writers.back()));
