--- a/test/system/planned_stop_test.py
+++ b/test/system/planned_stop_test.py
@@ -1,5 +1,7 @@
 """Planned stops under load: routers one after another, then engines. No request is cut."""
 
+import pathlib
+import signal
 import unittest
 
 import harness
@@ -30,6 +32,23 @@
                 self.assertEqual(call["execution"], "not-run", call)
         self.assert_no_violation()
 
+    def test_a_reload_signal_ends_no_router(self):
+        """It has nothing to reload, and says so; a planned stop beside it ends with code 0."""
+        router = self.system.routers[0]
+        log = pathlib.Path(self.system.processes[router]["log"])
+        self.system.stop(router)
+        self.system.respawn(router)
+        self.system.wait_ready(router)
+        self.system.signal(router, signal.SIGHUP)
+        harness.wait_until(lambda: "reload signal changes nothing" in log.read_text(errors="replace"),
+                           f"{router} answers the signal")
+        self.system.signal(router, signal.SIGTERM)
+        while self.system.alive(router):
+            self.system.signal(router, signal.SIGHUP)
+        self.assertEqual(self.system.children[router].poll(), 0)
+        self.system.respawn(router)
+        self.system.wait_ready(router)
+
     def test_engine_drained_and_taken_back(self):
         load = self.system.load("drain", "streams.json", "--requests", "600",
                                 "--concurrency", "16")
