Quarantine: a small value is passed by reference

Cause: clang-tidy: a move of a trivially copyable value has no effect; a comment's line wasn't formatted. Change: as it says; no decision changes.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -77,7 +77,7 @@
     std::optional<relay_refusal> refusal;  ///< Nothing where an engine's answer was passed on.
     unsigned status = 0;
     std::uint32_t dispatches = 0;
-    std::uint32_t withdrawals = 0;  ///< Of these, that had not begun when they no longer might.
+    std::uint32_t withdrawals = 0;     ///< Of these, that had not begun when they no longer might.
     bool quarantined_waiting = false;  ///< The last of them, for a quarantine.
     std::uint64_t events = 0;
     std::optional<base::duration> first_event;  ///< From the call's arrival.
--- a/src/ferryroad/relay/request_quarantine.cpp
+++ b/src/ferryroad/relay/request_quarantine.cpp
@@ -192,7 +192,7 @@
     std::erase_if(m_withdrawn, [](const auto& entry) { return entry.second.empty(); });
     std::vector<withdrawn_request>& here = m_withdrawn[engine];
     if (here.size() < m_settings.named) {
-        here.push_back(std::move(taken_back));
+        here.push_back(taken_back);
     }
 }
 
--- a/src/ferryroad/relay/request_quarantine.hpp
+++ b/src/ferryroad/relay/request_quarantine.hpp
@@ -90,7 +90,7 @@
                         const core::quarantine::request_identity& request,
                         const broken_exchange& how);
     /// If the engine ends all the same, the request is charged with it and not those beside it.
-    void withdrawn(const base::engine_name& engine, withdrawn_request taken_back);
+    void withdrawn(const base::engine_name& engine, const withdrawn_request& taken_back);
     /// An engine answered the request to the end, whatever the answer.
     void ended_well(const core::quarantine::request_identity& request);
     /// The engine of that name is a new process.
