--- a/src/ferryroad/relay/request_quarantine.cpp
+++ b/src/ferryroad/relay/request_quarantine.cpp
@@ -184,7 +184,8 @@
     }
 }
 
-void request_quarantine::withdrawn(const base::engine_name& engine, withdrawn_request taken_back) {
+void request_quarantine::withdrawn(const base::engine_name& engine,
+                                   const withdrawn_request& taken_back) {
     const base::monotonic_time now = m_scheduler.now();
     for (auto& [name, all] : m_withdrawn) {
         std::erase_if(all, [&](const withdrawn_request& one) { return one.until < now; });
