Quarantine races: the paths stand once

Cause: the read-through found one list written twice in the new test. Change: one constant; draws and assertions as before.

--- a/test/relay/quarantine_races_test.cpp
+++ b/test/relay/quarantine_races_test.cpp
@@ -8,6 +8,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
 constexpr base::duration wake_slack = 1ms;
 constexpr base::duration run_time = 30s;  ///< Longer than all requests and answers last.
 constexpr std::string_view bad_body = "bad";
+constexpr std::array<const char*, 4> paths{"/safe/", "/unsafe/", "/stream/", "/resumable/"};
 
 /// One caller.
 struct caller {
@@ -90,8 +92,6 @@
     }
 
     void send(bool bad) {
-        static constexpr std::array<const char*, 4> paths{"/safe/", "/unsafe/", "/stream/",
-                                                          "/resumable/"};
         // The repeats of a request have its path.
         const std::string path = bad ? m_bad_path : paths.at(m_random.below(paths.size()));
         const std::string id = "r" + std::to_string(m_callers.size());
@@ -100,8 +100,6 @@
     }
 
     void play() {
-        static constexpr std::array<const char*, 4> paths{"/safe/", "/unsafe/", "/stream/",
-                                                          "/resumable/"};
         m_bad_path = paths.at(m_random.below(paths.size()));
         const std::uint64_t before = 4 + m_random.below(8);
         for (std::uint64_t number = 0; number < before; ++number) {
