Quarantine withdrawal: the test waits until the request's end is told

Ruled out: the product's order; the answer goes out first on purpose. Change: the test waits for both; all assertions as before.

--- a/test/relay/quarantine_withdrawal_test.cpp
+++ b/test/relay/quarantine_withdrawal_test.cpp
@@ -95,6 +95,11 @@
     /// An engine keeps what comes to it waiting for longer than any test lasts.
     void keep_waiting() { answer({.delay = 15s}); }
 
+    /// The service tells of a request's end after its caller has the answer.
+    bool ended_with_answer(const recorded_writer& got) const {
+        return got.final_answers == 1 && !outcomes.empty();
+    }
+
     /// Sends a request that waits at an engine, and has it quarantined.
     recorded_writer& quarantine_while_waiting(const std::string& path) {
         const auto request = identity_of(bad(path));
@@ -102,7 +107,7 @@
         recorded_writer& got = send(bad(path));
         run_until([&] { return upstream.looks.size() == 2; });
         tell_crashes(request);
-        run_until([&] { return got.final_answers == 1; });
+        run_until([&] { return ended_with_answer(got); });
         return got;
     }
 };
@@ -134,7 +139,7 @@
     const recorded_writer& got = at.send(at.bad("/unsafe/"));
     at.run_until([&] { return at.upstream.dispatches.size() == 1; });
     at.tell_crashes(request);
-    at.run_until([&] { return got.final_answers == 1; });
+    at.run_until([&] { return at.ended_with_answer(got); });
     cr_assert_eq(got.status, 503);
     cr_assert(says(got, "quarantined"));
     cr_assert(says(got, "not-run"));
@@ -149,7 +154,7 @@
     const recorded_writer& got = at.send(at.bad("/stream/"));
     at.run_until([&] { return *at.upstream.open_bodies == 1; });
     at.tell_crashes(request);
-    at.run_until([&] { return got.final_answers == 1; });
+    at.run_until([&] { return at.ended_with_answer(got); });
     cr_assert_eq(got.status, 502);
     cr_assert_eq(*at.upstream.open_bodies, 0, "the connection is closed");
 }
@@ -164,7 +169,7 @@
     const recorded_writer& got = at.send(at.bad("/stream/"));
     at.run_until([&] { return got.streams == 1; });
     at.tell_crashes(request);
-    at.run_until([&] { return got.final_answers == 1; });
+    at.run_until([&] { return at.ended_with_answer(got); });
     cr_assert_eq(got.status, 200);
     cr_assert(got.body == event(1) + event(2));
     cr_assert_not(got.aborted);
@@ -196,7 +201,7 @@
     const recorded_writer& got = at.send(at.bad("/unsafe/"));
     at.run_until([&] { return at.upstream.looks.size() == 2; });
     at.tell_crashes(request, 2);
-    at.run_until([&] { return got.final_answers == 1; });
+    at.run_until([&] { return at.ended_with_answer(got); });
     cr_assert_eq(got.status, 502);
 }
 
