First copies of tables come from routers, packed; few rows are read at the store

Another router couldn't give the list: 8,192 rows were the limit of an answer, and 24 KiB that of what is passed on. Presence rows stood in one part of the store, which takes 200 writes a second and refuses more; a refused one was written again 10 s later, so that most routers of a start stayed unknown.

Change: rows pass between routers as one compressed block (zstd), bounded by the bytes of a call. A router that starts writes its row, reads the first 16 rows of its zone, and takes its copies from a router before it by name; only the first of a zone reads the store. What is passed on follows the machine's link; machines with wide links rank first as readers and parents.

--- a/src/ferryroad/coordination/reading/reading_tree.cpp
+++ b/src/ferryroad/coordination/reading/reading_tree.cpp
@@ -3,6 +3,7 @@
 #include "ferryroad/base/hash.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <cstdint>
 #include <set>
 #include <tuple>
@@ -14,6 +15,8 @@
 
 /// Apart from the ranks that other matters give the same names.
 constexpr std::uint64_t rank_salt = 0x7265616465727321;
+/// Of a rank; those above them are the class of a machine's capacity.
+constexpr unsigned score_bits = 56;
 
 std::vector<tree_member> ranked(std::vector<tree_member> members) {
     std::sort(members.begin(), members.end(), [](const tree_member& a, const tree_member& b) {
@@ -97,8 +100,11 @@
 
 }  // namespace
 
-tree_member make_member(base::router_name name, base::zone_name zone, base::region_name region) {
-    const std::uint64_t rank = base::rendezvous_score(rank_salt, name.value);
+tree_member make_member(base::router_name name, base::zone_name zone, base::region_name region,
+                        link_capacity link) {
+    const auto capacity_class = static_cast<std::uint64_t>(std::bit_width(link.value));
+    const std::uint64_t score = base::rendezvous_score(rank_salt, name.value);
+    const std::uint64_t rank = (capacity_class << score_bits) | (score >> (64U - score_bits));
     return {std::move(name), std::move(zone), std::move(region), rank};
 }
 
--- a/src/ferryroad/coordination/reading/reading_tree.hpp
+++ b/src/ferryroad/coordination/reading/reading_tree.hpp
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/strong_id.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -30,9 +31,14 @@
     friend bool operator==(const tree_member&, const tree_member&) = default;
 };
 
+/// What a router's machine can carry: its link, in megabits a second; 0 where it doesn't say.
+using link_capacity = base::strong_id<struct link_capacity_tag, std::uint32_t>;
+
+/// Members whose links carry twice as much or more come before the others: readers of the owner get
+/// all that is written there, and whoever stands high in the tree passes copies on to many.
 /// @return the member with its rank. Thread-safe, as all here.
-tree_member make_member(base::router_name name, base::zone_name zone,
-                        base::region_name region = {});
+tree_member make_member(base::router_name name, base::zone_name zone, base::region_name region = {},
+                        link_capacity link = {});
 
 struct tree_settings {
     /// Routers that read the owner: a second one, so that the loss of one costs no freshness.
--- a/src/ferryroad/core/topology/zone_map.cpp
+++ b/src/ferryroad/core/topology/zone_map.cpp
@@ -37,6 +37,14 @@
     return known && here->second == there->second ? distance::other_zone : distance::other_region;
 }
 
+std::vector<base::zone_name> zone_map::zones() const {
+    std::vector<base::zone_name> all;
+    for (const auto& [zone, region] : m_regions) {
+        all.push_back(zone);
+    }
+    return all;
+}
+
 std::optional<base::region_name> zone_map::region_of(const base::zone_name& zone) const {
     const auto found = m_regions.find(zone);
     return found == m_regions.end() ? std::nullopt : std::optional(found->second);
--- a/src/ferryroad/core/topology/zone_map.hpp
+++ b/src/ferryroad/core/topology/zone_map.hpp
@@ -35,6 +35,8 @@
     bool several_regions() const { return m_several; }
     bool empty() const { return m_regions.empty(); }
     bool knows(const base::zone_name& zone) const { return m_regions.contains(zone); }
+    /// @return all that are told of, in the order of their names.
+    std::vector<base::zone_name> zones() const;
     /// @return nothing for a zone that isn't told of.
     std::optional<base::region_name> region_of(const base::zone_name& zone) const;
 
--- a/src/ferryroad/leases/presence.cpp
+++ b/src/ferryroad/leases/presence.cpp
@@ -26,6 +26,14 @@
 
 }  // namespace
 
+std::optional<present_router> decode_presence(std::string_view key, const std::string& value) {
+    if (!key.starts_with(presence_key_prefix)) {
+        return std::nullopt;
+    }
+    const std::string name(key.substr(presence_key_prefix.size()));
+    return present_router{base::router_name(name), note_in(value)};
+}
+
 presence::presence(runtime::scheduler& scheduler, platform::table& table, present_router self,
                    std::function<void(const std::vector<present_router>&)> told,
                    presence_settings settings)
@@ -40,27 +48,40 @@
 }
 
 runtime::task<void> presence::run() {
+    base::duration retry = std::min(m_settings.first_retry, period());
+    while (!m_stopped && !m_listed) {
+        m_listed = co_await write_own_row();
+        if (!m_listed) {
+            co_await pause(retry);
+            retry = std::min(2 * retry, period());
+        }
+    }
     while (!m_stopped) {
-        co_await write_own_row();
-        const double jitter = least_jitter + jitter_range * m_scheduler.random().unit();
-        co_await m_scheduler.sleep_for(base::from_seconds(base::to_seconds(period()) * jitter));
+        co_await pause(period());
+        co_await write_own_row();  // A lost one is made good by the next.
     }
 }
 
+runtime::task<void> presence::pause(base::duration length) {
+    const double jitter = least_jitter + jitter_range * m_scheduler.random().unit();
+    co_await m_scheduler.sleep_for(base::from_seconds(base::to_seconds(length) * jitter));
+}
+
 base::duration presence::period() const {
     const auto routers = static_cast<base::duration::rep>(m_present);
     return std::max<base::duration>(m_settings.least_period,
                                     routers * m_settings.period_per_router);
 }
 
-runtime::task<void> presence::write_own_row() {
+runtime::task<bool> presence::write_own_row() {
     platform::transaction change;
     change.writes.push_back(
         {platform::row_key(std::string(presence_key_prefix) + m_self.name.value),
          value_of(m_scheduler.random().next(), m_self.note)});
     std::vector<platform::transaction> changes;
     changes.push_back(std::move(change));
-    co_await m_table.transact(std::move(changes));  // A lost one is made good by the next.
+    const auto outcomes = co_await m_table.transact(std::move(changes));
+    co_return outcomes.has_value();
 }
 
 void presence::look() {
--- a/src/ferryroad/leases/presence.hpp
+++ b/src/ferryroad/leases/presence.hpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,10 @@
     base::duration period_per_router = std::chrono::milliseconds(250);
     /// A row that hasn't changed for so many periods is that of a router that is gone.
     double lifetime_periods = 3.2;
+    /// The first write is tried again after so long where it wasn't taken, twice as long each time:
+    /// of many routers that start together, the table takes some at once. Until it is taken nobody
+    /// knows of this router; a later one is made good by the next.
+    base::duration first_retry = std::chrono::milliseconds(300);
 };
 
 struct present_router {
@@ -37,6 +42,9 @@
 /// Keys of the rows begin with this.
 inline constexpr std::string_view presence_key_prefix = "routers/";
 
+/// @return the router that a row is of; nothing where it is none's. Thread-safe.
+std::optional<present_router> decode_presence(std::string_view key, const std::string& value);
+
 /// Used from the event loop's thread; kept until the loop has ended. Collaborators outlive it.
 class presence {
   public:
@@ -53,6 +61,8 @@
     void see(const platform::row& row);
     /// Tells who is present, from the rows seen; called after each reading of the table.
     void look();
+    /// @return whether the table has taken this router's row.
+    bool is_listed() const { return m_listed; }
     /// @return time between two writes of the own row, but for a jitter.
     base::duration period() const;
 
@@ -64,7 +74,9 @@
     };
 
     runtime::task<void> run();
-    runtime::task<void> write_own_row();
+    /// @return whether it was taken.
+    runtime::task<bool> write_own_row();
+    runtime::task<void> pause(base::duration length);
     std::vector<present_router> present(base::monotonic_time now) const;
 
     runtime::scheduler& m_scheduler;
@@ -74,6 +86,7 @@
     presence_settings m_settings;
     std::map<platform::row_key, seen_row> m_rows;
     std::size_t m_present = 1;  ///< As told last.
+    bool m_listed = false;
     bool m_stopped = false;
 };
 
--- a/src/ferryroad/peer/table_call.hpp
+++ b/src/ferryroad/peer/table_call.hpp
@@ -7,25 +7,19 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/coordination/reading/record.hpp"
 #include "ferryroad/peer/errors.hpp"
+#include "ferryroad/peer/packed_rows.hpp"
 #include "ferryroad/peer/transport.hpp"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace ferryroad::peer {
 
-/// Rows of one answer at most; a table that is larger is read from its owner.
-inline constexpr std::size_t most_table_rows = 8192;
-/// Bytes of keys and values that routers pass on to each other; what is larger is read from the
-/// owner. A router may have 16 others below it: to tell all of them so much takes 0.31 s on a link
-/// of 10 Mbit/s, about the time that a call may take beyond its hold. A row of 0.9 MB would take
-/// 11.5 s there, and 0.9 s where each of them reads it from the owner over its own link.
-inline constexpr std::size_t most_relayed_bytes = std::size_t{24} * 1024;
-
 struct table_request {
     base::router_name sender;
     std::string table;
@@ -34,6 +28,7 @@
     /// The answer may wait so long for news.
     std::chrono::milliseconds hold{};
     bool may_redirect = false;  ///< The answer may be that the owner is to be read.
+    bool may_pack = false;      ///< The asker reads packed rows.
 
     friend bool operator==(const table_request&, const table_request&) = default;
 };
@@ -48,6 +43,8 @@
     std::chrono::milliseconds owner_time{};  ///< The owner's steady clock, as it answered.
     /// What is new is large, and to be read from the owner: there are no rows here.
     bool at_owner = false;
+    /// The rows in place of `rows`, for those who may get them so. Decoded answers have `rows`.
+    std::optional<packed_rows> packed;
 
     friend bool operator==(const table_answer&, const table_answer&) = default;
 };
--- a/src/ferryroad/peer/table_call_codec.cpp
+++ b/src/ferryroad/peer/table_call_codec.cpp
@@ -1,7 +1,9 @@
 #include "ferryroad/peer/codec_fields.hpp"
 #include "ferryroad/peer/table_call.hpp"
+#include "ferryroad/peer/table_row_codec.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace ferryroad::peer {
 
@@ -9,21 +11,31 @@
 
 using coordination::reading::record;
 
-/// Longer than the keys of the tables that are followed.
-constexpr std::size_t key_bytes = 256;
 /// Longer than any router holds a call.
 constexpr std::uint32_t longest_hold_milliseconds = 60'000;
 
-offset<wire::TableRow> write_row(buffer_builder& builder, const record& row) {
-    const auto key = write_text(builder, row.key);
-    const auto value = write_text(builder, row.value);
-    return wire::CreateTableRow(builder, key, value, row.version, row.deleted);
+offset<flatbuffers::Vector<std::uint8_t>> write_block(buffer_builder& builder,
+                                                      const std::optional<packed_rows>& packed) {
+    if (!packed) {
+        return 0;
+    }
+    const auto* bytes = reinterpret_cast<const std::uint8_t*>(packed->block.data());
+    return builder.CreateVector(bytes, packed->block.size());
+}
+
+result<std::vector<record>> read_packed(const wire::TableAnswer& answer) {
+    packed_rows packed;
+    packed.block.assign(reinterpret_cast<const char*>(answer.packed()->data()),
+                        answer.packed()->size());
+    packed.unpacked_bytes = answer.unpacked_bytes();
+    return unpack(packed);
 }
 
-record read_row(field_reader& reader, const wire::TableRow& row, std::uint64_t newest) {
-    reader.require(row.version() <= newest, "rows no newer than the copy");
-    return {reader.text(row.key(), key_bytes), reader.value(row.value()), row.version(),
-            row.deleted()};
+void require_no_newer(field_reader& reader, const table_answer& answer) {
+    const bool none_newer =
+        std::all_of(answer.rows.begin(), answer.rows.end(),
+                    [&](const record& row) { return row.version <= answer.version; });
+    reader.require(none_newer, "rows no newer than the copy");
 }
 
 }  // namespace
@@ -35,18 +47,21 @@
     const auto hold = std::clamp<std::int64_t>(request.hold.count(), 0, longest_hold_milliseconds);
     return finish(builder,
                   wire::CreateTableRequest(builder, sender, table, request.after, request.whole,
-                                           static_cast<std::uint32_t>(hold), request.may_redirect));
+                                           static_cast<std::uint32_t>(hold), request.may_redirect,
+                                           request.may_pack));
 }
 
 message_bytes encode(const table_answer& answer) {
     buffer_builder builder;
-    const auto rows = write_list<wire::TableRow>(
-        builder, answer.rows, [&](const record& row) { return write_row(builder, row); });
+    const auto rows = write_rows(builder, answer.rows);
+    const auto block = write_block(builder, answer.packed);
+    const std::size_t unpacked = answer.packed ? answer.packed->unpacked_bytes : 0;
     const auto owner_time = std::max<std::int64_t>(0, answer.owner_time.count());
     return finish(builder,
                   wire::CreateTableAnswer(builder, answer.known, answer.whole, answer.version, rows,
                                           answer.confirmed_after.count(),
-                                          static_cast<std::uint64_t>(owner_time), answer.at_owner));
+                                          static_cast<std::uint64_t>(owner_time), answer.at_owner, block,
+                                          static_cast<std::uint32_t>(unpacked)));
 }
 
 result<table_request> decode_table_request(std::string_view bytes) {
@@ -64,6 +79,7 @@
     reader.require(root->hold_milliseconds() <= longest_hold_milliseconds, "a shorter hold");
     request.hold = std::chrono::milliseconds(root->hold_milliseconds());
     request.may_redirect = root->may_redirect();
+    request.may_pack = root->may_pack();
     if (reader.fault() != nullptr) {
         return malformed(std::string("table request: expected ") + reader.fault());
     }
@@ -81,9 +97,16 @@
     answer.known = root->known();
     answer.whole = root->whole();
     answer.version = root->version();
-    answer.rows = reader.list(root->rows(), most_table_rows, [&](const auto& row) {
-        return read_row(reader, row, answer.version);
-    });
+    if (root->packed() != nullptr) {
+        auto rows = read_packed(*root);
+        if (!rows) {
+            return rows.error();
+        }
+        answer.rows = std::move(*rows);
+    } else {
+        answer.rows = read_rows(reader, root->rows());
+    }
+    require_no_newer(reader, answer);
     answer.confirmed_after = std::chrono::microseconds(root->confirmed_after());
     answer.owner_time = std::chrono::milliseconds(root->owner_milliseconds());
     answer.at_owner = root->at_owner();
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -4,22 +4,29 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <sstream>
 #include <tuple>
 #include <utility>
 
 namespace ferryroad::relay {
 
 std::string encode_peer_note(const peer_address& peer) {
-    return peer.address.to_string() + " " + peer.zone.value;
+    std::string note = peer.address.to_string() + " " + peer.zone.value;
+    return peer.link.value == 0 ? note : note + " " + std::to_string(peer.link.value);
 }
 
 std::optional<peer_address> decode_peer_note(const base::router_name& name, std::string_view note) {
-    const std::size_t space = note.find(' ');
-    const auto address = base::endpoint::parse(note.substr(0, space));
-    if (!address || address->port == 0 || space == std::string_view::npos) {
+    std::istringstream words{std::string(note)};
+    std::string address_text;
+    peer_address peer{name, {}, {}, {}};
+    words >> address_text >> peer.zone.value;
+    const auto address = base::endpoint::parse(address_text);
+    if (!words || !address || address->port == 0) {
         return std::nullopt;
     }
-    return peer_address{name, base::zone_name(std::string(note.substr(space + 1))), *address};
+    peer.address = *address;
+    words >> peer.link.value;  // Zero where there is none.
+    return peer;
 }
 
 peer_group::peer_group(peer_address self, peer_group_tunables tunables)
@@ -48,7 +55,8 @@
     }
     const auto [place, added] = m_peers.try_emplace(peer.name);
     known_peer& one = place->second;
-    if (added || one.peer != peer || !is_known(one, now)) {
+    const bool moved = one.peer.zone != peer.zone || one.peer.address != peer.address;
+    if (added || moved || !is_known(one, now)) {
         m_block.reset();
     }
     one.peer = peer;
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -8,6 +8,7 @@
 #include "ferryroad/base/endpoint.hpp"
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/coordination/reading/reading_tree.hpp"
 #include "ferryroad/core/topology/zone_map.hpp"
 
 #include <cstddef>
@@ -26,6 +27,8 @@
     base::router_name name;
     base::zone_name zone;
     base::endpoint address;
+    /// Nothing where a router doesn't say, as in its notices.
+    coordination::reading::link_capacity link = {};
 
     friend bool operator==(const peer_address&, const peer_address&) = default;
 };
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -1,6 +1,10 @@
 /// @file
 /// A record feed that takes tables from the owner or from another router's copy, whichever the
 /// reading tree and what was found out about sources say (`coordination/reading`).
+///
+/// A router that has just started knows no others, and whole tables are large: it is told of a few
+/// routers near to it, its contacts, and takes its first copies from these. It reads the owner by
+/// itself only where none of them has a copy.
 #pragma once
 
 #include "ferryroad/coordination/reading/source_selector.hpp"
@@ -14,7 +18,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,12 +59,17 @@
     /// Between two questions to other routers while all that is known is old: an outage may
     /// last, and everyone asks around.
     base::duration old_copy_pause = std::chrono::milliseconds(150);
-    /// For an answer of any size, where the owner doesn't answer this router.
+    /// For an answer of any size: a whole table, or where the owner doesn't answer this router.
     base::duration large_answer_limit = std::chrono::milliseconds(3000);
+    /// A contact may wait so long for its own first copy.
+    base::duration first_copy_hold = std::chrono::milliseconds(2000);
+    /// Where many start together, contacts may be told of only now: they are looked for once more
+    /// after so long.
+    base::duration contacts_settle = std::chrono::milliseconds(500);
     /// Other routers tried in one call before it ends as unavailable.
     int attempts = 3;
-    /// A router that has just started reads whole tables from the owner at once, and waits so
-    /// long to be told of the other routers before it asks for changes: these come from them.
+    /// A router that has its first copy waits so long to be told of the other routers before it
+    /// asks for changes: these come from them.
     base::duration routers_wait = std::chrono::milliseconds(500);
     /// Where many start together, the first list of them is short: so long after it is told,
     /// before the list is read again, a router doesn't take itself for a reader yet.
@@ -66,6 +77,17 @@
     base::duration routers_look = std::chrono::milliseconds(20);
 };
 
+/// Routers near to one that starts.
+struct start_contacts {
+    /// May be waited for: no two routers are so to each other, directly or over others.
+    std::vector<peer_address> awaited;
+    /// Asked without waiting, as they may wait for the one that starts.
+    std::vector<peer_address> others;
+
+    friend bool operator==(const start_contacts&, const start_contacts&) = default;
+};
+using contact_search = std::function<runtime::task<start_contacts>()>;
+
 /// Used from the event loop's thread. Collaborators outlive it.
 template <record_feed Owner>
 class shared_feed {
@@ -81,6 +103,9 @@
           m_settings(std::move(settings)),
           m_reach(m_settings.reach, scheduler.random()) {}
 
+    /// Without it, first copies come from the owner. Before the first read.
+    void find_contacts_by(contact_search search) { m_contact_search = std::move(search); }
+
     /// Takes the routers that are present, as the owner's table names them: no others are asked.
     void set_routers(const std::vector<peer_address>& present) {
         m_members.clear();
@@ -115,7 +140,10 @@
     std::uint64_t reads_failed() const { return m_reads_failed; }
 
     runtime::task<batch_result> read_all(std::string table, base::duration limit) {
-        return read({std::move(table), 0, true, {}, limit});
+        reading wanted{std::move(table), 0, true, {}, limit};
+        const bool knows_nobody = !m_first_told_at;
+        return m_contact_search && knows_nobody ? read_first_copy(std::move(wanted))
+                                                : read(std::move(wanted));
     }
     runtime::task<batch_result> read_changes(std::string table, std::uint64_t after,
                                              base::duration wait, base::duration limit) {
@@ -127,7 +155,8 @@
 
     coordination::reading::tree_member member_of(const peer_address& router) const {
         auto region = m_settings.zones.region_of(router.zone).value_or(base::region_name());
-        return coordination::reading::make_member(router.name, router.zone, std::move(region));
+        return coordination::reading::make_member(router.name, router.zone, std::move(region),
+                                                  router.link);
     }
 
     struct reading {
@@ -162,6 +191,13 @@
         return m_tables.emplace(name, table_state{std::move(sources), terms}).first->second;
     }
 
+    /// A call to another router.
+    struct peer_question {
+        base::router_name to;
+        peer::table_request request;
+        base::duration limit{};
+    };
+
     /// One read that did not make the copy current, for the log.
     struct read_report {
         std::string table;
@@ -192,6 +228,80 @@
         return settled || now - *m_first_call_at >= m_settings.routers_wait;
     }
 
+    runtime::task<batch_result> read_first_copy(reading wanted) {
+        const base::monotonic_time began = m_scheduler.now();
+        co_await learn_contacts(base::monotonic_time::min());
+        if (m_contacts.awaited.empty()) {
+            batch_result batch = co_await ask_one_of(m_contacts.others, {}, wanted, began);
+            if (batch) {
+                co_return batch;
+            }
+            const base::monotonic_time known_since = m_contacts_found_at;
+            co_await m_scheduler.sleep_for(m_settings.contacts_settle);
+            co_await learn_contacts(known_since);
+        }
+        for (int attempt = 0; attempt < m_settings.attempts; ++attempt) {
+            batch_result batch = co_await ask_one_of(
+                m_contacts.awaited, m_settings.first_copy_hold, wanted, began);
+            if (batch) {
+                co_return batch;
+            }
+        }
+        co_return co_await read(std::move(wanted));
+    }
+
+    /// @param hold how long it may wait for its own copy.
+    runtime::task<batch_result> ask_one_of(std::vector<peer_address> contacts, base::duration hold,
+                                           reading wanted, base::monotonic_time began) {
+        std::erase_if(contacts, [&](const peer_address& one) {
+            return !m_reach.is_present(one.name, m_scheduler.now());
+        });
+        if (contacts.empty()) {
+            co_return feed_fault::unavailable;
+        }
+        const peer_address contact = contacts[m_scheduler.random().below(contacts.size())];
+        table_state& table = state_of(wanted.table);
+        note_source(table, wanted.table, contact.name);
+        m_addresses[contact.name] = contact.address;
+        peer_question question = question_for(contact.name, wanted, hold);
+        co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
+    }
+
+    /// Looks for contacts, once for all tables that are read at the same time.
+    /// @param known_since those found later are good enough.
+    runtime::task<void> learn_contacts(base::monotonic_time known_since) {
+        while (m_looks_for_contacts) {
+            co_await m_scheduler.sleep_for(m_settings.routers_look);
+        }
+        if (m_contacts_found_at > known_since) {
+            co_return;
+        }
+        m_looks_for_contacts = true;
+        m_contacts = co_await m_contact_search();
+        m_contacts_found_at = m_scheduler.now();
+        m_looks_for_contacts = false;
+        runtime::log(runtime::log_level::info, component, "contacts found",
+                     {{"awaited", std::to_string(m_contacts.awaited.size())},
+                      {"others", std::to_string(m_contacts.others.size())}});
+    }
+
+    /// Whole tables come with whatever their size is: packed, and in one piece.
+    peer_question question_for(base::router_name to, const reading& wanted,
+                               base::duration hold) const {
+        peer_question question;
+        question.to = std::move(to);
+        question.request.sender = m_self.name;
+        question.request.table = wanted.table;
+        question.request.after = wanted.after;
+        question.request.whole = wanted.whole;
+        question.request.hold = std::chrono::duration_cast<std::chrono::milliseconds>(hold);
+        question.request.may_redirect = !wanted.whole;
+        question.request.may_pack = true;
+        question.limit = hold + (wanted.whole ? m_settings.large_answer_limit
+                                              : m_settings.call_margin);
+        return question;
+    }
+
     runtime::task<batch_result> read(reading wanted) {
         table_state& table = state_of(wanted.table);
         const base::monotonic_time began = m_scheduler.now();
@@ -265,26 +375,11 @@
             co_await pause_while_behind(table);
         }
         const base::monotonic_time sent_at = m_scheduler.now();
-        const base::duration hold = hold_for(table, sent_at);
-        peer_question question;
-        question.to = std::move(from);
-        question.request = {m_self.name,
-                            wanted.table,
-                            wanted.after,
-                            wanted.whole,
-                            std::chrono::duration_cast<std::chrono::milliseconds>(hold),
-                            true};
-        question.limit = hold + m_settings.call_margin;
+        peer_question question =
+            question_for(std::move(from), wanted, hold_for(table, sent_at));
         co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
     }
 
-    /// A call to another router.
-    struct peer_question {
-        base::router_name to;
-        peer::table_request request;
-        base::duration limit{};
-    };
-
     runtime::task<batch_result> ask_peer(peer_question question, reading wanted, table_state& table,
                                          base::monotonic_time began) {
         ++m_peer_calls;
@@ -449,6 +544,10 @@
     std::uint64_t m_reads_failed = 0;
     std::optional<base::monotonic_time> m_first_told_at;  ///< Of the other routers.
     std::optional<base::monotonic_time> m_first_call_at;  ///< For changes.
+    contact_search m_contact_search;
+    start_contacts m_contacts;  ///< As found last.
+    base::monotonic_time m_contacts_found_at = base::monotonic_time::min();
+    bool m_looks_for_contacts = false;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/table_server.cpp
+++ b/src/ferryroad/relay/table_server.cpp
@@ -55,7 +55,7 @@
     : m_scheduler(scheduler), m_transport(transport), m_settings(settings) {}
 
 void table_server::offer(const std::string& table, const table_mirror& copy) {
-    m_tables[table] = std::make_shared<offered_table>(offered_table{&copy, false, {}});
+    m_tables[table] = std::make_shared<offered_table>(offered_table{&copy, false, {}, {}});
 }
 
 void table_server::start() {
@@ -72,7 +72,11 @@
 void table_server::news(const std::string& table) {
     const auto found = m_tables.find(table);
     if (found != m_tables.end()) {
-        found->second->owner_has_more = false;
+        offered_table& told = *found->second;
+        told.owner_has_more = false;
+        if (told.packed && told.packed->selected.revision != told.copy->revision()) {
+            told.packed.reset();
+        }
         wake_all(*found->second);
     }
 }
@@ -110,21 +114,51 @@
         co_return peer::encode(peer::table_answer{});
     }
     const table_pointer table = found->second;
-    const bool has_news = request->whole || table->copy->has_changes_after(request->after) ||
-                          is_to_read_owner(*table, *request) || m_stopped;
-    if (table->copy->confirmed() && !has_news && table->held.size() < m_settings.held_calls) {
+    if (is_to_be_held(*table, *request) && table->held.size() < m_settings.held_calls) {
         const auto longest = std::min<base::duration>(request->hold, m_settings.longest_hold);
         co_await hold(table, longest);
     }
     co_return peer::encode(answer_now(*table, *request, received_at));
 }
 
+/// A router that follows a table looks for another source where this one has no copy; one that has
+/// just started has nobody else to ask.
+bool table_server::is_to_be_held(const offered_table& table,
+                                 const peer::table_request& request) const {
+    if (m_stopped) {
+        return false;
+    }
+    if (!table.copy->confirmed()) {
+        return request.whole;
+    }
+    const bool has_news = request.whole || table.copy->has_changes_after(request.after);
+    return !has_news && !is_to_read_owner(table, request);
+}
+
 runtime::task<void> table_server::hold(table_pointer table, base::duration longest) {
     held_call call(m_scheduler, std::move(table), m_next_call++);
     co_await call.wait(longest);
 }
 
-peer::table_answer table_server::answer_now(const offered_table& table,
+void table_server::select_rows(offered_table& table, const peer::table_request& request,
+                               peer::table_answer& answer) const {
+    auto changes = request.whole ? std::nullopt : table.copy->changes_after(request.after);
+    answer.whole = !changes.has_value();
+    const row_selection wanted{table.copy->revision(), answer.whole,
+                               answer.whole ? 0 : request.after};
+    if (request.may_pack && table.packed && table.packed->selected == wanted) {
+        answer.packed = table.packed->rows;
+        return;
+    }
+    answer.rows = changes ? std::move(*changes) : table.copy->rows();
+    if (request.may_pack && bytes_of(answer.rows) >= m_settings.least_packed_bytes) {
+        table.packed = packed_selection{wanted, peer::pack(answer.rows)};
+        answer.packed = table.packed->rows;
+        answer.rows.clear();
+    }
+}
+
+peer::table_answer table_server::answer_now(offered_table& table,
                                             const peer::table_request& request,
                                             base::monotonic_time received_at) const {
     peer::table_answer answer;
@@ -132,14 +166,14 @@
     if (!confirmed || m_stopped) {
         return answer;
     }
-    auto changes = request.whole ? std::nullopt : table.copy->changes_after(request.after);
     answer.known = true;
-    answer.whole = !changes.has_value();
-    answer.rows = changes ? std::move(*changes) : table.copy->rows();
+    select_rows(table, request, answer);
+    const std::size_t bytes = answer.packed ? answer.packed->block.size() : bytes_of(answer.rows);
     answer.at_owner = is_to_read_owner(table, request) ||
-                      (request.may_redirect && bytes_of(answer.rows) > peer::most_relayed_bytes);
+                      (request.may_redirect && bytes > m_settings.relayed_bytes);
     if (answer.at_owner) {
         answer.rows.clear();
+        answer.packed.reset();
     }
     answer.version = confirmed->version;
     answer.confirmed_after =
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <utility>
 
@@ -75,6 +76,34 @@
     return settings;
 }
 
+/// @param link_megabits a second, of this router's machine; 0: unknown.
+/// @return bytes of changed rows that it passes on: to tell all routers below it so much takes about
+/// the time that a call may take beyond its hold. What is larger arrives sooner where each of them
+/// reads it from the owner over its own link.
+inline std::size_t relayed_bytes_for(double link_megabits) {
+    constexpr double bytes_per_megabit = 1e6 / 8;
+    constexpr double assumed_megabits = 10;
+    const shared_feed_settings feed;
+    const double seconds = base::to_seconds(feed.call_margin);
+    const double link = link_megabits > 0 ? link_megabits : assumed_megabits;
+    return static_cast<std::size_t>(link * bytes_per_megabit * seconds /
+                                    static_cast<double>(feed.sources.tree.degree));
+}
+
+/// @return bytes of an owner's answer above which its rows are too large to be passed on, most
+/// likely: rows come as text of 4 characters for 3 bytes.
+inline std::size_t large_answer_bytes_for(double link_megabits) {
+    return relayed_bytes_for(link_megabits) * peer::least_packing_ratio * 4 / 3;
+}
+
+/// Routers of its zone that a router which starts is told of: enough that few ask each of them at
+/// once, few enough that those which start together and read the owner themselves stay few.
+inline constexpr std::uint32_t contact_count = 16;
+inline constexpr base::duration contact_call_limit = std::chrono::milliseconds(700);
+/// A router that starts looks for others once its own row is listed, or after so long.
+inline constexpr base::duration listing_limit = std::chrono::milliseconds(1500);
+inline constexpr base::duration listing_look = std::chrono::milliseconds(10);
+
 /// @return what is expected of the list of routers, which is asked for so often.
 inline table_terms router_list_terms(const follower_settings& asked) {
     table_terms terms;
--- a/test/coordination/reading/reading_tree_test.cpp
+++ b/test/coordination/reading/reading_tree_test.cpp
@@ -191,3 +191,27 @@
         cr_assert(places(told) == places(untold));
     }
 }
+
+Test(reading_tree, machines_with_wide_links_stand_above_the_others) {
+    std::vector<tree_member> members;
+    std::size_t wide = 0;
+    for (int index = 0; index < 200; ++index) {
+        const bool is_wide = index % 20 == 0;
+        wide += is_wide ? 1 : 0;
+        members.push_back(make_member(base::router_name("r" + std::to_string(index)),
+                                      base::zone_name("z"), {},
+                                      link_capacity(is_wide ? 200 : 20)));
+    }
+    std::sort(members.begin(), members.end(),
+              [](const auto& a, const auto& b) { return a.rank > b.rank; });
+    const std::uint64_t lowest_wide = make_member({}, {}, {}, link_capacity(200)).rank >> 56U;
+    for (std::size_t place = 0; place < members.size(); ++place) {
+        cr_assert_eq(members[place].rank >> 56U == lowest_wide, place < wide);
+    }
+}
+
+Test(reading_tree, links_that_are_nearly_alike_are_ranked_by_name_alone) {
+    const auto narrow = make_member(base::router_name("a"), {}, {}, link_capacity(20));
+    const auto wider = make_member(base::router_name("a"), {}, {}, link_capacity(25));
+    cr_assert_eq(narrow.rank, wider.rank);
+}
--- a/test/leases/presence_test.cpp
+++ b/test/leases/presence_test.cpp
@@ -17,6 +17,10 @@
   public:
     runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
         std::vector<platform::transaction> transactions) override {
+        if (refused_writes > 0) {
+            --refused_writes;
+            co_return platform::error{platform::error_code::rate_limited, "busy", std::nullopt};
+        }
         for (const platform::transaction& one : transactions) {
             for (const platform::row_write& write : one.writes) {
                 versions[write.key] = platform::row_version(++last);
@@ -40,6 +44,7 @@
     std::map<platform::row_key, platform::row_version> versions;
     std::map<platform::row_key, std::string> values;
     std::uint64_t last = 0;
+    int refused_writes = 0;  ///< The next ones.
 };
 
 struct router {
@@ -128,3 +133,25 @@
     few.look();
     cr_assert(few.period() == 401 * 250ms);
 }
+
+Test(presence, a_first_write_that_is_refused_is_soon_tried_again) {
+    ferryroad::test::loopback loop;
+    rows_of_routers table;
+    table.refused_writes = 2;
+    presence_settings settings;
+    settings.first_retry = 2ms;
+    presence here(loop.scheduler, table, {base::router_name("a"), "at a"}, [](const auto&) {},
+                  settings);
+    cr_assert_not(here.is_listed());
+    here.start();
+    const auto listed = [&] { return here.is_listed(); };
+    cr_assert(loop.run([&] { return loop.until(listed); }));
+    cr_assert_eq(table.values.size(), 1);
+    here.stop();
+}
+
+Test(presence, a_row_names_its_router) {
+    const auto router = decode_presence("routers/a", "123 10.0.0.1:7000 z");
+    cr_assert(*router == (present_router{base::router_name("a"), "10.0.0.1:7000 z"}));
+    cr_assert_not(decode_presence("crash/a", "123 10.0.0.1:7000 z").has_value());
+}
--- a/test/relay/peer_group_test.cpp
+++ b/test/relay/peer_group_test.cpp
@@ -176,3 +176,10 @@
         cr_assert_eq(following, 1);
     }
 }
+
+Test(peer_group, a_note_may_tell_the_link) {
+    peer_address peer{base::router_name("r"), base::zone_name("z"), {"10.0.0.1", 7000}, {}};
+    peer.link = coordination::reading::link_capacity(200);
+    cr_assert(decode_peer_note(peer.name, encode_peer_note(peer)) == peer);
+    cr_assert(decode_peer_note(peer.name, "10.0.0.1:7000 z x")->link.value == 0);
+}
