State events: of many holders, those in use are followed

Change: up to 16 holders a router of the block all are followed, as before; of more, those that the block sent prompts to within 10 s. The work follows the block's requests.

Test: state_follower, 200 to 2,000 holders at the same share.

--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -48,12 +48,19 @@
     }
     if (!parts.empty()) {
         m_expected.push_back({engine, parts});
+        note_expected(engine);
     }
     if (prefill_tokens >= m_settings.urgent_tokens) {
         send_load(m_ports.scheduler.now());
     }
 }
 
+void peer_exchange::note_expected(const base::engine_name& engine) const {
+    if (m_expected_told) {
+        m_expected_told(engine);
+    }
+}
+
 void peer_exchange::saw_weights(peer::seen_weights seen) {
     if (m_running && !m_taking) {
         m_weights.push_back(std::move(seen));
@@ -216,6 +223,7 @@
     }
     for (const peer::expected_state& one : notice->expected) {
         m_ports.warm.expect(one.parts, one.engine, now);
+        note_expected(one.engine);
     }
     for (const peer::holder_changes& one : notice->changes) {
         m_learned(one);
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <set>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -64,6 +65,11 @@
                   std::function<void(const peer::holder_changes&)> learned,
                   exchange_settings settings = {});
 
+    /// @param told of each engine that this router or a peer sent a prompt to.
+    void on_expected(std::function<void(const base::engine_name&)> told) {
+        m_expected_told = std::move(told);
+    }
+
     /// Called once, before any traffic.
     void start();
     void stop() { m_running = false; }
@@ -101,6 +107,7 @@
     static constexpr std::string_view component = "relay.peers";
 
     runtime::task<void> run();
+    void note_expected(const base::engine_name& engine) const;
     void send_news();
     void note_live_peers(base::monotonic_time now);
     void send_load(base::monotonic_time now);
@@ -114,6 +121,7 @@
     peer_address m_self;
     peer_group m_group;
     std::function<void(const peer::holder_changes&)> m_learned;
+    std::function<void(const base::engine_name&)> m_expected_told;
     exchange_settings m_settings;
     std::vector<core::placement::stated_load> m_stated;  ///< What peers were told last.
     base::monotonic_time m_stated_at{};
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -3,6 +3,9 @@
 /// streams. One router of a block asks a holder and tells the others; a router that misses
 /// something, or hears nothing for a while, asks by itself. A holder that turns callers away
 /// is left alone for a while.
+///
+/// Where there are many holders for each router, only those are followed that the block has just
+/// sent prompts to: the work then grows with the block's requests, not with routers times holders.
 #pragma once
 
 #include "ferryroad/core/placement/warm_state.hpp"
@@ -83,6 +86,11 @@
     base::duration longest_backoff = std::chrono::seconds(8);
     /// Parts told to peers at a time.
     std::size_t told_parts = 48;
+    /// All holders are followed up to so many for each router of the block; of more, those in use.
+    std::size_t followed_share = 16;
+    /// A holder counts as in use for so long after a prompt was sent there: sessions that go on
+    /// come back sooner.
+    base::duration use_lifetime = std::chrono::seconds(10);
     /// A router that has just started, or missed something, asks the holders that others follow
     /// one after the other, so far apart for each router of the block: all of them together make
     /// some 50 calls a second, however many start at once. What is told meanwhile counts at once.
@@ -101,6 +109,9 @@
     std::function<bool(const base::zone_name&)> is_far = {};
 };
 
+/// When a holder is followed where there are many.
+enum class holder_interest { always, in_use };
+
 /// Used from the event loop's thread; kept until the loop has ended. Collaborators outlive it.
 template <state_event_source Source>
 class state_follower {
@@ -114,12 +125,14 @@
           m_settings(settings) {}
 
     /// Keeps in step with a holder until `leave`; again called, it changes nothing.
-    void follow(const engine_target& holder, const base::zone_name& zone) {
+    void follow(const engine_target& holder, const base::zone_name& zone,
+                holder_interest interest = holder_interest::in_use) {
         const auto [place, added] = m_holders.try_emplace(holder.name);
         if (added) {
             place->second = std::make_shared<followed_holder>();
             place->second->target = holder;
             place->second->zone = zone;
+            place->second->interest = interest;
             m_in_turn.push_back(place->second);
             start_where_needed(place->second);
         }
@@ -137,6 +150,19 @@
         }
         m_warm.forget(name);
     }
+    /// This router or one of its block sent a prompt there.
+    void used(const base::engine_name& name) {
+        const auto found = m_holders.find(name);
+        if (found == m_holders.end()) {
+            return;
+        }
+        followed_holder& holder = *found->second;
+        holder.used_at = m_scheduler.now();
+        if (!holder.asking && is_silent(holder)) {
+            set_followed(holder, false);  // Nobody follows it: nothing would be told of the prompt.
+        }
+        start_where_needed(found->second);
+    }
     /// A peer follows the holder, and told of changes.
     void learn(const peer::holder_changes& told) {
         const auto found = m_holders.find(told.holder);
@@ -163,6 +189,8 @@
     struct followed_holder {
         engine_target target;
         base::zone_name zone;
+        holder_interest interest = holder_interest::in_use;
+        std::optional<base::monotonic_time> used_at;
         bool wanted = true;
         bool asking = false;    ///< This router asks it now.
         bool lost = false;      ///< The last question was not answered.
@@ -206,7 +234,7 @@
     }
 
     void start_where_needed(const holder_pointer& holder) {
-        if (holder->asking) {
+        if (holder->asking || !is_of_interest(*holder)) {
             return;
         }
         const bool follows_it = follows(*holder);
@@ -220,6 +248,17 @@
         m_scheduler.spawn(component, run(holder));
     }
 
+    bool follows_all() const {
+        return m_holders.size() <= m_settings.followed_share * m_sharing.routers();
+    }
+
+    bool is_of_interest(const followed_holder& holder) const {
+        if (holder.interest == holder_interest::always || follows_all()) {
+            return true;
+        }
+        return holder.used_at && m_scheduler.now() - *holder.used_at < m_settings.use_lifetime;
+    }
+
     base::duration catch_up_pause() const {
         return m_settings.catch_up_pace * static_cast<std::int64_t>(m_sharing.routers());
     }
@@ -228,7 +267,7 @@
     runtime::task<void> run(holder_pointer holder) {
         base::duration backoff = m_settings.first_backoff;
         bool follows_it = true;
-        while (holder->wanted && follows_it) {
+        while (holder->wanted && follows_it && is_of_interest(*holder)) {
             follows_it = follows(*holder);
             const bool answered = co_await ask(holder, follows_it);
             if (!holder->wanted) {
@@ -246,6 +285,9 @@
             co_await m_scheduler.sleep_for(jittered(backoff));
             backoff = std::min(2 * backoff, m_settings.longest_backoff);
         }
+        if (holder->wanted && !is_of_interest(*holder)) {
+            set_followed(*holder, false);
+        }
         holder->asking = false;
     }
 
@@ -281,6 +323,9 @@
     }
 
     base::duration news_lifetime() const {
+        if (!follows_all()) {
+            return m_settings.news_lifetime;
+        }
         const auto holders = static_cast<base::duration::rep>(m_holders.size());
         return std::max(m_settings.news_lifetime, holders * m_settings.news_lifetime_per_holder);
     }
@@ -292,11 +337,13 @@
         }
     }
 
-    /// Of a holder of another region, only the router that follows it asks. What was told before
-    /// this router was there isn't asked for: whole histories, asked for by each router that
-    /// starts, were most of what crossed regions.
+    /// Of a holder of another region, and of one of many, only the router that follows it asks. What
+    /// was told before this router was there isn't asked for: whole histories, asked for by each
+    /// router that starts, were most of what crossed regions.
     bool must_ask(const followed_holder& holder) const {
-        if (is_far(holder)) {
+        const bool is_one_of_many =
+            holder.interest == holder_interest::in_use && !follows_all();
+        if (is_far(holder) || is_one_of_many) {
             return false;
         }
         const bool lacks_news = holder.missed_from || is_silent(holder);
--- a/test/relay/state_follower_test.cpp
+++ b/test/relay/state_follower_test.cpp
@@ -344,3 +344,75 @@
     cr_assert(loop.run([&] { return loop.until([&] { return far.held(50) == 10; }); }));
     cr_assert_eq(far_source.told_since.front(), 45);
 }
+
+namespace {
+
+/// One of `routers` that share `holders`, all of them its own.
+struct large_block {
+    large_block(std::size_t holders, std::size_t routers)
+        : follower(loop.scheduler, source, warm,
+                   {[](const auto&, const auto&) { return true; },
+                    [](const peer::holder_changes&) {}, [routers] { return routers; }},
+                   settings()) {
+        for (std::size_t number = 0; number < holders; ++number) {
+            follower.follow({name(number), holder.address}, zone);
+        }
+    }
+    static state_follower_settings settings() {
+        state_follower_settings all = router::settings();
+        all.followed_share = 4;
+        all.use_lifetime = 40ms;
+        return all;
+    }
+    static base::engine_name name(std::size_t number) {
+        return base::engine_name("e" + std::to_string(number));
+    }
+    void run_for(base::duration time) {
+        loop.context.restart();
+        cr_assert(loop.run([&] { return sleep(time); }));
+    }
+
+    ferryroad::test::loopback loop;
+    fake_holder source;
+    core::placement::warm_state warm;
+    state_follower<fake_holder> follower;
+
+  private:
+    runtime::task<void> sleep(base::duration time) { co_await loop.scheduler.sleep_for(time); }
+};
+
+}  // namespace
+
+Test(state_follower, of_many_holders_those_in_use_are_followed) {
+    large_block at(200, 2);
+    at.run_for(30ms);
+    cr_assert_eq(at.source.asked, 0, "none is in use");
+    at.source.last = 3;
+    at.follower.used(large_block::name(7));
+    at.run_for(20ms);
+    const base::monotonic_time now = at.loop.scheduler.now();
+    cr_assert_eq(at.warm.tokens_held(part(3), large_block::name(7), now), 10);
+    at.run_for(100ms);
+    const std::size_t before = at.source.asked;
+    at.run_for(30ms);
+    cr_assert_eq(at.source.asked, before, "it is in use no more");
+}
+
+Test(state_follower, what_is_asked_does_not_grow_with_holders_or_routers) {
+    std::vector<std::size_t> asked;
+    for (const std::size_t scale : {1, 5, 10}) {
+        large_block at(200 * scale, 2 * scale);
+        for (std::size_t number = 0; number < 5; ++number) {
+            at.follower.used(large_block::name(number));
+        }
+        at.run_for(100ms);
+        asked.push_back(at.source.asked);
+    }
+    cr_assert_gt(asked.front(), 0);
+    cr_assert_leq(asked.back(), 2 * asked.front());
+}
+
+Test(state_follower, of_few_holders_all_are_followed) {
+    large_block at(8, 2);
+    cr_assert(until(at.loop, [&] { return at.source.asked >= 8; }));
+}
