Reading tables: few routers stand in for the owner's readers, in any fleet

Cause: where the readers' copies got old, or a router's source fell silent, each router below asked the owner itself, for 3 s, and was told all that the readers are.

Change: the first 32 by rank stand in once copies are about to be old; the others ask these, and the owner only in such a share that they are about as many together, or where nobody answers them. A silent source is replaced by another router while there is time for a second silent one.

--- a/src/ferryroad/coordination/reading/source_reach.cpp
+++ b/src/ferryroad/coordination/reading/source_reach.cpp
@@ -5,10 +5,11 @@
 namespace ferryroad::coordination::reading {
 
 void source_reach::declare(const std::vector<tree_member>& members) {
-    std::erase_if(m_routers, [&](const auto& entry) {
+    const std::size_t gone = std::erase_if(m_routers, [&](const auto& entry) {
         return std::none_of(members.begin(), members.end(),
                             [&](const tree_member& one) { return one.name == entry.first; });
     });
+    m_revision += gone;
 }
 
 bool source_reach::is_present(const source& from, base::monotonic_time now) const {
@@ -21,7 +22,7 @@
 
 void source_reach::answered(const source& from) {
     if (from) {
-        m_routers.erase(*from);
+        m_revision += m_routers.erase(*from);
     } else {
         m_owner = {};
     }
@@ -30,6 +31,7 @@
 void source_reach::failed(const source& from, reading_role role, base::monotonic_time now) {
     const double jitter = 0.75 + 0.5 * m_random.unit();
     if (from) {
+        ++m_revision;
         extend(m_routers[*from], m_settings.first_absence, m_settings.longest_absence, now, jitter);
         return;
     }
@@ -45,6 +47,14 @@
     one.next = 2 * pause;
 }
 
+base::monotonic_time source_reach::next_return(base::monotonic_time now) const {
+    base::monotonic_time next = base::monotonic_time::max();
+    for (const auto& [name, one] : m_routers) {
+        next = one.until > now ? std::min(next, one.until) : next;
+    }
+    return next;
+}
+
 source source_reach::first_back(const std::vector<tree_member>& others) const {
     source first;
     base::monotonic_time earliest = m_owner.until;
--- a/src/ferryroad/coordination/reading/source_reach.hpp
+++ b/src/ferryroad/coordination/reading/source_reach.hpp
@@ -9,6 +9,7 @@
 #include "ferryroad/coordination/reading/reading_tree.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -50,6 +51,10 @@
     void answered(const source& from);
     /// @param role of this router.
     void failed(const source& from, reading_role role, base::monotonic_time now);
+    /// @return a count that rises whenever a router is left out anew, or no longer.
+    std::uint64_t revision() const { return m_revision; }
+    /// @return when the next of the routers that are left out now counts again.
+    base::monotonic_time next_return(base::monotonic_time now) const;
     /// @return the source whose absence ends first.
     source first_back(const std::vector<tree_member>& others) const;
 
@@ -66,6 +71,7 @@
     base::random_source& m_random;
     std::map<base::router_name, absence> m_routers;
     absence m_owner;
+    std::uint64_t m_revision = 0;
 };
 
 }  // namespace ferryroad::coordination::reading
--- a/src/ferryroad/coordination/reading/source_selector.cpp
+++ b/src/ferryroad/coordination/reading/source_selector.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/coordination/reading/source_selector.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ferryroad::coordination::reading {
@@ -16,12 +17,43 @@
             m_others.push_back(one);
         }
     }
+    const auto ranks_before = [](const tree_member& a, const tree_member& b) {
+        return std::tie(a.rank, a.name) > std::tie(b.rank, b.name);
+    };
+    std::sort(m_others.begin(), m_others.end(), ranks_before);
+    m_place = static_cast<std::size_t>(
+        std::count_if(m_others.begin(), m_others.end(),
+                      [&](const tree_member& one) { return ranks_before(one, m_self); }));
+    m_is_reader = place_in_tree(m_self, m_others, m_settings.tree).reads_owner;
+    m_parents.clear();
     std::erase_if(m_old_until, [&](const auto& entry) {
         return std::none_of(m_others.begin(), m_others.end(),
                             [&](const tree_member& one) { return one.name == entry.first; });
     });
 }
 
+source source_selector::tree_parent(leave_out rule, base::monotonic_time now) const {
+    const auto known = m_parents.find(rule);
+    const bool holds = known != m_parents.end() && now < known->second.until &&
+                       known->second.reach_revision == m_reach.revision();
+    if (holds) {
+        return known->second.parent;
+    }
+    source parent = place_in_tree(m_self, usable(rule, now), m_settings.tree).parent;
+    m_parents[rule] = {parent, m_reach.revision(), next_change(rule, now)};
+    return parent;
+}
+
+base::monotonic_time source_selector::next_change(leave_out rule, base::monotonic_time now) const {
+    base::monotonic_time next = m_reach.next_return(now);
+    if (rule == leave_out::absent_or_old) {
+        for (const auto& [name, until] : m_old_until) {
+            next = until > now ? std::min(next, until) : next;
+        }
+    }
+    return next;
+}
+
 bool source_selector::is_usable(const source& from, leave_out rule,
                                 base::monotonic_time now) const {
     const auto known = from ? m_old_until.find(*from) : m_old_until.end();
@@ -49,30 +81,58 @@
 }
 
 source source_selector::choose_while_current(base::monotonic_time now) const {
-    const bool owner_answers = is_usable(std::nullopt, leave_out::absent, now);
-    const auto others = usable(leave_out::absent_or_old, now);
-    if (owner_answers) {
-        return place_in_tree(m_self, others, m_settings.tree).parent;
+    if (is_usable(std::nullopt, leave_out::absent, now)) {
+        return tree_parent(leave_out::absent_or_old, now);
     }
+    const auto others = usable(leave_out::absent_or_old, now);
     return others.empty() ? m_reach.first_back(m_others) : nearest_reader(others);
 }
 
 source source_selector::choose_while_old(base::monotonic_time now) {
-    const auto answering = usable(leave_out::absent, now);
-    source preferred = place_in_tree(m_self, answering, m_settings.tree).parent;
+    source preferred = tree_parent(leave_out::absent, now);
     if (is_usable(preferred, leave_out::absent_or_old, now)) {
         return preferred;
     }
-    if (is_usable(std::nullopt, leave_out::absent, now)) {
+    const bool owner_answers = is_usable(std::nullopt, leave_out::absent, now);
+    if (owner_answers && may_read_owner(now)) {
         return std::nullopt;
     }
     const auto others = usable(leave_out::absent_or_old, now);
     if (!others.empty()) {
-        return any_of(others);
+        return any_stand_in(others, now);
     }
+    if (owner_answers) {
+        return std::nullopt;
+    }
+    const auto answering = usable(leave_out::absent, now);
     return answering.empty() ? m_reach.first_back(m_others) : any_of(answering);
 }
 
+std::size_t source_selector::owner_readers(base::monotonic_time now) const {
+    const bool soon_old = age(now) + m_settings.silent_call > m_settings.oldest_copy;
+    return soon_old ? m_settings.stand_ins : m_settings.tree.readers;
+}
+
+bool source_selector::may_read_owner(base::monotonic_time now) {
+    if (!m_as_of || m_place < owner_readers(now)) {
+        return true;
+    }
+    const base::duration old_for = age(now) - m_settings.oldest_copy;
+    if (old_for > m_settings.isolated_after && m_silent_calls >= m_settings.isolated_calls) {
+        return true;
+    }
+    return old_for > m_settings.others_after &&
+           m_random.below(m_others.size() + 1) < m_settings.stand_ins;
+}
+
+source source_selector::any_stand_in(std::vector<tree_member> others, base::monotonic_time now) {
+    const std::size_t count = m_as_of ? owner_readers(now) : others.size();
+    if (count < others.size()) {
+        others.resize(count);
+    }
+    return any_of(others);
+}
+
 source source_selector::nearest_reader(const std::vector<tree_member>& others) const {
     const auto readers = readers_among(others, m_settings.tree);
     const auto in_zone = std::find_if(readers.begin(), readers.end(), [&](const tree_member& one) {
@@ -94,19 +154,18 @@
 void source_selector::answered(const source& from, base::monotonic_time as_of,
                                base::monotonic_time now) {
     m_reach.answered(from);
+    m_silent_calls = 0;
     const bool was_current = is_current(now);
     m_as_of = std::max(m_as_of.value_or(as_of), as_of);
     if (now - as_of > m_settings.oldest_copy) {
         leave_old(from, now);
         return;
     }
-    if (from) {
-        m_old_until.erase(*from);
+    if (from && m_old_until.erase(*from) > 0) {
+        m_parents.clear();
     }
-    const auto others = usable(leave_out::absent, now);
-    if (!was_current && from != place_in_tree(m_self, others, m_settings.tree).parent) {
-        m_detour.emplace(from);
-        m_detour_until = now + jittered(m_settings.detour);
+    if (!was_current && from != tree_parent(leave_out::absent, now)) {
+        turn_to(from, now);
     }
 }
 
@@ -118,16 +177,34 @@
 void source_selector::leave_old(const source& from, base::monotonic_time now) {
     if (from) {
         m_old_until[*from] = now + jittered(m_settings.old_copy_pause);
+        m_parents.clear();
     }
 }
 
 void source_selector::failed(const source& from, base::monotonic_time now) {
-    const bool reads = place_in_tree(m_self, m_others, m_settings.tree).reads_owner;
-    m_reach.failed(from, reads ? reading_role::reader : reading_role::other, now);
-    if (from && m_reach.is_present(std::nullopt, now)) {
-        m_detour.emplace(std::nullopt);
-        m_detour_until = now + jittered(m_settings.detour);
+    m_reach.failed(from, m_is_reader ? reading_role::reader : reading_role::other, now);
+    if (!from) {
+        return;
+    }
+    ++m_silent_calls;
+    const bool next_is_too_late =
+        !m_as_of || age(now) + m_settings.silent_call > m_settings.oldest_copy;
+    if (!next_is_too_late) {
+        return;  // The router that takes its place in the tree may be silent, too.
     }
+    if (m_reach.is_present(std::nullopt, now) && may_read_owner(now)) {
+        turn_to(std::nullopt, now);
+        return;
+    }
+    const auto others = usable(leave_out::absent_or_old, now);
+    if (!others.empty()) {
+        turn_to(any_stand_in(others, now), now);
+    }
+}
+
+void source_selector::turn_to(const source& other, base::monotonic_time now) {
+    m_detour.emplace(other);
+    m_detour_until = now + jittered(m_settings.detour);
 }
 
 base::duration source_selector::jittered(base::duration pause) {
--- a/src/ferryroad/coordination/reading/source_selector.hpp
+++ b/src/ferryroad/coordination/reading/source_selector.hpp
@@ -2,10 +2,15 @@
 /// From whom a router takes its copy of one table now: from the table's owner, or from another
 /// router, by its place in the reading tree and by what it has found out about sources.
 ///
-/// A source that doesn't answer is left out for a while (`source_reach`), and the owner is read
-/// meanwhile; one whose copy is old is left out for a moment. While this router's own copy is old,
-/// it asks its place in the tree, the owner, and then any router at random: a router that the owner
-/// still answers is found soon, however few there are, and kept to for a while.
+/// A source that doesn't answer is left out for a while (`source_reach`), and another one takes its
+/// place in the tree; one whose copy is old is left out for a moment. While this router's own copy is
+/// old, it asks its place in the tree, the owner, and then other routers: one that the owner still
+/// answers is found soon, however few there are, and kept to for a while.
+///
+/// The owner must not be asked by all routers at once where its readers fail, as each of them would
+/// be told all that the others are. Some that stand high in the ranks stand in for them as soon as
+/// copies are about to be old. The others ask these; of them only such a share asks the owner that
+/// they are no more together, and whoever hears from nobody.
 ///
 /// Each table has its own selector. Whose copies are old differs by table: where one memory served
 /// them all, answers on a table that was current made routers keep to sources that were up to 5.3 s
@@ -20,6 +25,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -32,9 +38,21 @@
     base::duration oldest_copy = std::chrono::milliseconds(2000);
     /// A router whose copy was too old is left out for so long.
     base::duration old_copy_pause = std::chrono::milliseconds(1000);
-    /// A source that was found while the tree's was old is kept to for so long, and so is the
-    /// owner after a router that didn't answer: a second one like it would make the copy too old.
+    /// A source that was found while the tree's was old is kept to for so long, and so is one that
+    /// was turned to as a second silent router would make the copy too old.
     base::duration detour = std::chrono::milliseconds(3000);
+    /// Until a router that doesn't answer is found out, about.
+    base::duration silent_call = std::chrono::milliseconds(900);
+    /// Routers by rank that may stand in for the owner's readers once copies are about to be old:
+    /// one of them reaches the owner, whatever third of all machines doesn't.
+    std::size_t stand_ins = 32;
+    /// Once copies have been old for so long, such a share of the others asks the owner at a time
+    /// that they are about as many.
+    base::duration others_after = std::chrono::milliseconds(250);
+    /// Whoever was not answered by so many routers in a row, and whose copy has been old for
+    /// `isolated_after`, asks the owner whatever its rank: it may be cut off from the others.
+    int isolated_calls = 2;
+    base::duration isolated_after = std::chrono::milliseconds(700);
 };
 
 /// Not thread-safe.
@@ -64,6 +82,16 @@
   private:
     enum class leave_out { absent, absent_or_old };
 
+    /// The parent among the routers that are not left out, for as long as these stay the same.
+    struct known_parent {
+        source parent;
+        std::uint64_t reach_revision = 0;
+        base::monotonic_time until{};
+    };
+
+    source tree_parent(leave_out rule, base::monotonic_time now) const;
+    /// @return when the next router that is left out now counts again.
+    base::monotonic_time next_change(leave_out rule, base::monotonic_time now) const;
     std::vector<tree_member> usable(leave_out rule, base::monotonic_time now) const;
     bool is_usable(const source& from, leave_out rule, base::monotonic_time now) const;
     bool is_current(base::monotonic_time now) const {
@@ -71,16 +99,28 @@
     }
     source choose_while_current(base::monotonic_time now) const;
     source choose_while_old(base::monotonic_time now);
+    /// Keeps to a source for a while, whatever the tree says.
+    void turn_to(const source& other, base::monotonic_time now);
     void leave_old(const source& from, base::monotonic_time now);
     source nearest_reader(const std::vector<tree_member>& others) const;
     source any_of(const std::vector<tree_member>& others);
+    /// @return one of the usable routers that may read the owner now; any, where there is none.
+    source any_stand_in(std::vector<tree_member> others, base::monotonic_time now);
+    /// @return how many routers, by rank, may read the owner now.
+    std::size_t owner_readers(base::monotonic_time now) const;
+    bool may_read_owner(base::monotonic_time now);
+    base::duration age(base::monotonic_time now) const { return now - *m_as_of; }
     base::duration jittered(base::duration pause);
 
     tree_member m_self;
     selector_settings m_settings;
     source_reach& m_reach;
     base::random_source& m_random;
-    std::vector<tree_member> m_others;
+    std::vector<tree_member> m_others;  ///< In the order of their ranks.
+    std::size_t m_place = 0;            ///< Routers with higher ranks.
+    bool m_is_reader = true;            ///< Of the owner, if all took part.
+    mutable std::map<leave_out, known_parent> m_parents;
+    int m_silent_calls = 0;  ///< In a row, of other routers.
     /// Routers whose copies were too old, and until when they are left out.
     std::map<base::router_name, base::monotonic_time> m_old_until;
     source m_chosen;
