Reading tables: a router whose source falls silent goes on from its own version

Cause: any unanswered question made a router take the whole table anew, as if changes could pass unseen; but other routers tell what changed after any version.

Change: only a router that reads the owner by its place takes a whole table after an answer that didn't come.

Test: table_follower.

--- a/src/ferryroad/coordination/reading/source_selector.hpp
+++ b/src/ferryroad/coordination/reading/source_selector.hpp
@@ -69,6 +69,8 @@
 
     /// @return from whom to take a copy now.
     source choose(base::monotonic_time now);
+    /// @return whether this router reads the owner by its place among all.
+    bool is_reader() const { return m_is_reader; }
     /// @return whether the owner was chosen last.
     bool reads_owner() const { return !m_chosen; }
 
--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -315,12 +315,22 @@
             } else {
                 batch = co_await read_owner(wanted, table, began);
             }
-            if (batch || !from || batch.error() == feed_fault::history_gone) {
+            if (batch || batch.error() == feed_fault::history_gone) {
                 co_return batch;
             }
+            if (!from) {
+                co_return table.sources.is_reader() ? batch : lost_source(wanted, batch);
+            }
             co_await m_scheduler.sleep_for(m_settings.retry_pause);
         }
-        co_return feed_fault::unavailable;
+        co_return lost_source(wanted, feed_fault::unavailable);
+    }
+
+    /// Other routers tell what changed after any version: a router that takes its copy from them
+    /// needs no whole one after an answer that didn't come.
+    static batch_result lost_source(const reading& wanted, const batch_result& batch) {
+        const bool goes_on = !wanted.whole && batch.error() == feed_fault::unavailable;
+        return goes_on ? batch_result(feed_fault::no_source) : batch;
     }
 
     runtime::task<batch_result> read_owner(reading wanted, table_state& table,
--- a/src/ferryroad/relay/table_follower.hpp
+++ b/src/ferryroad/relay/table_follower.hpp
@@ -26,6 +26,7 @@
 enum class feed_fault {
     history_gone,  ///< The changes since then are no longer kept.
     unavailable,   ///< No answer, or a refusal.
+    no_source,     ///< The same, of those who tell changes after any version: none is missed.
     malformed      ///< An answer that makes no sense.
 };
 
@@ -127,7 +128,8 @@
         auto batch = co_await m_feed.read_changes(m_settings.table, m_copy.version(),
                                                   m_settings.wait, limit);
         if (!batch) {
-            m_whole = false;  // Changes may pass unseen while the feed is broken.
+            // Else changes may pass unseen while the feed is broken.
+            m_whole = batch.error() == feed_fault::no_source;
             note_fault(batch.error());
             co_return batch.error() == feed_fault::history_gone;
         }
@@ -179,6 +181,11 @@
 
     std::string version_text() const { return std::to_string(m_copy.version()); }
 
+    static std::string name_of(feed_fault fault) {
+        const bool no_answer = fault == feed_fault::unavailable || fault == feed_fault::no_source;
+        return no_answer ? "unavailable" : "stale";
+    }
+
     void note_fault(feed_fault fault) {
         ++m_faults;
         if (m_faults != m_settings.faults_until_lost) {
@@ -187,7 +194,7 @@
         runtime::log(runtime::log_level::warning, component, "dependency lost",
                      {{"table", m_settings.table},
                       {"version", version_text()},
-                      {"fault", fault == feed_fault::unavailable ? "unavailable" : "stale"}});
+                      {"fault", name_of(fault)}});
     }
 
     base::duration jittered_backoff() {
--- a/test/relay/table_follower_test.cpp
+++ b/test/relay/table_follower_test.cpp
@@ -121,3 +121,15 @@
     cr_assert_eq(at.copy["a"], 12);
     cr_assert_eq(at.feed.whole_calls, 3);
 }
+
+Test(table_follower, routers_that_do_not_answer_make_no_whole_read_needed) {
+    fixture at;
+    at.feed.whole = {record_batch{{row("a", 3)}, 7, {}}};
+    at.feed.changes = {feed_fault::no_source, feed_fault::no_source,
+                       record_batch{{row("b", 9)}, 9, {}}};
+    at.run_until([&] { return at.confirmations == 2; });
+    cr_assert_eq(at.feed.whole_calls, 1);
+    cr_assert(at.feed.asked_after == (std::vector<std::uint64_t>{7, 7, 7, 9}) ||
+              at.feed.asked_after == (std::vector<std::uint64_t>{7, 7, 7}));
+    cr_assert_eq(at.copy["b"], 9);
+}
