Placement: few engines of a large pool are looked at, and prompts meet at their home

Cause: a choice weighed each engine of the list: 0.39 ms at 1,200, 6.3 ms at 9,675 and 18.7 ms at 20,000 (a thread of its own, -O3, best of 30), which is 52 and 156 ms on a machine with 0.12 cores. And the home of a prompt only won among equals, as the holders' events told the rest; blocks of 50 routers of 985 don't hear of each other's prompts, so each would read them anew.

Change: of a pool of more than 256 engines the request looks at those that rank highest for the prompt and for its id, those used lately, and known holders. Where not all holders are followed, a prompt nobody is known to hold is taken to be at its home; sent elsewhere, it is fetched from there.

Tests: engine_shortlist, engine_registry.

--- a/src/ferryroad/core/placement/placement.cpp
+++ b/src/ferryroad/core/placement/placement.cpp
@@ -6,6 +6,17 @@
 
 namespace {
 
+/// What it costs to read a token that nobody is known to hold, as a multiple of its prefill.
+double unknown_factor(const placement_query& query, const engine_candidate& engine,
+                      const placement_tunables& tunables) {
+    if (engine.home) {
+        const double warmth =
+            query.knows_holders ? tunables.home_warmth : tunables.unknown_home_warmth;
+        return (1 - warmth) * tunables.recompute_factor;
+    }
+    return query.knows_holders ? tunables.recompute_factor : tunables.reread_factor;
+}
+
 /// What the shared parts cost here: those that can be fetched are moved, the others are read.
 shared_plan shared_by(const placement_query& query, const engine_candidate& engine,
                       const placement_tunables& tunables, bool from_far) {
@@ -19,9 +30,9 @@
     const std::uint64_t known =
         std::max(held_somewhere, std::min(engine.far_fetchable_tokens, query.shared_tokens));
     const auto again = static_cast<double>(known - held_somewhere);
-    auto fresh = static_cast<double>(query.shared_tokens - known);
-    fresh *= engine.home ? 1 - tunables.home_warmth : 1.0;
-    const double read = fresh * tunables.recompute_factor + again * tunables.reread_factor;
+    const auto unknown = static_cast<double>(query.shared_tokens - known);
+    const double read =
+        unknown * unknown_factor(query, engine, tunables) + again * tunables.reread_factor;
     const double each = tunables.fetch_token_ms * (from_far ? tunables.far_fetch_factor : 1.0);
     const double moving = plan.moved_tokens > 0
                               ? tunables.fetch_ms + static_cast<double>(plan.moved_tokens) * each
--- a/src/ferryroad/core/placement/placement.hpp
+++ b/src/ferryroad/core/placement/placement.hpp
@@ -44,6 +44,9 @@
     double gap_pressure = 1;      ///< From 0 to 1: whether streams of the pool do pause.
     /// An engine's load, as a multiple of what is known of it: other routers send there, too.
     double unseen_load = 1;
+    /// Whether all that hold the prompt's state would be known. Else what nobody is known to hold
+    /// is taken to be at the prompt's home, where all routers send it.
+    bool knows_holders = true;
     double transfer_kb = 0;  ///< Of the request and its answer, in kilobytes.
 };
 
@@ -75,6 +78,9 @@
     /// little that the home only wins among equals. At 0.9 long prompts were read at the home
     /// whatever ran there (design note 0058).
     double home_warmth = 0.02;
+    /// The same where not all holders are known: only at the home do requests that come to
+    /// different routers meet.
+    double unknown_home_warmth = 0.9;
     /// Reading prompts pauses the streams that run at an engine. Up to the first share of the
     /// target gap none is late, from the second on all are (measured: design note 0058); each
     /// late one costs this much.
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -1,6 +1,9 @@
 #include "ferryroad/relay/engine_registry.hpp"
 
+#include "ferryroad/base/hash.hpp"
+
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -25,7 +28,13 @@
         names.insert(one.name);
         put(one, now);
     }
-    std::erase_if(m_engines, [&](const auto& entry) { return !names.contains(entry.first); });
+    for (auto entry = m_engines.begin(); entry != m_engines.end();) {
+        const bool is_gone = !names.contains(entry->first);
+        if (is_gone) {
+            leave_pool(entry->second);
+        }
+        entry = is_gone ? m_engines.erase(entry) : std::next(entry);
+    }
     m_known = true;
 }
 
@@ -37,6 +46,7 @@
         if (m_new_process) {
             m_new_process(one.name);
         }
+        leave_pool(engine);
         engine = known_engine();  // What was known is of the process before.
     }
     const bool is_new = is_added || is_restarted;
@@ -47,7 +57,14 @@
         engine.listed_at = now;
         engine.warm_at = now + one.warming;
     }
+    const bool moves = is_new || engine.listed.pool != one.pool;
+    if (moves && !is_new) {
+        leave_pool(engine);
+    }
     engine.listed = one;
+    if (moves) {
+        join_pool(engine);
+    }
     for (const auto& [model, version] : one.versions) {
         saw_version(one.name, model, version);
     }
@@ -62,7 +79,62 @@
 }
 
 void engine_registry::remove(const base::engine_name& name) {
-    m_engines.erase(name);
+    const auto found = m_engines.find(name);
+    if (found != m_engines.end()) {
+        leave_pool(found->second);
+        m_engines.erase(found);
+    }
+}
+
+namespace {
+
+engine_pool::iterator place_in(engine_pool& pool, const base::engine_name& name) {
+    return std::lower_bound(pool.begin(), pool.end(), name,
+                            [](const pool_member& one, const auto& wanted) {
+                                return one.engine->listed.name < wanted;
+                            });
+}
+
+}  // namespace
+
+void engine_registry::join_pool(const known_engine& engine) {
+    engine_pool& pool = m_pools[engine.listed.pool];
+    const std::uint64_t hash = base::hash_bytes(engine.listed.name.value);
+    pool.insert(place_in(pool, engine.listed.name), {hash, &engine});
+}
+
+void engine_registry::leave_pool(const known_engine& engine) {
+    engine_pool& pool = m_pools[engine.listed.pool];
+    const auto place = place_in(pool, engine.listed.name);
+    if (place != pool.end() && place->engine == &engine) {
+        pool.erase(place);
+    }
+}
+
+const engine_pool& engine_registry::pool(const base::pool_name& name) const {
+    static const engine_pool none;
+    const auto found = m_pools.find(name);
+    return found == m_pools.end() ? none : found->second;
+}
+
+void engine_registry::mark_active(const base::engine_name& name) {
+    m_active.insert(name);
+    std::erase(m_lately_used, name);
+    m_lately_used.push_front(name);
+    if (m_lately_used.size() > most_lately_used) {
+        m_lately_used.pop_back();
+    }
+}
+
+std::vector<const known_engine*> engine_registry::lately_used(const base::pool_name& name) const {
+    std::vector<const known_engine*> found;
+    for (const base::engine_name& one : m_lately_used) {
+        const auto engine = m_engines.find(one);
+        if (engine != m_engines.end() && engine->second.listed.pool == name) {
+            found.push_back(&engine->second);
+        }
+    }
+    return found;
 }
 
 known_engine* engine_registry::find(const base::engine_name& name) {
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -9,7 +9,9 @@
 #include "ferryroad/coordination/release/types.hpp"
 #include "ferryroad/core/placement/engine_health.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -59,6 +61,15 @@
     std::uint64_t version_of(const std::string& model) const;
 };
 
+/// An engine among those of its pool.
+struct pool_member {
+    std::uint64_t name_hash = 0;
+    const known_engine* engine = nullptr;
+};
+
+/// The engines of one pool, in the order of their names.
+using engine_pool = std::vector<pool_member>;
+
 /// Used from the event loop's thread.
 class engine_registry {
   public:
@@ -71,12 +82,18 @@
     /// @return the engine, or null. The pointer holds until the next change of the list.
     known_engine* find(const base::engine_name& name);
     const std::map<base::engine_name, known_engine>& engines() const { return m_engines; }
+    /// @return the engines of a pool, leaving ones among them; holds until the next change of the
+    /// list.
+    const engine_pool& pool(const base::pool_name& name) const;
+    /// @return engines of a pool that requests were sent to last, most of them with connections
+    /// that are kept; a bounded number.
+    std::vector<const known_engine*> lately_used(const base::pool_name& name) const;
     /// @return the engines that this router has requests at, or that refuse work for now: few of
     /// many, in the order of their names. Each look at all of 3,001 engines took a tenth of a
     /// router's processor time (profile of 299 routers).
     std::vector<const known_engine*> active(base::monotonic_time now);
     /// A request goes to the engine: it counts as active until it is seen not to be.
-    void mark_active(const base::engine_name& name) { m_active.insert(name); }
+    void mark_active(const base::engine_name& name);
     /// Everything that the list's owner took before `as_of` has been told.
     void confirm(base::monotonic_time as_of);
     /// @return time since the list was last confirmed; the greatest while it never was.
@@ -102,8 +119,16 @@
                         std::uint64_t version, base::monotonic_time until);
 
   private:
+    /// Engines remembered as lately used, in all pools.
+    static constexpr std::size_t most_lately_used = 64;
+
+    void join_pool(const known_engine& engine);
+    void leave_pool(const known_engine& engine);
+
     std::map<base::engine_name, known_engine> m_engines;
+    std::map<base::pool_name, engine_pool> m_pools;
     std::set<base::engine_name> m_active;
+    std::deque<base::engine_name> m_lately_used;  ///< The last one first.
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
         m_newer_weights;
     std::function<void(const base::engine_name&)> m_new_process;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -4,6 +4,7 @@
 #include "ferryroad/core/placement/state_stores.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -19,6 +20,14 @@
 /// Of a streamed answer, with an event's framing around each piece of text.
 constexpr double event_kb = 0.1;
 
+/// @return what the prompt's home is found by; nothing where it shares no part.
+std::optional<std::uint64_t> home_key(const core::prefix::declared_prompt& prompt) {
+    if (prompt.shared_parts() == 0) {
+        return std::nullopt;
+    }
+    return base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
+}
+
 double answer_kb(std::uint64_t output_tokens) {
     return static_cast<double>(output_tokens) * event_kb;
 }
@@ -159,28 +168,80 @@
     return prompt;
 }
 
+const engine_selection::scoped_prompt& engine_selection::prompt_under(
+    std::uint64_t version, const selection_query& query, scoped_prompts& prompts,
+    base::monotonic_time now) const {
+    auto known = prompts.find(version);
+    if (known == prompts.end()) {
+        known = prompts.emplace(version, scoped(query, version, now)).first;
+    }
+    return known->second;
+}
+
+std::vector<const known_engine*> engine_selection::considered(const selection_query& query,
+                                                              scoped_prompts& prompts,
+                                                              base::monotonic_time now) const {
+    const engine_pool& pool = m_registry.pool(query.pool);
+    shortlist_keys keys;
+    keys.request = base::hash_bytes(query.call.id.value);
+    if (query.call.prompt) {
+        keys.home = home_key(*query.call.prompt);
+    }
+    auto listed = shortlist(pool, keys, m_settings.shortlist);
+    if (listed.size() == pool.size()) {
+        return listed;
+    }
+    add_to_shortlist(listed, m_registry.lately_used(query.pool));
+    if (query.call.prompt) {
+        add_to_shortlist(listed, holders_among(listed, query, prompts, now));
+    }
+    return listed;
+}
+
+std::vector<const known_engine*> engine_selection::holders_among(
+    const std::vector<const known_engine*>& listed, const selection_query& query,
+    scoped_prompts& prompts, base::monotonic_time now) const {
+    std::set<std::uint64_t> versions;
+    for (const known_engine* one : listed) {
+        versions.insert(one->version_of(query.call.prompt->model));
+    }
+    std::vector<const known_engine*> holders;
+    for (const std::uint64_t version : versions) {
+        std::vector<placement::holding> held = prompt_under(version, query, prompts, now).holdings;
+        const std::size_t count = std::min(held.size(), m_settings.shortlist.holders);
+        std::partial_sort(held.begin(), held.begin() + static_cast<std::ptrdiff_t>(count),
+                          held.end(),
+                          [](const auto& a, const auto& b) { return a.tokens > b.tokens; });
+        held.resize(count);
+        for (const placement::holding& one : held) {
+            const known_engine* engine = m_registry.find(one.holder);
+            if (engine != nullptr && engine->listed.pool == query.pool) {
+                holders.push_back(engine);
+            }
+        }
+    }
+    return holders;
+}
+
 std::vector<engine_selection::weighed> engine_selection::eligible(const selection_query& query,
                                                                   scoped_prompts& prompts,
                                                                   base::monotonic_time now) const {
     const auto loads = m_loads.totals(now);
     release_filter released(m_releases, query.canary, now);
     std::vector<weighed> engines;
-    for (const auto& [name, engine] : m_registry.engines()) {
+    for (const known_engine* listed : considered(query, prompts, now)) {
+        const known_engine& engine = *listed;
         if (!may_serve(engine, query, now) || !released.allows(engine)) {
             continue;
         }
-        const auto others = loads.find(name);
+        const auto others = loads.find(engine.listed.name);
         weighed one{&engine, others == loads.end() ? placement::shared_load{} : others->second,
                     nullptr, std::nullopt, std::nullopt};
         if (query.call.prompt) {
             const std::string& model = query.call.prompt->model;
             const std::uint64_t version = engine.version_of(model);
             one.outdated_since = m_policies.outdated_since(model, version);
-            auto known = prompts.find(version);
-            if (known == prompts.end()) {
-                known = prompts.emplace(version, scoped(query, version, now)).first;
-            }
-            one.prompt = &known->second;
+            one.prompt = &prompt_under(version, query, prompts, now);
         }
         engines.push_back(one);
     }
@@ -287,11 +348,12 @@
 
 /// All routers of a region reckon the same home from the same list of engines, so that requests
 /// which come at the same time to different routers read a prefix once.
-void engine_selection::mark_home(const std::vector<weighed>& engines,
-                                 const core::prefix::declared_prompt& prompt,
-                                 placement::placement_query& placed) const {
-    if (prompt.shared_parts() == 0) {
-        return;
+const known_engine* engine_selection::mark_home(const std::vector<weighed>& engines,
+                                                const core::prefix::declared_prompt& prompt,
+                                                placement::placement_query& placed) const {
+    const auto key = home_key(prompt);
+    if (!key) {
+        return nullptr;
     }
     const auto may_be_home = [](const placement::engine_candidate& one) {
         return !one.suspended && !one.outdated;
@@ -303,21 +365,22 @@
         std::count_if(placed.candidates.begin(), placed.candidates.end(),
                       [&](const auto& one) { return may_be_home(one) && is_near(one); }));
     const bool own_region = near >= m_settings.least_homes;
-    const std::uint64_t key = base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
     std::optional<std::size_t> home;
     std::uint64_t best = 0;
     for (std::size_t index = 0; index < engines.size(); ++index) {
         const placement::engine_candidate& candidate = placed.candidates[index];
-        const std::uint64_t score = base::rendezvous_score(key, candidate.name.value);
+        const std::uint64_t score = rank_of(*key, base::hash_bytes(candidate.name.value));
         const bool counts = may_be_home(candidate) && (is_near(candidate) || !own_region);
         if (counts && (!home || score > best)) {
             home = index;
             best = score;
         }
     }
-    if (home) {
-        placed.candidates[*home].home = true;
+    if (!home) {
+        return nullptr;
     }
+    placed.candidates[*home].home = true;
+    return engines[*home].engine;
 }
 
 void engine_selection::draw(const base::request_id& id, std::vector<weighed>& engines,
@@ -363,6 +426,8 @@
     std::vector<weighed> engines = eligible(query, prompts, now);
     placement::placement_query placed;
     placed.unseen_load = m_unseen_load;
+    placed.knows_holders = !m_knows_holders || m_knows_holders();
+    const known_engine* home = nullptr;
     for (const weighed& one : engines) {
         placed.candidates.push_back(candidate_of(one, now));
     }
@@ -374,7 +439,7 @@
         placed.target_gap = query.target_gap;
         placed.gap_pressure = m_gap_pressures[query.pool].level();
         keep_timely(query, now, engines, placed);
-        mark_home(engines, *query.call.prompt, placed);
+        home = mark_home(engines, *query.call.prompt, placed);
     }
     draw(query.call.id, engines, placed);
     const auto choice = placement::choose_engine(placed, m_settings.placement);
@@ -413,6 +478,9 @@
         const std::uint64_t held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
         chosen.prefill_tokens = placed.input_tokens - std::min(held, placed.input_tokens);
         add_state_terms(query, *one.prompt, plan.from_far, now, chosen);
+        if (!placed.knows_holders) {
+            add_home_terms(query, *one.prompt, home, now, chosen);
+        }
         note_move(query, plan.moved_tokens, chosen);
     }
     return chosen;
@@ -434,6 +502,29 @@
     const std::uint64_t at_source = source == nullptr ? 0 : prompt.held_by(source->listed.name);
     if (at_source >= in_store && at_source > chosen.warm_tokens) {
         chosen.fetch_state_from = source->listed.address;
+        chosen.fetched_state_zone = source->listed.zone;
+    }
+}
+
+bool engine_selection::may_give(const known_engine& engine, const selection_query& query,
+                                base::monotonic_time now) const {
+    return engine.listed.pool == query.pool && !engine.health.suspended(now) &&
+           (m_releases == nullptr || m_releases->may_give_state(engine, now));
+}
+
+void engine_selection::add_home_terms(const selection_query& query, const scoped_prompt& prompt,
+                                      const known_engine* home, base::monotonic_time now,
+                                      selected_engine& chosen) const {
+    const std::uint64_t shared = query.call.prompt->shared_tokens();
+    const bool knows_enough = std::max(chosen.warm_tokens, prompt.everywhere.most) >= shared;
+    if (home == nullptr || home->listed.name == chosen.target.name || knows_enough) {
+        return;
+    }
+    const bool same_weights = keeps_scope(home->listed.name, query.call.prompt->model,
+                                          chosen.expected_version.value_or(0), now);
+    if (same_weights && may_give(*home, query, now)) {
+        chosen.fetch_state_from = home->listed.address;
+        chosen.fetched_state_zone = home->listed.zone;
     }
 }
 
@@ -444,17 +535,7 @@
         return;
     }
     chosen.moved_bytes = static_cast<double>(tokens) * pool->model->kv_token_bytes;
-    for (const auto& [name, engine] : m_registry.engines()) {
-        if (engine.listed.address == *chosen.fetch_state_from) {
-            chosen.moved_over = m_settings.zones.between(engine.listed.zone, chosen.zone);
-            return;
-        }
-    }
-    for (const core::traffic::state_store& store : query.policy.declared().stores) {
-        if (store.address == *chosen.fetch_state_from) {
-            chosen.moved_over = m_settings.zones.between(store.zone, chosen.zone);
-        }
-    }
+    chosen.moved_over = m_settings.zones.between(chosen.fetched_state_zone, chosen.zone);
 }
 
 std::vector<core::traffic::state_store> engine_selection::stores_for(
@@ -478,11 +559,13 @@
     }
     std::uint64_t most = prompt.held_by(holder_of(*home));
     chosen.fetch_state_from = home->address;
+    chosen.fetched_state_zone = home->zone;
     for (const core::traffic::state_store& store : stores) {
         const std::uint64_t held = prompt.held_by(holder_of(store));
         if (held > most) {
             most = held;
             chosen.fetch_state_from = store.address;
+            chosen.fetched_state_zone = store.zone;
         }
     }
     placement::prompt_reading reading;
@@ -503,9 +586,7 @@
     std::tuple<std::uint64_t, core::topology::distance> best_rank;
     for (const placement::holding& held : prompt.holdings) {
         const known_engine* engine = m_registry.find(held.holder);
-        const bool sound = engine != nullptr && engine->listed.pool == query.pool &&
-                           !engine->health.suspended(now) && held.confirmed &&
-                           (m_releases == nullptr || m_releases->may_give_state(*engine, now)) &&
+        const bool sound = engine != nullptr && may_give(*engine, query, now) && held.confirmed &&
                            held.holder != chosen.target.name;
         if (!sound || !(from_far || same_region(engine->listed.zone, chosen.zone))) {
             continue;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -14,6 +14,7 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/relay/canary_traffic.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/engine_shortlist.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/types.hpp"
 
@@ -35,6 +36,8 @@
     std::optional<base::duration> outdated_limit;
     /// From then on older weights cost worth, so that newer ones are preferred.
     base::duration outdated_grace{};
+    /// Engines of a large pool that a request is looked at for.
+    shortlist_limits shortlist;
     /// Engines without all of the prompt's shared state that a request is weighed for.
     core::placement::draw_limits drawn;
     /// A region with fewer sound engines than this has no homes of its own.
@@ -70,6 +73,7 @@
     base::duration begin_bound{};
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
+    base::zone_name fetched_state_zone;  ///< Where that lies.
     std::optional<base::endpoint> save_state_to;
     std::uint64_t warm_tokens = 0;       ///< Believed to be held by the engine.
     std::uint64_t fetchable_tokens = 0;  ///< The same, held elsewhere and worth moving.
@@ -108,6 +112,9 @@
         m_keeps_connection = std::move(keeps);
     }
 
+    /// @param knows whether all engines' state is followed; without it all is.
+    void ask_knowledge(std::function<bool()> knows) { m_knows_holders = std::move(knows); }
+
     /// Routers that aren't heard send requests, too, and are taken to load each engine as those
     /// do that are.
     /// @param present all routers. @param heard those whose load is known, at least 1.
@@ -210,10 +217,23 @@
     bool far_state_is_worth_moving() const;
     scoped_prompt scoped(const selection_query& query, std::uint64_t version,
                          base::monotonic_time now) const;
+    const scoped_prompt& prompt_under(std::uint64_t version, const selection_query& query,
+                                      scoped_prompts& prompts, base::monotonic_time now) const;
+    /// @return the engines that are looked at for the request, in the order of their names.
+    std::vector<const known_engine*> considered(const selection_query& query,
+                                                scoped_prompts& prompts,
+                                                base::monotonic_time now) const;
+    /// @return those that hold most of the prompt under the weights of the listed ones.
+    std::vector<const known_engine*> holders_among(const std::vector<const known_engine*>& listed,
+                                                   const selection_query& query,
+                                                   scoped_prompts& prompts,
+                                                   base::monotonic_time now) const;
     std::vector<weighed> eligible(const selection_query& query, scoped_prompts& prompts,
                                   base::monotonic_time now) const;
-    void mark_home(const std::vector<weighed>& engines, const core::prefix::declared_prompt& prompt,
-                   core::placement::placement_query& placed) const;
+    /// @return the home, or null where there is none.
+    const known_engine* mark_home(const std::vector<weighed>& engines,
+                                  const core::prefix::declared_prompt& prompt,
+                                  core::placement::placement_query& placed) const;
     /// Leaves the engines that hold the prompt's shared parts, its home, and some that are drawn:
     /// suspended ones only where there are too few others, those of other regions in a small part
     /// where the own has enough.
@@ -239,6 +259,12 @@
     /// @return the most that one store holds of the prompt.
     std::uint64_t add_store_terms(const selection_query& query, const scoped_prompt& prompt,
                                   bool from_far, selected_engine& chosen) const;
+    /// What nobody is known to hold may be at the home: it is fetched from there.
+    void add_home_terms(const selection_query& query, const scoped_prompt& prompt,
+                        const known_engine* home, base::monotonic_time now,
+                        selected_engine& chosen) const;
+    bool may_give(const known_engine& engine, const selection_query& query,
+                  base::monotonic_time now) const;
     /// Notes how much is fetched, and how far, for logs and metrics.
     void note_move(const selection_query& query, std::uint64_t tokens,
                    selected_engine& chosen) const;
@@ -259,6 +285,7 @@
     std::map<base::pool_name, core::placement::begin_forecast> m_forecasts;
     core::topology::path_costs m_paths;
     std::function<bool(const base::endpoint&)> m_keeps_connection;
+    std::function<bool()> m_knows_holders;
     double m_unseen_load = 1;
 };
 
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -182,6 +182,10 @@
         }
     }
     std::size_t followed() const { return m_holders.size(); }
+    /// @return whether what any holder tells would be known here.
+    bool follows_all() const {
+        return m_holders.size() <= m_settings.followed_share * m_sharing.routers();
+    }
 
   private:
     static constexpr std::string_view component = "relay.state";
@@ -248,10 +252,6 @@
         m_scheduler.spawn(component, run(holder));
     }
 
-    bool follows_all() const {
-        return m_holders.size() <= m_settings.followed_share * m_sharing.routers();
-    }
-
     bool is_of_interest(const followed_holder& holder) const {
         if (holder.interest == holder_interest::always || follows_all()) {
             return true;
@@ -337,12 +337,11 @@
         }
     }
 
-    /// Of a holder of another region, and of one of many, only the router that follows it asks. What
-    /// was told before this router was there isn't asked for: whole histories, asked for by each
-    /// router that starts, were most of what crossed regions.
+    /// Of a holder of another region, and of one of many, only the router that follows it asks.
+    /// What was told before this router was there isn't asked for: whole histories, asked for by
+    /// each router that starts, were most of what crossed regions.
     bool must_ask(const followed_holder& holder) const {
-        const bool is_one_of_many =
-            holder.interest == holder_interest::in_use && !follows_all();
+        const bool is_one_of_many = holder.interest == holder_interest::in_use && !follows_all();
         if (is_far(holder) || is_one_of_many) {
             return false;
         }
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -131,3 +131,48 @@
     registry.replace_all({process_of(2000)}, start + 1s);
     cr_assert_eq(told, 1);
 }
+
+Test(engine_registry, a_pool_lists_its_engines_in_the_order_of_their_names) {
+    engine_registry registry;
+    listed_engine one;
+    one.pool.value = "p";
+    for (const char* name : {"c", "a", "b"}) {
+        one.name.value = name;
+        registry.put(one);
+    }
+    const auto names = [&](const char* pool) {
+        std::string all;
+        for (const pool_member& member : registry.pool(base::pool_name(pool))) {
+            all += member.engine->listed.name.value;
+        }
+        return all;
+    };
+    cr_assert(names("p") == "abc");
+    one.born = 7;
+    registry.put(one);  // A new process under the same name.
+    one.pool.value = "q";
+    registry.put(one);
+    cr_assert(names("p") == "ac");
+    cr_assert(names("q") == "b");
+    registry.remove(base::engine_name("c"));
+    cr_assert(names("p") == "a");
+    registry.replace_all({one});
+    cr_assert(names("p").empty());
+    cr_assert(names("q") == "b");
+}
+
+Test(engine_registry, remembers_which_engines_were_used_last) {
+    engine_registry registry;
+    listed_engine one;
+    one.pool.value = "p";
+    for (int number = 0; number < 200; ++number) {
+        one.name.value = "e" + std::to_string(number);
+        registry.put(one);
+        registry.mark_active(one.name);
+    }
+    registry.mark_active(base::engine_name("e150"));
+    const auto used = registry.lately_used(one.pool);
+    cr_assert_leq(used.size(), 64);
+    cr_assert(used.front()->listed.name.value == "e150");
+    cr_assert(registry.lately_used(base::pool_name("q")).empty());
+}
--- /dev/null
+++ b/test/relay/engine_shortlist_test.cpp
@@ -0,0 +1,156 @@
+/// Of a large pool few engines are looked at for a request, and every router finds the same home.
+#include "ferryroad/relay/engine_shortlist.hpp"
+
+#include "ferryroad/base/hash.hpp"
+#include "ferryroad/relay/selection.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::monotonic_time start{100s};
+const base::pool_name pool_name("p");
+
+listed_engine engine_of(std::size_t number) {
+    listed_engine one;
+    one.name.value = "i-" + std::to_string(number * 7919 % 1'000'003);
+    one.pool = pool_name;
+    one.zone.value = "z" + std::to_string(number % 5);
+    one.address = {"10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250), 1};
+    one.slots = 16;
+    one.versions["m"] = 1;
+    return one;
+}
+
+void fill(engine_registry& registry, std::size_t count) {
+    for (std::size_t number = 0; number < count; ++number) {
+        registry.put(engine_of(number), start);
+    }
+}
+
+shortlist_keys keys_of(const std::string& request) {
+    return {base::hash_bytes("shared"), base::hash_bytes(request)};
+}
+
+/// A router's own view of the same engines.
+struct router {
+    explicit router(std::size_t engines) {
+        fill(registry, engines);
+        core::traffic::declaration declared;
+        declared.version = 1;
+        policies.offer(std::move(declared));
+        policies.confirm(start);
+    }
+    static selection_settings settings() {
+        selection_settings all;
+        all.zone = base::zone_name("z1");
+        return all;
+    }
+    std::optional<selected_engine> select(const std::string& request,
+                                          std::vector<base::engine_name> excluded = {}) {
+        relay_call call;
+        call.id.value = request;
+        call.prompt = core::prefix::declared_prompt{
+            "m", {{"a", 1000}, {"shared", 8000}, {"own", 500}}, 9500, 20};
+        const selection_query query{call, *policies.current(), pool_name, nullptr,
+                                    std::move(excluded)};
+        return selection.select(query, start);
+    }
+
+    engine_registry registry;
+    policy_source policies{policy_bounds{}};
+    core::placement::warm_state warm;
+    core::placement::engine_load_view loads;
+    engine_selection selection{registry, policies, warm, loads, settings()};
+};
+
+}  // namespace
+
+Test(engine_shortlist, a_small_pool_is_looked_at_whole_and_in_order) {
+    engine_registry registry;
+    const shortlist_limits limits;
+    fill(registry, limits.whole);
+    const auto listed = shortlist(registry.pool(pool_name), keys_of("r"), limits);
+    cr_assert_eq(listed.size(), limits.whole);
+    cr_assert(std::is_sorted(listed.begin(), listed.end(), [](const auto* a, const auto* b) {
+        return a->listed.name < b->listed.name;
+    }));
+}
+
+Test(engine_shortlist, what_is_looked_at_does_not_grow_with_the_pool) {
+    const shortlist_limits limits;
+    for (const std::size_t engines : {1'000, 10'000, 20'000}) {
+        engine_registry registry;
+        fill(registry, engines);
+        const auto listed = shortlist(registry.pool(pool_name), keys_of("r"), limits);
+        cr_assert_leq(listed.size(), limits.homes + limits.drawn);
+        cr_assert_geq(listed.size(), limits.drawn);
+    }
+}
+
+Test(engine_shortlist, requests_draw_different_engines_and_share_the_homes) {
+    engine_registry registry;
+    fill(registry, 5'000);
+    const shortlist_limits limits;
+    const engine_pool& pool = registry.pool(pool_name);
+    const auto first = shortlist(pool, keys_of("r1"), limits);
+    const auto second = shortlist(pool, keys_of("r2"), limits);
+    std::vector<const known_engine*> common;
+    std::set_intersection(
+        first.begin(), first.end(), second.begin(), second.end(), std::back_inserter(common),
+        [](const auto* a, const auto* b) { return a->listed.name < b->listed.name; });
+    cr_assert_geq(common.size(), limits.homes);
+    cr_assert_leq(common.size(), limits.homes + 10);
+}
+
+/// Load pattern: prompts with long shared parts come to routers that hear of few holders.
+Test(engine_shortlist, where_few_holders_are_known_all_routers_send_a_prompt_to_its_home) {
+    router one(3'000);
+    router other(3'000);
+    for (router* each : {&one, &other}) {
+        each->selection.ask_knowledge([] { return false; });
+        each->selection.expect_routers(985, 50);
+    }
+    const auto home = one.select("r1")->target.name;
+    for (int request = 2; request < 40; ++request) {
+        cr_assert(other.select("r" + std::to_string(request))->target.name == home);
+    }
+    const auto second = one.select("r1", {home})->target.name;
+    cr_assert(other.select("r5", {home})->target.name == second, "the next home, too");
+}
+
+Test(engine_shortlist, what_the_home_may_hold_is_fetched_from_there_where_it_is_busy) {
+    router one(3'000);
+    one.selection.ask_knowledge([] { return false; });
+    const auto home = one.select("r1")->target;
+    one.registry.find(home.name)->pending_prefill_tokens = 100'000;
+    const auto chosen = one.select("r1");
+    cr_assert(chosen->target.name != home.name);
+    cr_assert(chosen->fetch_state_from == home.address);
+}
+
+Test(engine_shortlist, who_holds_the_prompt_is_looked_at_wherever_it_ranks) {
+    router one(3'000);
+    const auto home = one.select("r1")->target.name;
+    const core::prefix::declared_prompt prompt{
+        "m", {{"a", 1000}, {"shared", 8000}, {"own", 500}}, 9500, 20};
+    base::engine_name holder;
+    for (const auto& [name, engine] : one.registry.engines()) {
+        if (engine.listed.zone.value == "z1" && name != home) {
+            holder = name;
+        }
+    }
+    one.warm.follow(holder, true);
+    for (const auto& part : core::prefix::scoped_parts_of(prompt, "shared/1")) {
+        one.warm.told(part.key, holder, part.tokens, start);
+    }
+    cr_assert(one.select("r2")->target.name == holder);
+}
