First copies: changes are asked for once the list of routers has come

Cause: half a second after its first copy a router asked the owner for changes where it knew no others yet; of many that start together most do.

--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -71,6 +71,9 @@
     /// A router that has its first copy waits so long to be told of the other routers before it
     /// asks for changes: these come from them.
     base::duration routers_wait = std::chrono::milliseconds(500);
+    /// The same where first copies come from contacts: of many that start together each waits for
+    /// another, and all would ask the owner for changes meanwhile.
+    base::duration contacts_wait = std::chrono::milliseconds(5000);
     /// Where many start together, the first list of them is short: so long after it is told,
     /// before the list is read again, a router doesn't take itself for a reader yet.
     base::duration routers_settle = std::chrono::milliseconds(300);
@@ -225,7 +228,9 @@
     bool knows_routers() const {
         const base::monotonic_time now = m_scheduler.now();
         const bool settled = m_first_told_at && now - *m_first_told_at >= m_settings.routers_settle;
-        return settled || now - *m_first_call_at >= m_settings.routers_wait;
+        const base::duration longest =
+            m_contact_search ? m_settings.contacts_wait : m_settings.routers_wait;
+        return settled || now - *m_first_call_at >= longest;
     }
 
     runtime::task<batch_result> read_first_copy(reading wanted) {
