Presence: a router that is gone is removed from the list within seconds

Change: of a block the router that ranks first for it removes the row of one of its zone that wasn't heard for 12 s, on condition that it is unchanged. Whoever finds its own row removed writes it again. One call for each router that is gone.

Tests: presence, peer_group.

--- a/src/ferryroad/leases/presence.cpp
+++ b/src/ferryroad/leases/presence.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/leases/presence.hpp"
 
+#include "ferryroad/runtime/log.hpp"
+
 #include <algorithm>
 #include <string>
 #include <utility>
@@ -75,15 +77,42 @@
 
 runtime::task<bool> presence::write_own_row() {
     platform::transaction change;
-    change.writes.push_back(
-        {platform::row_key(std::string(presence_key_prefix) + m_self.name.value),
-         value_of(m_scheduler.random().next(), m_self.note)});
+    change.writes.push_back({own_key(), value_of(m_scheduler.random().next(), m_self.note)});
     std::vector<platform::transaction> changes;
     changes.push_back(std::move(change));
     const auto outcomes = co_await m_table.transact(std::move(changes));
     co_return outcomes.has_value();
 }
 
+platform::row_key presence::own_key() const {
+    return platform::row_key(std::string(presence_key_prefix) + m_self.name.value);
+}
+
+runtime::task<void> presence::write_again() {
+    runtime::log(runtime::log_level::warning, component, "own row was removed, written again");
+    co_await write_own_row();
+}
+
+void presence::remove_gone(const base::router_name& name) {
+    const platform::row_key key(std::string(presence_key_prefix) + name.value);
+    const auto known = m_rows.find(key);
+    if (known != m_rows.end() && !m_stopped) {
+        m_scheduler.spawn(component, remove(key, known->second.version));
+    }
+}
+
+runtime::task<void> presence::remove(platform::row_key key, platform::row_version version) {
+    platform::transaction change;
+    change.conditions.push_back({key, version});
+    change.writes.push_back({key, std::nullopt});
+    std::vector<platform::transaction> changes;
+    changes.push_back(std::move(change));
+    const auto outcomes = co_await m_table.transact(std::move(changes));
+    const bool removed = outcomes && !outcomes->empty() && outcomes->front().committed;
+    runtime::log(runtime::log_level::info, component, "row of a router that is gone",
+                 {{"key", key.value}, {"removed", removed ? "true" : "false"}});
+}
+
 void presence::look() {
     const std::vector<present_router> routers = present(m_scheduler.now());
     m_present = routers.size();
@@ -92,7 +121,10 @@
 
 void presence::see(const platform::row& row) {
     if (row.version.value == 0) {
-        m_rows.erase(row.key);
+        const bool was_known = m_rows.erase(row.key) > 0;
+        if (was_known && row.key == own_key() && m_listed && !m_stopped) {
+            m_scheduler.spawn(component, write_again());
+        }
         return;
     }
     const base::monotonic_time now = m_scheduler.now();
--- a/src/ferryroad/leases/presence.hpp
+++ b/src/ferryroad/leases/presence.hpp
@@ -57,8 +57,11 @@
     void start();
     void stop() { m_stopped = true; }
 
-    /// A router's row, as the table has it now; removed where `version` is 0.
+    /// A router's row, as the table has it now; removed where `version` is 0. A router whose own row
+    /// was removed writes it again: others took it for gone.
     void see(const platform::row& row);
+    /// The router is gone: its row goes, unless it has written it again since.
+    void remove_gone(const base::router_name& name);
     /// Tells who is present, from the rows seen; called after each reading of the table.
     void look();
     /// @return whether the table has taken this router's row.
@@ -76,6 +79,9 @@
     runtime::task<void> run();
     /// @return whether it was taken.
     runtime::task<bool> write_own_row();
+    runtime::task<void> write_again();
+    runtime::task<void> remove(platform::row_key key, platform::row_version version);
+    platform::row_key own_key() const;
     runtime::task<void> pause(base::duration length);
     std::vector<present_router> present(base::monotonic_time now) const;
 
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -106,10 +106,21 @@
     }
     if (silent) {
         note_live_peers(now);
+        tell_gone(now);
     }
     send_changes(now);
 }
 
+void peer_exchange::tell_gone(base::monotonic_time now) {
+    if (!m_gone_told || now - m_gone_told_at < m_settings.gone_pace) {
+        return;
+    }
+    m_gone_told_at = now;
+    for (const base::router_name& name : m_group.gone(now)) {
+        m_gone_told(name);
+    }
+}
+
 void peer_exchange::note_live_peers(base::monotonic_time now) {
     std::set<base::router_name> live = m_group.live(now);
     for (const base::router_name& name : live) {
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -30,6 +30,8 @@
     base::duration pace_per_router = std::chrono::milliseconds(6);
     /// A router with nothing new says so this often: it is alive.
     base::duration heartbeat = std::chrono::milliseconds(500);
+    /// Between two looks for routers that are gone.
+    base::duration gone_pace = std::chrono::seconds(3);
     /// A prompt of which this much must be read is told of at once.
     std::uint64_t urgent_tokens = 1000;
     /// Weights of a notice that tells nothing else.
@@ -78,7 +80,14 @@
     void take(const base::endpoint& from, std::string_view bytes);
 
     /// Takes the routers that are present.
-    void set_routers(const std::vector<peer_address>& present) { m_group.declare(present); }
+    void set_routers(const std::vector<peer_address>& present) {
+        m_group.declare(present, m_ports.scheduler.now());
+    }
+    /// @param told of each router that is present by the list, and hasn't been heard for long; once
+    /// in `gone_pace` while it stays so.
+    void on_gone(std::function<void(const base::router_name&)> told) {
+        m_gone_told = std::move(told);
+    }
     /// An engine was asked to read a prompt; called once its load is counted.
     /// @param prefill_tokens expected to be read anew.
     void dispatched(const base::engine_name& engine,
@@ -110,6 +119,7 @@
     void note_expected(const base::engine_name& engine) const;
     void send_news();
     void note_live_peers(base::monotonic_time now);
+    void tell_gone(base::monotonic_time now);
     void send_load(base::monotonic_time now);
     void send_changes(base::monotonic_time now);
     void send(const peer::traffic_notice& notice, base::monotonic_time now);
@@ -122,6 +132,8 @@
     peer_group m_group;
     std::function<void(const peer::holder_changes&)> m_learned;
     std::function<void(const base::engine_name&)> m_expected_told;
+    std::function<void(const base::router_name&)> m_gone_told;
+    base::monotonic_time m_gone_told_at{};
     exchange_settings m_settings;
     std::vector<core::placement::stated_load> m_stated;  ///< What peers were told last.
     base::monotonic_time m_stated_at{};
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -32,16 +32,20 @@
 peer_group::peer_group(peer_address self, peer_group_tunables tunables)
     : m_self(std::move(self)), m_tunables(std::move(tunables)) {}
 
-void peer_group::declare(const std::vector<peer_address>& present) {
+void peer_group::declare(const std::vector<peer_address>& present, base::monotonic_time now) {
     m_block.reset();
+    std::set<base::router_name> before;
     for (auto& [name, one] : m_peers) {
-        one.declared = false;
+        if (std::exchange(one.declared, false)) {
+            before.insert(name);
+        }
     }
     for (const peer_address& peer : present) {
         if (peer.name != m_self.name) {
             known_peer& one = m_peers[peer.name];
             one.peer = peer;
             one.declared = true;
+            one.declared_at = before.contains(peer.name) ? one.declared_at : now;
         }
     }
     std::erase_if(m_peers, [](const auto& entry) {
@@ -167,6 +171,29 @@
     return false;
 }
 
+bool peer_group::ranks_first_for(const base::router_name& name, base::monotonic_time now) const {
+    const std::uint64_t key = base::hash_bytes(name.value);
+    const std::uint64_t own = base::rendezvous_score(key, m_self.name.value);
+    const auto& others = block(now);
+    return std::none_of(others.begin(), others.end(), [&](const known_peer* one) {
+        return is_live(*one, now) && base::rendezvous_score(key, one->peer.name.value) > own;
+    });
+}
+
+std::vector<base::router_name> peer_group::gone(base::monotonic_time now) const {
+    std::vector<base::router_name> names;
+    for (const known_peer* one : block(now)) {
+        const base::monotonic_time last =
+            std::max(one->declared_at, one->heard_at.value_or(one->declared_at));
+        const bool is_gone =
+            one->declared && one->peer.zone == m_self.zone && now - last > m_tunables.gone_after;
+        if (is_gone && ranks_first_for(one->peer.name, now)) {
+            names.push_back(one->peer.name);
+        }
+    }
+    return names;
+}
+
 std::set<base::router_name> peer_group::live(base::monotonic_time now) const {
     std::set<base::router_name> names;
     for (const known_peer* one : block(now)) {
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -51,6 +51,9 @@
     base::duration live_for = std::chrono::milliseconds(1500);
     /// The same, and it is not sent to any more, unless it is declared.
     base::duration known_for = std::chrono::seconds(16);
+    /// A peer that is declared and silent for so long is gone: longer than most restarts, and than
+    /// machines stand still.
+    base::duration gone_after = std::chrono::seconds(12);
 };
 
 /// Not thread-safe.
@@ -64,7 +67,7 @@
     ~peer_group() = default;
 
     /// Takes the whole list of routers that are present, this one among them or not.
-    void declare(const std::vector<peer_address>& present);
+    void declare(const std::vector<peer_address>& present, base::monotonic_time now = {});
     /// A notice came from a router.
     void heard(const peer_address& peer, base::monotonic_time now);
 
@@ -80,17 +83,22 @@
                  base::monotonic_time now) const;
     /// @return the peers heard a moment ago.
     std::set<base::router_name> live(base::monotonic_time now) const;
+    /// @return routers of the block and this zone that are gone, and that it is up to this one to say so: of those
+    /// that are alive it ranks first for them.
+    std::vector<base::router_name> gone(base::monotonic_time now) const;
 
   private:
     struct known_peer {
         peer_address peer;
         bool declared = false;
+        base::monotonic_time declared_at{};
         std::optional<base::monotonic_time> heard_at;
     };
 
     /// A peer that a holder belongs to rather than to this router.
     using nearer_peers = std::unordered_map<base::engine_name, const known_peer*>;
 
+    bool ranks_first_for(const base::router_name& name, base::monotonic_time now) const;
     bool is_live(const known_peer& one, base::monotonic_time now) const;
     bool is_known(const known_peer& one, base::monotonic_time now) const;
     /// @return the other routers of the block, from the cache while it holds.
--- a/test/leases/presence_test.cpp
+++ b/test/leases/presence_test.cpp
@@ -22,6 +22,7 @@
             co_return platform::error{platform::error_code::rate_limited, "busy", std::nullopt};
         }
         for (const platform::transaction& one : transactions) {
+            conditions.insert(conditions.end(), one.conditions.begin(), one.conditions.end());
             for (const platform::row_write& write : one.writes) {
                 versions[write.key] = platform::row_version(++last);
                 values[write.key] = write.value.value_or("");
@@ -44,7 +45,8 @@
     std::map<platform::row_key, platform::row_version> versions;
     std::map<platform::row_key, std::string> values;
     std::uint64_t last = 0;
-    int refused_writes = 0;  ///< The next ones.
+    std::vector<platform::row_condition> conditions;  ///< Of all writes.
+    int refused_writes = 0;                           ///< The next ones.
 };
 
 struct router {
@@ -140,8 +142,8 @@
     table.refused_writes = 2;
     presence_settings settings;
     settings.first_retry = 2ms;
-    presence here(loop.scheduler, table, {base::router_name("a"), "at a"}, [](const auto&) {},
-                  settings);
+    presence here(
+        loop.scheduler, table, {base::router_name("a"), "at a"}, [](const auto&) {}, settings);
     cr_assert_not(here.is_listed());
     here.start();
     const auto listed = [&] { return here.is_listed(); };
@@ -155,3 +157,35 @@
     cr_assert(*router == (present_router{base::router_name("a"), "10.0.0.1:7000 z"}));
     cr_assert_not(decode_presence("crash/a", "123 10.0.0.1:7000 z").has_value());
 }
+
+Test(presence, a_router_that_is_gone_is_removed_unless_it_has_written_again) {
+    ferryroad::test::loopback loop;
+    rows_of_routers table;
+    presence here(loop.scheduler, table, {base::router_name("a"), "at a"}, [](const auto&) {});
+    const platform::row_key other("routers/b");
+    table.versions[other] = platform::row_version(7);
+    here.see({other, "1 at b", platform::row_version(5)});
+    here.remove_gone(base::router_name("b"));
+    here.remove_gone(base::router_name("unknown"));
+    const auto asked = [&] { return table.conditions.size() == 1; };
+    cr_assert(loop.run([&] { return loop.until(asked); }));
+    cr_assert(table.conditions.front().key == other);
+    cr_assert_eq(table.conditions.front().version.value, 5);
+}
+
+Test(presence, a_router_that_was_taken_for_gone_lists_itself_again) {
+    ferryroad::test::loopback loop;
+    rows_of_routers table;
+    presence here(loop.scheduler, table, {base::router_name("a"), "at a"}, [](const auto&) {});
+    here.start();
+    const platform::row_key own("routers/a");
+    const auto listed = [&] { return here.is_listed(); };
+    cr_assert(loop.run([&] { return loop.until(listed); }));
+    here.see({own, table.values[own], table.versions[own]});
+    const std::uint64_t before = table.last;
+    here.see({own, "", platform::row_version(0)});
+    loop.context.restart();
+    const auto written = [&] { return table.last > before; };
+    cr_assert(loop.run([&] { return loop.until(written); }));
+    here.stop();
+}
--- a/test/relay/peer_group_test.cpp
+++ b/test/relay/peer_group_test.cpp
@@ -183,3 +183,30 @@
     cr_assert(decode_peer_note(peer.name, encode_peer_note(peer)) == peer);
     cr_assert(decode_peer_note(peer.name, "10.0.0.1:7000 z x")->link.value == 0);
 }
+
+Test(peer_group, one_router_of_a_block_says_that_another_is_gone) {
+    std::vector<peer_address> all;
+    for (int number = 0; number < 8; ++number) {
+        all.push_back({base::router_name("r" + std::to_string(number)),
+                       base::zone_name("z"),
+                       {"10.0.0.1", static_cast<std::uint16_t>(7000 + number)},
+                       {}});
+    }
+    const base::monotonic_time begin(100s);
+    std::size_t told = 0;
+    for (std::size_t self = 0; self < 7; ++self) {
+        peer_group group(all[self]);
+        group.declare(all, begin);
+        for (base::duration at = 0s; at <= 13s; at += 1s) {
+            group.declare(all, begin + at);
+            for (std::size_t other = 0; other < 7; ++other) {
+                group.heard(all[other], begin + at);
+            }
+            cr_assert(at > 12s || group.gone(begin + at).empty());
+        }
+        const auto gone = group.gone(begin + 13s);
+        told += gone.size();
+        cr_assert(gone.empty() || gone.front() == all[7].name);
+    }
+    cr_assert_eq(told, 1);
+}
