Engines that start by thousands: first weights are no news, stores are asked by followers

Cause: while 9,998 engines start within 20 s, each router told its block of the weights of each engine that it read in the list, which all read: notices of kilobytes to 50 peers three times a second, links of 20 Mbit/s full, peers taken for silent (6,435 times in 194 routers within 8 s of a fleet's start). Every router asked each of 9 stores that answer 12 callers (1,642 times turned away).

--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -72,7 +72,11 @@
         join_pool(engine);
     }
     for (const auto& [model, version] : one.versions) {
-        saw_version(one.name, model, version);
+        if (is_new) {
+            engine.versions[model] = version;  // Every router has it from the list itself.
+        } else {
+            saw_version(one.name, model, version);
+        }
     }
 }
 
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -110,7 +110,7 @@
     void on_new_process(std::function<void(const base::engine_name&)> told) {
         m_new_process = std::move(told);
     }
-    /// @param told of each engine that shows newer weights than were known.
+    /// @param told of each engine that shows newer weights than were known, not of its first ones.
     void on_newer_weights(
         std::function<void(const base::engine_name&, const std::string&, std::uint64_t)> told) {
         m_newer_weights = std::move(told);
--- a/src/ferryroad/relay/state_follower.hpp
+++ b/src/ferryroad/relay/state_follower.hpp
@@ -337,12 +337,12 @@
         }
     }
 
-    /// Of a holder of another region, and of one of many, only the router that follows it asks.
-    /// What was told before this router was there isn't asked for: whole histories, asked for by
-    /// each router that starts, were most of what crossed regions.
+    /// Of a holder of another region, and of all where there are many, only the router that follows
+    /// it asks: a store answers a few callers at once, not one of each block. What was told before
+    /// this router was there isn't asked for: whole histories, asked for by each router that
+    /// starts, were most of what crossed regions.
     bool must_ask(const followed_holder& holder) const {
-        const bool is_one_of_many = holder.interest == holder_interest::in_use && !follows_all();
-        if (is_far(holder) || is_one_of_many) {
+        if (is_far(holder) || !follows_all()) {
             return false;
         }
         const bool lacks_news = holder.missed_from || is_silent(holder);
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -207,3 +207,19 @@
     registry.remove(base::engine_name("c"));
     cr_assert(versions().empty(), "a pool without engines stays");
 }
+
+/// Load pattern: thousands of engines start within seconds, and each router hears of each of them.
+Test(engine_registry, the_first_weights_of_an_engine_are_no_news_to_others) {
+    engine_registry registry;
+    int told = 0;
+    registry.on_newer_weights([&](const auto&, const auto&, std::uint64_t) { ++told; });
+    listed_engine one;
+    one.name.value = "e";
+    one.versions["m"] = 3;
+    registry.put(one);
+    cr_assert_eq(told, 0);
+    cr_assert_eq(registry.find(one.name)->version_of("m"), 3);
+    one.versions["m"] = 4;
+    registry.put(one);
+    cr_assert_eq(told, 1);
+}
