--- a/src/ferryroad/coordination/reading/source_selector.hpp
+++ b/src/ferryroad/coordination/reading/source_selector.hpp
@@ -3,9 +3,9 @@
 /// router, by its place in the reading tree and by what it has found out about sources.
 ///
 /// A source that doesn't answer is left out for a while (`source_reach`), and another one takes its
-/// place in the tree; one whose copy is old is left out for a moment. While this router's own copy is
-/// old, it asks its place in the tree, the owner, and then other routers: one that the owner still
-/// answers is found soon, however few there are, and kept to for a while.
+/// place in the tree; one whose copy is old is left out for a moment. While this router's own copy
+/// is old, it asks its place in the tree, the owner, and then other routers: one that the owner
+/// still answers is found soon, however few there are, and kept to for a while.
 ///
 /// The owner must not be asked by all routers at once where its readers fail, as each of them would
 /// be told all that the others are. Some that stand high in the ranks stand in for them as soon as
--- a/src/ferryroad/leases/presence.hpp
+++ b/src/ferryroad/leases/presence.hpp
@@ -57,8 +57,8 @@
     void start();
     void stop() { m_stopped = true; }
 
-    /// A router's row, as the table has it now; removed where `version` is 0. A router whose own row
-    /// was removed writes it again: others took it for gone.
+    /// A router's row, as the table has it now; removed where `version` is 0. A router whose own
+    /// row was removed writes it again: others took it for gone.
     void see(const platform::row& row);
     /// The router is gone: its row goes, unless it has written it again since.
     void remove_gone(const base::router_name& name);
--- a/src/ferryroad/peer/packed_rows.cpp
+++ b/src/ferryroad/peer/packed_rows.cpp
@@ -3,9 +3,8 @@
 #include "ferryroad/peer/codec_fields.hpp"
 #include "ferryroad/peer/table_row_codec.hpp"
 
-#include <zstd.h>
-
 #include <new>
+#include <zstd.h>
 
 namespace ferryroad::peer {
 
--- a/src/ferryroad/peer/table_call_codec.cpp
+++ b/src/ferryroad/peer/table_call_codec.cpp
@@ -45,10 +45,9 @@
     const auto sender = write_text(builder, request.sender.value);
     const auto table = write_text(builder, request.table);
     const auto hold = std::clamp<std::int64_t>(request.hold.count(), 0, longest_hold_milliseconds);
-    return finish(builder,
-                  wire::CreateTableRequest(builder, sender, table, request.after, request.whole,
-                                           static_cast<std::uint32_t>(hold), request.may_redirect,
-                                           request.may_pack));
+    return finish(builder, wire::CreateTableRequest(builder, sender, table, request.after,
+                                                    request.whole, static_cast<std::uint32_t>(hold),
+                                                    request.may_redirect, request.may_pack));
 }
 
 message_bytes encode(const table_answer& answer) {
@@ -60,8 +59,8 @@
     return finish(builder,
                   wire::CreateTableAnswer(builder, answer.known, answer.whole, answer.version, rows,
                                           answer.confirmed_after.count(),
-                                          static_cast<std::uint64_t>(owner_time), answer.at_owner, block,
-                                          static_cast<std::uint32_t>(unpacked)));
+                                          static_cast<std::uint64_t>(owner_time), answer.at_owner,
+                                          block, static_cast<std::uint32_t>(unpacked)));
 }
 
 result<table_request> decode_table_request(std::string_view bytes) {
--- a/src/ferryroad/peer/table_row_codec.cpp
+++ b/src/ferryroad/peer/table_row_codec.cpp
@@ -27,8 +27,8 @@
 }  // namespace
 
 offset<row_list> write_rows(buffer_builder& builder, const std::vector<record>& rows) {
-    return write_list<wire::TableRow>(
-        builder, rows, [&](const record& row) { return write_row(builder, row); });
+    return write_list<wire::TableRow>(builder, rows,
+                                      [&](const record& row) { return write_row(builder, row); });
 }
 
 std::vector<record> read_rows(field_reader& reader, const row_list* rows) {
--- a/test/coordination/reading/reading_tree_test.cpp
+++ b/test/coordination/reading/reading_tree_test.cpp
@@ -199,8 +199,7 @@
         const bool is_wide = index % 20 == 0;
         wide += is_wide ? 1 : 0;
         members.push_back(make_member(base::router_name("r" + std::to_string(index)),
-                                      base::zone_name("z"), {},
-                                      link_capacity(is_wide ? 200 : 20)));
+                                      base::zone_name("z"), {}, link_capacity(is_wide ? 200 : 20)));
     }
     std::sort(members.begin(), members.end(),
               [](const auto& a, const auto& b) { return a.rank > b.rank; });
--- a/test/coordination/reading/source_selector_test.cpp
+++ b/test/coordination/reading/source_selector_test.cpp
@@ -71,7 +71,8 @@
     const source first = selector.choose(start);
     const base::monotonic_time found_out = start + 1200ms;
     selector.failed(first, found_out);
-    cr_assert(selector.choose(found_out) == std::nullopt, "a second silent one would take too long");
+    cr_assert(selector.choose(found_out) == std::nullopt,
+              "a second silent one would take too long");
     cr_assert(selector.choose(start + 10s) == first);
     selector.answered(first, start + 10s, start + 10s);
     cr_assert(selector.choose(start + 10s) == first);
--- a/test/http/slow_reader_test.cpp
+++ b/test/http/slow_reader_test.cpp
@@ -17,9 +17,8 @@
 /// A server whose answers never end.
 struct endless_server {
     endless_server()
-        : server(loop.scheduler, limits(), [this](const http::request&, auto& writer) {
-              return answer(writer);
-          }) {}
+        : server(loop.scheduler, limits(),
+                 [this](const http::request&, auto& writer) { return answer(writer); }) {}
     static http::server_limits limits() {
         http::server_limits all;
         all.write = write_limit;
--- a/test/relay/table_server_test.cpp
+++ b/test/relay/table_server_test.cpp
@@ -4,7 +4,6 @@
 
 #include "ferryroad/base/random.hpp"
 #include "ferryroad/relay/tunables.hpp"
-
 #include "test/http/loopback.hpp"
 
 #include <optional>
