--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -291,10 +291,10 @@
     }
 
     /// Whole tables come with whatever their size is: packed, and in one piece.
-    peer_question question_for(base::router_name to, const reading& wanted,
+    peer_question question_for(const base::router_name& to, const reading& wanted,
                                base::duration hold) const {
         peer_question question;
-        question.to = std::move(to);
+        question.to = to;
         question.request.sender = m_self.name;
         question.request.table = wanted.table;
         question.request.after = wanted.after;
@@ -390,7 +390,7 @@
             co_await pause_while_behind(table);
         }
         const base::monotonic_time sent_at = m_scheduler.now();
-        peer_question question = question_for(std::move(from), wanted, hold_for(table, sent_at));
+        peer_question question = question_for(from, wanted, hold_for(table, sent_at));
         co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
     }
 
