--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -268,7 +268,8 @@
         table_state& table = state_of(wanted.table);
         note_source(table, wanted.table, contact.name);
         m_addresses[contact.name] = contact.address;
-        peer_question question = question_for(contact.name, wanted, hold);
+        peer_question question = question_for(wanted, hold);
+        question.to = contact.name;
         co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
     }
 
@@ -291,10 +292,8 @@
     }
 
     /// Whole tables come with whatever their size is: packed, and in one piece.
-    peer_question question_for(const base::router_name& to, const reading& wanted,
-                               base::duration hold) const {
+    peer_question question_for(const reading& wanted, base::duration hold) const {
         peer_question question;
-        question.to = to;
         question.request.sender = m_self.name;
         question.request.table = wanted.table;
         question.request.after = wanted.after;
@@ -390,7 +389,8 @@
             co_await pause_while_behind(table);
         }
         const base::monotonic_time sent_at = m_scheduler.now();
-        peer_question question = question_for(from, wanted, hold_for(table, sent_at));
+        peer_question question = question_for(wanted, hold_for(table, sent_at));
+        question.to = std::move(from);
         co_return co_await ask_peer(std::move(question), std::move(wanted), table, began);
     }
 
