Presence: the key of a router's row is made in one place

Cause: the prefix and the name were joined in two functions of this change. Change: key_of serves both.

--- a/src/ferryroad/leases/presence.cpp
+++ b/src/ferryroad/leases/presence.cpp
@@ -21,6 +21,10 @@
     return std::to_string(number) + " " + note;
 }
 
+platform::row_key key_of(const base::router_name& name) {
+    return platform::row_key(std::string(presence_key_prefix) + name.value);
+}
+
 std::string note_in(const std::string& value) {
     const std::size_t space = value.find(' ');
     return space == std::string::npos ? std::string() : value.substr(space + 1);
@@ -77,24 +81,21 @@
 
 runtime::task<bool> presence::write_own_row() {
     platform::transaction change;
-    change.writes.push_back({own_key(), value_of(m_scheduler.random().next(), m_self.note)});
+    change.writes.push_back(
+        {key_of(m_self.name), value_of(m_scheduler.random().next(), m_self.note)});
     std::vector<platform::transaction> changes;
     changes.push_back(std::move(change));
     const auto outcomes = co_await m_table.transact(std::move(changes));
     co_return outcomes.has_value();
 }
 
-platform::row_key presence::own_key() const {
-    return platform::row_key(std::string(presence_key_prefix) + m_self.name.value);
-}
-
 runtime::task<void> presence::write_again() {
     runtime::log(runtime::log_level::warning, component, "own row was removed, written again");
     co_await write_own_row();
 }
 
 void presence::remove_gone(const base::router_name& name) {
-    const platform::row_key key(std::string(presence_key_prefix) + name.value);
+    const platform::row_key key = key_of(name);
     const auto known = m_rows.find(key);
     if (known != m_rows.end() && !m_stopped) {
         m_scheduler.spawn(component, remove(key, known->second.version));
@@ -122,7 +123,7 @@
 void presence::see(const platform::row& row) {
     if (row.version.value == 0) {
         const bool was_known = m_rows.erase(row.key) > 0;
-        if (was_known && row.key == own_key() && m_listed && !m_stopped) {
+        if (was_known && row.key == key_of(m_self.name) && m_listed && !m_stopped) {
             m_scheduler.spawn(component, write_again());
         }
         return;
--- a/src/ferryroad/leases/presence.hpp
+++ b/src/ferryroad/leases/presence.hpp
@@ -81,7 +81,6 @@
     runtime::task<bool> write_own_row();
     runtime::task<void> write_again();
     runtime::task<void> remove(platform::row_key key, platform::row_version version);
-    platform::row_key own_key() const;
     runtime::task<void> pause(base::duration length);
     std::vector<present_router> present(base::monotonic_time now) const;
 
