Launcher: a router's executable depends on the C library alone and blocks signals first

Cause: the default action of SIGHUP, SIGTERM and SIGINT ends a process until the program's first instruction runs, and the dynamic loader worked on 14 libraries before it.

Change: the executable is a launcher that needs libc.so.6 alone. Its first act blocks the signals; then it loads the router as a shared library into the same process.

--- a/apps/ferryroad.cpp
+++ b/apps/ferryroad.cpp
@@ -1,17 +1,10 @@
 /// The router daemon.
 #include "ferryroad/daemon/daemon.hpp"
-#include "ferryroad/runtime/signal_delivery.hpp"
+#include "ferryroad/launcher/product_entry.hpp"
 
 namespace {
 
-/// A signal that came before its handler was in place ended the process.
-[[gnu::section(".preinit_array"),
-  gnu::used]] const ferryroad::runtime::preinit_function before_all_else =
-    ferryroad::runtime::hold_signals_back;
-
-}  // namespace
-
-int main(int argument_count, char** arguments) {
+int run(int argument_count, char** arguments) {
     ferryroad::daemon::daemon_settings settings;
     ferryroad::settings::schema schema = ferryroad::daemon::describe(settings);
     const auto outcome = schema.read(argument_count, arguments);
@@ -20,3 +13,7 @@
     }
     return ferryroad::daemon::run_daemon(settings);
 }
+
+}  // namespace
+
+const ferryroad::launcher::product_entry ferryroad_product{FERRYROAD_BUILD_ID, run};
