--- a/test/relay/shared_feed_test.cpp
+++ b/test/relay/shared_feed_test.cpp
@@ -480,6 +480,11 @@
     };
 }
 
+runtime::task<peer::message_bytes> never_answer(runtime::scheduler& scheduler) {
+    co_await scheduler.sleep_for(1h);
+    co_return peer::message_bytes();
+}
+
 /// @return whole readings of the owner's table by routers that all start together.
 int owner_readings_of_a_start(std::uint16_t size) {
     ferryroad::test::loopback loop;
@@ -510,6 +515,45 @@
 
 }  // namespace
 
+// After a loss of power the first of a zone asked one that wasn't there yet; the zone waited for
+// it.
+Test(shared_feed, the_first_of_routers_that_start_again_waits_for_none_of_them) {
+    ferryroad::test::loopback loop;
+    network net;
+    owner source;
+    source.put("a", "1");
+    std::vector<std::unique_ptr<router>> routers;
+    routers.push_back(std::make_unique<router>(loop, net, source, 1));
+    routers.push_back(std::make_unique<router>(loop, net, source, 2));
+    net.handlers[routers[1]->self.address] = [&](peer::message_bytes) {
+        return never_answer(loop.scheduler);
+    };
+    router& first = *routers.front();
+    first.feed.find_contacts_by(contacts_among(routers, 0, 2));
+    first.follower.start();
+    cr_assert(loop.run([&] { return loop.until([&] { return first.last.has_value(); }); }));
+    cr_assert_eq(first.direct.whole_calls, 1);
+}
+
+Test(shared_feed, the_first_of_routers_that_start_again_asks_others_where_the_owner_is_silent) {
+    ferryroad::test::loopback loop;
+    network net;
+    owner source;
+    source.put("a", "1");
+    std::vector<std::unique_ptr<router>> routers;
+    routers.push_back(std::make_unique<router>(loop, net, source, 1));
+    routers.push_back(std::make_unique<router>(loop, net, source, 2));
+    router& first = *routers.front();
+    router& running = *routers.back();
+    running.follower.start();
+    cr_assert(loop.run([&] { return loop.until([&] { return running.last.has_value(); }); }));
+    first.direct.turned_away = true;
+    first.feed.find_contacts_by(contacts_among(routers, 0, 2));
+    first.follower.start();
+    loop.context.restart();
+    cr_assert(loop.run([&] { return loop.until([&] { return first.last.has_value(); }); }));
+}
+
 Test(shared_feed, whole_copies_of_routers_that_start_together_come_from_one_of_them) {
     const int few = owner_readings_of_a_start(20);
     const int many = owner_readings_of_a_start(60);
