Log: a cancelled wait for either of two operations is no error

Cause: a coroutine that is cancelled while it waits for `a || b` ends with one exception for both branches, each operation_aborted; the log left out a single one only. Evidence: the new test cancels such a wait; with the handling as it was it is taken for an error.

Change: runtime/cancellation tells both. Result: cancellation.is_told_while_a_coroutine_ waits_for_either_of_two failed before and holds.

--- a/src/ferryroad/runtime/log.cpp
+++ b/src/ferryroad/runtime/log.cpp
@@ -2,8 +2,8 @@
 
 #include "ferryroad/runtime/boot_clock.hpp"
 #include "ferryroad/runtime/bounded_output.hpp"
+#include "ferryroad/runtime/cancellation.hpp"
 
-#include <boost/asio/error.hpp>
 #include <boost/system/system_error.hpp>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
@@ -114,12 +114,12 @@
 }
 
 void log_exception(std::string_view component, const std::exception_ptr& failure) {
+    if (is_cancellation(failure)) {
+        return;
+    }
     try {
         std::rethrow_exception(failure);
     } catch (const boost::system::system_error& error) {
-        if (error.code() == boost::asio::error::operation_aborted) {
-            return;
-        }
         log(log_level::error, component, "coroutine ended by a system error",
             {{"error", error.what()}});
     } catch (const std::exception& error) {
--- /dev/null
+++ b/test/runtime/cancellation_test.cpp
@@ -0,0 +1,61 @@
+/// Guards against errors in the log for coroutines that were cancelled while they waited for either
+/// of two operations.
+#include "ferryroad/runtime/cancellation.hpp"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <exception>
+#include <stdexcept>
+
+using namespace ferryroad;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+asio::awaitable<void> wait(asio::steady_timer& timer) {
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> wait_for_either(asio::steady_timer& one, asio::steady_timer& other) {
+    using asio::experimental::awaitable_operators::operator||;
+    auto first = wait(one);
+    auto second = wait(other);
+    co_await (std::move(first) || std::move(second));
+}
+
+/// @return what ends a coroutine that is cancelled while it waits for either of two timers.
+std::exception_ptr cancelled_wait() {
+    asio::io_context context;
+    asio::steady_timer one(context, 1h);
+    asio::steady_timer other(context, 1h);
+    asio::cancellation_signal cancel;
+    std::exception_ptr ended;
+    asio::co_spawn(context, wait_for_either(one, other),
+                   asio::bind_cancellation_slot(
+                       cancel.slot(), [&](std::exception_ptr failure) { ended = failure; }));
+    context.poll();
+    cancel.emit(asio::cancellation_type::terminal);
+    context.poll();
+    return ended;
+}
+
+}  // namespace
+
+Test(cancellation, is_told_while_a_coroutine_waits_for_either_of_two) {
+    const std::exception_ptr ended = cancelled_wait();
+    cr_assert(ended != nullptr);
+    cr_assert(runtime::is_cancellation(ended));
+}
+
+Test(cancellation, is_not_told_of_a_fault) {
+    cr_assert(!runtime::is_cancellation(std::make_exception_ptr(std::runtime_error("fault"))));
+}
