--- a/cmake/ferryroad_programs.cmake
+++ b/cmake/ferryroad_programs.cmake
@@ -9,7 +9,7 @@
     set(revision "unversioned")
   endif()
 endif()
-set(FERRYROAD_BUILD_ID "${PROJECT_VERSION}+${revision}" CACHE STRING "Identifies this build" FORCE)
+set(FERRYROAD_BUILD_ID "${PROJECT_VERSION}+${revision}")
 
 # ferryroad_router_program(NAME SOURCES file... DEPENDS target...): the executable bin/NAME, which
 # depends on the C library alone, and the library lib/ferryroad/NAME.so with everything else.
