Programs: a build is identified by its sources

Cause: the id was of the revision, so that a commit of pages alone relinked the launcher and its library, and routers started by another process from the same folder in that moment would be refused. Change: a digest of the sources. Result: launcher.launcher holds.

--- a/cmake/ferryroad_programs.cmake
+++ b/cmake/ferryroad_programs.cmake
@@ -1,15 +1,14 @@
-# Identifies a build: a launcher runs only the library that was built with it.
-find_package(Git QUIET)
-set(revision "unversioned")
-if(GIT_FOUND)
-  execute_process(COMMAND ${GIT_EXECUTABLE} rev-parse --short=12 HEAD
-                  WORKING_DIRECTORY ${PROJECT_SOURCE_DIR} OUTPUT_VARIABLE revision
-                  OUTPUT_STRIP_TRAILING_WHITESPACE ERROR_QUIET RESULT_VARIABLE failed)
-  if(failed)
-    set(revision "unversioned")
-  endif()
-endif()
-set(FERRYROAD_BUILD_ID "${PROJECT_VERSION}+${revision}")
+# Identifies a build by its sources: a launcher runs only the library that was built with it.
+file(GLOB_RECURSE product_sources ${PROJECT_SOURCE_DIR}/src/*.[ch]pp
+     ${PROJECT_SOURCE_DIR}/platform/*.[ch]pp)
+set(digests "${CMAKE_BUILD_TYPE} ${CMAKE_CXX_FLAGS}")
+foreach(source ${product_sources})
+  file(SHA256 ${source} digest)
+  string(APPEND digests " ${digest}")
+endforeach()
+string(SHA256 digest "${digests}")
+string(SUBSTRING ${digest} 0 16 digest)
+set(FERRYROAD_BUILD_ID "${PROJECT_VERSION}+${digest}")
 
 # ferryroad_router_program(NAME SOURCES file... DEPENDS target...): the executable bin/NAME, which
 # depends on the C library alone, and the library lib/ferryroad/NAME.so with everything else.
