Calls between routers: no limit of their own for connections

Cause, as far as known: a router that doesn't answer is left out for 2 s, twice as long each time (2 + 4 + 8 + 16 = 30); connections over regions and busy links take longer than half a second while all start.

--- a/src/ferryroad/peer/asio_transport.cpp
+++ b/src/ferryroad/peer/asio_transport.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -240,13 +239,12 @@
         asio::ip::tcp::socket socket(scheduler.executor());
         connection = std::make_shared<framed_connection>(std::move(socket), limits.call_bytes);
     }
+    connection->limit(deadline);
     const registration registered(outgoing, connection);
     result<void> connected;
     if (fresh) {
-        connection->limit(std::min(deadline, scheduler.now() + limits.connect));
         connected = co_await connection->connect(native<asio::ip::tcp>(to));
     }
-    connection->limit(deadline);
     result<message_bytes> answer = error{};
     if (connected) {
         answer = co_await exchange(connection, std::move(request));
--- a/src/ferryroad/peer/asio_transport.hpp
+++ b/src/ferryroad/peer/asio_transport.hpp
@@ -19,9 +19,6 @@
     std::size_t idle_connections_per_address = 2;
     /// Frames of both directions.
     std::size_t call_bytes = largest_call;
-    /// For a connection to be made, within a call's limit. A lost opening packet is repeated only
-    /// after a second, and a caller has other routers to ask.
-    base::duration connect = std::chrono::milliseconds(500);
     /// A client gives a connection up before the server does.
     base::duration client_idle = std::chrono::seconds(30);
     base::duration server_idle = std::chrono::seconds(60);
