--- a/src/ferryroad/relay/shared_feed.hpp
+++ b/src/ferryroad/relay/shared_feed.hpp
@@ -4,7 +4,7 @@
 ///
 /// A router that has just started knows no others, and whole tables are large: it is told of a few
 /// routers near to it, its contacts, and takes its first copies from these. It reads the owner by
-/// itself where none of them has a copy, and where it is the first of them: others wait for it.
+/// itself only where none of them has a copy.
 #pragma once
 
 #include "ferryroad/coordination/reading/source_selector.hpp"
@@ -63,9 +63,8 @@
     base::duration large_answer_limit = std::chrono::milliseconds(3000);
     /// A contact may wait so long for its own first copy.
     base::duration first_copy_hold = std::chrono::milliseconds(2000);
-    /// All routers start for the first time: none has a copy, and contacts are told of one by one.
-    bool fleet_starts = false;
-    /// Contacts are then looked for once more after so long.
+    /// Where many start together, contacts may be told of only now: they are looked for once more
+    /// after so long.
     base::duration contacts_settle = std::chrono::milliseconds(500);
     /// Other routers tried in one call before it ends as unavailable.
     int attempts = 3;
@@ -85,7 +84,7 @@
 struct start_contacts {
     /// May be waited for: no two routers are so to each other, directly or over others.
     std::vector<peer_address> awaited;
-    /// They may wait for the one that starts: asked only where the owner doesn't answer.
+    /// Asked without waiting, as they may wait for the one that starts.
     std::vector<peer_address> others;
 
     friend bool operator==(const start_contacts&, const start_contacts&) = default;
@@ -237,18 +236,15 @@
     runtime::task<batch_result> read_first_copy(reading wanted) {
         const base::monotonic_time began = m_scheduler.now();
         co_await learn_contacts(base::monotonic_time::min());
-        if (m_contacts.awaited.empty() && m_settings.fleet_starts) {
+        if (m_contacts.awaited.empty()) {
+            batch_result batch = co_await ask_one_of(m_contacts.others, {}, wanted, began);
+            if (batch) {
+                co_return batch;
+            }
             const base::monotonic_time known_since = m_contacts_found_at;
             co_await m_scheduler.sleep_for(m_settings.contacts_settle);
             co_await learn_contacts(known_since);
         }
-        if (m_contacts.awaited.empty()) {
-            batch_result batch = co_await read(wanted);
-            if (!batch) {
-                batch = co_await ask_one_of(m_contacts.others, {}, wanted, began);
-            }
-            co_return batch;
-        }
         for (int attempt = 0; attempt < m_settings.attempts; ++attempt) {
             batch_result batch =
                 co_await ask_one_of(m_contacts.awaited, m_settings.first_copy_hold, wanted, began);
