Request limits that engines state: decoded, logged, counted

Callers saw nothing; operators couldn't see that an engine asked for relief.

Cause: the header reached no type of the product. Change: platform/ decodes Server-Limit once, into relay::stated_limit of an answer or of a refusal; the registry keeps what the engine's process stated last and when; a log line for each change, request_limit in 'dispatched', two metrics. Invalid values (negative, not finite, not a number) keep the previous limit and are logged; of several the lowest counts; a 421 may come from another process at the address and states nothing. No decision reads the limit yet. Ruled out by reading: that a limit is known and kept by each router alone (nothing decoded it). Tests: engine_client.request_limits_are_decoded_from_heads, a_refusal_states_the_limit..., and engine_limits.a_limit_holds_until_an_answer_without_it.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -1,5 +1,6 @@
 #include "ferryroad/relay/dispatch_log.hpp"
 
+#include "ferryroad/relay/engine_limits.hpp"
 #include "ferryroad/runtime/log.hpp"
 
 #include <algorithm>
@@ -69,6 +70,7 @@
          {"begin_left_ms", begin_left_ms(selected.begin_by, moment.now)},
          {"tokens_before", std::to_string(selected.work.tokens_before)},
          {"begin_bound_ms", std::to_string(base::to_milliseconds(selected.begin_bound))},
+         {"request_limit", to_string(moment.limit)},
          {"policy", std::to_string(plan.policy->version())},
          {"policy_age_ms", std::to_string(base::to_milliseconds(moment.policy_age))},
          {"engines_age_ms", std::to_string(base::to_milliseconds(moment.engines_age))},
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -12,12 +12,13 @@
 
 namespace ferryroad::relay {
 
-/// The time of a dispatch decision, and the age of the policy and of the engine list that it was
-/// based on.
+/// The time of a dispatch decision, the age of the policy and of the engine list that it was based
+/// on, and the engine's request limit at that time.
 struct dispatch_moment {
     base::monotonic_time now{};
     base::duration policy_age{};
     base::duration engines_age{};
+    engine_limit limit;
 };
 
 /// Logs a dispatch to the selected engine. Used from the event loop's thread, as all functions
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -43,6 +43,14 @@
 /// different address or a longer warm-up time indicates a restart. Thread-safe.
 bool is_new_process(const listed_engine& before, const listed_engine& now);
 
+/// Limit that an engine last stated on the rate of requests from all routers together.
+struct engine_limit {
+    std::optional<double> per_second;  ///< Nothing if the engine states no limit.
+    base::monotonic_time as_of{};      ///< When the engine stated it.
+
+    friend bool operator==(const engine_limit&, const engine_limit&) = default;
+};
+
 /// A listed engine with what this router knows beyond the list. All of it refers to one process of
 /// the engine.
 struct known_engine {
@@ -58,6 +66,7 @@
     base::monotonic_time listed_at{};          ///< When the process was first listed.
     base::monotonic_time loading_until{};      ///< Announced to load new weights until then.
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
+    engine_limit limit;
 
     /// @return the newest version of the model's weights seen; 0 if none.
     std::uint64_t version_of(const std::string& model) const;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -13,6 +13,7 @@
 #include "ferryroad/relay/canary_traffic.hpp"
 #include "ferryroad/relay/dispatch_log.hpp"
 #include "ferryroad/relay/dispatch_preconditions.hpp"
+#include "ferryroad/relay/engine_limits.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/exchange_evidence.hpp"
 #include "ferryroad/relay/exchange_timing.hpp"
@@ -70,6 +71,8 @@
     request_quarantine* quarantine = nullptr;
     /// Counts exchanged bytes by network distance; may be null.
     traffic_meter* meter = nullptr;
+    /// Records the request limits that engines state; may be null.
+    engine_limits* limits = nullptr;
 };
 
 /// How a request ended, for logs and metrics.
@@ -275,7 +278,8 @@
             m_dependencies.dispatched(m_selected.target.name, parts, m_selected.prefill_tokens);
         }
         log_dispatch(m_plan, m_selected, attempt.attempt,
-                     {now, m_dependencies.policies.age(now), m_dependencies.registry.age(now)});
+                     {now, m_dependencies.policies.age(now), m_dependencies.registry.age(now),
+                      engine == nullptr ? engine_limit{} : engine->limit});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         meter(traffic_kind::request, size_of(m_plan.call->message));
@@ -295,6 +299,7 @@
                                                          opened_at);
         }
         record_weights_version(opened->version);
+        record_limit(opened->limit);
         m_answer = std::move(*opened);
         if (!m_answer->is_event_stream) {
             m_timing.answered(m_dependencies.scheduler.now());
@@ -385,6 +390,13 @@
         }
     }
 
+    void record_limit(const std::optional<stated_limit>& stated) {
+        known_engine* engine = current_engine();
+        if (m_dependencies.limits != nullptr && engine != nullptr && stated) {
+            m_dependencies.limits->record_answer(*engine, *stated);
+        }
+    }
+
     /// Records that the request has begun, under the weights version reported in the answer's head.
     void record_first_event(base::monotonic_time now) {
         const auto outdated = m_timing.begun(m_answer->version, now);
@@ -445,6 +457,7 @@
             m_lost_connection = failure.proof != execution::failure_proof::not_run;
         }
         record_weights_version(failure.version);
+        record_limit(failure.limit);
         if (known_engine* engine = current_engine()) {
             record_dispatch_failure(*engine, failure, has_outdated_weights(*engine), m_tunables,
                                     now);
@@ -504,8 +517,10 @@
     }
 
     void fail_exchange(execution::failure_kind kind, std::string message) {
-        handle_failure({kind, execution::failure_proof::unknown, std::nullopt, std::nullopt,
-                        std::move(message)});
+        dispatch_failure failure;
+        failure.kind = kind;
+        failure.message = std::move(message);
+        handle_failure(failure);
     }
 
     void end_exchange() {
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -119,6 +119,10 @@
         static_cast<double>(now.engines_leaving));
     set("ferryroad_relay_engines_suspended", "Engines passed over for their failures.",
         static_cast<double>(now.engines_suspended));
+    set("ferryroad_relay_engines_limited", "Engines that state a request limit.",
+        static_cast<double>(now.engines_limited));
+    set("ferryroad_relay_engine_limit_changes", "Limits of engines that began, changed or ended.",
+        static_cast<double>(now.limit_changes));
     set("ferryroad_relay_active_requests", "Requests being served.",
         static_cast<double>(now.active_requests));
     set("ferryroad_relay_shed_share", "Share of streams refused as engines are short, 0 to 1.",
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -82,12 +82,21 @@
     std::function<last_look()> check_before_send;
 };
 
+/// What the head of an answer states about the rate of requests that its engine accepts.
+struct stated_limit {
+    /// Requests per second from all routers together, at least 0; nothing if there is no limit.
+    std::optional<double> per_second;
+
+    friend bool operator==(const stated_limit&, const stated_limit&) = default;
+};
+
 /// An engine's answer whose head has been received.
 struct opened_answer {
     unsigned status = 0;
     http::header_list headers;  ///< End-to-end headers only.
     bool is_event_stream = false;
     std::optional<std::uint64_t> version;  ///< Weights version the engine reported.
+    std::optional<stated_limit> limit;     ///< Nothing if the head states an invalid limit.
     std::unique_ptr<http::byte_stream> body;
 };
 
@@ -97,6 +106,8 @@
     core::execution::failure_proof proof = core::execution::failure_proof::unknown;
     std::optional<base::duration> retry_after;
     std::optional<std::uint64_t> version;  ///< Weights version the engine reported.
+    /// Nothing if the engine sent no answer, or one with an invalid limit.
+    std::optional<stated_limit> limit;
     std::string message;
     std::optional<dispatch_precondition> lost;       ///< Why it was not sent, if so.
     std::optional<dispatch_precondition> withdrawn;  ///< Why it was cancelled while waiting, if so.
