Requests to engines with a limit need a permit, counted over all routers

What engines saw: an engine that named a limit of N requests a second got several times as many from routers that it had told (record: 14 in 4 s, allowed 13; 16, allowed 11; our own routers: up to 125, allowed 8). Callers lost nothing, but the engine got no relief.

Cause: an engine's statement about its capacity for all routers together reached no decision. Class: a limit that one party states and all routers share, which nobody counts. Evidence: rates at the two engines don't change as they name their limits (servers.csv); one router alone sent more than the whole limit; arrivals equal the dispatches that the routers logged.

The router that counts takes the limit learned last, charges requests that no router has counted (bounded), and its engine settings bear routers that ask seldom. Requests of the last second before the limit count as owed, 3 s at the most. Ruled out: parts of its own for each router (a hundredth of a request a second at 100 routers).

--- a/src/ferryroad/coordination/quota/equal_shares.cpp
+++ b/src/ferryroad/coordination/quota/equal_shares.cpp
@@ -7,14 +7,23 @@
 /// What a new share may grant at once, in seconds at its rate.
 constexpr double initial_burst_seconds = 0.1;
 
+double first_level(const quota_ask& ask, double part, base::random_source& random) {
+    return ask.subject.kind == subject_kind::engine
+               ? -ask.amount * random.unit()
+               : ask.limit.per_second * part * initial_burst_seconds;
+}
+
 }  // namespace
 
 quota_verdict equal_shares::decide(const quota_ask& ask, std::size_t routers,
-                                   base::monotonic_time now) {
+                                   base::monotonic_time now, base::random_source& random) {
     const double part = 1.0 / static_cast<double>(routers);
-    const double first_level = ask.limit.per_second * part * initial_burst_seconds;
-    const share fresh{ask.limit, part, quota_bucket(first_level, now)};
-    share& own = m_shares.try_emplace(ask.tenant, fresh).first->second;
+    auto found = m_shares.find(ask.subject);
+    if (found == m_shares.end()) {
+        const share fresh{ask.limit, part, quota_bucket(first_level(ask, part, random), now)};
+        found = m_shares.emplace(ask.subject, fresh).first;
+    }
+    share& own = found->second;
     own.bucket.advance(own.limit, own.part, now);
     own.limit = ask.limit;
     own.part = part;
--- a/src/ferryroad/coordination/quota/equal_shares.hpp
+++ b/src/ferryroad/coordination/quota/equal_shares.hpp
@@ -1,11 +1,13 @@
 /// @file
-/// Fallback limiter of a single router: it enforces an equal share of each tenant's limit without
-/// asking another router. The share does not follow demand, so it refuses requests below the limit
-/// when they arrive unevenly. A new share starts almost empty, because what other routers granted a
-/// moment ago is not known.
+/// Fallback limiter of a single router: it enforces an equal share of each limit without asking
+/// another router. The share does not follow demand, so it refuses requests below the limit when
+/// they arrive unevenly. What other routers granted a moment ago is not known, so a new share of a
+/// tenant's limit starts almost empty. One of an engine's limit, which may be less than a request
+/// in minutes, starts at a random part of the time until its first grant: otherwise each of many
+/// routers would grant its first request at once.
 #pragma once
 
-#include "ferryroad/base/ids.hpp"
+#include "ferryroad/base/random.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/coordination/quota/quota_bucket.hpp"
 #include "ferryroad/coordination/quota/types.hpp"
@@ -20,10 +22,12 @@
   public:
     /// @param ask must have a limit above 0.
     /// @param routers number of routers that share the limit, at least 1.
-    quota_verdict decide(const quota_ask& ask, std::size_t routers, base::monotonic_time now);
-    /// Removes tenants whose share is full again. Must be called periodically.
+    /// @param random source of the first level of an engine's share.
+    quota_verdict decide(const quota_ask& ask, std::size_t routers, base::monotonic_time now,
+                         base::random_source& random);
+    /// Removes subjects whose share is full again. Must be called periodically.
     void reclaim(base::monotonic_time now);
-    /// @return number of tenants with a share.
+    /// @return number of subjects with a share.
     std::size_t size() const { return m_shares.size(); }
 
   private:
@@ -33,7 +37,7 @@
         quota_bucket bucket;
     };
 
-    std::unordered_map<base::tenant_name, share> m_shares;
+    std::unordered_map<quota_subject, share, quota_subject_hash> m_shares;
 };
 
 }  // namespace ferryroad::coordination::quota
--- a/src/ferryroad/coordination/quota/quota_bucket.cpp
+++ b/src/ferryroad/coordination/quota/quota_bucket.cpp
@@ -30,6 +30,10 @@
     return true;
 }
 
+void quota_bucket::charge(double amount, double max_debt) {
+    m_level = std::min(m_level, std::max(m_level - amount, -max_debt));
+}
+
 base::duration quota_bucket::time_until_available(const rate_limit& limit, double part) const {
     return base::from_seconds(std::max(0.0, -m_level) / (limit.per_second * part));
 }
--- a/src/ferryroad/coordination/quota/quota_bucket.hpp
+++ b/src/ferryroad/coordination/quota/quota_bucket.hpp
@@ -20,6 +20,9 @@
     /// Takes `amount` if the level is above 0. `advance` must be called before.
     /// @return whether `amount` was taken.
     bool take(double amount);
+    /// Takes `amount` that was already used, whatever the level is.
+    /// @param max_debt what the bucket then owes at most, unless it owes more already.
+    void charge(double amount, double max_debt);
     /// @param part fraction of the limit enforced here, above 0.
     /// @return the time until the level is no longer below 0.
     base::duration time_until_available(const rate_limit& limit, double part) const;
--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -14,9 +14,9 @@
     });
 }
 
-std::optional<base::router_name> quota_homes::home_of(const base::tenant_name& tenant,
+std::optional<base::router_name> quota_homes::home_of(const quota_subject& subject,
                                                       base::monotonic_time now) const {
-    return home_for(tenant.value, now);
+    return home_for(subject.name, now);
 }
 
 std::optional<base::router_name> quota_homes::home_for(std::string_view subject,
--- a/src/ferryroad/coordination/quota/quota_homes.hpp
+++ b/src/ferryroad/coordination/quota/quota_homes.hpp
@@ -1,11 +1,12 @@
 /// @file
-/// Chooses the home router of each tenant, which counts the tenant's requests for all routers.
+/// Chooses the home router of each subject of a limit, which counts its requests for all routers.
 /// Every router computes the same home from the list of routers, without communication. A router
 /// that doesn't answer is excluded for a while.
 #pragma once
 
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/coordination/quota/types.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,7 +20,7 @@
 /// Settings of `quota_homes`.
 struct homes_tunables {
     /// Number of consecutive asks without an answer after which a router is excluded. Single
-    /// datagrams do get lost, and two home routers for one tenant at the same time may grant too
+    /// datagrams do get lost, and two home routers for one subject at the same time may grant too
     /// much.
     std::uint32_t exclude_after_unanswered = 3;
     /// First exclusion of a router: about the time a process takes to restart.
@@ -35,8 +36,8 @@
 
     /// Sets the list of routers that are present, including the one that asks.
     void declare(std::vector<base::router_name> present);
-    /// @return the router to ask for the tenant, or nothing if all are excluded.
-    std::optional<base::router_name> home_of(const base::tenant_name& tenant,
+    /// @return the router to ask for the subject, or nothing if all are excluded.
+    std::optional<base::router_name> home_of(const quota_subject& subject,
                                              base::monotonic_time now) const;
     /// The same for any other task that one router does for all.
     /// @param subject identifies the task.
--- a/src/ferryroad/coordination/quota/quota_ledger.hpp
+++ b/src/ferryroad/coordination/quota/quota_ledger.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Counts what tenants are granted, for all routers that ask this ledger. Each asking router
+/// Counts what subjects are granted, for all routers that ask this ledger. Each asking router
 /// contributes an equal part of the limit. While routers ask different ledgers (because their
 /// member lists differ or the network is partitioned), each ledger grants only the parts of the
 /// routers that ask it, so that all ledgers together stay near the limit without agreement.
@@ -8,6 +8,7 @@
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/coordination/quota/quota_bucket.hpp"
+#include "ferryroad/coordination/quota/retry_queue.hpp"
 #include "ferryroad/coordination/quota/types.hpp"
 
 #include <cstddef>
@@ -34,9 +35,11 @@
     base::duration asker_retention = std::chrono::seconds(60);
     /// How long the number of routers counted by another ledger is relied on.
     base::duration report_valid_for = std::chrono::seconds(30);
-    /// What a ledger that takes over a tenant may grant at once, in seconds at the rate: the
+    /// What a ledger that takes over a subject may grant at once, in seconds at the rate: the
     /// previous ledger may have granted the burst a moment ago.
     double takeover_seconds = 0.1;
+    /// Uncounted requests that routers report delay grants by at most this, in seconds at the rate.
+    double longest_debt_seconds = 3;
     /// For this long after its start, a process can't know what other ledgers granted just before,
     /// nor which routers exist. It then grants no burst, and only the parts of the routers that ask
     /// it.
@@ -51,6 +54,10 @@
     base::duration longest_retry_after = std::chrono::seconds(10);
 };
 
+/// @return settings for limits of engines. Routers ask about an engine seldom and irregularly, as
+/// each sends it few requests, so a router that has been silent for some seconds is not missing.
+ledger_tunables engine_ledger_tunables();
+
 /// Pure: the verdict depends only on the state, the ask and the time. Not thread-safe.
 class quota_ledger {
   public:
@@ -66,14 +73,14 @@
     /// @return whether the amount was counted and granted.
     quota_verdict decide(const base::router_name& asker, const quota_ask& ask,
                          base::monotonic_time now);
-    /// @return number of tenants counted here.
+    /// @return number of subjects counted here.
     std::size_t size() const { return m_accounts.size(); }
-    /// Removes tenants that no router has asked for during `asker_retention`. Must be called
+    /// Removes subjects that no router has asked for during `asker_retention`. Must be called
     /// periodically.
     void reclaim(base::monotonic_time now);
 
   private:
-    /// Recent asks of one router for one tenant.
+    /// Recent asks of one router for one subject.
     struct asker_history {
         base::monotonic_time asked_at{};
         std::uint32_t intervals = 0;
@@ -81,25 +88,27 @@
     };
     struct account {
         rate_limit limit;
+        base::monotonic_time limit_learned_at{};
         quota_bucket bucket;
         std::map<base::router_name, asker_history> askers;
         std::uint32_t reported_askers = 0;
         base::monotonic_time reported_at{};
-        base::monotonic_time next_retry{};  ///< When the next refused request is to retry.
+        retry_queue retries;
     };
 
     account& account_of(const quota_ask& ask, base::monotonic_time now);
-    void record_ask(account& tenant_account, const base::router_name& asker,
+    static void apply_limit(account& counted, const quota_ask& ask, base::monotonic_time now);
+    void record_ask(account& counted, const base::router_name& asker,
                     base::monotonic_time now) const;
     bool is_missing(const asker_history& history, base::monotonic_time now) const;
-    double active_part(account& tenant_account, base::monotonic_time now) const;
-    base::duration schedule_retry(account& tenant_account, const quota_ask& ask, double part,
+    double active_part(account& counted, base::monotonic_time now) const;
+    base::duration schedule_retry(account& counted, const quota_ask& ask, double part,
                                   base::monotonic_time now) const;
 
     ledger_tunables m_tunables;
     base::monotonic_time m_startup_until;
     std::size_t m_routers = 1;
-    std::unordered_map<base::tenant_name, account> m_accounts;
+    std::unordered_map<quota_subject, account, quota_subject_hash> m_accounts;
 };
 
 }  // namespace ferryroad::coordination::quota
--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -152,11 +152,13 @@
     }
     wire_body operator()(const quota_request& body) const {
         const auto& ask = body.ask;
-        const auto tenant = write_text(builder, ask.tenant.value);
+        const auto subject = write_text(builder, ask.subject.name);
         return {wire::CallBody::QuotaRequest,
-                wire::CreateQuotaRequest(builder, body.number, tenant, ask.amount,
+                wire::CreateQuotaRequest(builder, body.number, subject, ask.amount,
                                          ask.limit.revision.value, ask.limit.per_second,
-                                         ask.limit.burst, ask.known_askers)
+                                         ask.limit.burst, ask.known_askers,
+                                         static_cast<wire::QuotaSubjectKind>(ask.subject.kind),
+                                         ask.uncounted, to_wire_milliseconds(ask.limit_age))
                     .Union()};
     }
     wire_body operator()(const quota_grant& body) const {
@@ -313,8 +315,16 @@
                                                     fields.amount(body.burst())};
         fields.require(limit.per_second > 0, "a rate above 0");
         return quota_request{body.number(),
-                             {fields.name<base::tenant_name>(body.tenant()),
-                              fields.amount(body.amount()), limit, body.known_askers()}};
+                             {quota_subject(body), fields.amount(body.amount()), limit,
+                              body.known_askers(), fields.amount(body.uncounted()),
+                              std::chrono::milliseconds(body.limit_age_milliseconds())}};
+    }
+    coordination::quota::quota_subject quota_subject(const wire::QuotaRequest& body) const {
+        if (body.kind() == wire::QuotaSubjectKind::engine) {
+            return fields.name<base::engine_name>(body.subject());
+        }
+        fields.require(body.kind() == wire::QuotaSubjectKind::tenant, "a kind of subject");
+        return fields.name<base::tenant_name>(body.subject());
     }
     call_body read(const wire::QuotaGrant& body) const {
         return quota_grant{
--- a/src/ferryroad/peer/traffic_notice.hpp
+++ b/src/ferryroad/peer/traffic_notice.hpp
@@ -11,6 +11,7 @@
 #include "ferryroad/peer/transport.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,17 @@
     friend bool operator==(const loading_weights&, const loading_weights&) = default;
 };
 
+/// Request limit that an engine stated.
+struct stated_engine_limit {
+    base::engine_name engine;
+    /// Start of the engine's process in Unix milliseconds; 0 if not known.
+    std::uint64_t process_start_ms = 0;
+    std::optional<double> per_second;  ///< Nothing if the engine states no limit any more.
+    base::duration age{};              ///< Time since it was stated.
+
+    friend bool operator==(const stated_engine_limit&, const stated_engine_limit&) = default;
+};
+
 /// Parts that an engine was recently asked to read into its cache.
 struct expected_state {
     base::engine_name engine;
@@ -68,6 +80,7 @@
     std::vector<expected_state> expected;
     std::vector<holder_changes> changes;
     std::vector<loading_weights> loading;
+    std::vector<stated_engine_limit> limits;
 
     friend bool operator==(const traffic_notice&, const traffic_notice&) = default;
 };
--- a/src/ferryroad/peer/traffic_notice_codec.cpp
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -78,6 +78,14 @@
                                      saturate(static_cast<std::uint64_t>(left)));
 }
 
+offset<wire::EngineLimit> write_limit(buffer_builder& builder, const stated_engine_limit& one) {
+    const auto engine = write_shared(builder, one.engine.value);
+    const auto age = std::max<std::int64_t>(0, base::to_milliseconds(one.age));
+    return wire::CreateEngineLimit(builder, engine, one.process_start_ms,
+                                   one.per_second.has_value(), one.per_second.value_or(0),
+                                   saturate(static_cast<std::uint64_t>(age)));
+}
+
 offset<wire::ExpectedState> write_expected(buffer_builder& builder,
                                            const expected_state& expected) {
     const auto engine = write_shared(builder, expected.engine.value);
@@ -116,6 +124,17 @@
     return one;
 }
 
+stated_engine_limit read_limit(field_reader& reader, const wire::EngineLimit& encoded) {
+    stated_engine_limit one;
+    one.engine = reader.name<base::engine_name>(encoded.engine());
+    one.process_start_ms = encoded.process_start_milliseconds();
+    if (encoded.limited()) {
+        one.per_second = reader.amount(encoded.per_second());
+    }
+    one.age = std::chrono::milliseconds(encoded.age_milliseconds());
+    return one;
+}
+
 expected_state read_expected(field_reader& reader, const wire::ExpectedState& expected) {
     return {reader.name<base::engine_name>(expected.engine()),
             read_parts(reader, expected.parts(), expected.tokens())};
@@ -141,11 +160,13 @@
         builder, notice.changes, [&](const auto& one) { return write_changes(builder, one); });
     const auto loading = write_list<wire::EngineLoading>(
         builder, notice.loading, [&](const auto& one) { return write_loading(builder, one); });
+    const auto limits = write_list<wire::EngineLimit>(
+        builder, notice.limits, [&](const auto& one) { return write_limit(builder, one); });
     const auto sender = write_text(builder, notice.sender.value);
     const auto zone = write_text(builder, notice.zone.value);
     return finish(builder,
                   wire::CreateTrafficNotice(builder, sender, zone, notice.loads_complete, loads,
-                                            weights, expected, changes, loading),
+                                            weights, expected, changes, loading, limits),
                   notice_identifier);
 }
 
@@ -174,6 +195,8 @@
                                  [&](const auto& one) { return read_changes(reader, one); });
     notice.loading = reader.list(root->loading(), max_entries,
                                  [&](const auto& one) { return read_loading(reader, one); });
+    notice.limits = reader.list(root->limits(), max_entries,
+                                [&](const auto& one) { return read_limit(reader, one); });
     if (reader.fault() != nullptr) {
         return malformed(std::string("traffic notice: expected ") + reader.fault());
     }
--- a/src/ferryroad/quotas/quota_service.cpp
+++ b/src/ferryroad/quotas/quota_service.cpp
@@ -11,7 +11,7 @@
       m_self(std::move(self)),
       m_ask(std::move(ask)),
       m_settings(settings),
-      m_ledger(scheduler.now()) {
+      m_ledger(scheduler.now(), settings.ledger) {
     m_homes.declare({m_self});
 }
 
@@ -27,19 +27,20 @@
     m_ledger.expect_routers(expected);
 }
 
-runtime::task<quota_decision> quota_service::count(base::tenant_name tenant, rate_limit limit,
-                                                   double amount) {
+runtime::task<quota_decision> quota_service::count(quota_subject subject, rate_limit limit,
+                                                   double amount, limit_evidence evidence) {
     reclaim();
-    quota_ask question{std::move(tenant), amount, limit, 0};
-    question.known_askers = known_askers(question.tenant);
+    quota_ask question{std::move(subject), amount, limit, 0, evidence.uncounted,
+                       evidence.limit_age};
+    question.known_askers = known_askers(question.subject);
     for (std::size_t attempt = 0; attempt < m_settings.max_attempts; ++attempt) {
-        const auto home = m_homes.home_of(question.tenant, m_scheduler.now());
+        const auto home = m_homes.home_of(question.subject, m_scheduler.now());
         if (!home) {
             break;
         }
         const auto verdict = co_await ask(*home, question);
         if (verdict) {
-            record_askers(question.tenant, verdict->askers);
+            record_askers(question.subject, verdict->askers);
             co_return quota_decision{*verdict, *home};
         }
     }
@@ -72,19 +73,19 @@
     ++m_counters.own_share_decided;
     const std::size_t share_count =
         std::max<std::size_t>({1, question.known_askers, m_homes.size(), m_expected_routers});
-    return m_own_shares.decide(question, share_count, m_scheduler.now());
+    return m_own_shares.decide(question, share_count, m_scheduler.now(), m_scheduler.random());
 }
 
-std::uint32_t quota_service::known_askers(const base::tenant_name& tenant) const {
-    const auto found = m_reported_askers.find(tenant);
+std::uint32_t quota_service::known_askers(const quota_subject& subject) const {
+    const auto found = m_reported_askers.find(subject);
     return found == m_reported_askers.end() ? 0 : found->second.count;
 }
 
 /// Keeps the highest count reported within `report_valid_for`: a router that has just become the
 /// home doesn't know all routers that ask yet.
-void quota_service::record_askers(const base::tenant_name& tenant, std::uint32_t count) {
+void quota_service::record_askers(const quota_subject& subject, std::uint32_t count) {
     const base::monotonic_time now = m_scheduler.now();
-    reported_askers& reported = m_reported_askers[tenant];
+    reported_askers& reported = m_reported_askers[subject];
     if (count >= reported.count ||
         now - reported.reported_at > m_ledger.tunables().report_valid_for) {
         reported = {count, now};
--- a/src/ferryroad/quotas/quota_service.hpp
+++ b/src/ferryroad/quotas/quota_service.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Checks requests against rate limits that apply to all routers together. One router, the home,
-/// keeps the count for a tenant; the others ask it. This service does both: it asks the homes of
-/// other tenants, and answers for the tenants whose home is this router.
+/// keeps the count for a subject, such as a tenant; the others ask it. This service does both: it
+/// asks the homes of other subjects, and answers for the subjects whose home is this router.
 #pragma once
 
 #include "ferryroad/coordination/quota/equal_shares.hpp"
@@ -19,6 +19,7 @@
 namespace ferryroad::quotas {
 
 using coordination::quota::quota_ask;
+using coordination::quota::quota_subject;
 using coordination::quota::quota_verdict;
 using coordination::quota::rate_limit;
 
@@ -26,7 +27,8 @@
     /// Attempts to ask a home per request. If none is answered, this router decides by its own
     /// equal share of the limit.
     std::size_t max_attempts = 2;
-    /// Shortest time between two removals of tenants that haven't been asked about for long.
+    coordination::quota::ledger_tunables ledger = {};
+    /// Shortest time between two removals of subjects that haven't been asked about for long.
     base::duration reclaim_period = std::chrono::seconds(10);
 };
 
@@ -36,6 +38,13 @@
     base::router_name counted_by;  ///< Empty if this router decided by its own share.
 };
 
+/// Recent requests of this router to a subject that no ledger has counted, and the age of the
+/// limit.
+struct limit_evidence {
+    double uncounted = 0;        ///< Cost of these requests.
+    base::duration limit_age{};  ///< Time since this router learned the limit.
+};
+
 struct quota_counters {
     std::uint64_t asks_sent = 0;
     std::uint64_t asks_unanswered = 0;
@@ -61,29 +70,30 @@
     /// least 1.
     void expect_routers(std::size_t expected);
 
-    /// Counts `amount` against the tenant's limit, at its home or, if that doesn't answer in
+    /// Counts `amount` against the subject's limit, at its home or, if that doesn't answer in
     /// `max_attempts` attempts, against this router's own share. @param limit above 0.
-    runtime::task<quota_decision> count(base::tenant_name tenant, rate_limit limit, double amount);
-    /// Decides as the tenant's home. @param asker the router that asks.
+    runtime::task<quota_decision> count(quota_subject subject, rate_limit limit, double amount,
+                                        limit_evidence evidence = {});
+    /// Decides as the subject's home. @param asker the router that asks.
     quota_verdict decide_for(const base::router_name& asker, const quota_ask& question);
 
     const quota_counters& counters() const { return m_counters; }
-    /// @return number of tenants that this router counts as home.
-    std::size_t counted_tenants() const { return m_ledger.size(); }
+    /// @return number of subjects that this router counts as home.
+    std::size_t counted_subjects() const { return m_ledger.size(); }
 
   private:
-    /// Number of routers that ask a tenant's home, as reported by the home.
+    /// Number of routers that ask a subject's home, as reported by the home.
     struct reported_askers {
         std::uint32_t count = 0;
         base::monotonic_time reported_at{};
     };
 
-    std::uint32_t known_askers(const base::tenant_name& tenant) const;
-    void record_askers(const base::tenant_name& tenant, std::uint32_t count);
+    std::uint32_t known_askers(const quota_subject& subject) const;
+    void record_askers(const quota_subject& subject, std::uint32_t count);
     runtime::task<std::optional<quota_verdict>> ask(base::router_name home, quota_ask question);
     /// Decides by this router's own share.
     quota_verdict decide_locally(const quota_ask& question);
-    /// Removes tenants that haven't been asked about for long, once per `reclaim_period`.
+    /// Removes subjects that haven't been asked about for long, once per `reclaim_period`.
     void reclaim();
 
     runtime::scheduler& m_scheduler;
@@ -93,7 +103,8 @@
     coordination::quota::quota_homes m_homes;
     coordination::quota::quota_ledger m_ledger;
     coordination::quota::equal_shares m_own_shares;
-    std::unordered_map<base::tenant_name, reported_askers> m_reported_askers;
+    std::unordered_map<quota_subject, reported_askers, coordination::quota::quota_subject_hash>
+        m_reported_askers;
     std::size_t m_expected_routers = 1;
     base::monotonic_time m_reclaimed_at{};
     quota_counters m_counters;
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -13,12 +13,13 @@
 namespace ferryroad::relay {
 
 /// The time of a dispatch decision, the age of the policy and of the engine list that it was based
-/// on, and the engine's request limit at that time.
+/// on, the engine's request limit at that time, and the router that counted the request against it.
 struct dispatch_moment {
     base::monotonic_time now{};
     base::duration policy_age{};
     base::duration engines_age{};
     engine_limit limit;
+    base::router_name counted_by;  ///< Empty if none did.
 };
 
 /// Logs a dispatch to the selected engine. Used from the event loop's thread, as all functions
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -67,6 +67,9 @@
     base::monotonic_time loading_until{};      ///< Announced to load new weights until then.
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
     engine_limit limit;
+    base::monotonic_time paused_until{};  ///< No request is sent before, due to the limit.
+    /// When requests were sent to the engine recently that no router counted against its limit.
+    std::vector<base::monotonic_time> uncounted_sends;
 
     /// @return the newest version of the model's weights seen; 0 if none.
     std::uint64_t version_of(const std::string& model) const;
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -91,6 +91,39 @@
     send_if_full(1);
 }
 
+void peer_exchange::announce_limit(const peer::stated_engine_limit& limit) {
+    if (!m_running) {
+        return;
+    }
+    const base::monotonic_time now = m_ports.scheduler.now();
+    std::erase_if(m_pending_limits,
+                  [&](const pending_limit& one) { return one.limit.engine == limit.engine; });
+    m_pending_limits.push_back({limit, now - limit.age});
+    if (now - m_limits_sent_at >= m_settings.notice_interval) {
+        send_limits(now);
+    }
+}
+
+void peer_exchange::send_limits(base::monotonic_time now) {
+    if (m_pending_limits.empty()) {
+        return;
+    }
+    m_limits_sent_at = now;
+    const auto targets = m_group.all_peers(now);
+    peer::traffic_notice notice = new_notice();
+    for (pending_limit& one : std::exchange(m_pending_limits, {})) {
+        one.limit.age = now - one.as_of;
+        notice.limits.push_back(std::move(one.limit));
+        if (notice.limits.size() == m_settings.max_limits) {
+            send_to(targets, notice);
+            notice.limits.clear();
+        }
+    }
+    if (!notice.limits.empty()) {
+        send_to(targets, notice);
+    }
+}
+
 void peer_exchange::queue_holder_changes(peer::holder_changes changes) {
     if (m_running) {
         m_pending_changes.push_back(std::move(changes));
@@ -110,6 +143,7 @@
         report_gone_peers(now);
     }
     send_changes(now);
+    send_limits(now);
 }
 
 void peer_exchange::report_gone_peers(base::monotonic_time now) {
@@ -242,6 +276,11 @@
     for (const peer::holder_changes& one : notice->changes) {
         m_on_changes(one);
     }
+    for (const peer::stated_engine_limit& one : notice->limits) {
+        if (m_on_limit_announced) {
+            m_on_limit_announced(one, notice->sender);
+        }
+    }
 }
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -37,6 +37,8 @@
     std::uint64_t urgent_prefill_tokens = 1000;
     /// Most entries, loading and loaded weights together, in a notice of `announce`.
     std::size_t max_weights = 16;
+    /// Most engine limits in a notice, so that it fits into a datagram.
+    std::size_t max_limits = 16;
     /// Most loads in a notice, so that it fits into a datagram; the largest loads are sent.
     std::size_t max_loads = 24;
     /// Most prompt parts in a notice, so that it fits into a datagram. Further changes of holders
@@ -75,6 +77,12 @@
         m_on_prompt_sent = std::move(callback);
     }
 
+    /// @param callback called with each engine limit that a peer announces, and the peer's name.
+    void on_limit_announced(
+        std::function<void(const peer::stated_engine_limit&, const base::router_name&)> callback) {
+        m_on_limit_announced = std::move(callback);
+    }
+
     /// To be called once, before any traffic.
     void start();
     /// Sends no further notices.
@@ -102,6 +110,9 @@
     /// Sends an announcement of the rollout to the routers of all blocks without delay: an engine
     /// refuses requests while it loads weights.
     void announce(const rollout_announcement& announcement);
+    /// Sends an engine's limit to the routers of all blocks: without delay, or with the next notice
+    /// if limits were sent within the interval of notices.
+    void announce_limit(const peer::stated_engine_limit& limit);
     /// Queues changes of a holder that this router follows for the next notice.
     void queue_holder_changes(peer::holder_changes changes);
 
@@ -119,6 +130,11 @@
   private:
     static constexpr std::string_view component = "relay.peers";
 
+    struct pending_limit {
+        peer::stated_engine_limit limit;
+        base::monotonic_time as_of{};
+    };
+
     runtime::task<void> run();
     void notify_prompt_sent(const base::engine_name& engine) const;
     void send_pending();
@@ -126,6 +142,7 @@
     void report_gone_peers(base::monotonic_time now);
     void send_load(base::monotonic_time now);
     void send_changes(base::monotonic_time now);
+    void send_limits(base::monotonic_time now);
     void send(const peer::traffic_notice& notice, base::monotonic_time now);
     void send_to(const std::vector<base::endpoint>& targets, const peer::traffic_notice& notice);
     peer::traffic_notice new_notice() const;
@@ -144,6 +161,10 @@
     std::vector<peer::observed_weights> m_pending_weights;
     std::vector<peer::expected_state> m_pending_expected;
     std::vector<peer::holder_changes> m_pending_changes;
+    std::vector<pending_limit> m_pending_limits;
+    base::monotonic_time m_limits_sent_at{};
+    std::function<void(const peer::stated_engine_limit&, const base::router_name&)>
+        m_on_limit_announced;
     std::set<base::router_name> m_logged_live;  ///< As last written to the log.
     std::uint64_t m_notices_sent = 0;
     std::uint64_t m_notices_malformed = 0;
--- a/src/ferryroad/relay/refusal.cpp
+++ b/src/ferryroad/relay/refusal.cpp
@@ -84,6 +84,8 @@
             return "quarantined";
         case refusal_cause::no_engine:
             return "no_engine";
+        case refusal_cause::engines_limited:
+            return "engines_limited";
         case refusal_cause::overloaded:
             return "overloaded";
         case refusal_cause::engine_failed:
--- a/src/ferryroad/relay/refusal.hpp
+++ b/src/ferryroad/relay/refusal.hpp
@@ -22,6 +22,7 @@
     over_quota,         ///< The tenant's rate limit over all routers is exhausted.
     quarantined,        ///< Engines crashed while running the same request.
     no_engine,          ///< No engine is eligible for the request.
+    engines_limited,    ///< The request limits of all eligible engines are used up.
     overloaded,         ///< Every engine tried refused the request.
     engine_failed,      ///< It was sent, but no usable answer was received.
     deadline_exceeded,  ///< The deadline passed.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -172,7 +172,7 @@
 
     runtime::task<void> perform(const execution::action& action) {
         if (const auto* selection = std::get_if<execution::select_engine>(&action)) {
-            select(*selection);
+            co_await select(*selection);
         } else if (const auto* attempt = std::get_if<execution::dispatch_attempt>(&action)) {
             co_await open(*attempt);
         } else if (std::holds_alternative<execution::cancel_attempt>(action)) {
@@ -204,33 +204,56 @@
         return m_dependencies.selection.select(query, now);
     }
 
-    void select(const execution::select_engine& selection) {
-        const base::monotonic_time now = m_dependencies.scheduler.now();
+    runtime::task<void> select(const execution::select_engine& selection) {
         const selection_query query = query_of(m_plan, selection.excluded);
         if (m_outcome.dispatches == 0 && m_admission.refuses()) {
             feed(execution::selection_failed{
                 execution::selection_problem::deadline_too_near,
                 std::max(m_tunables.retry_after, m_admission.retry_after())});
-            return;
+            co_return;
         }
-        std::optional<selected_engine> chosen;
-        if (m_preconditions.key_is_valid() && !m_preconditions.is_held_back()) {
-            chosen = choose_engine(query, now);
+        const bool may_be_sent = m_preconditions.key_is_valid() && !m_preconditions.is_held_back();
+        for (std::uint32_t tried = 0; may_be_sent && tried < m_tunables.max_permit_attempts;
+             ++tried) {
+            auto chosen = choose_engine(query, m_dependencies.scheduler.now());
+            if (!chosen) {
+                break;
+            }
+            m_selected = std::move(*chosen);
+            co_await acquire_permit();
+            if (m_permit.granted) {
+                feed(execution::engine_selected{{m_selected.target.name, {}}});
+                co_return;
+            }
+            undo_canary();
         }
-        if (!chosen) {
-            feed(execution::selection_failed{execution::selection_problem::no_engine,
-                                             m_tunables.retry_after});
-            return;
+        feed(execution::selection_failed{execution::selection_problem::no_engine,
+                                         m_tunables.retry_after});
+    }
+
+    /// Asks for a permit to send the request to the selected engine.
+    runtime::task<void> acquire_permit() {
+        m_permit = {};
+        if (m_dependencies.limits != nullptr) {
+            base::engine_name name = m_selected.target.name;
+            base::request_id id = m_plan.call->id;
+            m_permit = co_await m_dependencies.limits->acquire(std::move(name), std::move(id));
         }
-        m_selected = std::move(*chosen);
-        feed(execution::engine_selected{{m_selected.target.name, {}}});
     }
 
     /// Checks the preconditions again, as opening the connection took time since the engine was
     /// selected.
     last_look check_before_sending() {
         const base::monotonic_time now = m_dependencies.scheduler.now();
-        const auto lost = m_preconditions.lost_before_sending(m_selected, current_engine(), now);
+        known_engine* engine = current_engine();
+        auto lost = m_preconditions.lost_before_sending(m_selected, engine, now);
+        if (!lost && m_dependencies.limits != nullptr) {
+            if (m_dependencies.limits->lacks_permit(*engine, m_permit)) {
+                lost = dispatch_precondition::within_limit;
+            } else if (!m_may_be_sent) {
+                m_dependencies.limits->record_sent(*engine, m_permit);
+            }
+        }
         m_may_be_sent = m_may_be_sent || !lost;
         return {lost, m_timing.time_for_engine(now)};
     }
@@ -279,7 +302,7 @@
         }
         log_dispatch(m_plan, m_selected, attempt.attempt,
                      {now, m_dependencies.policies.age(now), m_dependencies.registry.age(now),
-                      engine == nullptr ? engine_limit{} : engine->limit});
+                      engine == nullptr ? engine_limit{} : engine->limit, m_permit.counted_by});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         meter(traffic_kind::request, size_of(m_plan.call->message));
@@ -483,6 +506,10 @@
     /// Reverts the accounting of a dispatch that was not sent.
     void undo_dispatch() {
         --m_outcome.dispatches;
+        undo_canary();
+    }
+
+    void undo_canary() {
         if (m_selected.canary) {
             m_dependencies.releases->give_back(m_plan.pool, m_plan.matched_route->name);
         }
@@ -708,12 +735,25 @@
         }
     }
 
+    /// Makes a refusal that is due to request limits of engines say so, and when it may be retried.
+    void apply_limits(relay_refusal& refusal) {
+        const bool no_engine = refusal.cause == refusal_cause::no_engine;
+        if (!no_engine || m_dependencies.limits == nullptr) {
+            return;
+        }
+        if (const auto retry_after = m_dependencies.limits->retry_after(m_plan.pool)) {
+            refusal.cause = refusal_cause::engines_limited;
+            refusal.retry_after = retry_after;
+        }
+    }
+
     runtime::task<void> refuse(relay_refusal refusal) {
         const bool out_of_time = m_dependencies.scheduler.now() >= m_plan.deadline;
         if (out_of_time && refusal.cause == refusal_cause::engine_failed) {
             refusal.cause = refusal_cause::deadline_exceeded;
         }
         apply_quarantine(refusal);
+        apply_limits(refusal);
         m_outcome.refusal = refusal;
         if (refusal.cause == refusal_cause::caller_gone || m_head_sent) {
             m_writer.abort();  // A truncated stream must not look complete.
@@ -739,6 +779,7 @@
     dispatch_preconditions m_preconditions;
     std::deque<execution::action> m_pending;
     selected_engine m_selected;
+    send_permit m_permit;  ///< For the selected engine.
     std::optional<engine_load> m_load;
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -122,7 +122,16 @@
     set("ferryroad_relay_engines_limited", "Engines that state a request limit.",
         static_cast<double>(now.engines_limited));
     set("ferryroad_relay_engine_limit_changes", "Limits of engines that began, changed or ended.",
-        static_cast<double>(now.limit_changes));
+        static_cast<double>(now.engine_limits.changes));
+    set("ferryroad_relay_engine_limit_granted", "Requests sent within the limits of engines.",
+        static_cast<double>(now.engine_limits.granted));
+    set("ferryroad_relay_engine_limit_refused", "Requests not sent to an engine for its limit.",
+        static_cast<double>(now.engine_limits.refused));
+    set("ferryroad_relay_engine_limit_own_share", "Of both, decided by this router's own share.",
+        static_cast<double>(now.engine_limits.own_share));
+    set("ferryroad_relay_engine_limit_asks_unanswered",
+        "Asks for permits that were not answered in time.",
+        static_cast<double>(now.limit_asks_unanswered));
     set("ferryroad_relay_active_requests", "Requests being served.",
         static_cast<double>(now.active_requests));
     set("ferryroad_relay_shed_share", "Share of streams refused as engines are short, 0 to 1.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -24,7 +24,8 @@
     std::size_t engines_leaving = 0;
     std::size_t engines_suspended = 0;
     std::size_t engines_limited = 0;  ///< Engines that state a request limit.
-    std::uint64_t limit_changes = 0;  ///< Limits of engines that began, changed or ended.
+    engine_limit_counters engine_limits;
+    std::uint64_t limit_asks_unanswered = 0;  ///< Asks for permits that no router answered in time.
     double shed_share = 0;  ///< Share of streams shed in the pool with the highest share, 0 to 1.
     std::uint64_t quota_asks = 0;             ///< Requests another router was asked to count.
     std::uint64_t quota_asks_unanswered = 0;  ///< Of these, not answered in time.
--- a/test/coordination/quota/quota_ledger_test.cpp
+++ b/test/coordination/quota/quota_ledger_test.cpp
@@ -196,14 +196,69 @@
     cr_assert_eq(granted, 100);
 }
 
+Test(quota_ledger, uncounted_requests_are_owed_up_to_a_bound) {
+    quota_ledger ledger = ledger_after_startup();
+    quota_ask one = ask_for(1);
+    one.uncounted = 1500;
+    cr_assert_not(ledger.decide(first, one, at(0s)).granted, "the burst is 500");
+    cr_assert_not(ledger.decide(first, ask_for(1), at(999ms)).granted);
+    cr_assert(ledger.decide(first, ask_for(1), at(1001ms)).granted);
+    one.uncounted = 100'000;
+    cr_assert_not(ledger.decide(first, one, at(2s)).granted);
+    cr_assert_not(ledger.decide(first, ask_for(1), at(4900ms)).granted);
+    cr_assert(ledger.decide(first, ask_for(1), at(5001ms)).granted, "owes 3 s at most");
+}
+
+Test(quota_ledger, the_limit_learned_last_is_in_force) {
+    quota_ledger ledger = ledger_after_startup();
+    quota_ask lower = ask_for(100);
+    lower.limit.per_second = 10;
+    lower.limit.burst = 0;
+    cr_assert(ledger.decide(first, lower, at(0s)).granted);
+    quota_ask older = ask_for(100);
+    older.limit_age = 5s;
+    cr_assert_not(ledger.decide(first, older, at(1s)).granted, "100 owed, 10 a second");
+    cr_assert_not(ledger.decide(first, older, at(2s)).granted);
+    cr_assert_not(ledger.decide(first, ask_for(100), at(3s)).granted, "learned just now");
+    cr_assert(ledger.decide(first, older, at(4s)).granted);
+}
+
+Test(quota_ledger, subjects_of_a_kind_are_counted_apart) {
+    quota_ledger ledger = ledger_after_startup();
+    quota_ask engine = ask_for(500);
+    engine.subject = base::engine_name(tenant.value);
+    cr_assert(ledger.decide(first, ask_for(500), at(0s)).granted);
+    cr_assert(ledger.decide(first, engine, at(0s)).granted);
+    cr_assert_eq(ledger.size(), 2);
+}
+
+/// Each of many routers has a share that is worth a request only after minutes.
+Test(equal_shares, routers_that_start_together_do_not_all_send_to_a_limited_engine) {
+    constexpr std::size_t routers = 100;
+    base::seeded_random random(1);
+    quota_ask ask{base::engine_name("e"), 1, {base::revision(), 1, 0.5}, 0};
+    std::vector<equal_shares> fleet(routers);
+    int granted = 0;
+    for (base::duration passed{}; passed < 100s; passed += 100ms) {
+        for (equal_shares& one : fleet) {
+            granted += one.decide(ask, routers, at(passed), random).granted ? 1 : 0;
+        }
+        const double expected = base::to_seconds(passed) + 1;
+        cr_assert_leq(granted, expected + 20, "%d after %f s", granted, expected - 1);
+    }
+    cr_assert_geq(granted, 90);
+}
+
 Test(equal_shares, each_router_keeps_its_part) {
     equal_shares shares;
-    cr_assert(shares.decide(ask_for(10), 10, at(0s)).granted, "a tenth of a second's worth");
-    const auto refused = shares.decide(ask_for(10), 10, at(0s));
+    base::seeded_random random(1);
+    cr_assert(shares.decide(ask_for(10), 10, at(0s), random).granted,
+              "a tenth of a second's worth");
+    const auto refused = shares.decide(ask_for(10), 10, at(0s), random);
     cr_assert_not(refused.granted);
     cr_assert_eq(refused.retry_after.count(), 0, "nothing is owed");
-    cr_assert(shares.decide(ask_for(100), 10, at(1s)).granted);
-    cr_assert_not(shares.decide(ask_for(1), 10, at(1s)).granted);
+    cr_assert(shares.decide(ask_for(100), 10, at(1s), random).granted);
+    cr_assert_not(shares.decide(ask_for(1), 10, at(1s), random).granted);
     shares.reclaim(at(1s));
     cr_assert_eq(shares.size(), 1);
     shares.reclaim(at(3s));
--- a/test/coordination/quota/quota_property_test.cpp
+++ b/test/coordination/quota/quota_property_test.cpp
@@ -146,7 +146,7 @@
             }
             one.homes.silent(*home, m_now);
         }
-        return one.own_parts.decide(ask, all.size(), m_now);
+        return one.own_parts.decide(ask, all.size(), m_now, m_random);
     }
 
     base::seeded_random m_random;
--- a/test/peer/codec_test.cpp
+++ b/test/peer/codec_test.cpp
@@ -131,6 +131,16 @@
      [] {
          return encode(with_body(quota_request{1, {{}, 1, {base::revision(1), 1, 1}, 0}}));
      }},
+    {"quota of an engine without a name",
+     [] {
+         const coordination::quota::quota_subject nameless{base::engine_name()};
+         return encode(with_body(quota_request{1, {nameless, 1, {base::revision(), 1, 1}, 0}}));
+     }},
+    {"negative count of uncounted requests",
+     [] {
+         const coordination::quota::quota_subject engine{base::engine_name("e")};
+         return encode(with_body(quota_request{1, {engine, 1, {base::revision(), 1, 1}, 0, -1}}));
+     }},
     {"unknown prefix change", [] { return report_with(3, 0); }},
     {"unknown evidence", [] { return report_with(0, -1); }},
     {"resource without key",
--- a/test/peer/traffic_notice_test.cpp
+++ b/test/peer/traffic_notice_test.cpp
@@ -23,6 +23,8 @@
     notice.expected = {{base::engine_name("e2"), {{part_key(7), 2520}, {part_key(8), 3780}}}};
     notice.changes = {{base::engine_name("store/10.0.0.1:1"), 77, 118, 120, {{part_key(9), 0}}}};
     notice.loading = {{base::engine_name("e3"), "m", 5, 1200ms}};
+    notice.limits = {{base::engine_name("e1"), 1764000000123, 1.4, 20ms},
+                     {base::engine_name("e2"), 0, std::nullopt, {}}};
     return notice;
 }
 
@@ -49,7 +51,9 @@
         const std::string name = "i-0123456789" + std::to_string(index);
         notice.loads.push_back({base::engine_name(name), 30, 100000, 100ms});
     }
-    notice.loading.clear();  // Sent in separate notices, checked below.
+    // Sent in separate notices, checked below.
+    notice.loading.clear();
+    notice.limits.clear();
     cr_assert_leq(encode(notice).size(), max_datagram_bytes);
     traffic_notice rollout;
     rollout.sender.value = "front-with-a-long-name-1";
@@ -59,6 +63,14 @@
         rollout.loading.push_back({base::engine_name(name), "a-model-of-a-long-name", 1000, 9s});
     }
     cr_assert_leq(encode(rollout).size(), max_datagram_bytes);
+    traffic_notice limits;
+    limits.sender.value = "front-with-a-long-name-1";
+    limits.zone.value = "a-zone-with-a-long-name";
+    for (int index = 0; index < 16; ++index) {
+        const std::string name = "i-0123456789" + std::to_string(index);
+        limits.limits.push_back({base::engine_name(name), 1764000000123, 1.4, 20ms});
+    }
+    cr_assert_leq(encode(limits).size(), max_datagram_bytes);
     traffic_notice changes;
     changes.sender.value = "front-with-a-long-name-1";
     changes.changes = {{base::engine_name("i-0123456789"), 1, 1, 60, {}}};
--- a/test/relay/peer_exchange_test.cpp
+++ b/test/relay/peer_exchange_test.cpp
@@ -102,6 +102,24 @@
     cr_assert_eq(at.first.exchange.notices_malformed(), 0);
 }
 
+Test(peer_exchange, limits_of_engines_are_announced_at_once_and_then_with_the_next_notice) {
+    fixture at;
+    std::vector<peer::stated_engine_limit> told;
+    at.second.exchange.on_limit_announced(
+        [&](const peer::stated_engine_limit& one, const base::router_name& from) {
+            cr_assert(from == at.first.self.name);
+            told.push_back(one);
+        });
+    at.first.exchange.announce_limit({engine, 7, 1.4, {}});
+    cr_assert_eq(told.size(), 1);
+    cr_assert(told[0] == (peer::stated_engine_limit{engine, 7, 1.4, {}}));
+    at.first.exchange.announce_limit({engine, 7, 2.0, {}});
+    at.first.exchange.announce_limit({engine, 7, std::nullopt, {}});
+    cr_assert_eq(told.size(), 1);
+    cr_assert(at.until([&] { return told.size() == 2; }));
+    cr_assert_not(told[1].per_second, "the last one of an engine");
+}
+
 Test(peer_exchange, holder_changes_are_split_over_several_datagrams) {
     fixture at;
     for (std::uint64_t number = 0; number < 10; ++number) {
