A request refused permits goes to an engine without a limit

Cause: after four refused permits the selection ended, whatever engines were left. Change: after them only engines without a limit are selected (selection_query::without_limit). Test: engine_limits.refused_permits_do_not_keep_a_request_from_an_engine_without_a_limit; it fails without the change (the request is refused).

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -205,7 +205,7 @@
     }
 
     runtime::task<void> select(const execution::select_engine& selection) {
-        const selection_query query = query_of(m_plan, selection.excluded);
+        selection_query query = query_of(m_plan, selection.excluded);
         if (m_outcome.dispatches == 0 && m_admission.refuses()) {
             feed(execution::selection_failed{
                 execution::selection_problem::deadline_too_near,
@@ -213,8 +213,8 @@
             co_return;
         }
         const bool may_be_sent = m_preconditions.key_is_valid() && !m_preconditions.is_held_back();
-        for (std::uint32_t tried = 0; may_be_sent && tried < m_tunables.max_permit_attempts;
-             ++tried) {
+        for (std::uint32_t refused = 0; may_be_sent; ++refused) {
+            query.without_limit = refused >= m_tunables.max_permit_attempts;
             auto chosen = choose_engine(query, m_dependencies.scheduler.now());
             if (!chosen) {
                 break;
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -44,8 +44,9 @@
     /// An engine that was given a start deadline reports, when it passes, that the request has not
     /// run. How long the router waits for that report.
     base::duration refusal_wait = std::chrono::milliseconds(100);
-    /// Engines with a request limit that are asked for per selection, if all refuse. Each takes
-    /// the time of a datagram to another router and back.
+    /// Permits for engines with a request limit that are asked for per selection, if all are
+    /// refused; then only engines without a limit are selected. Each ask takes the time of a
+    /// datagram to another router and back.
     std::uint32_t max_permit_attempts = 4;
     /// Maximum size of a non-streaming answer, and of one stream event, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -232,8 +232,9 @@
     std::vector<eligible_engine> engines;
     for (const known_engine* listed : shortlisted_engines(query, prompts, now)) {
         const known_engine& engine = *listed;
-        const bool is_paused = now < engine.paused_until;
-        if (is_paused || !may_serve(engine, query, now) || !released.allows(engine)) {
+        const bool lacks_permit = now < engine.paused_until ||
+                                  (query.without_limit && engine.limit.per_second.has_value());
+        if (lacks_permit || !may_serve(engine, query, now) || !released.allows(engine)) {
             continue;
         }
         const auto others = loads.find(engine.listed.name);
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -56,6 +56,7 @@
     std::vector<base::engine_name> excluded;
     base::duration target_gap{};  ///< The route's target for the time between stream events.
     bool canary = false;          ///< Restricted to engines that run the canary version.
+    bool without_limit = false;   ///< Restricted to engines without a request limit.
 };
 
 struct selected_engine {
--- a/test/relay/engine_limits_test.cpp
+++ b/test/relay/engine_limits_test.cpp
@@ -201,6 +201,29 @@
     cr_assert_eq(fixture.upstream.engines[0], fixture.asked[1].engine.value);
 }
 
+Test(engine_limits, refused_permits_do_not_keep_a_request_from_an_engine_without_a_limit) {
+    limited_fixture fixture;
+    std::vector<listed_engine> engines = {relay_fixture::listed("unlimited")};
+    for (const char* name : {"a", "b", "c", "d", "e", "f"}) {
+        engines.push_back(relay_fixture::listed(name));
+    }
+    fixture.registry.replace_all(engines, fixture.loop.scheduler.now());
+    for (std::size_t index = 1; index < engines.size(); ++index) {
+        fixture.limit(engines[index].name, 1.0);
+        fixture.decisions.push_back(refused_by_home);
+    }
+    // The engine without a limit is the busiest one, so that all others are preferred.
+    std::deque<engine_load> load;
+    for (int running = 0; running < 7; ++running) {
+        load.emplace_back(fixture.registry, engines[0].name, 0);
+    }
+    fixture.answer(whole("ok"));
+    fixture.serve_limited(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.writer.status, 200);
+    cr_assert_eq(fixture.upstream.engines[0], std::string("unlimited"));
+    cr_assert_eq(fixture.asked.size(), 4);
+}
+
 Test(engine_limits, an_engine_that_refused_is_not_asked_again_before_its_time) {
     limited_fixture fixture;
     fixture.limit(e1, 1.0);
