Selection with permits in a function of its own

Cause: the linter takes the loop for an endless one; a refusal for a lost key or a quarantine could bear the cause engines_limited while an engine was passed over for its limit. Change: select_permitted; apply_limits looks at key and quarantine first.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -205,30 +205,46 @@
     }
 
     runtime::task<void> select(const execution::select_engine& selection) {
-        selection_query query = query_of(m_plan, selection.excluded);
         if (m_outcome.dispatches == 0 && m_admission.refuses()) {
             feed(execution::selection_failed{
                 execution::selection_problem::deadline_too_near,
                 std::max(m_tunables.retry_after, m_admission.retry_after())});
             co_return;
         }
-        const bool may_be_sent = m_preconditions.key_is_valid() && !m_preconditions.is_held_back();
-        for (std::uint32_t refused = 0; may_be_sent; ++refused) {
+        bool selected = false;
+        if (may_be_sent()) {
+            selection_query query = query_of(m_plan, selection.excluded);
+            selected = co_await select_permitted(std::move(query));
+        }
+        if (!selected) {
+            feed(execution::selection_failed{execution::selection_problem::no_engine,
+                                             m_tunables.retry_after});
+            co_return;
+        }
+        feed(execution::engine_selected{{m_selected.target.name, {}}});
+    }
+
+    bool may_be_sent() const {
+        return m_preconditions.key_is_valid() && !m_preconditions.is_held_back();
+    }
+
+    /// Selects an engine, and asks for a permit if it has a request limit. After too many refused
+    /// permits only engines without a limit are selected.
+    /// @return whether `m_selected` may get the request.
+    runtime::task<bool> select_permitted(selection_query query) {
+        for (std::uint32_t refused = 0;; ++refused) {
             query.without_limit = refused >= m_tunables.max_permit_attempts;
             auto chosen = choose_engine(query, m_dependencies.scheduler.now());
             if (!chosen) {
-                break;
+                co_return false;
             }
             m_selected = std::move(*chosen);
             co_await acquire_permit();
             if (m_permit.granted) {
-                feed(execution::engine_selected{{m_selected.target.name, {}}});
-                co_return;
+                co_return true;
             }
             undo_canary();
         }
-        feed(execution::selection_failed{execution::selection_problem::no_engine,
-                                         m_tunables.retry_after});
     }
 
     /// Asks for a permit to send the request to the selected engine.
@@ -737,7 +753,7 @@
 
     /// Makes a refusal that is due to request limits of engines say so, and when it may be retried.
     void apply_limits(relay_refusal& refusal) {
-        const bool no_engine = refusal.cause == refusal_cause::no_engine;
+        const bool no_engine = refusal.cause == refusal_cause::no_engine && may_be_sent();
         if (!no_engine || m_dependencies.limits == nullptr) {
             return;
         }
