A limit that ended during an ask holds the engine back no longer

What callers would have seen: an engine that takes any number again passed over for up to 10 s at a router whose ask was refused after the limit had ended. Found by reading. Cause: the refusal set the pause without looking at the limit again. Change: no pause once the limit has ended. Test: engine_limits.a_limit_that_ends_during_an_ask_does_not_hold_the_engine_back, red before.

--- a/src/ferryroad/relay/engine_limits.cpp
+++ b/src/ferryroad/relay/engine_limits.cpp
@@ -132,7 +132,8 @@
     if (same_process && decision.counted_by.value.empty()) {
         engine->uncounted_sends.insert(engine->uncounted_sends.begin(), sends.begin(), sends.end());
     }
-    if (same_process && !decision.verdict.granted) {
+    // The limit may have ended during the ask.
+    if (same_process && !decision.verdict.granted && is_enforced(engine->limit)) {
         pause(*engine, decision);
         log_refusal(request, *engine, decision, evidence);
     }
--- a/test/relay/engine_limits_test.cpp
+++ b/test/relay/engine_limits_test.cpp
@@ -27,6 +27,7 @@
 struct limited_fixture : relay_fixture {
     std::vector<counted_request> asked;
     std::deque<quotas::quota_decision> decisions;  ///< Granted by `home` once there are no more.
+    std::function<void()> during_ask;
     std::vector<peer::stated_engine_limit> announced;
     engine_limits limits{
         loop.scheduler, registry,
@@ -54,6 +55,9 @@
                                                 quotas::limit_evidence evidence) {
         asked.push_back({std::move(engine), limit, evidence});
         co_await loop.scheduler.sleep_for(1ms);
+        if (during_ask) {
+            during_ask();
+        }
         quotas::quota_decision decision{{true, {}, 1}, home};
         if (!decisions.empty()) {
             decision = decisions.front();
@@ -201,6 +205,15 @@
     cr_assert_eq(fixture.upstream.engines[0], fixture.asked[1].engine.value);
 }
 
+Test(engine_limits, a_limit_that_ends_during_an_ask_does_not_hold_the_engine_back) {
+    limited_fixture fixture;
+    fixture.limit(e1, 1.0);
+    fixture.decisions = {refused_by_home};
+    fixture.during_ask = [&fixture] { fixture.limit(e1, std::nullopt); };
+    cr_assert_not(fixture.acquire(e1));
+    cr_assert(fixture.engine(e1).paused_until == base::monotonic_time{});
+}
+
 Test(engine_limits, refused_permits_do_not_keep_a_request_from_an_engine_without_a_limit) {
     limited_fixture fixture;
     std::vector<listed_engine> engines = {relay_fixture::listed("unlimited")};
