Software version of continued streams: logged and counted

Three metrics: streams that callers resumed, exchanges that continued a stream within its answer, streams with events of several versions. No decision changes.

--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -13,13 +13,17 @@
 namespace ferryroad::relay {
 
 /// The time of a dispatch decision, the age of the policy and of the engine list that it was based
-/// on, the engine's request limit at that time, and the router that counted the request against it.
+/// on, the engine's request limit at that time, the router that counted the request against it, and
+/// the stream that the dispatch continues.
 struct dispatch_moment {
     base::monotonic_time now{};
     base::duration policy_age{};
     base::duration engines_age{};
     engine_limit limit;
-    base::router_name counted_by;  ///< Empty if none did.
+    base::router_name counted_by;              ///< Empty if none did.
+    std::optional<std::uint64_t> after_event;  ///< Last event of the stream that is continued.
+    /// Version that the stream began at; nothing if it has no event yet or that is not known.
+    std::optional<coordination::release::software_version> begun_at;
 };
 
 /// Logs a dispatch to the selected engine. Used from the event loop's thread, as all functions
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -86,6 +86,8 @@
     std::uint32_t withdrawals = 0;     ///< Dispatches cancelled while they waited at an engine.
     bool quarantined_waiting = false;  ///< The last withdrawal was due to a quarantine.
     std::uint64_t events = 0;          ///< Forwarded to the caller.
+    std::uint32_t continued = 0;       ///< Exchanges that continued a stream after an event.
+    bool mixed_software = false;       ///< Events came from engines of several software versions.
     std::optional<base::duration> first_event;  ///< Time from the request's arrival.
     base::duration longest_gap{};               ///< Between two events.
     std::string engine;                         ///< The last one the request was dispatched to.
@@ -345,7 +347,8 @@
         }
         log_dispatch(m_plan, m_selected, attempt.attempt,
                      {now, m_dependencies.policies.age(now), m_dependencies.registry.age(now),
-                      engine == nullptr ? engine_limit{} : engine->limit, m_permit.counted_by});
+                      engine == nullptr ? engine_limit{} : engine->limit, m_permit.counted_by,
+                      m_last_id, m_begun_at});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         meter(traffic_kind::request, size_of(m_plan.call->message));
@@ -476,6 +479,17 @@
         }
     }
 
+    /// Records which software version an event came from.
+    void record_software() {
+        if (m_exchange_events == 0 && m_begun_at) {
+            ++m_outcome.continued;
+        }
+        if (!m_begun_at) {
+            m_begun_at = m_selected.software;
+        }
+        m_outcome.mixed_software = m_outcome.mixed_software || *m_begun_at != m_selected.software;
+    }
+
     /// Records that the request has begun, under the weights version reported in the answer's head.
     void record_first_event(base::monotonic_time now) {
         const auto outdated = m_timing.begun(m_answer->version, now);
@@ -733,6 +747,7 @@
         }
         m_last_event_at = now;
         m_evidence.event(now);
+        record_software();
         if (m_load) {
             m_load->prefilled();
         }
@@ -868,6 +883,8 @@
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
+    /// Software version of the engine that sent the stream's first event, if known.
+    std::optional<coordination::release::software_version> m_begun_at;
     base::monotonic_time m_last_event_at{};
     bool m_head_sent = false;        ///< The response head has been sent to the caller.
     bool m_waited_for_room = false;  ///< The request has been considered for a version on trial.
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -35,6 +35,28 @@
     count(dispatch_precondition::engine_serves, outcome.withdrawals - quarantined);
 }
 
+void relay_metrics::count_continued(const relay_plan& plan, const relay_outcome& outcome) {
+    if (plan.call->resumed_attempt || plan.call->last_event_id) {
+        m_registry
+            .counter_of("ferryroad_relay_streams_resumed_total",
+                        "Streams that callers resumed, by whether an event followed.",
+                        {{"continued", outcome.events > 0 ? "true" : "false"}})
+            .add();
+    }
+    if (outcome.continued > 0) {
+        m_registry
+            .counter_of("ferryroad_relay_streams_continued_total",
+                        "Exchanges that continued a stream within its answer.", {})
+            .add(outcome.continued);
+    }
+    if (outcome.mixed_software) {
+        m_registry
+            .counter_of("ferryroad_relay_streams_mixed_total",
+                        "Streams with events of several software versions of a pool.", {})
+            .add();
+    }
+}
+
 void relay_metrics::request_ended(const relay_plan& plan, const relay_outcome& outcome) {
     const std::string kind = kind_of(plan.matched_route->kind);
     const std::string cause =
@@ -50,6 +72,7 @@
             .add(outcome.dispatches - 1);
     }
     count_withdrawals(outcome);
+    count_continued(plan, outcome);
     if (outcome.begun_after) {
         const bool within = *outcome.begun_after <= outcome.begin_bound;
         m_registry
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -79,6 +79,7 @@
   private:
     void set_quarantine_gauges(const relay_gauges& now);
     void count_withdrawals(const relay_outcome& outcome);
+    void count_continued(const relay_plan& plan, const relay_outcome& outcome);
     void set_release_gauges(const local_release& release);
     void set_answer_gauges(const local_release& release);
 
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -31,6 +31,8 @@
     std::optional<core::prefix::declared_prompt> prompt;
     std::optional<std::uint64_t> declared_tokens;  ///< Prompt and expected answer, if declared.
     std::optional<std::uint64_t> last_event_id;    ///< The caller resumes a stream after this.
+    /// The caller's attempt that received the first event of the stream that it resumes.
+    std::optional<base::request_id> resumed_attempt;
     base::monotonic_time arrived{};
 };
 
