Streams go on only at the software version that began them

Cause: the version of a stream was kept nowhere. A continued stream was placed like a new one, and a router at which a caller resumed a stream knew neither the version nor where to ask. Class: what two attempts of one piece of work must share was known to one router at most, and there it was a property of a choice, not of the request.

An unknown origin is refused as not run, never guessed; pools that have had one version only need no question. An engine row with other software is a new process.

--- /dev/null
+++ b/src/ferryroad/coordination/stream/version_history.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// Software versions that the engines of each pool have had, as far as this process has seen.
+#pragma once
+
+#include "ferryroad/coordination/stream/stream_origin.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace ferryroad::coordination::stream {
+
+/// Not thread-safe.
+class version_history {
+  public:
+    /// Records the versions of a pool's engines. Must be called after each change of them.
+    void observe(const base::pool_name& pool, std::set<software_version> versions,
+                 base::monotonic_time now);
+    /// @param within time that no other version may have been seen in.
+    /// @return the version of all engines of the pool, if no other one has been seen recently.
+    std::optional<software_version> sole_version(const base::pool_name& pool, base::duration within,
+                                                 base::monotonic_time now) const;
+    /// @return whether the engines of the pool have been observed for at least `time`.
+    bool is_known_for(const base::pool_name& pool, base::duration time,
+                      base::monotonic_time now) const;
+
+  private:
+    struct pool_versions {
+        std::set<software_version> current;
+        base::monotonic_time first_seen{};
+        /// When engines of several versions, or of a version that is gone, were last seen.
+        std::optional<base::monotonic_time> others_until;
+    };
+
+    std::map<base::pool_name, pool_versions> m_pools;
+};
+
+}  // namespace ferryroad::coordination::stream
--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -29,12 +29,6 @@
     offset<void> table;
 };
 
-std::uint32_t to_wire_milliseconds(base::duration period) {
-    const std::int64_t max_value = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(base::to_milliseconds(period), 0, max_value));
-}
-
 /// Visitor of `call_body` that writes the body of a call.
 struct body_writer {
     buffer_builder& builder;
--- a/src/ferryroad/peer/codec_fields.hpp
+++ b/src/ferryroad/peer/codec_fields.hpp
@@ -110,6 +110,12 @@
     return builder.CreateVector(offsets);
 }
 
+inline std::uint32_t to_wire_milliseconds(base::duration period) {
+    const std::int64_t max_value = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(base::to_milliseconds(period), 0, max_value));
+}
+
 inline offset<flatbuffers::String> write_text(buffer_builder& builder, const std::string& text) {
     return text.empty() ? 0 : builder.CreateString(text);
 }
--- a/src/ferryroad/relay/canary_traffic.cpp
+++ b/src/ferryroad/relay/canary_traffic.cpp
@@ -313,9 +313,14 @@
         return true;
     }
     const auto found = permission_of(engine);
-    if (m_canary) {
-        return found == release::permission::canary &&
-               m_releases->accepts_canary_requests(engine, m_now);
+    switch (m_requests) {
+        case released_requests::canary:
+            return found == release::permission::canary &&
+                   m_releases->accepts_canary_requests(engine, m_now);
+        case released_requests::continued:
+            return found != release::permission::none;
+        case released_requests::current:
+            break;
     }
     return found == release::permission::all;
 }
--- a/src/ferryroad/relay/canary_traffic.hpp
+++ b/src/ferryroad/relay/canary_traffic.hpp
@@ -151,14 +151,21 @@
     std::map<base::pool_name, pool_release> m_pools;
 };
 
+/// Which requests a selection is for.
+enum class released_requests : std::uint8_t {
+    current,   ///< Those that begin at a version without conditions.
+    canary,    ///< Those selected for the version on trial.
+    continued  ///< Those that continue a stream at the version that began it.
+};
+
 /// Filters engines by release permission during one selection. Caches the permission by software
 /// version, as a pool has few versions and many engines.
 class release_filter {
   public:
     /// @param releases may be null: then all engines are allowed.
-    /// @param canary whether the request was selected for the canary.
-    release_filter(const canary_traffic* releases, bool canary, base::monotonic_time now)
-        : m_releases(releases), m_canary(canary), m_now(now) {}
+    release_filter(const canary_traffic* releases, released_requests requests,
+                   base::monotonic_time now)
+        : m_releases(releases), m_requests(requests), m_now(now) {}
 
     /// @param engine must be of the same pool in all calls.
     /// @return whether the engine may get the request.
@@ -174,7 +181,7 @@
     coordination::release::permission permission_of(const known_engine& engine);
 
     const canary_traffic* m_releases;
-    bool m_canary;
+    released_requests m_requests;
     base::monotonic_time m_now;
     /// The first versions seen. Further versions, which are rare, are looked up each time.
     std::array<cached_permission, 4> m_cached;
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -15,6 +15,9 @@
 }
 
 bool is_new_process(const listed_engine& before, const listed_engine& now) {
+    if (before.software != now.software) {
+        return true;
+    }
     if (before.process_start_ms && now.process_start_ms) {
         return before.process_start_ms != now.process_start_ms;
     }
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -39,8 +39,9 @@
     friend bool operator==(const listed_engine&, const listed_engine&) = default;
 };
 
-/// @return whether the engine was restarted between the two rows. If a row lacks the start time, a
-/// different address or a longer warm-up time indicates a restart. Thread-safe.
+/// @return whether the engine was restarted between the two rows. A process never changes its
+/// software. If a row lacks the start time, a different address or a longer warm-up time indicates
+/// a restart. Thread-safe.
 bool is_new_process(const listed_engine& before, const listed_engine& now);
 
 /// Limit that an engine last stated on the rate of requests from all routers together.
--- a/src/ferryroad/relay/refusal.hpp
+++ b/src/ferryroad/relay/refusal.hpp
@@ -23,6 +23,8 @@
     quarantined,        ///< Engines crashed while running the same request.
     no_engine,          ///< No engine is eligible for the request.
     engines_limited,    ///< The request limits of all eligible engines are used up.
+    origin_unknown,     ///< It resumes a stream whose software version is not known.
+    version_gone,       ///< It continues a stream that no engine of its software version can serve.
     overloaded,         ///< Every engine tried refused the request.
     engine_failed,      ///< It was sent, but no usable answer was received.
     deadline_exceeded,  ///< The deadline passed.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -24,6 +24,7 @@
 #include "ferryroad/relay/request_quarantine.hpp"
 #include "ferryroad/relay/selection.hpp"
 #include "ferryroad/relay/stream_admission.hpp"
+#include "ferryroad/relay/stream_origins.hpp"
 #include "ferryroad/relay/traffic_meter.hpp"
 #include "ferryroad/relay/upstream.hpp"
 #include "ferryroad/relay/waiting_requests.hpp"
@@ -76,6 +77,8 @@
     engine_limits* limits = nullptr;
     /// This router's own paths to engines; may be null.
     const core::reachability::engine_paths* paths = nullptr;
+    /// Knows at which software version resumed streams began; may be null.
+    stream_origins* origins = nullptr;
 };
 
 /// How a request ended, for logs and metrics.
@@ -124,7 +127,8 @@
           m_preconditions({dependencies.scheduler, dependencies.selection, dependencies.policies,
                            dependencies.quarantine, waiting},
                           m_plan, m_timing),
-          m_last_id(m_plan.call->last_event_id) {}
+          m_last_id(m_plan.call->last_event_id),
+          m_begun_at(m_plan.begun_at) {}
 
     /// Runs the request until its final response has been sent. Exceptions are logged and end it
     /// early, without a response; call `interrupt` then, and if it was cancelled.
@@ -197,8 +201,8 @@
     /// Only a request's first dispatch may go to a version on trial; if no engine with that version
     /// is available, it goes to the current version.
     std::optional<selected_engine> choose_engine(selection_query query, base::monotonic_time now) {
-        const bool first =
-            m_outcome.dispatches == 0 && !m_plan.call->last_event_id && !m_waited_for_room;
+        const bool first = m_outcome.dispatches == 0 && !m_plan.call->last_event_id &&
+                           !m_begun_at && !m_waited_for_room;
         query.canary =
             first && m_dependencies.releases != nullptr &&
             m_dependencies.releases->choose(m_plan.pool, m_plan.matched_route->name, now);
@@ -222,7 +226,11 @@
         bool selected = false;
         if (may_be_sent()) {
             selection_query query = query_of(m_plan, selection.excluded);
-            selected = co_await select_with_room(std::move(query));
+            query.software = m_begun_at;
+            selected = co_await select_with_room(query);
+            if (!selected && m_begun_at) {
+                selected = co_await select_for_continuation(std::move(query));
+            }
         }
         if (!selected) {
             feed(execution::selection_failed{execution::selection_problem::no_engine,
@@ -253,6 +261,22 @@
         }
     }
 
+    /// Selects an engine for a stream that was begun. Few engines may have its software version, so
+    /// those that failed before are considered again, and engines that recover are waited for.
+    runtime::task<bool> select_for_continuation(selection_query query) {
+        query.excluded.clear();
+        const base::monotonic_time until = std::min(
+            m_plan.deadline, m_dependencies.scheduler.now() + m_tunables.continuation_wait);
+        while (m_dependencies.scheduler.now() < until && may_be_sent() &&
+               m_dependencies.selection.has_engine_with(m_plan.pool, *m_begun_at)) {
+            co_await m_dependencies.scheduler.sleep_for(m_tunables.continuation_check_interval);
+            if (co_await select_permitted(query)) {
+                co_return true;
+            }
+        }
+        co_return false;
+    }
+
     bool limits_rejections() const {
         return m_dependencies.registry.rejection_limit(m_plan.pool).has_value();
     }
@@ -486,6 +510,9 @@
         }
         if (!m_begun_at) {
             m_begun_at = m_selected.software;
+            if (m_dependencies.origins != nullptr && is_repeatable(*m_plan.matched_route)) {
+                m_dependencies.origins->record(m_plan.call->id, m_plan.pool, *m_begun_at);
+            }
         }
         m_outcome.mixed_software = m_outcome.mixed_software || *m_begun_at != m_selected.software;
     }
@@ -844,6 +871,9 @@
             refusal.cause == refusal_cause::no_engine) {
             refusal.retry_after = m_tunables.lost_paths_retry_after;
         }
+        if (m_begun_at && refusal.cause == refusal_cause::no_engine) {
+            refusal.cause = refusal_cause::version_gone;
+        }
         apply_quarantine(refusal);
         apply_limits(refusal);
         m_outcome.refusal = refusal;
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -126,6 +126,23 @@
         static_cast<double>(now.crash_rows_written));
 }
 
+void relay_metrics::set_origin_gauges(const relay_gauges& now) {
+    const auto set = [this](const char* name, const char* help, double value) {
+        m_registry.gauge_of(name, help).set(value);
+    };
+    const stream_origin_counters& counted = now.origins;
+    set("ferryroad_relay_stream_origins_kept", "Streams whose software version is kept here.",
+        static_cast<double>(now.origins_kept));
+    set("ferryroad_relay_stream_origins_recorded", "Streams that began at this router.",
+        static_cast<double>(counted.recorded));
+    set("ferryroad_relay_stream_origins_replicated", "Origins of streams that others told.",
+        static_cast<double>(counted.replicas));
+    set("ferryroad_relay_stream_origin_queries", "Queries for the origin of a stream, sent.",
+        static_cast<double>(counted.queries));
+    set("ferryroad_relay_stream_origin_queries_received", "The same, received.",
+        static_cast<double>(counted.answered));
+}
+
 std::string relay_metrics::to_text(const relay_gauges& now) {
     const auto set = [this](const char* name, const char* help, double value) {
         m_registry.gauge_of(name, help).set(value);
@@ -243,6 +260,7 @@
     set("ferryroad_relay_releases_led", "Releases that this router coordinates.",
         static_cast<double>(now.releases_led));
     set_quarantine_gauges(now);
+    set_origin_gauges(now);
     for (const local_release& one : now.releases) {
         set_release_gauges(one);
     }
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -59,6 +59,8 @@
     quarantine_counters quarantine;
     std::size_t quarantined_requests = 0;
     std::uint64_t crash_rows_written = 0;
+    stream_origin_counters origins;
+    std::size_t origins_kept = 0;
     std::vector<metered_bytes> exchanged;
     std::vector<local_release> releases;  ///< One for each pool with a release order.
     release_counters release_traffic;
@@ -78,6 +80,7 @@
 
   private:
     void set_quarantine_gauges(const relay_gauges& now);
+    void set_origin_gauges(const relay_gauges& now);
     void count_withdrawals(const relay_outcome& outcome);
     void count_continued(const relay_plan& plan, const relay_outcome& outcome);
     void set_release_gauges(const local_release& release);
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace ferryroad::relay {
 
@@ -57,6 +58,11 @@
     std::uint32_t max_permit_attempts = 4;
     /// Maximum size of a non-streaming answer, and of one stream event, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+    /// How long a stream that was begun waits for an engine of its software version, at most, while
+    /// one is listed that can't be used.
+    base::duration continuation_wait = std::chrono::milliseconds(1500);
+    /// Time between two selections meanwhile.
+    base::duration continuation_check_interval = std::chrono::milliseconds(100);
     /// `Retry-After` while this router reaches no engine and no other router passes requests on.
     base::duration lost_paths_retry_after = std::chrono::seconds(1);
     /// `Retry-After` of refusals without a better estimate.
@@ -72,7 +78,9 @@
     const core::traffic::tenant* tenant = nullptr;        ///< Null on public routes.
     base::pool_name pool;
     base::monotonic_time deadline{};
-    std::uint32_t priority = 0;                   ///< 0 is the most urgent.
+    std::uint32_t priority = 0;  ///< 0 is the most urgent.
+    /// Software version that began the stream which the caller resumes, if any.
+    std::optional<coordination::release::software_version> begun_at;
     core::quarantine::request_identity identity;  ///< Shared by repeats of the request.
 };
 
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -44,6 +44,8 @@
     base::duration unknown_policy_retry_after = std::chrono::milliseconds(2500);
     /// `Retry-After` while the policy is stale; shorter, as another router may have a fresh one.
     base::duration stale_policy_retry_after = std::chrono::milliseconds(1000);
+    /// `Retry-After` if no router that could be reached knows the origin of a resumed stream.
+    base::duration unknown_origin_retry_after = std::chrono::milliseconds(500);
 };
 
 /// Called with each finished request, for logs and metrics.
@@ -121,9 +123,47 @@
             m_on_outcome(plan, outcome);
             co_return;
         }
+        const auto not_resumable = co_await find_origin(plan);
+        if (not_resumable) {
+            relay_outcome outcome;
+            outcome.refusal = not_resumable;
+            http::response refused = to_response(*not_resumable);
+            outcome.status = refused.status;
+            co_await writer.send(std::move(refused));
+            m_on_outcome(plan, outcome);
+            co_return;
+        }
         co_await serve(std::move(plan), writer);
     }
 
+    /// Finds the software version that began the stream which the caller resumes, and sets it in
+    /// the plan, with the stream's pool if the route still leads there.
+    /// @return the refusal if it is not known.
+    runtime::task<std::optional<relay_refusal>> find_origin(relay_plan& plan) {
+        const bool resumes = plan.call->resumed_attempt || plan.call->last_event_id;
+        if (!resumes || !is_repeatable(*plan.matched_route) || m_dependencies.origins == nullptr) {
+            co_return std::nullopt;
+        }
+        base::pool_name pool = plan.pool;
+        const origin_search search =
+            co_await m_dependencies.origins->find(*plan.call, std::move(pool));
+        log_resumed(plan, search);
+        if (!search.found) {
+            co_return relay_refusal{refusal_cause::origin_unknown,
+                                    core::execution::execution_report::not_run,
+                                    m_settings.unknown_origin_retry_after};
+        }
+        const auto& origin = search.found->origin;
+        const auto& pools = plan.matched_route->pools;
+        const bool leads_there = std::any_of(
+            pools.begin(), pools.end(), [&](const auto& one) { return one.pool == origin.pool; });
+        if (leads_there) {
+            plan.pool = origin.pool;
+            plan.begun_at = origin.software;
+        }
+        co_return std::nullopt;
+    }
+
     /// Counts the request against its tenant's quota. @return its refusal if the quota is exceeded.
     runtime::task<std::optional<relay_refusal>> count_quota(const relay_plan& plan) {
         if (plan.tenant == nullptr || !plan.tenant->quota || !m_dependencies.count_quota) {
@@ -252,6 +292,25 @@
              {"retry_after_ms", std::to_string(base::to_milliseconds(quarantined.until - now))}});
     }
 
+    void log_resumed(const relay_plan& plan, const origin_search& search) const {
+        const relay_call& call = *plan.call;
+        const auto& found = search.found;
+        const base::duration taken = m_dependencies.scheduler.now() - call.arrived;
+        runtime::log(
+            found ? runtime::log_level::info : runtime::log_level::warning, component,
+            "stream resumed by its caller",
+            {{"request_id", call.id.value},
+             {"resumes", call.resumed_attempt ? call.resumed_attempt->value : "none"},
+             {"after_event", call.last_event_id ? std::to_string(*call.last_event_id) : "none"},
+             {"pool", plan.pool.value},
+             {"begun_at", found ? found->origin.software.value : "unknown"},
+             {"begun_pool", found ? found->origin.pool.value : "unknown"},
+             {"source", std::string(to_string(search.source))},
+             {"answered_by", search.answered_by.value.empty() ? "none" : search.answered_by.value},
+             {"age_ms", found ? std::to_string(base::to_milliseconds(found->age)) : "none"},
+             {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
+    }
+
     void log_over_quota(const relay_plan& plan, const quotas::rate_limit& limit, double amount,
                         const quotas::quota_decision& decision) const {
         const base::duration taken = m_dependencies.scheduler.now() - plan.call->arrived;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -30,6 +30,13 @@
     return base::hash_bytes(prompt.parts[prompt.shared_parts() - 1].id);
 }
 
+released_requests requests_of(const selection_query& query) {
+    if (query.software) {
+        return released_requests::continued;
+    }
+    return query.canary ? released_requests::canary : released_requests::current;
+}
+
 double answer_kb(std::uint64_t output_tokens) {
     return static_cast<double>(output_tokens) * event_kb;
 }
@@ -47,6 +54,9 @@
     if (engine.listed.pool != query.pool || engine.listed.leaving) {
         return false;
     }
+    if (query.software && engine.listed.software != *query.software) {
+        return false;
+    }
     const auto& excluded = query.excluded;
     if (std::find(excluded.begin(), excluded.end(), engine.listed.name) != excluded.end()) {
         return false;
@@ -59,6 +69,14 @@
     return !by || now < *by;
 }
 
+bool engine_selection::has_engine_with(
+    const base::pool_name& pool, const coordination::release::software_version& software) const {
+    const engine_pool& members = m_registry.pool(pool);
+    return std::any_of(members.begin(), members.end(), [&](const pool_member& one) {
+        return one.engine->listed.software == software && !one.engine->listed.leaving;
+    });
+}
+
 std::optional<base::monotonic_time> engine_selection::begin_by(const std::string& model,
                                                                std::uint64_t version) const {
     const auto outdated = m_policies.outdated_since(model, version);
@@ -95,7 +113,8 @@
     // the trial lasts.
     const auto permitted = m_releases->permits(*engine, now);
     return permitted == coordination::release::permission::all ||
-           (chosen.canary && permitted == coordination::release::permission::canary);
+           ((chosen.canary || query.software) &&
+            permitted == coordination::release::permission::canary);
 }
 
 std::uint64_t engine_selection::scoped_prompt::held_by(const base::engine_name& holder) const {
@@ -184,7 +203,14 @@
 
 std::vector<const known_engine*> engine_selection::shortlisted_engines(
     const selection_query& query, scoped_prompts& prompts, base::monotonic_time now) const {
-    const engine_pool& pool = m_registry.pool(query.pool);
+    const engine_pool& all = m_registry.pool(query.pool);
+    engine_pool with_software;
+    if (query.software) {
+        std::copy_if(
+            all.begin(), all.end(), std::back_inserter(with_software),
+            [&](const pool_member& one) { return one.engine->listed.software == *query.software; });
+    }
+    const engine_pool& pool = query.software ? with_software : all;
     shortlist_keys keys;
     keys.request = base::hash_bytes(query.call.id.value);
     if (query.call.prompt) {
@@ -230,7 +256,7 @@
     const selection_query& query, scoped_prompts& prompts, base::monotonic_time now) const {
     const auto loads = m_loads.totals(now);
     const room_shares room(m_registry, query.pool, m_place, m_unseen_load_factor);
-    release_filter released(m_releases, query.canary, now);
+    release_filter released(m_releases, requests_of(query), now);
     std::vector<eligible_engine> engines;
     for (const known_engine* listed : shortlisted_engines(query, prompts, now)) {
         const known_engine& engine = *listed;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -58,6 +58,8 @@
     base::duration target_gap{};  ///< The route's target for the time between stream events.
     bool canary = false;          ///< Restricted to engines that run the canary version.
     bool without_limit = false;   ///< Restricted to engines without a request limit.
+    /// Restricted to engines with this software: it began the stream that the request continues.
+    std::optional<coordination::release::software_version> software;
 };
 
 struct selected_engine {
@@ -147,6 +149,9 @@
 
     /// @return the selected engine; nullopt if no engine may get the request now.
     std::optional<selected_engine> select(const selection_query& query, base::monotonic_time now);
+    /// @return whether an engine of the pool with this software is listed and not leaving.
+    bool has_engine_with(const base::pool_name& pool,
+                         const coordination::release::software_version& software) const;
     /// Checks a selection again after some time has passed. Load and cost are not recomputed.
     /// @param chosen selected for the same query.
     /// @return whether its engine may still get the request.
--- /dev/null
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -0,0 +1,222 @@
+#include "ferryroad/relay/stream_origins.hpp"
+
+#include "ferryroad/coordination/stream/origin_replicas.hpp"
+#include "ferryroad/runtime/boot_clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <set>
+#include <utility>
+
+namespace ferryroad::relay {
+
+namespace stream = coordination::stream;
+
+std::string_view to_string(origin_source source) {
+    switch (source) {
+        case origin_source::recorded:
+            return "recorded";
+        case origin_source::replica:
+            return "replica";
+        case origin_source::sole_version:
+            return "sole_version";
+        case origin_source::only_listed:
+            return "only_listed";
+        case origin_source::unknown:
+            break;
+    }
+    return "unknown";
+}
+
+/// Waits for the answers to the queries of one search. It is registered as long as it lives.
+class stream_origins::pending_search {
+  public:
+    pending_search(stream_origins& owner, std::size_t queries)
+        : m_owner(owner),
+          m_number(owner.m_next_number++),
+          m_unanswered(queries),
+          m_timer(owner.m_scheduler.executor()) {
+        m_owner.m_pending.emplace(m_number, this);
+    }
+    ~pending_search() { m_owner.m_pending.erase(m_number); }
+    pending_search(const pending_search&) = delete;
+    pending_search& operator=(const pending_search&) = delete;
+
+    std::uint64_t number() const { return m_number; }
+
+    /// Returns once a router has answered that it knows the origin, all have answered, or `timeout`
+    /// has passed.
+    runtime::task<origin_search> wait(base::duration timeout) {
+        m_timer.expires_after(timeout);
+        if (!is_over()) {
+            co_await m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        }
+        co_return m_result;
+    }
+
+    void record_answer(const base::router_name& from, const peer::origin_answer& answer) {
+        m_unanswered -= m_unanswered > 0 ? 1 : 0;
+        if (answer.found && !m_result.found) {
+            m_result = {origin_source::replica, answer.found, from};
+        }
+        if (is_over()) {
+            m_timer.cancel();
+        }
+    }
+
+  private:
+    bool is_over() const { return m_result.found || m_unanswered == 0; }
+
+    stream_origins& m_owner;
+    std::uint64_t m_number;
+    std::size_t m_unanswered;
+    runtime::boot_timer m_timer;
+    origin_search m_result;
+};
+
+stream_origins::stream_origins(runtime::scheduler& scheduler, peer::transport& transport,
+                               const engine_registry& registry, const peer_address& self,
+                               core::topology::zone_map zones, stream_origin_settings settings)
+    : m_scheduler(scheduler),
+      m_transport(transport),
+      m_registry(registry),
+      m_self(self),
+      m_zones(std::move(zones)),
+      m_settings(settings),
+      m_table(settings.table),
+      // A random first number tells this process's queries from those of an earlier process of the
+      // same name, whose answers may still arrive.
+      m_next_number(scheduler.random().next()) {}
+
+void stream_origins::set_routers(const std::vector<peer_address>& present) {
+    m_addresses.clear();
+    m_region.clear();
+    std::map<base::region_name, region_routers> far;
+    for (const peer_address& one : present) {
+        if (one.name == m_self.name) {
+            continue;
+        }
+        m_addresses.emplace(one.name, one.address);
+        if (m_zones.same_region(m_self.zone, one.zone)) {
+            m_region.push_back(one.name);
+        } else {
+            far[m_zones.region_of(one.zone).value_or(base::region_name())].push_back(one.name);
+        }
+    }
+    m_far_regions.clear();
+    for (auto& [region, routers] : far) {
+        m_far_regions.push_back(std::move(routers));
+    }
+}
+
+void stream_origins::engines_changed() {
+    const base::monotonic_time now = m_scheduler.now();
+    for (const auto& [pool, counts] : m_registry.software()) {
+        std::set<stream::software_version> versions;
+        for (const auto& [version, engines] : counts) {
+            versions.insert(version);
+        }
+        m_versions.observe(pool, std::move(versions), now);
+    }
+}
+
+void stream_origins::record(const base::request_id& attempt, const base::pool_name& pool,
+                            const stream::software_version& software) {
+    const stream::aged_origin recorded{{stream::key_of(attempt), pool, software}, {}};
+    m_table.record(recorded, m_scheduler.now());
+    ++m_counters.recorded;
+    for (const base::router_name& replica :
+         stream::ranked_routers(recorded.origin.stream, m_region, m_settings.replicas)) {
+        send(replica, peer::origin_record{recorded});
+    }
+}
+
+runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
+    if (call.resumed_attempt) {
+        const stream::stream_key key = stream::key_of(*call.resumed_attempt);
+        if (auto own = m_table.find(key, m_scheduler.now())) {
+            co_return origin_search{origin_source::recorded, std::move(own), {}};
+        }
+        origin_search by_engines = find_by_engines(pool);
+        if (by_engines.source == origin_source::sole_version) {
+            co_return by_engines;
+        }
+        origin_search asked = co_await ask_routers(key);
+        if (asked.found) {
+            co_return asked;
+        }
+    }
+    co_return find_by_engines(pool);
+}
+
+origin_search stream_origins::find_by_engines(const base::pool_name& pool) const {
+    const base::monotonic_time now = m_scheduler.now();
+    const base::duration retention = m_settings.table.retention;
+    const auto sole = m_versions.sole_version(pool, retention, now);
+    if (!sole) {
+        return {};
+    }
+    const bool known_for_long = m_versions.is_known_for(pool, retention, now);
+    return {known_for_long ? origin_source::sole_version : origin_source::only_listed,
+            stream::aged_origin{{{}, pool, *sole}, {}},
+            {}};
+}
+
+runtime::task<origin_search> stream_origins::ask_routers(stream::stream_key stream) {
+    auto first = stream::ranked_routers(stream, m_region, m_settings.first_asked);
+    origin_search search = co_await ask(stream, std::move(first), m_settings.answer_timeout);
+    if (search.found) {
+        co_return search;
+    }
+    auto more = stream::ranked_routers(stream, m_region, m_settings.later_asked);
+    for (const region_routers& region : m_far_regions) {
+        const auto far = stream::ranked_routers(stream, region, m_settings.later_asked);
+        more.insert(more.end(), far.begin(), far.end());
+    }
+    const base::duration timeout =
+        m_far_regions.empty() ? m_settings.answer_timeout : m_settings.far_answer_timeout;
+    co_return co_await ask(stream, std::move(more), timeout);
+}
+
+runtime::task<origin_search> stream_origins::ask(stream::stream_key stream,
+                                                 std::vector<base::router_name> routers,
+                                                 base::duration timeout) {
+    pending_search pending(*this, routers.size());
+    for (const base::router_name& router : routers) {
+        ++m_counters.queries;
+        send(router, peer::origin_query{pending.number(), stream});
+    }
+    co_return co_await pending.wait(timeout);
+}
+
+void stream_origins::send(const base::router_name& to, peer::origin_body body) {
+    const auto address = m_addresses.find(to);
+    if (address != m_addresses.end()) {
+        m_transport.send(address->second, peer::encode({m_self.name, std::move(body)}));
+    }
+}
+
+void stream_origins::handle_datagram(const base::endpoint& from, std::string_view bytes) {
+    const auto message = peer::decode_stream_origin_message(bytes);
+    if (!message) {
+        ++m_counters.malformed;
+        return;
+    }
+    const base::monotonic_time now = m_scheduler.now();
+    if (const auto* record = std::get_if<peer::origin_record>(&message->body)) {
+        ++m_counters.replicas;
+        m_table.record(record->recorded, now);
+    } else if (const auto* query = std::get_if<peer::origin_query>(&message->body)) {
+        ++m_counters.answered;
+        const peer::origin_answer answer{query->number, m_table.find(query->stream, now)};
+        m_transport.send(from, peer::encode({m_self.name, answer}));
+    } else if (const auto* answer = std::get_if<peer::origin_answer>(&message->body)) {
+        const auto pending = m_pending.find(answer->number);
+        if (pending != m_pending.end()) {
+            pending->second->record_answer(message->sender, *answer);
+        }
+    }
+}
+
+}  // namespace ferryroad::relay
--- /dev/null
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -0,0 +1,131 @@
+/// @file
+/// Finds out at which software version a stream began that a caller resumes, possibly at another
+/// router than before. Each router sends the origin of a stream to a few other routers, its
+/// replicas, before the first event is passed on; the stream's key determines which. A router at
+/// which a stream is resumed asks them.
+#pragma once
+
+#include "ferryroad/coordination/stream/origin_table.hpp"
+#include "ferryroad/coordination/stream/version_history.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
+#include "ferryroad/peer/stream_origin_message.hpp"
+#include "ferryroad/peer/transport.hpp"
+#include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/peer_group.hpp"
+#include "ferryroad/relay/types.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
+#include "ferryroad/runtime/task.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace ferryroad::relay {
+
+struct stream_origin_settings {
+    /// Routers that get a replica of each origin. All of them and the stream's own router must be
+    /// lost for the origin to be lost.
+    std::size_t replicas = 3;
+    /// Routers asked first: the replicas, one of which may be the stream's own router.
+    std::size_t first_asked = 4;
+    /// Routers of each region asked if those don't know it, as the list of routers may have changed
+    /// since the stream began.
+    std::size_t later_asked = 8;
+    /// How long answers are waited for: several round trips between zones.
+    base::duration answer_timeout = std::chrono::milliseconds(40);
+    /// The same if routers of other regions are asked.
+    base::duration far_answer_timeout = std::chrono::milliseconds(400);
+    coordination::stream::origin_table_limits table = {};
+};
+
+/// How the origin of a resumed stream is known.
+enum class origin_source {
+    recorded,      ///< This router has recorded it.
+    replica,       ///< Another router answered.
+    sole_version,  ///< All engines of the pool have had this version for long.
+    only_listed,  ///< The only version listed; this process has not run long enough to know others.
+    unknown
+};
+
+/// @return the source's name for logs and metrics. Thread-safe.
+std::string_view to_string(origin_source source);
+
+/// Result of a search for a stream's origin.
+struct origin_search {
+    origin_source source = origin_source::unknown;
+    /// Nothing if it is unknown. The age is 0 unless it is from a record.
+    std::optional<coordination::stream::aged_origin> found;
+    base::router_name answered_by;  ///< Empty unless another router answered.
+};
+
+struct stream_origin_counters {
+    std::uint64_t recorded = 0;   ///< Streams that began at this router.
+    std::uint64_t replicas = 0;   ///< Records received from other routers.
+    std::uint64_t queries = 0;    ///< Queries sent, one for each router asked.
+    std::uint64_t answered = 0;   ///< Queries received.
+    std::uint64_t malformed = 0;  ///< Datagrams that could not be decoded.
+};
+
+/// Not thread-safe: used from the event loop's thread only. Scheduler, transport and registry must
+/// outlive it, and it must outlive its pending searches.
+class stream_origins {
+  public:
+    stream_origins(runtime::scheduler& scheduler, peer::transport& transport,
+                   const engine_registry& registry, const peer_address& self,
+                   core::topology::zone_map zones, stream_origin_settings settings = {});
+
+    /// Sets the routers that are present.
+    void set_routers(const std::vector<peer_address>& present);
+    /// To be called after each change of the engine list.
+    void engines_changed();
+    /// Handles a datagram whose header identifies it as a message about a stream's origin.
+    void handle_datagram(const base::endpoint& from, std::string_view bytes);
+
+    /// Records where a stream began and sends the record to its replicas. To be called before the
+    /// first event is passed on to the caller.
+    /// @param attempt the caller's attempt that receives the first event.
+    void record(const base::request_id& attempt, const base::pool_name& pool,
+                const coordination::stream::software_version& software);
+    /// Finds where the stream began that `call` resumes.
+    /// @param pool pool of the call's route.
+    runtime::task<origin_search> find(const relay_call& call, base::pool_name pool);
+
+    const stream_origin_counters& counters() const { return m_counters; }
+    /// @return the number of origins kept, this router's own and replicas.
+    std::size_t kept() const { return m_table.size(); }
+
+  private:
+    class pending_search;
+    /// Routers of one region, by name.
+    using region_routers = std::vector<base::router_name>;
+
+    /// @return the origin if nothing but the pool's engines is needed to know it.
+    origin_search find_by_engines(const base::pool_name& pool) const;
+    runtime::task<origin_search> ask_routers(coordination::stream::stream_key stream);
+    /// Asks the highest ranked routers, and waits for the first that knows the origin.
+    runtime::task<origin_search> ask(coordination::stream::stream_key stream,
+                                     std::vector<base::router_name> routers,
+                                     base::duration timeout);
+    void send(const base::router_name& to, peer::origin_body body);
+
+    runtime::scheduler& m_scheduler;
+    peer::transport& m_transport;
+    const engine_registry& m_registry;
+    peer_address m_self;
+    core::topology::zone_map m_zones;
+    stream_origin_settings m_settings;
+    coordination::stream::origin_table m_table;
+    coordination::stream::version_history m_versions;
+    region_routers m_region;                    ///< Other routers of this router's region.
+    std::vector<region_routers> m_far_regions;  ///< Those of the other regions.
+    std::map<base::router_name, base::endpoint> m_addresses;
+    std::unordered_map<std::uint64_t, pending_search*> m_pending;  ///< By the query's number.
+    std::uint64_t m_next_number;
+    stream_origin_counters m_counters;
+};
+
+}  // namespace ferryroad::relay
--- a/src/ferryroad/relay/traffic_meter.cpp
+++ b/src/ferryroad/relay/traffic_meter.cpp
@@ -16,6 +16,8 @@
             return "notice";
         case traffic_kind::quota:
             return "quota";
+        case traffic_kind::stream_origin:
+            return "stream_origin";
         case traffic_kind::table:
             break;
     }
--- a/src/ferryroad/relay/traffic_meter.hpp
+++ b/src/ferryroad/relay/traffic_meter.hpp
@@ -20,13 +20,14 @@
 
 /// Kind of traffic.
 enum class traffic_kind {
-    request,      ///< Headers and bodies of callers' requests sent to engines.
-    answer,       ///< Response bodies from engines.
-    state_moved,  ///< KV state that engines were asked to fetch; estimated.
-    state_event,  ///< State events from engines and state stores.
-    notice,       ///< Datagrams between routers about load, KV state and weights.
-    quota,        ///< Datagrams between routers for quota accounting.
-    table         ///< Table copies fetched from other routers.
+    request,        ///< Headers and bodies of callers' requests sent to engines.
+    answer,         ///< Response bodies from engines.
+    state_moved,    ///< KV state that engines were asked to fetch; estimated.
+    state_event,    ///< State events from engines and state stores.
+    notice,         ///< Datagrams between routers about load, KV state and weights.
+    quota,          ///< Datagrams between routers for quota accounting.
+    stream_origin,  ///< Datagrams between routers about where streams began.
+    table           ///< Table copies fetched from other routers.
 };
 
 /// @return the kind's label in the metrics.
--- a/test/relay/canary_traffic_test.cpp
+++ b/test/relay/canary_traffic_test.cpp
@@ -54,7 +54,8 @@
     }
     const known_engine& engine(const char* name) { return *registry.find(base::engine_name(name)); }
     bool allows(const char* name, bool canary, base::monotonic_time now) {
-        release_filter filter(&traffic, canary, now);
+        release_filter filter(&traffic,
+                              canary ? released_requests::canary : released_requests::current, now);
         return filter.allows(engine(name));
     }
     /// Starts a trial with one canary engine.
@@ -118,7 +119,7 @@
     canary_traffic fresh(registry, {});
     registry.put(at.engine("n1").listed, start);
     fresh.engines_changed(start);
-    release_filter filter(&fresh, false, start);
+    release_filter filter(&fresh, released_requests::current, start);
     cr_assert(filter.allows(*registry.find(base::engine_name("n1"))), "nothing confirmed yet");
 }
 
--- a/test/relay/simulated_release.hpp
+++ b/test/relay/simulated_release.hpp
@@ -344,7 +344,8 @@
         const base::monotonic_time now = router.scheduler.now();
         for (int request = 0; request < 2; ++request) {
             const bool canary = traffic.choose(the_pool, the_route, now);
-            release_filter filter(&traffic, canary, now);
+            release_filter filter(
+                &traffic, canary ? released_requests::canary : released_requests::current, now);
             std::vector<const known_engine*> allowed;
             for (const auto& [name, engine_] : router.registry.engines()) {
                 if (filter.allows(engine_)) {
--- /dev/null
+++ b/test/relay/stream_continuation_test.cpp
@@ -0,0 +1,166 @@
+/// Tests that a stream goes on only at engines of the software version that began it, within one
+/// answer and when its caller resumes it.
+#include "test/relay/fake_network.hpp"
+#include "test/relay/fake_upstream.hpp"
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+using coordination::release::software_version;
+
+namespace {
+
+listed_engine engine(const char* name, const char* software) {
+    listed_engine one = relay_fixture::listed(name);
+    one.software.value = software;
+    return one;
+}
+
+scripted_answer stream(std::vector<body_step> steps) {
+    scripted_answer one;
+    one.body = std::move(steps);
+    return one;
+}
+
+/// A relay service that knows where streams began.
+struct fixture : relay_fixture {
+    fake_network network;
+    fake_transport transport{network, {"10.0.0.1", 1}};
+    peer_address self{base::router_name("r1"), base::zone_name("z"), {"10.0.0.1", 1}};
+    stream_origins origins{loop.scheduler, transport, registry, self, {}};
+    relay_service<fake_upstream> knowing{
+        {loop.scheduler,
+         upstream,
+         registry,
+         selection,
+         policies,
+         {},
+         {},
+         &releases,
+         nullptr,
+         nullptr,
+         nullptr,
+         nullptr,
+         &origins},
+        settings_of(),
+        [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
+
+    fixture() {
+        list({engine("e1", "v1"), engine("e2", "v1"), engine("e3", "v2"), engine("e4", "v2")});
+    }
+
+    void list(const std::vector<listed_engine>& engines) {
+        registry.replace_all(engines, loop.scheduler.now());
+        releases.engines_changed(loop.scheduler.now());
+        releases.confirmed(loop.scheduler.now());
+        origins.engines_changed();
+    }
+    void serve_knowing(relay_call one) {
+        loop.context.restart();
+        cr_assert(loop.run(
+            [&]() -> runtime::task<void> { co_await knowing.handle(std::move(one), writer); }));
+    }
+    std::string software_of(std::size_t dispatch) {
+        return registry.find(base::engine_name(upstream.engines[dispatch]))->listed.software.value;
+    }
+    relay_call resumed(const char* attempt) const {
+        relay_call one = call("/resumable/");
+        one.id.value = "r2";
+        one.resumed_attempt = base::request_id(attempt);
+        one.last_event_id = 1;
+        return one;
+    }
+};
+
+runtime::task<void> restart_with_v2(fixture& one) {
+    co_await one.loop.until([&one] { return !one.writer.body.empty(); });
+    one.list({engine("e1", "v2")});
+}
+
+}  // namespace
+
+Test(stream_continuation, a_broken_stream_goes_on_at_its_version_within_the_answer) {
+    for (int round = 0; round < 8; ++round) {
+        fixture one;
+        one.answer(stream({bytes(event(1)), body_broken}));
+        one.answer(stream({bytes(event(2)), body_end}));
+        relay_call call = one.call("/resumable/");
+        call.id.value = "r" + std::to_string(round);
+        one.serve_knowing(std::move(call));
+        cr_assert_eq(one.upstream.engines.size(), 2);
+        cr_assert(one.software_of(0) == one.software_of(1));
+        cr_assert_eq(one.outcomes[0].continued, 1);
+        cr_assert_not(one.outcomes[0].mixed_software);
+    }
+}
+
+Test(stream_continuation, a_stream_that_its_caller_resumes_goes_on_at_its_version) {
+    for (const char* version : {"v1", "v2"}) {
+        fixture one;
+        one.origins.record(base::request_id("first"), base::pool_name("p"),
+                           software_version(version));
+        one.answer(stream({bytes(event(2)), body_end}));
+        one.serve_knowing(one.resumed("first"));
+        cr_assert(one.software_of(0) == version);
+        cr_assert_eq(one.writer.status, 200);
+    }
+}
+
+Test(stream_continuation, a_stream_of_unknown_version_is_refused_as_not_run) {
+    fixture one;
+    one.serve_knowing(one.resumed("never seen"));
+    cr_assert(one.upstream.engines.empty());
+    cr_assert_eq(one.writer.status, 503);
+    cr_assert(one.writer.headers.find("Retry-After"));
+    cr_assert(one.outcomes[0].refusal->cause == refusal_cause::origin_unknown);
+}
+
+Test(stream_continuation, a_stream_whose_version_is_gone_is_refused_at_once) {
+    fixture one;
+    one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v0"));
+    const base::monotonic_time began = one.loop.scheduler.now();
+    one.serve_knowing(one.resumed("first"));
+    cr_assert(one.upstream.engines.empty());
+    cr_assert_eq(one.writer.status, 503);
+    cr_assert(one.outcomes[0].refusal->cause == refusal_cause::version_gone);
+    cr_assert_lt(base::to_milliseconds(one.loop.scheduler.now() - began), 100);
+}
+
+Test(stream_continuation, the_last_engine_of_a_version_is_asked_again_after_a_break) {
+    fixture one;
+    one.list({engine("e1", "v1"), engine("e2", "v2"), engine("e3", "v2")});
+    one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v1"));
+    one.answer(stream({bytes(event(2)), body_broken}));
+    one.answer(stream({bytes(event(3)), body_end}));
+    one.serve_knowing(one.resumed("first"));
+    cr_assert_eq(one.upstream.engines.size(), 2);
+    cr_assert_str_eq(one.upstream.engines[0].c_str(), "e1");
+    cr_assert_str_eq(one.upstream.engines[1].c_str(), "e1");
+    cr_assert(one.writer.body == event(2) + event(3));
+}
+
+Test(stream_continuation, an_engine_that_restarted_with_other_software_does_not_go_on) {
+    fixture one;
+    one.list({engine("e1", "v1")});
+    one.answer(stream({bytes(event(1)), body_broken}));
+    one.answer(stream({bytes(event(2)), body_end}));
+    one.upstream.answers.front().body = {bytes(event(1)), body_silence};
+    one.loop.scheduler.spawn("restart", restart_with_v2(one));
+    one.serve_knowing(one.call("/resumable/"));
+    cr_assert_eq(one.upstream.dispatches.size(), 1);
+    cr_assert(one.writer.aborted);
+}
+
+Test(stream_continuation, plain_requests_go_to_any_version) {
+    fixture one;
+    scripted_answer whole;
+    whole.stream = false;
+    whole.body = {bytes("x"), body_end};
+    for (int round = 0; round < 3; ++round) {
+        one.answer(whole);
+        one.serve_knowing(one.call("/safe/"));
+        cr_assert_eq(one.writer.status, 200);
+    }
+    cr_assert_eq(one.origins.kept(), 0);
+}
--- /dev/null
+++ b/test/relay/stream_origins_test.cpp
@@ -0,0 +1,186 @@
+/// Tests that a router finds out where a stream began which it never saw, and what it does without
+/// knowing.
+#include "ferryroad/relay/stream_origins.hpp"
+
+#include "test/http/loopback.hpp"
+#include "test/relay/fake_network.hpp"
+
+#include <criterion/criterion.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+using coordination::stream::software_version;
+
+namespace {
+
+const base::pool_name pool("p");
+const base::request_id attempt("first attempt");
+
+listed_engine engine(const char* name, const char* software) {
+    listed_engine one;
+    one.name.value = name;
+    one.pool = pool;
+    one.address = {"127.0.0.1", 1};
+    one.zone.value = "z";
+    one.software.value = software;
+    return one;
+}
+
+struct router {
+    router(ferryroad::test::loopback& loop, fake_network& network, const peer_address& address,
+           const core::topology::zone_map& zones)
+        : self(address),
+          transport(network, address.address),
+          origins(loop.scheduler, transport, registry, address, zones, settings()) {
+        transport.on_datagram([this](const base::endpoint& from, std::string_view bytes) {
+            origins.handle_datagram(from, bytes);
+        });
+    }
+    static stream_origin_settings settings() {
+        stream_origin_settings all;
+        all.answer_timeout = 20ms;
+        all.far_answer_timeout = 20ms;
+        return all;
+    }
+    void list(const std::vector<listed_engine>& engines, base::monotonic_time now) {
+        registry.replace_all(engines, now);
+        origins.engines_changed();
+    }
+    /// From now on datagrams to this router are lost.
+    void fall_silent() {
+        transport.on_datagram([](const auto&, auto) {});
+    }
+
+    peer_address self;
+    engine_registry registry;
+    fake_transport transport;
+    stream_origins origins;
+};
+
+/// Routers that list engines of two versions. Every other router is in another zone.
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_network network;
+    std::vector<std::unique_ptr<router>> routers;
+
+    explicit fixture(std::uint16_t size, const core::topology::zone_map& zones = {}) {
+        std::vector<peer_address> present;
+        for (std::uint16_t port = 1; port <= size; ++port) {
+            const peer_address self{base::router_name("r" + std::to_string(port)),
+                                    base::zone_name(port % 2 == 0 ? "za" : "zb"),
+                                    {"10.0.0.1", port}};
+            routers.push_back(std::make_unique<router>(loop, network, self, zones));
+            routers.back()->list({engine("e1", "v1"), engine("e2", "v2")}, loop.scheduler.now());
+            present.push_back(self);
+        }
+        for (const auto& one : routers) {
+            one->origins.set_routers(present);
+        }
+    }
+    void begin_stream(std::size_t index) {
+        routers[index]->origins.record(attempt, pool, software_version("v2"));
+    }
+    origin_search find_at(router& one, const std::optional<base::request_id>& resumed = attempt) {
+        origin_search found;
+        loop.context.restart();
+        const bool ended = loop.run([&]() -> runtime::task<void> {
+            relay_call call;
+            call.resumed_attempt = resumed;
+            call.last_event_id = 3;
+            found = co_await one.origins.find(call, pool);
+        });
+        cr_assert(ended);
+        return found;
+    }
+    origin_search find(std::size_t index,
+                       const std::optional<base::request_id>& resumed = attempt) {
+        return find_at(*routers[index], resumed);
+    }
+};
+
+}  // namespace
+
+Test(stream_origins, every_router_finds_the_version_of_a_stream_whose_router_is_lost) {
+    for (const std::uint16_t size : {2, 3, 7, 20}) {
+        fixture all(size);
+        all.begin_stream(0);
+        all.routers[0]->fall_silent();
+        for (std::size_t index = 1; index < size; ++index) {
+            const origin_search search = all.find(index);
+            cr_assert(search.found);
+            cr_assert(search.found->origin.software == software_version("v2"));
+        }
+    }
+}
+
+Test(stream_origins, an_origin_is_found_as_long_as_one_replica_is_left) {
+    fixture all(7);
+    all.begin_stream(0);
+    std::size_t kept = 0;
+    for (std::size_t index = 1; index < 7; ++index) {
+        if (all.routers[index]->origins.kept() > 0 && ++kept < 3) {
+            all.routers[index]->fall_silent();
+        }
+    }
+    cr_assert_eq(kept, 3);
+    all.routers[0]->fall_silent();
+    for (std::size_t index = 1; index < 7; ++index) {
+        cr_assert(all.find(index).found);
+    }
+}
+
+Test(stream_origins, an_origin_that_no_router_knows_is_not_guessed) {
+    fixture all(5);
+    cr_assert(all.find(2).source == origin_source::unknown);
+    cr_assert_not(all.find(2).found);
+    cr_assert_not(all.find(2, std::nullopt).found);
+}
+
+Test(stream_origins, silent_routers_delay_a_search_by_two_timeouts_at_most) {
+    fixture all(7);
+    for (std::size_t index = 1; index < 7; ++index) {
+        all.routers[index]->fall_silent();
+    }
+    const base::monotonic_time began = all.loop.scheduler.now();
+    cr_assert_not(all.find(0).found);
+    cr_assert_lt(base::to_milliseconds(all.loop.scheduler.now() - began), 200);
+}
+
+Test(stream_origins, the_only_version_listed_is_taken_by_a_process_that_saw_no_other) {
+    fixture all(3);
+    router& last = *all.routers[2];
+    last.list({engine("e1", "v1")}, all.loop.scheduler.now());
+    cr_assert_not(all.find(2).found, "another version was listed a moment ago");
+    fixture restarted(1);
+    router fresh(restarted.loop, restarted.network, restarted.routers[0]->self, {});
+    fresh.list({engine("e1", "v1")}, restarted.loop.scheduler.now());
+    const origin_search found = restarted.find_at(fresh);
+    cr_assert(found.source == origin_source::only_listed);
+    cr_assert(found.found->origin.software == software_version("v1"));
+}
+
+Test(stream_origins, origins_are_replicated_within_the_region_and_found_from_another) {
+    const core::topology::zone_map zones({{base::zone_name("za"), base::region_name("a")},
+                                          {base::zone_name("zb"), base::region_name("b")}});
+    fixture all(12, zones);
+    all.begin_stream(0);
+    for (std::size_t index = 1; index < 12; ++index) {
+        const bool same_region = all.routers[index]->self.zone == all.routers[0]->self.zone;
+        cr_assert(same_region || all.routers[index]->origins.kept() == 0);
+    }
+    all.routers[0]->fall_silent();
+    cr_assert(all.find(1).found);
+    cr_assert(all.find(2).found);
+}
+
+Test(stream_origins, malformed_datagrams_are_counted) {
+    fixture all(1);
+    all.routers[0]->origins.handle_datagram({"10.0.0.1", 9}, "not a message");
+    cr_assert_eq(all.routers[0]->origins.counters().malformed, 1);
+}
