Routers are asked for a stream's version before the engine list is believed

Found by reading: a pool in which a router had long seen one version only was taken to have only that one, so a router whose list was behind (a cut from the store, or half a second at the start of a release) would have continued streams of a second version at the first one. Now other routers are asked first in any case; the sole version counts only if nobody knows the stream, and only with a list confirmed in the last 3 s.

Two tests, which failed before this change as the search ended without a question: other_routers_are_asked_before_a_ sole_version_is_taken and a_sole_version_in_an_outdated_list_is_not_taken.

--- a/src/ferryroad/coordination/stream/version_history.cpp
+++ b/src/ferryroad/coordination/stream/version_history.cpp
@@ -8,9 +8,7 @@
                               base::monotonic_time now) {
     const auto [place, added] = m_pools.try_emplace(pool);
     pool_versions& one = place->second;
-    if (added) {
-        one.first_seen = now;
-    } else if (versions != one.current) {
+    if (!added && versions != one.current) {
         one.others_until = now;
     }
     one.current = std::move(versions);
@@ -28,10 +26,4 @@
     return others ? std::nullopt : std::optional(*one.current.begin());
 }
 
-bool version_history::is_known_for(const base::pool_name& pool, base::duration time,
-                                   base::monotonic_time now) const {
-    const auto found = m_pools.find(pool);
-    return found != m_pools.end() && now - found->second.first_seen >= time;
-}
-
 }  // namespace ferryroad::coordination::stream
--- a/src/ferryroad/coordination/stream/version_history.hpp
+++ b/src/ferryroad/coordination/stream/version_history.hpp
@@ -20,14 +20,10 @@
     /// @return the version of all engines of the pool, if no other one has been seen recently.
     std::optional<software_version> sole_version(const base::pool_name& pool, base::duration within,
                                                  base::monotonic_time now) const;
-    /// @return whether the engines of the pool have been observed for at least `time`.
-    bool is_known_for(const base::pool_name& pool, base::duration time,
-                      base::monotonic_time now) const;
 
   private:
     struct pool_versions {
         std::set<software_version> current;
-        base::monotonic_time first_seen{};
         /// When engines of several versions, or of a version that is gone, were last seen.
         std::optional<base::monotonic_time> others_until;
     };
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -21,8 +21,6 @@
             return "replica";
         case origin_source::sole_version:
             return "sole_version";
-        case origin_source::only_listed:
-            return "only_listed";
         case origin_source::unknown:
             break;
     }
@@ -138,10 +136,6 @@
         if (auto own = m_table.find(key, m_scheduler.now())) {
             co_return origin_search{origin_source::recorded, std::move(own), {}};
         }
-        origin_search by_engines = find_by_engines(pool);
-        if (by_engines.source == origin_source::sole_version) {
-            co_return by_engines;
-        }
         origin_search asked = co_await ask_routers(key);
         if (asked.found) {
             co_return asked;
@@ -152,15 +146,11 @@
 
 origin_search stream_origins::find_by_engines(const base::pool_name& pool) const {
     const base::monotonic_time now = m_scheduler.now();
-    const base::duration retention = m_settings.table.retention;
-    const auto sole = m_versions.sole_version(pool, retention, now);
-    if (!sole) {
+    const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
+    if (!sole || m_registry.age(now) > m_settings.max_list_age) {
         return {};
     }
-    const bool known_for_long = m_versions.is_known_for(pool, retention, now);
-    return {known_for_long ? origin_source::sole_version : origin_source::only_listed,
-            stream::aged_origin{{{}, pool, *sole}, {}},
-            {}};
+    return {origin_source::sole_version, stream::aged_origin{{{}, pool, *sole}, {}}, {}};
 }
 
 runtime::task<origin_search> stream_origins::ask_routers(stream::stream_key stream) {
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -39,15 +39,16 @@
     base::duration answer_timeout = std::chrono::milliseconds(40);
     /// The same if routers of other regions are asked.
     base::duration far_answer_timeout = std::chrono::milliseconds(400);
+    /// An engine list that was confirmed longer ago may lack engines of other versions.
+    base::duration max_list_age = std::chrono::seconds(3);
     coordination::stream::origin_table_limits table = {};
 };
 
 /// How the origin of a resumed stream is known.
 enum class origin_source {
-    recorded,      ///< This router has recorded it.
+    recorded,      ///< This router keeps it.
     replica,       ///< Another router answered.
-    sole_version,  ///< All engines of the pool have had this version for long.
-    only_listed,  ///< The only version listed; this process has not run long enough to know others.
+    sole_version,  ///< No router knows it, and no other version has been listed recently.
     unknown
 };
 
@@ -103,7 +104,7 @@
     /// Routers of one region, by name.
     using region_routers = std::vector<base::router_name>;
 
-    /// @return the origin if nothing but the pool's engines is needed to know it.
+    /// @return the origin if the pool's engines leave only one possibility.
     origin_search find_by_engines(const base::pool_name& pool) const;
     runtime::task<origin_search> ask_routers(coordination::stream::stream_key stream);
     /// Asks the highest ranked routers, and waits for the first that knows the origin.
--- a/test/coordination/stream/origin_table_test.cpp
+++ b/test/coordination/stream/origin_table_test.cpp
@@ -76,7 +76,6 @@
     cr_assert_not(history.sole_version(pool, 10s, start + 10s));
     history.observe(pool, {v2}, start + 10s);
     cr_assert(history.sole_version(pool, 10s, start + 11s) == v2);
-    cr_assert(history.is_known_for(pool, 10s, start + 10s));
 }
 
 Test(version_history, a_version_that_replaced_another_at_once_is_not_the_sole_one) {
@@ -88,12 +87,11 @@
     cr_assert(history.sole_version(pool, 10s, start + 30s) == v2);
 }
 
-Test(version_history, the_only_version_seen_by_a_new_process_is_known_as_such) {
+Test(version_history, the_only_version_seen_by_a_new_process_is_the_sole_one) {
     version_history history;
     cr_assert_not(history.sole_version(pool, 10s, start));
     history.observe(pool, {v1}, start);
     cr_assert(history.sole_version(pool, 10s, start + 1s) == v1);
-    cr_assert_not(history.is_known_for(pool, 10s, start + 1s));
 }
 
 // The replicas are chosen without the stream's own router; routers that are asked include it.
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -50,6 +50,7 @@
     }
     void list(const std::vector<listed_engine>& engines, base::monotonic_time now) {
         registry.replace_all(engines, now);
+        registry.confirm(now);
         origins.engines_changed();
     }
     /// From now on datagrams to this router are lost.
@@ -161,10 +162,34 @@
     router fresh(restarted.loop, restarted.network, restarted.routers[0]->self, {});
     fresh.list({engine("e1", "v1")}, restarted.loop.scheduler.now());
     const origin_search found = restarted.find_at(fresh);
-    cr_assert(found.source == origin_source::only_listed);
+    cr_assert(found.source == origin_source::sole_version);
     cr_assert(found.found->origin.software == software_version("v1"));
 }
 
+// A list that is behind may lack the engines of the version that began the stream.
+Test(stream_origins, a_sole_version_in_an_outdated_list_is_not_taken) {
+    fixture all(2);
+    router fresh(all.loop, all.network, all.routers[0]->self, {});
+    fresh.list({engine("e1", "v1")}, all.loop.scheduler.now() - 4s);
+    cr_assert_not(all.find_at(fresh).found);
+    fresh.registry.confirm(all.loop.scheduler.now());
+    cr_assert(all.find_at(fresh).found);
+}
+
+Test(stream_origins, other_routers_are_asked_before_a_sole_version_is_taken) {
+    fixture all(4);
+    all.begin_stream(0);
+    router fresh(all.loop, all.network,
+                 {base::router_name("r9"), base::zone_name("za"), {"10.0.0.1", 9}}, {});
+    std::vector<peer_address> present;
+    for (const auto& one : all.routers) {
+        present.push_back(one->self);
+    }
+    fresh.origins.set_routers(present);
+    fresh.list({engine("e1", "v1")}, all.loop.scheduler.now());
+    cr_assert(all.find_at(fresh).found->origin.software == software_version("v2"));
+}
+
 Test(stream_origins, origins_are_replicated_within_the_region_and_found_from_another) {
     const core::topology::zone_map zones({{base::zone_name("za"), base::region_name("a")},
                                           {base::zone_name("zb"), base::region_name("b")}});
