What engines state about themselves in answers: read, logged, counted

Change: the header is decoded once, in the adapter, from the head of each answer: of dispatches, also of those that this router passes on for others, of reports and of orders; not of misdirected requests, which another process answered. The registry keeps it with the process. One line when it becomes known (how the list has the engine, its age), a metric of engines that are leaving but listed as ready. No decision changes.

--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -83,6 +83,19 @@
     }
 }
 
+bool engine_registry::record_statement(const base::engine_name& name,
+                                       const engine_statement& statement,
+                                       base::monotonic_time sent_at) {
+    known_engine* engine = find(name);
+    if (engine == nullptr || engine->listed_at > sent_at) {
+        return false;
+    }
+    const bool is_new = statement.leaving && !engine->stated.leaving;
+    // An engine that has begun to leave does not return.
+    engine->stated.leaving = engine->stated.leaving || statement.leaving;
+    return is_new;
+}
+
 void engine_registry::confirm(base::monotonic_time as_of) {
     m_confirmed_at = std::max(as_of, m_confirmed_at.value_or(as_of));
 }
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -8,6 +8,7 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/coordination/release/types.hpp"
 #include "ferryroad/core/placement/engine_health.hpp"
+#include "ferryroad/relay/types.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -67,6 +68,7 @@
     base::monotonic_time listed_at{};          ///< When the process was first listed.
     base::monotonic_time loading_until{};      ///< Announced to load new weights until then.
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
+    engine_statement stated;                   ///< In the answers of the process.
     engine_limit limit;
     base::monotonic_time paused_until{};  ///< No request is sent before, due to the limit.
     /// When requests were sent to the engine recently that no router counted against its limit.
@@ -138,6 +140,12 @@
     /// Records the version of an engine's weights, as reported by the engine.
     void record_version(const base::engine_name& name, const std::string& model,
                         std::uint64_t version);
+    /// Records what an answer states about the engine process that it is from.
+    /// @param sent_at when the request was sent, to tell whether the process has been replaced
+    /// since.
+    /// @return whether this was not known before.
+    bool record_statement(const base::engine_name& name, const engine_statement& statement,
+                          base::monotonic_time sent_at);
     /// Records what an answer states about the rejections that the engines of a pool bear.
     /// @param per_second rejections per second and engine; nothing if there is no limit.
     /// @return whether this differs from what was last recorded.
--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -66,6 +66,7 @@
     auto stream = co_await m_direct.relay(target.address, std::move(message), std::move(options));
     if (stream) {
         m_watch.heard(target.name);
+        notify_answer(target, began, **stream);
         std::unique_ptr<http::byte_stream> body =
             std::make_unique<watched_body>(std::move(*stream), m_watch, target.name);
         co_return std::move(body);
@@ -141,6 +142,7 @@
                             options.echoed_header ? options.echoed_header->name : std::string()});
     log_forwarding(router, target, options);
     const forwarding_routers::request_in_progress in_progress(m_others, router.name);
+    const base::monotonic_time began = m_scheduler.now();
     auto stream = co_await m_routers.relay(router.forward, std::move(message), options);
     const base::monotonic_time now = m_scheduler.now();
     if (!stream) {
@@ -165,6 +167,7 @@
         co_return carry_failure{error_of(*failure, router.name), router.name, false};
     }
     ++m_counters.forwarded;
+    notify_answer(target, began, **stream);
     std::unique_ptr<http::byte_stream> body =
         std::make_unique<forwarded_body>(std::move(*stream), m_others, router.name);
     co_return carried_answer{std::move(body), router.name};
@@ -221,6 +224,13 @@
                                                         : forward_failure::connect_failed;
 }
 
+void engine_transport::notify_answer(const engine_target& target, base::monotonic_time sent_at,
+                                     const http::byte_stream& answer) const {
+    if (m_on_answer_head) {
+        m_on_answer_head(target, answer.headers(), answer.status(), sent_at);
+    }
+}
+
 void engine_transport::log_forwarding(const peer_address& router, const engine_target& target,
                                       const http::relay_options& options) const {
     const auto lost = m_watch.paths().lost_since();
--- a/src/ferryroad/relay/engine_transport.hpp
+++ b/src/ferryroad/relay/engine_transport.hpp
@@ -12,6 +12,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -51,6 +52,10 @@
     friend bool operator==(const transport_counters&, const transport_counters&) = default;
 };
 
+/// Called with the head of each answer of an engine, and when its request was sent.
+using answer_head_listener = std::function<void(const engine_target&, const http::header_list&,
+                                                unsigned status, base::monotonic_time sent_at)>;
+
 /// Used from the event loop's thread. Its collaborators must outlive it, and it must outlive the
 /// bodies that it returns.
 class engine_transport {
@@ -94,6 +99,9 @@
     bool reaches_no_engine() const { return m_watch.paths().all_lost(); }
     const transport_counters& counters() const { return m_counters; }
 
+    /// @param callback is also called for answers that this router passes on for others.
+    void on_answer_head(answer_head_listener callback) { m_on_answer_head = std::move(callback); }
+
   private:
     static constexpr std::string_view component = "relay.request";
 
@@ -109,6 +117,8 @@
     /// Asks a router to open a connection to an engine.
     /// @return whether the engine refused it, or nothing if that router could not tell.
     runtime::task<std::optional<bool>> is_refused_at(peer_address router, engine_target target);
+    void notify_answer(const engine_target& target, base::monotonic_time sent_at,
+                       const http::byte_stream& answer) const;
     void log_forwarding(const peer_address& router, const engine_target& target,
                         const http::relay_options& options) const;
     void log_forward_failure(const peer_address& router, const http::relay_options& options,
@@ -122,6 +132,7 @@
     forwarding_routers& m_others;
     engine_transport_settings m_settings;
     transport_counters m_counters;
+    answer_head_listener m_on_answer_head;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -157,6 +157,9 @@
         static_cast<double>(now.engines_ready));
     set("ferryroad_relay_engines_leaving", "Engines that are leaving.",
         static_cast<double>(now.engines_leaving));
+    set("ferryroad_relay_engines_leaving_unlisted",
+        "Engines that state that they are leaving while the list has them as ready.",
+        static_cast<double>(now.engines_leaving_unlisted));
     set("ferryroad_relay_engines_suspended", "Engines passed over for their failures.",
         static_cast<double>(now.engines_suspended));
     set("ferryroad_relay_engine_paths_lost", "1 while this router reaches no engine.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -25,6 +25,7 @@
     std::uint64_t policy_version = 0;
     std::size_t engines_ready = 0;
     std::size_t engines_leaving = 0;
+    std::size_t engines_leaving_unlisted = 0;  ///< Leaving by their own answers, listed as ready.
     std::size_t engines_suspended = 0;
     bool engine_paths_lost = false;        ///< No engine can be reached from this router.
     std::size_t engine_paths_failing = 0;  ///< Engines to which connections fail at present.
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -102,6 +102,13 @@
     friend bool operator==(const stated_rejection_limit&, const stated_rejection_limit&) = default;
 };
 
+/// What an engine process states about itself in the head of an answer.
+struct engine_statement {
+    bool leaving = false;  ///< It is shutting down and is to get no new requests.
+
+    friend bool operator==(const engine_statement&, const engine_statement&) = default;
+};
+
 /// An engine's answer whose head has been received.
 struct opened_answer {
     unsigned status = 0;
