An engine that says that it is leaving gets no further requests

What callers saw: nothing at first; requests went to engines that were about to end, up to 11.4 s after their answers had said so, and would have been cut with them (users' rule: 2 s).

Cause: the engine list was the only source of an engine's leaving, and while the store takes no writes, or the row is behind, it says ready. Class: a word of an engine itself was dropped, and a staler source decided.

Change: leaving is the row's word or the process's own (known_engine::is_leaving), and all that asked the row asks it now: selection, the check before the first byte (so that requests that wait for a connection or a permit are held back, at no cost to the retry budget), forwarding for other routers, the rollout of weights, releases, breaks (an engine that leaves did not crash). A row that says ready doesn't undo it; a row that lapses and returns neither, as the registry keeps what the process stated (1,000 engines at most); a new process under the same name is not leaving, and a late answer of its predecessor says nothing about it.

--- a/src/ferryroad/relay/canary_traffic.cpp
+++ b/src/ferryroad/relay/canary_traffic.cpp
@@ -133,7 +133,7 @@
     std::vector<base::engine_name> warming;
     std::size_t current = 0;
     for (const auto& [name, engine] : m_registry.engines()) {
-        if (engine.listed.pool != one.own.order.pool || engine.listed.leaving) {
+        if (engine.listed.pool != one.own.order.pool || engine.is_leaving()) {
             continue;
         }
         if (engine.listed.software == one.own.order.target) {
@@ -225,7 +225,7 @@
     const auto& engines = m_registry.engines();
     return std::none_of(engines.begin(), engines.end(), [&](const auto& entry) {
         const known_engine& engine = entry.second;
-        return engine.listed.pool == pool && !engine.listed.leaving &&
+        return engine.listed.pool == pool && !engine.is_leaving() &&
                gate_permits(engine, now) == release::permission::all;
     });
 }
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -42,7 +42,7 @@
     if (engine == nullptr) {
         return dispatch_precondition::engine_process;
     }
-    if (engine->listed.leaving) {
+    if (engine->is_leaving()) {
         return dispatch_precondition::engine_stays;
     }
     if (!m_sources.selection.is_still_valid(chosen, query_of(m_plan), now)) {
--- a/src/ferryroad/relay/engine_limits.cpp
+++ b/src/ferryroad/relay/engine_limits.cpp
@@ -173,7 +173,7 @@
     std::optional<base::monotonic_time> available_at;
     double rate = 0;
     for (const pool_member& one : m_registry.pool(pool)) {
-        if (one.engine->paused_until <= now || one.engine->listed.leaving) {
+        if (one.engine->paused_until <= now || one.engine->is_leaving()) {
             continue;
         }
         available_at =
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -34,6 +34,7 @@
     for (auto entry = m_engines.begin(); entry != m_engines.end();) {
         const bool is_gone = !names.contains(entry->first);
         if (is_gone) {
+            keep_statement(entry->second);
             remove_from_pool(entry->second);
             discount_software(entry->second.listed);
         }
@@ -70,6 +71,9 @@
         discount_software(engine.listed);
     }
     engine.listed = one;
+    if (is_added) {
+        restore_statement(engine);
+    }
     count_software(engine.listed);
     if (moves) {
         add_to_pool(engine);
@@ -107,12 +111,39 @@
 void engine_registry::remove(const base::engine_name& name) {
     const auto found = m_engines.find(name);
     if (found != m_engines.end()) {
+        keep_statement(found->second);
         remove_from_pool(found->second);
         discount_software(found->second.listed);
         m_engines.erase(found);
     }
 }
 
+void engine_registry::keep_statement(const known_engine& removed) {
+    if (removed.stated == engine_statement{}) {
+        return;
+    }
+    const base::engine_name& name = removed.listed.name;
+    if (m_lapsed.insert_or_assign(name, lapsed_engine{removed.listed, removed.stated}).second) {
+        m_lapsed_order.push_back(name);
+    }
+    if (m_lapsed_order.size() > max_lapsed) {
+        m_lapsed.erase(m_lapsed_order.front());
+        m_lapsed_order.pop_front();
+    }
+}
+
+void engine_registry::restore_statement(known_engine& returned) {
+    const auto found = m_lapsed.find(returned.listed.name);
+    if (found == m_lapsed.end()) {
+        return;
+    }
+    if (!is_new_process(found->second.listed, returned.listed)) {
+        returned.stated = found->second.stated;
+    }
+    std::erase(m_lapsed_order, found->first);
+    m_lapsed.erase(found);
+}
+
 namespace {
 
 engine_pool::iterator find_position(engine_pool& pool, const base::engine_name& name) {
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -74,6 +74,9 @@
     /// When requests were sent to the engine recently that no router counted against its limit.
     std::vector<base::monotonic_time> uncounted_sends;
 
+    /// @return whether it must get no new requests, as its row or one of its answers says so. A row
+    /// that does not say so does not undo what the process itself stated.
+    bool is_leaving() const { return listed.leaving || stated.leaving; }
     /// @return the newest version of the model's weights seen; 0 if none.
     std::uint64_t version_of(const std::string& model) const;
 };
@@ -162,6 +165,18 @@
     /// Maximum number of recently used engines, over all pools.
     static constexpr std::size_t max_recently_used = 64;
 
+    /// What a process stated whose row was removed. A row may lapse and return while its process
+    /// lives on.
+    struct lapsed_engine {
+        listed_engine listed;
+        engine_statement stated;
+    };
+    /// Engines whose statements are kept after their rows were removed, at most.
+    static constexpr std::size_t max_lapsed = 1000;
+
+    void keep_statement(const known_engine& removed);
+    /// Restores what the process stated before its row lapsed, if it is the same process.
+    void restore_statement(known_engine& returned);
     void count_software(const listed_engine& one);
     void discount_software(const listed_engine& one);
     void add_to_pool(const known_engine& engine);
@@ -171,6 +186,8 @@
     std::map<base::pool_name, engine_pool> m_pools;
     std::map<base::pool_name, software_counts> m_software;  ///< Keeps pools without engines.
     std::map<base::pool_name, std::uint32_t> m_rejection_limits;
+    std::map<base::engine_name, lapsed_engine> m_lapsed;
+    std::deque<base::engine_name> m_lapsed_order;  ///< Oldest first.
     std::set<base::engine_name> m_active;
     std::deque<base::engine_name> m_recently_used;  ///< Most recent first.
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -629,7 +629,7 @@
     /// have crashed while running this request.
     void report_break() {
         const known_engine* listed = m_dependencies.registry.find(m_selected.target.name);
-        if (m_dependencies.quarantine == nullptr || listed == nullptr || listed->listed.leaving) {
+        if (m_dependencies.quarantine == nullptr || listed == nullptr || listed->is_leaving()) {
             return;
         }
         m_preconditions.exchange_broke();
--- a/src/ferryroad/relay/release_service.cpp
+++ b/src/ferryroad/relay/release_service.cpp
@@ -319,7 +319,7 @@
     for (const auto& [name, engine] : m_ports.registry.engines()) {
         if (engine.listed.pool == pool) {
             view.listed.insert(engine.listed.software);
-            const bool counts = engine.listed.software == target && !engine.listed.leaving;
+            const bool counts = engine.listed.software == target && !engine.is_leaving();
             view.target_engines += counts ? 1 : 0;
         }
     }
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -147,7 +147,7 @@
         const base::monotonic_time now = m_ports.scheduler.now();
         std::vector<coordination::rollout::engine_view> engines;
         for (const auto& [name, engine] : m_ports.registry.engines()) {
-            if (engine.listed.leaving) {
+            if (engine.is_leaving()) {
                 continue;
             }
             for (const auto& [model, version] : engine.versions) {
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -51,7 +51,7 @@
 
 bool engine_selection::may_serve(const known_engine& engine, const selection_query& query,
                                  base::monotonic_time now) const {
-    if (engine.listed.pool != query.pool || engine.listed.leaving) {
+    if (engine.listed.pool != query.pool || engine.is_leaving()) {
         return false;
     }
     if (query.software && engine.listed.software != *query.software) {
@@ -73,7 +73,7 @@
     const base::pool_name& pool, const coordination::release::software_version& software) const {
     const engine_pool& members = m_registry.pool(pool);
     return std::any_of(members.begin(), members.end(), [&](const pool_member& one) {
-        return one.engine->listed.software == software && !one.engine->listed.leaving;
+        return one.engine->listed.software == software && !one.engine->is_leaving();
     });
 }
 
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -226,3 +226,82 @@
     registry.put(one);
     cr_assert_eq(told, 1);
 }
+
+namespace {
+
+const base::engine_name leaver("leaver");
+
+listed_engine process_started_at(std::uint64_t process_start_ms) {
+    listed_engine one;
+    one.name = leaver;
+    one.process_start_ms = process_start_ms;
+    return one;
+}
+
+/// A registry with one engine, listed as ready, that has stated that it is leaving.
+engine_registry registry_with_leaver() {
+    engine_registry registry;
+    registry.put(process_started_at(1), start);
+    registry.record_statement(leaver, {true}, start);
+    return registry;
+}
+
+}  // namespace
+
+Test(engine_registry, a_row_that_is_behind_does_not_undo_that_an_engine_stated_to_leave) {
+    engine_registry registry = registry_with_leaver();
+    cr_assert(registry.find(leaver)->is_leaving());
+    registry.put(process_started_at(1), start + 1s);
+    cr_assert(registry.find(leaver)->is_leaving());
+    registry.replace_all({process_started_at(1)}, start + 2s);
+    cr_assert(registry.find(leaver)->is_leaving());
+}
+
+Test(engine_registry, a_row_that_lapses_and_returns_does_not_undo_it_either) {
+    engine_registry registry = registry_with_leaver();
+    registry.remove(leaver);
+    registry.put(process_started_at(1), start + 1s);
+    cr_assert(registry.find(leaver)->is_leaving());
+    registry.replace_all({}, start + 2s);
+    registry.replace_all({process_started_at(1)}, start + 3s);
+    cr_assert(registry.find(leaver)->is_leaving());
+}
+
+Test(engine_registry, a_new_process_under_the_same_name_is_not_leaving) {
+    engine_registry registry = registry_with_leaver();
+    registry.put(process_started_at(2), start + 1s);
+    cr_assert_not(registry.find(leaver)->is_leaving());
+    registry.record_statement(leaver, {true}, start + 2s);
+    registry.remove(leaver);
+    registry.put(process_started_at(3), start + 3s);
+    cr_assert_not(registry.find(leaver)->is_leaving());
+}
+
+Test(engine_registry, an_answer_of_the_process_before_says_nothing_about_its_successor) {
+    engine_registry registry;
+    registry.put(process_started_at(1), start);
+    registry.put(process_started_at(2), start + 5s);
+    cr_assert_not(registry.record_statement(leaver, {true}, start + 4s));
+    cr_assert_not(registry.find(leaver)->is_leaving());
+    cr_assert(registry.record_statement(leaver, {true}, start + 5s));
+    cr_assert_not(registry.record_statement(leaver, {true}, start + 6s), "known before");
+}
+
+Test(engine_registry, statements_of_lapsed_engines_are_bounded_in_number) {
+    engine_registry registry;
+    for (int number = 0; number < 1001; ++number) {
+        listed_engine one = process_started_at(1);
+        one.name.value = "e" + std::to_string(number);
+        registry.put(one, start);
+        registry.record_statement(one.name, {true}, start);
+        registry.remove(one.name);
+    }
+    for (const char* name : {"e0", "e1", "e1000"}) {
+        listed_engine one = process_started_at(1);
+        one.name.value = name;
+        registry.put(one, start);
+    }
+    cr_assert_not(registry.find(base::engine_name("e0"))->is_leaving());
+    cr_assert(registry.find(base::engine_name("e1"))->is_leaving());
+    cr_assert(registry.find(base::engine_name("e1000"))->is_leaving());
+}
