--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -87,17 +87,22 @@
     }
 }
 
-bool engine_registry::record_statement(const base::engine_name& name,
-                                       const engine_statement& statement,
-                                       base::monotonic_time sent_at) {
+statement_change engine_registry::record_statement(const base::engine_name& name,
+                                                   const engine_statement& statement,
+                                                   base::monotonic_time sent_at,
+                                                   base::monotonic_time now) {
     known_engine* engine = find(name);
     if (engine == nullptr || engine->listed_at > sent_at) {
-        return false;
+        return {};
     }
-    const bool is_new = statement.leaving && !engine->stated.leaving;
+    engine_statements& stated = engine->stated;
+    const engine_statements before = stated;
     // An engine that has begun to leave does not return.
-    engine->stated.leaving = engine->stated.leaving || statement.leaving;
-    return is_new;
+    stated.leaving = stated.leaving || statement.leaving;
+    if (statement.backoff) {
+        stated.backoff_until = std::max(stated.backoff_until, now + *statement.backoff);
+    }
+    return {stated.leaving != before.leaving, stated.backoff_until != before.backoff_until};
 }
 
 void engine_registry::confirm(base::monotonic_time as_of) {
@@ -119,7 +124,7 @@
 }
 
 void engine_registry::keep_statement(const known_engine& removed) {
-    if (removed.stated == engine_statement{}) {
+    if (removed.stated == engine_statements{}) {
         return;
     }
     const base::engine_name& name = removed.listed.name;
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -53,6 +53,20 @@
     friend bool operator==(const engine_limit&, const engine_limit&) = default;
 };
 
+/// What an engine process has stated about itself in its answers to this router.
+struct engine_statements {
+    bool leaving = false;
+    base::monotonic_time backoff_until{};  ///< It wants no requests of this router before.
+
+    friend bool operator==(const engine_statements&, const engine_statements&) = default;
+};
+
+/// What a statement has changed.
+struct statement_change {
+    bool leaving = false;  ///< The engine began to leave.
+    bool backoff = false;  ///< The engine wants no requests, or for longer than before.
+};
+
 /// A listed engine with what this router knows beyond the list. All of it refers to one process of
 /// the engine.
 struct known_engine {
@@ -68,7 +82,7 @@
     base::monotonic_time listed_at{};          ///< When the process was first listed.
     base::monotonic_time loading_until{};      ///< Announced to load new weights until then.
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
-    engine_statement stated;                   ///< In the answers of the process.
+    engine_statements stated;
     engine_limit limit;
     base::monotonic_time paused_until{};  ///< No request is sent before, due to the limit.
     /// When requests were sent to the engine recently that no router counted against its limit.
@@ -146,9 +160,9 @@
     /// Records what an answer states about the engine process that it is from.
     /// @param sent_at when the request was sent, to tell whether the process has been replaced
     /// since.
-    /// @return whether this was not known before.
-    bool record_statement(const base::engine_name& name, const engine_statement& statement,
-                          base::monotonic_time sent_at);
+    statement_change record_statement(const base::engine_name& name,
+                                      const engine_statement& statement,
+                                      base::monotonic_time sent_at, base::monotonic_time now);
     /// Records what an answer states about the rejections that the engines of a pool bear.
     /// @param per_second rejections per second and engine; nothing if there is no limit.
     /// @return whether this differs from what was last recorded.
@@ -169,7 +183,7 @@
     /// lives on.
     struct lapsed_engine {
         listed_engine listed;
-        engine_statement stated;
+        engine_statements stated;
     };
     /// Engines whose statements are kept after their rows were removed, at most.
     static constexpr std::size_t max_lapsed = 1000;
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -160,6 +160,10 @@
     set("ferryroad_relay_engines_leaving_unlisted",
         "Engines that state that they are leaving while the list has them as ready.",
         static_cast<double>(now.engines_leaving_unlisted));
+    set("ferryroad_relay_engines_backing_off", "Engines that want no requests at present.",
+        static_cast<double>(now.engines_backing_off));
+    set("ferryroad_relay_engine_backoffs_stated", "Answers in which engines asked for a backoff.",
+        static_cast<double>(now.backoffs_stated));
     set("ferryroad_relay_engines_suspended", "Engines passed over for their failures.",
         static_cast<double>(now.engines_suspended));
     set("ferryroad_relay_engine_paths_lost", "1 while this router reaches no engine.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -25,6 +25,8 @@
     std::uint64_t policy_version = 0;
     std::size_t engines_ready = 0;
     std::size_t engines_leaving = 0;
+    std::size_t engines_backing_off = 0;  ///< They want no requests of this router at present.
+    std::uint64_t backoffs_stated = 0;
     std::size_t engines_leaving_unlisted = 0;  ///< Leaving by their own answers, listed as ready.
     std::size_t engines_suspended = 0;
     bool engine_paths_lost = false;        ///< No engine can be reached from this router.
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -105,6 +105,8 @@
 /// What an engine process states about itself in the head of an answer.
 struct engine_statement {
     bool leaving = false;  ///< It is shutting down and is to get no new requests.
+    /// How long it wants no requests of this router, from now on.
+    std::optional<base::duration> backoff;
 
     friend bool operator==(const engine_statement&, const engine_statement&) = default;
 };
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -242,7 +242,7 @@
 engine_registry registry_with_leaver() {
     engine_registry registry;
     registry.put(process_started_at(1), start);
-    registry.record_statement(leaver, {true}, start);
+    registry.record_statement(leaver, {true, {}}, start, start);
     return registry;
 }
 
@@ -271,7 +271,7 @@
     engine_registry registry = registry_with_leaver();
     registry.put(process_started_at(2), start + 1s);
     cr_assert_not(registry.find(leaver)->is_leaving());
-    registry.record_statement(leaver, {true}, start + 2s);
+    registry.record_statement(leaver, {true, {}}, start + 2s, start + 2s);
     registry.remove(leaver);
     registry.put(process_started_at(3), start + 3s);
     cr_assert_not(registry.find(leaver)->is_leaving());
@@ -281,10 +281,11 @@
     engine_registry registry;
     registry.put(process_started_at(1), start);
     registry.put(process_started_at(2), start + 5s);
-    cr_assert_not(registry.record_statement(leaver, {true}, start + 4s));
+    cr_assert_not(registry.record_statement(leaver, {true, {}}, start + 4s, start + 4s).leaving);
     cr_assert_not(registry.find(leaver)->is_leaving());
-    cr_assert(registry.record_statement(leaver, {true}, start + 5s));
-    cr_assert_not(registry.record_statement(leaver, {true}, start + 6s), "known before");
+    cr_assert(registry.record_statement(leaver, {true, {}}, start + 5s, start + 5s).leaving);
+    cr_assert_not(registry.record_statement(leaver, {true, {}}, start + 6s, start + 6s).leaving,
+                  "known before");
 }
 
 Test(engine_registry, statements_of_lapsed_engines_are_bounded_in_number) {
@@ -293,7 +294,7 @@
         listed_engine one = process_started_at(1);
         one.name.value = "e" + std::to_string(number);
         registry.put(one, start);
-        registry.record_statement(one.name, {true}, start);
+        registry.record_statement(one.name, {true, {}}, start, start);
         registry.remove(one.name);
     }
     for (const char* name : {"e0", "e1", "e1000"}) {
