A stream that began at a version on trial goes on there

What callers would have seen: 503 (no_engine) for streams that they resume while the version that began them is on trial, though its engines serve. Found by reading.

Cause: the check before the first byte is written asked the release for permission without knowing that the request continues a stream. Change: the selection says so (selected_engine::continued), as it does for canary requests.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -89,8 +89,10 @@
     std::uint32_t withdrawals = 0;     ///< Dispatches cancelled while they waited at an engine.
     bool quarantined_waiting = false;  ///< The last withdrawal was due to a quarantine.
     std::uint64_t events = 0;          ///< Forwarded to the caller.
-    std::uint32_t continued = 0;       ///< Exchanges that continued a stream after an event.
-    bool mixed_software = false;       ///< Events came from engines of several software versions.
+    /// Software version that the stream began at; nothing if it has no event.
+    std::optional<coordination::release::software_version> begun_at;
+    std::uint32_t continued = 0;  ///< Exchanges that continued a stream after an event.
+    bool mixed_software = false;  ///< Events came from engines of several software versions.
     std::optional<base::duration> first_event;  ///< Time from the request's arrival.
     base::duration longest_gap{};               ///< Between two events.
     std::string engine;                         ///< The last one the request was dispatched to.
@@ -128,7 +130,9 @@
                            dependencies.quarantine, waiting},
                           m_plan, m_timing),
           m_last_id(m_plan.call->last_event_id),
-          m_begun_at(m_plan.begun_at) {}
+          m_begun_at(m_plan.begun_at) {
+        m_outcome.begun_at = m_begun_at;
+    }
 
     /// Runs the request until its final response has been sent. Exceptions are logged and end it
     /// early, without a response; call `interrupt` then, and if it was cancelled.
@@ -519,6 +523,7 @@
         }
         if (!m_begun_at) {
             m_begun_at = m_selected.software;
+            m_outcome.begun_at = m_begun_at;
             if (m_dependencies.origins != nullptr && is_repeatable(*m_plan.matched_route)) {
                 m_dependencies.origins->record(m_plan.call->id, m_plan.pool, *m_begun_at);
             }
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -308,6 +308,7 @@
              {"source", std::string(to_string(search.source))},
              {"answered_by", search.answered_by.value.empty() ? "none" : search.answered_by.value},
              {"age_ms", found ? std::to_string(base::to_milliseconds(found->age)) : "none"},
+             {"cause", found ? "none" : std::string(to_string(refusal_cause::origin_unknown))},
              {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
 
@@ -348,6 +349,7 @@
              {"via", outcome.via ? outcome.via->value : "none"},
              {"dispatches", std::to_string(outcome.dispatches)},
              {"events", std::to_string(outcome.events)},
+             {"begun_at", outcome.begun_at ? outcome.begun_at->value : "none"},
              {"continued", std::to_string(outcome.continued)},
              {"mixed_software", outcome.mixed_software ? "true" : "false"},
              {"resumes", plan.call->resumed_attempt ? plan.call->resumed_attempt->value : "none"},
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -131,7 +131,7 @@
     // the trial lasts.
     const auto permitted = m_releases->permits(*engine, now);
     return permitted == coordination::release::permission::all ||
-           ((chosen.canary || query.software) &&
+           ((chosen.canary || chosen.continued) &&
             permitted == coordination::release::permission::canary);
 }
 
@@ -506,6 +506,7 @@
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
     chosen.software = one.engine->listed.software;
     chosen.canary = query.canary;
+    chosen.continued = query.software.has_value();
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
     chosen.running = candidate.running;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -91,7 +91,8 @@
     std::uint64_t prefill_tokens = 0;  ///< Prompt tokens that the engine is expected to compute.
     double moved_bytes = 0;            ///< Estimated size of the fetched KV state.
     core::topology::distance moved_distance = core::topology::distance::same_zone;
-    bool canary = false;  ///< The request was selected for the canary version.
+    bool canary = false;     ///< The request was selected for the canary version.
+    bool continued = false;  ///< The request continues a stream at this engine's software version.
     double cost_ms = 0;
     std::size_t candidates = 0;
     std::uint32_t running = 0;  ///< Requests at the engine, as far as this router knows.
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -152,6 +152,20 @@
     cr_assert(one.writer.aborted);
 }
 
+// While a version is on trial, only requests selected for it may begin there.
+Test(stream_continuation, a_stream_that_began_at_a_version_on_trial_goes_on_there) {
+    fixture one;
+    one.list({engine("e1", ""), engine("e2", "")});
+    one.begin_trial();
+    one.origins.engines_changed();
+    one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v2"));
+    one.answer(stream({bytes(event(2)), body_end}));
+    one.serve_knowing(one.resumed("first"));
+    cr_assert_eq(one.upstream.engines.size(), 1);
+    cr_assert_str_eq(one.upstream.engines[0].c_str(), "n1");
+    cr_assert_eq(one.writer.status, 200);
+}
+
 Test(stream_continuation, plain_requests_go_to_any_version) {
     fixture one;
     scripted_answer whole;
