An engine's word counts while its row has lapsed

Found by reading: an answer that says that its engine is leaving was dropped if the engine's row had been removed meanwhile (three heartbeats of silence, a store that forgets); when the row came back the engine got requests again until its next answer. The test an_engine_that_states_to_leave_while_its_row_has_lapsed_is_leaving failed before.

--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -92,10 +92,12 @@
                                                    base::monotonic_time sent_at,
                                                    base::monotonic_time now) {
     known_engine* engine = find(name);
-    if (engine == nullptr || engine->listed_at > sent_at) {
+    const auto lapsed = m_lapsed.find(name);
+    const bool is_successor = engine != nullptr && engine->listed_at > sent_at;
+    if (is_successor || (engine == nullptr && lapsed == m_lapsed.end())) {
         return {};
     }
-    engine_statements& stated = engine->stated;
+    engine_statements& stated = engine != nullptr ? engine->stated : lapsed->second.stated;
     const engine_statements before = stated;
     // An engine that has begun to leave does not return.
     stated.leaving = stated.leaving || statement.leaving;
@@ -124,9 +126,6 @@
 }
 
 void engine_registry::keep_statement(const known_engine& removed) {
-    if (removed.stated == engine_statements{}) {
-        return;
-    }
     const base::engine_name& name = removed.listed.name;
     if (m_lapsed.insert_or_assign(name, lapsed_engine{removed.listed, removed.stated}).second) {
         m_lapsed_order.push_back(name);
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -159,7 +159,8 @@
     /// Records the version of an engine's weights, as reported by the engine.
     void record_version(const base::engine_name& name, const std::string& model,
                         std::uint64_t version);
-    /// Records what an answer states about the engine process that it is from.
+    /// Records what an answer states about the engine process that it is from. Its row may have
+    /// been removed recently.
     /// @param sent_at when the request was sent, to tell whether the process has been replaced
     /// since.
     statement_change record_statement(const base::engine_name& name,
@@ -181,8 +182,8 @@
     /// Maximum number of recently used engines, over all pools.
     static constexpr std::size_t max_recently_used = 64;
 
-    /// What a process stated whose row was removed. A row may lapse and return while its process
-    /// lives on.
+    /// What a process stated, before and since its row was removed. A row may lapse and return
+    /// while its process lives on.
     struct lapsed_engine {
         listed_engine listed;
         engine_statements stated;
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -267,6 +267,15 @@
     cr_assert(registry.find(leaver)->is_leaving());
 }
 
+Test(engine_registry, an_engine_that_states_to_leave_while_its_row_has_lapsed_is_leaving) {
+    engine_registry registry;
+    registry.put(process_started_at(1), start);
+    registry.remove(leaver);
+    cr_assert(registry.record_statement(leaver, {true, {}}, start, start + 1s).leaving);
+    registry.put(process_started_at(1), start + 2s);
+    cr_assert(registry.find(leaver)->is_leaving());
+}
+
 Test(engine_registry, a_new_process_under_the_same_name_is_not_leaving) {
     engine_registry registry = registry_with_leaver();
     registry.put(process_started_at(2), start + 1s);
