Log what was known of an engine's room when it rejects a request

'engine rejected a request' names the engine's listed slots, the requests known to be in progress there (here and in all) and the pool's rejection limit as known. That tells the hypotheses of the incident apart: fewer in progress than slots (the row overstates them), as many (slots with two owners, or not counted any more), or no limit known (a router that has not learned of it).

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -614,6 +614,9 @@
                       {"events", std::to_string(m_exchange_events)},
                       {"running", std::to_string(running_at_engine())},
                       {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
+        if (failure.kind == execution::failure_kind::overloaded) {
+            log_lack_of_room();
+        }
         if (failure.kind == execution::failure_kind::broken) {
             report_break();
         }
@@ -622,6 +625,18 @@
                                         failure.retry_after});
     }
 
+    /// Logs a rejection with what was known of the engine's room when it was selected.
+    void log_lack_of_room() const {
+        const auto limit = m_dependencies.registry.rejection_limit(m_plan.pool);
+        runtime::log(runtime::log_level::info, component, "engine rejected a request",
+                     {{"request_id", m_plan.call->id.value},
+                      {"engine", m_selected.target.name.value},
+                      {"slots", std::to_string(m_selected.slots)},
+                      {"running_known", std::to_string(m_selected.running)},
+                      {"running_here", std::to_string(running_at_engine())},
+                      {"rejection_limit", limit ? std::to_string(*limit) : "none"}});
+    }
+
     /// @return whether the exchange used this router's own path to the engine, and that is lost.
     bool is_path_lost(const dispatch_failure& failure) const {
         return !failure.via && m_dependencies.paths != nullptr && m_dependencies.paths->all_lost();
