Slots of engines that limit their rejections are counted by one router and learned from rejections

(1) What runs out at an engine isn't what its row lists, and a rejection taught each router alone, for a second. (2) The right to a slot was dealt over the whole pool in the order of names, so that one engine or router more or less moved nearly all slots, and until all routers knew, a slot had two owners. Class: a limit of one party that is divided by what each of many believes.

Change: each request asks the engine's home (as for request limits) for a slot; routers report what they run and which asks still wait, in absolute numbers; what finds no room waits at the home. The home learns the room from all routers' rejections. Without it a router has a share dealt for each engine by itself. Of home asks, quota_service keeps what it had, by a client of its own (home_client).

Tests: relay.room_shares goes with its class. That routers use others' shares while a slot is free for each is replaced by slot_ledger's slots_go_to_whoever_asks (any free slot, not all but one a router); the rest stands in relay.engine_slots. slot_shares: shares are now even for each engine, not over all of a pool; in place of that, a router that leaves may move one slot of an engine at most.

--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -21,11 +21,21 @@
 
 std::optional<base::router_name> quota_homes::home_for(std::string_view subject,
                                                        base::monotonic_time now) const {
+    return best_of(subject, [&](const auto& name) { return !is_excluded(name, now); });
+}
+
+std::optional<base::router_name> quota_homes::first_home_of(const quota_subject& subject) const {
+    return best_of(subject.name, [](const auto&) { return true; });
+}
+
+template <typename Predicate>
+std::optional<base::router_name> quota_homes::best_of(std::string_view subject,
+                                                      const Predicate& may_be_home) const {
     const std::uint64_t key = base::hash_bytes(subject);
     const base::router_name* best = nullptr;
     std::uint64_t best_score = 0;
     for (const base::router_name& name : m_present) {
-        if (is_excluded(name, now)) {
+        if (!may_be_home(name)) {
             continue;
         }
         const std::uint64_t score = base::rendezvous_score(key, name.value);
--- a/src/ferryroad/coordination/quota/quota_homes.hpp
+++ b/src/ferryroad/coordination/quota/quota_homes.hpp
@@ -43,6 +43,10 @@
     /// @param subject identifies the task.
     std::optional<base::router_name> home_for(std::string_view subject,
                                               base::monotonic_time now) const;
+    /// @return the subject's home regardless of exclusions, or nothing if no router is present.
+    std::optional<base::router_name> first_home_of(const quota_subject& subject) const;
+    /// @return whether the router is excluded because it didn't answer.
+    bool is_excluded(const base::router_name& home, base::monotonic_time now) const;
     /// The router answered an ask.
     void answered(const base::router_name& home) { m_exclusions.erase(home); }
     /// The router did not answer an ask in time.
@@ -57,7 +61,10 @@
         base::monotonic_time excluded_until{};
     };
 
-    bool is_excluded(const base::router_name& home, base::monotonic_time now) const;
+    /// @return the router with the highest score for the subject among those that may be home.
+    template <typename Predicate>
+    std::optional<base::router_name> best_of(std::string_view subject,
+                                             const Predicate& may_be_home) const;
 
     homes_tunables m_tunables;
     std::vector<base::router_name> m_present;
--- a/src/ferryroad/core/admission/slot_shares.hpp
+++ b/src/ferryroad/core/admission/slot_shares.hpp
@@ -1,31 +1,31 @@
 /// @file
-/// Divides the slots of a pool's engines among routers, so that all routers together never send an
-/// engine more requests than it has slots, without asking each other for each request.
+/// Divides the slots of an engine among routers, so that all routers together never send the engine
+/// more requests than it has slots, without asking each other for each request.
 #pragma once
 
-#include <cstddef>
+#include "ferryroad/base/ids.hpp"
+
 #include <cstdint>
+#include <vector>
 
 namespace ferryroad::core::admission {
 
-/// The place of one router among all routers in the order that all agree on.
-struct router_place {
-    std::size_t index = 0;  ///< From 0.
-    std::size_t count = 1;  ///< Of all routers, at least 1.
+/// The shares of one router. Every router computes the same division from the list of routers. A
+/// share depends on the engine and the routers alone: while routers don't know of the same engines
+/// yet, no slot belongs to two of them. Not thread-safe.
+class slot_shares {
+  public:
+    /// @param self the router whose shares are computed.
+    explicit slot_shares(base::router_name self) : m_self(std::move(self)) {}
 
-    friend bool operator==(const router_place&, const router_place&) = default;
-};
+    /// Sets the routers that share the slots. `self` is added if it is missing.
+    void set_routers(std::vector<base::router_name> present);
+    /// @return the number of the engine's slots that belong to the router.
+    std::uint32_t share_of(const base::engine_name& engine, std::uint32_t slots) const;
 
-/// Slots are dealt to routers in turn, over all engines of the pool, so that the shares of any two
-/// routers differ by one slot at most. Thread-safe.
-/// @param slots_before slots of the engines that precede the engine in the pool's order.
-/// @param slots of the engine.
-/// @return the number of the engine's slots that belong to the router.
-inline std::uint32_t slot_share(const router_place& router, std::uint64_t slots_before,
-                                std::uint32_t slots) {
-    const std::uint64_t first = slots_before % router.count;
-    const std::uint64_t gap = (router.index + router.count - first) % router.count;
-    return gap >= slots ? 0 : static_cast<std::uint32_t>((slots - gap - 1) / router.count + 1);
-}
+  private:
+    base::router_name m_self;
+    std::vector<base::router_name> m_others;
+};
 
 }  // namespace ferryroad::core::admission
--- a/src/ferryroad/peer/call_codec.cpp
+++ b/src/ferryroad/peer/call_codec.cpp
@@ -147,19 +147,28 @@
     wire_body operator()(const quota_request& body) const {
         const auto& ask = body.ask;
         const auto subject = write_text(builder, ask.subject.name);
+        offset<wire::SlotUse> slots;
+        if (ask.slots) {
+            const auto pending = builder.CreateVector(ask.slots->pending);
+            slots = wire::CreateSlotUse(builder, ask.slots->process_start_ms, ask.slots->listed,
+                                        ask.slots->running, ask.slots->rejected,
+                                        ask.slots->rejection_limit, to_wire_milliseconds(ask.wait),
+                                        ask.slots->asker_process, ask.slots->number, pending);
+        }
         return {wire::CallBody::QuotaRequest,
                 wire::CreateQuotaRequest(builder, body.number, subject, ask.amount,
                                          ask.limit.revision.value, ask.limit.per_second,
                                          ask.limit.burst, ask.known_askers,
                                          static_cast<wire::QuotaSubjectKind>(ask.subject.kind),
-                                         ask.uncounted, to_wire_milliseconds(ask.limit_age))
+                                         ask.uncounted, to_wire_milliseconds(ask.limit_age), slots)
                     .Union()};
     }
     wire_body operator()(const quota_grant& body) const {
         return {wire::CallBody::QuotaGrant,
                 wire::CreateQuotaGrant(builder, body.number, body.verdict.granted,
                                        to_wire_milliseconds(body.verdict.retry_after),
-                                       body.verdict.askers)
+                                       body.verdict.askers, body.verdict.decided, body.verdict.room,
+                                       body.verdict.queued)
                     .Union()};
     }
     wire_body operator()(const empty& /*body*/) const {
@@ -307,11 +316,31 @@
         const coordination::quota::rate_limit limit{base::revision(body.configuration_revision()),
                                                     fields.amount(body.per_second()),
                                                     fields.amount(body.burst())};
-        fields.require(limit.per_second > 0, "a rate above 0");
-        return quota_request{body.number(),
-                             {quota_subject(body), fields.amount(body.amount()), limit,
-                              body.known_askers(), fields.amount(body.uncounted()),
-                              std::chrono::milliseconds(body.limit_age_milliseconds())}};
+        fields.require(limit.per_second > 0 || body.slots() != nullptr, "a rate above 0 or slots");
+        return quota_request{
+            body.number(),
+            {quota_subject(body), fields.amount(body.amount()), limit, body.known_askers(),
+             fields.amount(body.uncounted()),
+             std::chrono::milliseconds(body.limit_age_milliseconds()), slot_use(body.slots()),
+             std::chrono::milliseconds(
+                 body.slots() == nullptr ? 0 : body.slots()->wait_milliseconds())}};
+    }
+    static std::optional<coordination::quota::slot_use> slot_use(const wire::SlotUse* field) {
+        if (field == nullptr) {
+            return std::nullopt;
+        }
+        coordination::quota::slot_use use{field->process_start_milliseconds(),
+                                          field->listed(),
+                                          field->running(),
+                                          field->rejected(),
+                                          field->rejection_limit(),
+                                          field->sender_process(),
+                                          field->number(),
+                                          {}};
+        if (const auto* pending = field->pending()) {
+            use.pending.assign(pending->begin(), pending->end());
+        }
+        return use;
     }
     coordination::quota::quota_subject quota_subject(const wire::QuotaRequest& body) const {
         if (body.kind() == wire::QuotaSubjectKind::engine) {
@@ -321,9 +350,9 @@
         return fields.name<base::tenant_name>(body.subject());
     }
     call_body read(const wire::QuotaGrant& body) const {
-        return quota_grant{
-            body.number(),
-            {body.granted(), std::chrono::milliseconds(body.retry_milliseconds()), body.askers()}};
+        return quota_grant{body.number(),
+                           {body.granted(), std::chrono::milliseconds(body.retry_milliseconds()),
+                            body.askers(), body.decided(), body.queued(), body.room()}};
     }
     call_body read(const wire::Empty& /*body*/) const { return empty{}; }
 
--- a/src/ferryroad/quotas/quota_service.cpp
+++ b/src/ferryroad/quotas/quota_service.cpp
@@ -8,18 +8,15 @@
 quota_service::quota_service(runtime::scheduler& scheduler, base::router_name self, ask_router ask,
                              quota_settings settings)
     : m_scheduler(scheduler),
-      m_self(std::move(self)),
-      m_ask(std::move(ask)),
       m_settings(settings),
-      m_ledger(scheduler.now(), settings.ledger) {
-    m_homes.declare({m_self});
-}
+      m_homes(scheduler, std::move(self), std::move(ask),
+              [this](const auto& asker, const auto& question, const auto&) {
+                  return decide_for(asker, question);
+              }),
+      m_ledger(scheduler.now(), settings.ledger) {}
 
 void quota_service::set_routers(std::vector<base::router_name> present) {
-    if (std::find(present.begin(), present.end(), m_self) == present.end()) {
-        present.push_back(m_self);
-    }
-    m_homes.declare(std::move(present));
+    m_homes.set_routers(std::move(present));
 }
 
 void quota_service::expect_routers(std::size_t expected) {
@@ -34,11 +31,13 @@
                        evidence.limit_age};
     question.known_askers = known_askers(question.subject);
     for (std::size_t attempt = 0; attempt < m_settings.max_attempts; ++attempt) {
-        const auto home = m_homes.home_of(question.subject, m_scheduler.now());
+        const auto home = m_homes.homes().home_of(question.subject, m_scheduler.now());
         if (!home) {
             break;
         }
-        const auto verdict = co_await ask(*home, question);
+        base::router_name target = *home;
+        quota_ask sent = question;
+        const auto verdict = co_await m_homes.ask(std::move(target), std::move(sent));
         if (verdict) {
             record_askers(question.subject, verdict->askers);
             co_return quota_decision{*verdict, *home};
@@ -52,27 +51,10 @@
     return m_ledger.decide(asker, question, m_scheduler.now());
 }
 
-runtime::task<std::optional<quota_verdict>> quota_service::ask(base::router_name home,
-                                                               quota_ask question) {
-    if (home == m_self) {
-        co_return decide_for(m_self, question);
-    }
-    ++m_counters.asks_sent;
-    base::router_name target = home;
-    const auto verdict = co_await m_ask(std::move(target), std::move(question));
-    if (verdict) {
-        m_homes.answered(home);
-    } else {
-        ++m_counters.asks_unanswered;
-        m_homes.silent(home, m_scheduler.now());
-    }
-    co_return verdict;
-}
-
 quota_verdict quota_service::decide_locally(const quota_ask& question) {
     ++m_counters.own_share_decided;
-    const std::size_t share_count =
-        std::max<std::size_t>({1, question.known_askers, m_homes.size(), m_expected_routers});
+    const std::size_t share_count = std::max<std::size_t>(
+        {1, question.known_askers, m_homes.homes().size(), m_expected_routers});
     return m_own_shares.decide(question, share_count, m_scheduler.now(), m_scheduler.random());
 }
 
--- a/src/ferryroad/quotas/quota_service.hpp
+++ b/src/ferryroad/quotas/quota_service.hpp
@@ -5,22 +5,18 @@
 #pragma once
 
 #include "ferryroad/coordination/quota/equal_shares.hpp"
-#include "ferryroad/coordination/quota/quota_homes.hpp"
 #include "ferryroad/coordination/quota/quota_ledger.hpp"
+#include "ferryroad/quotas/home_client.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
 
 namespace ferryroad::quotas {
 
-using coordination::quota::quota_ask;
-using coordination::quota::quota_subject;
-using coordination::quota::quota_verdict;
 using coordination::quota::rate_limit;
 
 struct quota_settings {
@@ -46,17 +42,10 @@
 };
 
 struct quota_counters {
-    std::uint64_t asks_sent = 0;
-    std::uint64_t asks_unanswered = 0;
     std::uint64_t asks_decided = 0;       ///< As home, for other routers and for this one.
     std::uint64_t own_share_decided = 0;  ///< By this router's own share, as no home answered.
 };
 
-/// Asks another router for a verdict. @return nothing if it doesn't answer in time; the timeout is
-/// a small part of the time that callers wait.
-using ask_router =
-    std::function<runtime::task<std::optional<quota_verdict>>(base::router_name, quota_ask)>;
-
 /// Not thread-safe: used from the event loop's thread only. Must outlive the requests that it
 /// counts; the scheduler must outlive it.
 class quota_service {
@@ -78,6 +67,8 @@
     quota_verdict decide_for(const base::router_name& asker, const quota_ask& question);
 
     const quota_counters& counters() const { return m_counters; }
+    /// @return the asks to other routers.
+    const home_counters& asks() const { return m_homes.counters(); }
     /// @return number of subjects that this router counts as home.
     std::size_t counted_subjects() const { return m_ledger.size(); }
 
@@ -90,17 +81,14 @@
 
     std::uint32_t known_askers(const quota_subject& subject) const;
     void record_askers(const quota_subject& subject, std::uint32_t count);
-    runtime::task<std::optional<quota_verdict>> ask(base::router_name home, quota_ask question);
     /// Decides by this router's own share.
     quota_verdict decide_locally(const quota_ask& question);
     /// Removes subjects that haven't been asked about for long, once per `reclaim_period`.
     void reclaim();
 
     runtime::scheduler& m_scheduler;
-    base::router_name m_self;
-    ask_router m_ask;
     quota_settings m_settings;
-    coordination::quota::quota_homes m_homes;
+    home_client m_homes;
     coordination::quota::quota_ledger m_ledger;
     coordination::quota::equal_shares m_own_shares;
     std::unordered_map<quota_subject, reported_askers, coordination::quota::quota_subject_hash>
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -84,7 +84,10 @@
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
     engine_statements stated;
     engine_limit limit;
-    base::monotonic_time paused_until{};  ///< No request is sent before, due to the limit.
+    base::monotonic_time paused_until{};      ///< No request is sent before, due to the limit.
+    std::vector<std::uint64_t> slot_asks;     ///< Asks for slots that wait for an answer.
+    std::uint32_t unreported_rejections = 0;  ///< Not reported to the router that counts slots.
+    base::monotonic_time full_until{};        ///< A slot was refused; no other is asked for before.
     /// When requests were sent to the engine recently that no router counted against its limit.
     std::vector<base::monotonic_time> uncounted_sends;
 
--- a/src/ferryroad/relay/quota_datagrams.cpp
+++ b/src/ferryroad/relay/quota_datagrams.cpp
@@ -1,10 +1,7 @@
 #include "ferryroad/relay/quota_datagrams.hpp"
 
 #include "ferryroad/peer/codec.hpp"
-#include "ferryroad/runtime/boot_clock.hpp"
-
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "ferryroad/quotas/pending_verdict.hpp"
 
 #include <utility>
 
@@ -20,25 +17,14 @@
         : m_owner(owner),
           m_home(std::move(home)),
           m_number(owner.m_next_number++),
-          m_timer(owner.m_scheduler.executor()) {
+          m_verdict(owner.m_scheduler.executor()) {
         m_owner.m_pending.emplace(m_number, this);
     }
     ~pending_ask() { m_owner.m_pending.erase(m_number); }
     pending_ask(const pending_ask&) = delete;
     pending_ask& operator=(const pending_ask&) = delete;
 
-    /// Returns once the answer has arrived or `timeout` has passed.
-    runtime::task<std::optional<quota_verdict>> wait(base::duration timeout) {
-        m_timer.expires_after(timeout);
-        if (!m_verdict) {
-            co_await m_timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-        }
-        co_return m_verdict;
-    }
-    void resolve(const quota_verdict& verdict) {
-        m_verdict = verdict;
-        m_timer.cancel();
-    }
+    quotas::pending_verdict& verdict() { return m_verdict; }
     std::uint64_t number() const { return m_number; }
     const base::router_name& home() const { return m_home; }
 
@@ -46,17 +32,16 @@
     quota_datagrams& m_owner;
     base::router_name m_home;
     std::uint64_t m_number;
-    runtime::boot_timer m_timer;
-    std::optional<quota_verdict> m_verdict;
+    quotas::pending_verdict m_verdict;
 };
 
 quota_datagrams::quota_datagrams(runtime::scheduler& scheduler, peer::transport& transport,
-                                 base::router_name self, ask_handler handler,
+                                 base::router_name self, quotas::decide_as_home handler,
                                  base::duration answer_timeout)
     : m_scheduler(scheduler),
       m_transport(transport),
       m_self(std::move(self)),
-      m_ask_handler(std::move(handler)),
+      m_decide(std::move(handler)),
       m_answer_timeout(answer_timeout),
       // A random first number tells this process's requests from those of an earlier process of the
       // same name, whose answers may still arrive.
@@ -75,9 +60,15 @@
     if (address == m_addresses.end()) {
         co_return std::nullopt;
     }
+    const base::duration wait = question.wait;
     pending_ask pending(*this, std::move(home));
     send(address->second, peer::quota_request{pending.number(), std::move(question)});
-    co_return co_await pending.wait(m_answer_timeout);
+    const auto first = co_await pending.verdict().wait(m_answer_timeout);
+    if (!first || !first->queued) {
+        co_return first;
+    }
+    const auto second = co_await pending.verdict().wait(wait + m_answer_timeout);
+    co_return second ? second : first;
 }
 
 void quota_datagrams::send(const base::endpoint& to, peer::call_body body) {
@@ -91,8 +82,10 @@
         return;
     }
     if (const auto* request = std::get_if<peer::quota_request>(&message->body)) {
-        send(from,
-             peer::quota_grant{request->number, m_ask_handler(message->sender, request->ask)});
+        const auto answer = [this, from, number = request->number](const quota_verdict& verdict) {
+            send(from, peer::quota_grant{number, verdict});
+        };
+        answer(m_decide(message->sender, request->ask, answer));
         return;
     }
     const auto* grant = std::get_if<peer::quota_grant>(&message->body);
@@ -102,7 +95,7 @@
     }
     const auto pending = m_pending.find(grant->number);
     if (pending != m_pending.end() && pending->second->home() == message->sender) {
-        pending->second->resolve(grant->verdict);
+        pending->second->verdict().resolve(grant->verdict);
     }
 }
 
--- a/src/ferryroad/relay/quota_datagrams.hpp
+++ b/src/ferryroad/relay/quota_datagrams.hpp
@@ -5,6 +5,7 @@
 
 #include "ferryroad/peer/messages.hpp"
 #include "ferryroad/peer/transport.hpp"
+#include "ferryroad/quotas/home_client.hpp"
 #include "ferryroad/relay/peer_group.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
@@ -18,10 +19,6 @@
 
 namespace ferryroad::relay {
 
-/// Answers a request of another router, which is named by the first argument.
-using ask_handler = std::function<coordination::quota::quota_verdict(
-    const base::router_name&, const coordination::quota::quota_ask&)>;
-
 /// Sends this router's requests for quota to the router that counts (the home) and answers those of
 /// other routers. Not thread-safe: to be used from the event loop's thread. Must outlive its
 /// pending requests; scheduler and transport must outlive it.
@@ -30,7 +27,7 @@
     /// @param answer_timeout after which a router counts as silent. It is several times the round
     /// trip between zones, and a small part of the time that any caller waits.
     quota_datagrams(runtime::scheduler& scheduler, peer::transport& transport,
-                    base::router_name self, ask_handler handler,
+                    base::router_name self, quotas::decide_as_home handler,
                     base::duration answer_timeout = std::chrono::milliseconds(40));
 
     /// Sets the routers that are present, with their addresses.
@@ -38,8 +35,8 @@
     /// Handles a datagram with a request or an answer; counts it where it is malformed.
     void handle_datagram(const base::endpoint& from, std::string_view bytes);
     /// Sends a request to a router and waits for the answer.
-    /// @return the answer, or nothing where the router's address is unknown or no answer came in
-    /// time.
+    /// @return the last answer, or nothing where the router's address is unknown or no answer came
+    /// in time. A queued request waits for a second answer as long as it asked to.
     runtime::task<std::optional<coordination::quota::quota_verdict>> ask(
         base::router_name home, coordination::quota::quota_ask question);
 
@@ -54,7 +51,7 @@
     runtime::scheduler& m_scheduler;
     peer::transport& m_transport;
     base::router_name m_self;
-    ask_handler m_ask_handler;
+    quotas::decide_as_home m_decide;
     base::duration m_answer_timeout;
     std::map<base::router_name, base::endpoint> m_addresses;
     std::unordered_map<std::uint64_t, pending_ask*> m_pending;  ///< By the request's number.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -16,6 +16,7 @@
 #include "ferryroad/relay/dispatch_preconditions.hpp"
 #include "ferryroad/relay/engine_limits.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
+#include "ferryroad/relay/engine_slots.hpp"
 #include "ferryroad/relay/exchange_evidence.hpp"
 #include "ferryroad/relay/exchange_timing.hpp"
 #include "ferryroad/relay/policy_source.hpp"
@@ -79,6 +80,8 @@
     const core::reachability::engine_paths* paths = nullptr;
     /// Knows at which software version resumed streams began; may be null.
     stream_origins* origins = nullptr;
+    /// Grants slots of engines that limit their rejections; may be null.
+    engine_slots* slots = nullptr;
 };
 
 /// How a request ended, for logs and metrics.
@@ -251,31 +254,55 @@
     /// Selects an engine. If those of the pool limit their rejections and none has room, waits a
     /// little until one has.
     runtime::task<bool> select_with_room(selection_query query) {
+        const base::monotonic_time began = m_dependencies.scheduler.now();
         const base::duration target = m_plan.matched_route->target_latency;
-        const base::monotonic_time until =
-            m_dependencies.scheduler.now() +
-            base::from_seconds(base::to_seconds(target) * m_tunables.room_wait_share);
+        m_wait_for_room_until =
+            began + base::from_seconds(base::to_seconds(target) * m_tunables.room_wait_share);
+        m_slots_refused = 0;
         for (;;) {
             const bool selected = co_await select_permitted(query);
-            if (selected || !limits_rejections() || m_dependencies.scheduler.now() >= until) {
+            if (selected || !limits_rejections() || !may_ask_for_slot()) {
+                log_wait_for_room(selected, m_dependencies.scheduler.now() - began);
                 co_return selected;
             }
             m_waited_for_room = true;
-            co_await m_dependencies.scheduler.sleep_for(m_tunables.room_check_interval);
+            const double spread = 0.5 + m_dependencies.scheduler.random().unit();
+            co_await m_dependencies.scheduler.sleep_for(
+                base::from_seconds(base::to_seconds(m_tunables.room_check_interval) * spread));
         }
     }
 
+    bool may_ask_for_slot() const {
+        const bool in_time = m_dependencies.scheduler.now() < m_wait_for_room_until;
+        return m_slots_refused < m_tunables.max_slot_attempts &&
+               (in_time || (m_slots_refused == 0 && !m_waited_for_room));
+    }
+
+    void log_wait_for_room(bool selected, base::duration waited) const {
+        if (m_slots_refused == 0 && !m_waited_for_room) {
+            return;
+        }
+        runtime::log(runtime::log_level::info, component, "waited for a slot of an engine",
+                     {{"request_id", m_plan.call->id.value},
+                      {"pool", m_plan.pool.value},
+                      {"refusals", std::to_string(m_slots_refused)},
+                      {"waited_ms", std::to_string(base::to_milliseconds(waited))},
+                      {"engine", selected ? m_selected.target.name.value : "none"}});
+    }
+
     /// Selects an engine for a stream that was begun. Few engines may have its software version, so
     /// those that failed before are considered again, and engines that recover are waited for.
     runtime::task<bool> select_for_continuation(selection_query query) {
         query.excluded.clear();
         const base::monotonic_time until = std::min(
             m_plan.deadline, m_dependencies.scheduler.now() + m_tunables.continuation_wait);
+        m_wait_for_room_until = until;
         const auto backoff_end = first_backoff_end();
         while (m_dependencies.scheduler.now() < until && may_be_sent() &&
                (!backoff_end || *backoff_end < until) &&
                m_dependencies.selection.has_engine_with(m_plan.pool, *m_begun_at)) {
             co_await m_dependencies.scheduler.sleep_for(m_tunables.continuation_check_interval);
+            m_slots_refused = 0;
             if (co_await select_permitted(query)) {
                 co_return true;
             }
@@ -294,11 +321,15 @@
         return m_dependencies.registry.rejection_limit(m_plan.pool).has_value();
     }
 
-    /// Selects an engine, and asks for a permit if it has a request limit. After too many refused
-    /// permits only engines without a limit are selected.
+    /// Selects an engine, and asks for a permit if it has a request limit, and for a slot if it
+    /// limits its rejections. After too many refused permits only engines without a limit are
+    /// selected.
     /// @return whether `m_selected` may get the request.
     runtime::task<bool> select_permitted(selection_query query) {
-        for (std::uint32_t refused = 0;; ++refused) {
+        const std::uint32_t refused_before = m_slots_refused;
+        std::uint32_t refused = 0;
+        while (may_ask_for_slot() &&
+               m_slots_refused - refused_before < m_tunables.slot_attempts_per_selection) {
             query.without_limit = refused >= m_tunables.max_permit_attempts;
             auto chosen = choose_engine(query, m_dependencies.scheduler.now());
             if (!chosen) {
@@ -307,10 +338,15 @@
             m_selected = std::move(*chosen);
             co_await acquire_permit();
             if (m_permit.granted) {
+                co_await acquire_slot();
+            }
+            if (m_permit.granted && m_slot.granted) {
                 co_return true;
             }
+            refused += m_permit.granted ? 0 : 1;
             undo_canary();
         }
+        co_return false;
     }
 
     /// Asks for a permit to send the request to the selected engine.
@@ -323,6 +359,21 @@
         }
     }
 
+    /// Asks for a slot of the selected engine. The first engines are not waited for, as another one
+    /// may have room.
+    runtime::task<void> acquire_slot() {
+        m_slot = {};
+        if (m_dependencies.slots == nullptr) {
+            co_return;
+        }
+        const base::duration left = m_wait_for_room_until - m_dependencies.scheduler.now();
+        const bool waits = m_slots_refused >= m_tunables.slot_attempts_without_wait;
+        const base::duration wait = waits ? std::max(left, base::duration{}) : base::duration{};
+        base::engine_name name = m_selected.target.name;
+        m_slot = co_await m_dependencies.slots->acquire(std::move(name), wait);
+        m_slots_refused += m_slot.granted || m_slot.by_own_share ? 0 : 1;
+    }
+
     /// Checks the preconditions again, as opening the connection took time since the engine was
     /// selected.
     last_look check_before_sending() {
@@ -513,6 +564,9 @@
                          {{"pool", m_plan.pool.value},
                           {"per_second", limit ? std::to_string(*limit) : "none"},
                           {"engine", m_selected.target.name.value}});
+            if (m_dependencies.slots != nullptr) {
+                m_dependencies.slots->report_all();
+            }
         }
     }
 
@@ -600,7 +654,11 @@
         record_rejection_limit(failure.rejection_limit);
         if (known_engine* engine = own_path ? nullptr : current_engine()) {
             record_dispatch_failure(*engine, failure, has_outdated_weights(*engine), m_tunables,
-                                    now);
+                                    now, !m_slot.counted_by.value.empty());
+            if (failure.kind == execution::failure_kind::overloaded && m_dependencies.slots &&
+                !has_outdated_weights(*engine)) {
+                m_dependencies.slots->rejected(*engine);
+            }
         }
         runtime::log(runtime::log_level::warning, component,
                      failure.lost ? "dispatch not sent" : "dispatch failed",
@@ -634,7 +692,9 @@
                       {"slots", std::to_string(m_selected.slots)},
                       {"running_known", std::to_string(m_selected.running)},
                       {"running_here", std::to_string(running_at_engine())},
-                      {"rejection_limit", limit ? std::to_string(*limit) : "none"}});
+                      {"rejection_limit", limit ? std::to_string(*limit) : "none"},
+                      {"counted_by", m_slot.counted_by.value.empty() ? std::string("none")
+                                                                     : m_slot.counted_by.value}});
     }
 
     /// @return whether the exchange used this router's own path to the engine, and that is lost.
@@ -693,7 +753,11 @@
     void end_exchange() {
         m_admission.ended();
         m_answer.reset();
+        const bool was_sent = m_load.has_value();
         m_load.reset();
+        if (was_sent && m_dependencies.slots != nullptr) {
+            m_dependencies.slots->released(m_selected.target.name);
+        }
     }
 
     // ---- Answer ----
@@ -947,6 +1011,10 @@
     std::deque<execution::action> m_pending;
     selected_engine m_selected;
     send_permit m_permit;  ///< For the selected engine.
+    slot_permit m_slot;    ///< For the selected engine.
+    /// Slots that the routers that count refused since the selection began.
+    std::uint32_t m_slots_refused = 0;
+    base::monotonic_time m_wait_for_room_until{};
     std::optional<engine_load> m_load;
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -199,6 +199,18 @@
     set("ferryroad_relay_engine_limit_asks_unanswered",
         "Asks for permits that were not answered in time.",
         static_cast<double>(now.limit_asks_unanswered));
+    set("ferryroad_relay_engine_slots_granted", "Slots granted of engines that limit rejections.",
+        static_cast<double>(now.engine_slots.granted));
+    set("ferryroad_relay_engine_slots_refused", "Slots refused of engines that limit rejections.",
+        static_cast<double>(now.engine_slots.refused));
+    set("ferryroad_relay_engine_slots_own_share", "Of both, decided by this router's own share.",
+        static_cast<double>(now.engine_slots.own_share));
+    set("ferryroad_relay_engine_slots_asks_unanswered",
+        "Asks for slots that were not answered in time.",
+        static_cast<double>(now.slot_asks_unanswered));
+    set("ferryroad_relay_engine_rejections",
+        "Requests rejected by engines that limit their rejections.",
+        static_cast<double>(now.engine_slots.rejections));
     set("ferryroad_relay_active_requests", "Requests being served.",
         static_cast<double>(now.active_requests));
     set("ferryroad_relay_shed_share", "Share of streams refused as engines are short, 0 to 1.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -38,6 +38,8 @@
     forwarding_server_counters forwarding;
     std::size_t engines_limited = 0;  ///< Engines that state a request limit.
     engine_limit_counters engine_limits;
+    engine_slot_counters engine_slots;
+    std::uint64_t slot_asks_unanswered = 0;   ///< Asks for slots that no router answered in time.
     std::uint64_t limit_asks_unanswered = 0;  ///< Asks for permits that no router answered in time.
     double shed_share = 0;  ///< Share of streams shed in the pool with the highest share, 0 to 1.
     std::uint64_t quota_asks = 0;             ///< Requests another router was asked to count.
--- a/src/ferryroad/relay/relay_plan.cpp
+++ b/src/ferryroad/relay/relay_plan.cpp
@@ -45,9 +45,9 @@
 
 namespace {
 
-base::duration refusal_backoff_after(const dispatch_failure& failure, bool outdated,
+base::duration refusal_backoff_after(const dispatch_failure& failure, bool outdated, bool counted,
                                      const driver_tunables& tunables) {
-    const bool limited = failure.rejection_limit && failure.rejection_limit->per_second;
+    const bool limited = !counted && failure.rejection_limit && failure.rejection_limit->per_second;
     const base::duration backoff = outdated ? tunables.loading_backoff : tunables.refusal_backoff;
     return limited ? std::max(backoff, tunables.limited_rejection_backoff) : backoff;
 }
@@ -55,10 +55,12 @@
 }  // namespace
 
 void record_dispatch_failure(known_engine& engine, const dispatch_failure& failure, bool outdated,
-                             const driver_tunables& tunables, base::monotonic_time now) {
+                             const driver_tunables& tunables, base::monotonic_time now,
+                             bool counted) {
     switch (failure.kind) {
         case execution::failure_kind::overloaded:
-            engine.refuses_until = now + refusal_backoff_after(failure, outdated, tunables);
+            engine.refuses_until =
+                now + refusal_backoff_after(failure, outdated, counted, tunables);
             return;
         case execution::failure_kind::stale_target:
             if (!failure.version) {
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -36,13 +36,13 @@
     base::duration refusal_backoff = std::chrono::milliseconds(150);
     /// The same if the engine is most likely loading new weights.
     base::duration loading_backoff = std::chrono::milliseconds(1000);
-    /// The same if the engine limits its rejections per second.
+    /// The same if the engine limits its rejections per second and no router counts its slots.
     base::duration limited_rejection_backoff = std::chrono::milliseconds(1000);
     /// How long a request waits for room at engines that limit their rejections, as a share of the
     /// route's target latency.
     double room_wait_share = 0.45;
-    /// Time between two selections of a request that waits for room.
-    base::duration room_check_interval = std::chrono::milliseconds(10);
+    /// Mean time between two selections of a request that waits for room.
+    base::duration room_check_interval = std::chrono::milliseconds(20);
     /// How long an engine is not selected after another process answered at its address.
     base::duration misdirected_backoff = std::chrono::seconds(3);
     /// An exchange that breaks sooner was most likely sent over a pooled connection to an engine
@@ -56,6 +56,15 @@
     /// refused; then only engines without a limit are selected. Each ask takes the time of a
     /// datagram to another router and back.
     std::uint32_t max_permit_attempts = 4;
+    /// Slots of engines that limit their rejections that are asked for per request, if all are
+    /// refused.
+    std::uint32_t max_slot_attempts = 8;
+    /// Slots that are asked for without waiting for them to become free, as another engine may have
+    /// a free one.
+    std::uint32_t slot_attempts_without_wait = 3;
+    /// Slots that are asked for per selection. Routers that see the same loads ask the same
+    /// engines; those that are refused spread out until they select again.
+    std::uint32_t slot_attempts_per_selection = 4;
     /// Maximum size of a non-streaming answer, and of one stream event, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
     /// Callers that are refused as all engines back off are told to retry within this time after
@@ -100,7 +109,9 @@
 /// Records a failed dispatch in the state of the engine that it was sent to.
 /// @param outdated whether the engine has older weights of the request's model than the newest
 /// version announced: a refusal then most likely means that it is loading newer ones.
+/// @param counted whether a router counted the slot that the request was to use.
 void record_dispatch_failure(known_engine& engine, const dispatch_failure& failure, bool outdated,
-                             const driver_tunables& tunables, base::monotonic_time now);
+                             const driver_tunables& tunables, base::monotonic_time now,
+                             bool counted = false);
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -2,7 +2,6 @@
 
 #include "ferryroad/base/hash.hpp"
 #include "ferryroad/core/placement/state_stores.hpp"
-#include "ferryroad/relay/room_shares.hpp"
 
 #include <algorithm>
 #include <set>
@@ -273,7 +272,7 @@
 std::vector<engine_selection::eligible_engine> engine_selection::eligible_engines(
     const selection_query& query, scoped_prompts& prompts, base::monotonic_time now) const {
     const auto loads = m_loads.totals(now);
-    const room_shares room(m_registry, query.pool, m_place, m_unseen_load_factor);
+    const bool limits_rejections = m_registry.rejection_limit(query.pool).has_value();
     release_filter released(m_releases, requests_of(query), now);
     std::vector<eligible_engine> engines;
     for (const known_engine* listed : shortlisted_engines(query, prompts, now)) {
@@ -285,7 +284,9 @@
         }
         const auto found = loads.find(engine.listed.name);
         const auto others = found == loads.end() ? placement::peer_load{} : found->second;
-        if (!room.has_room(engine, others, now)) {
+        const bool lacks_room =
+            now < std::max(engine.full_until, engine.refuses_until) || others.refuses;
+        if (limits_rejections && lacks_room) {
             continue;
         }
         eligible_engine one{&engine, others, nullptr, std::nullopt, std::nullopt};
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -4,7 +4,6 @@
 /// dispatch.
 #pragma once
 
-#include "ferryroad/core/admission/slot_shares.hpp"
 #include "ferryroad/core/placement/begin_forecast.hpp"
 #include "ferryroad/core/placement/engine_draw.hpp"
 #include "ferryroad/core/placement/engine_load_view.hpp"
@@ -137,10 +136,6 @@
     /// @param heard number of routers whose load is received, at least 1.
     void expect_routers(std::size_t present, std::size_t heard);
 
-    /// Sets this router's place among all routers, for its share of the slots of engines that limit
-    /// their rejections.
-    void set_router_place(core::admission::router_place place) { m_place = place; }
-
     /// Records the latency to a zone.
     /// @param took time until an engine of the zone began its answer to a request without a prompt.
     void record_path_latency(const base::zone_name& zone, base::duration took,
@@ -339,7 +334,6 @@
     core::topology::zone_latency_estimator m_paths;
     std::function<bool(const base::endpoint&)> m_is_connected;
     std::function<bool()> m_knows_holders;
-    core::admission::router_place m_place;
     double m_unseen_load_factor = 1;  ///< Applied to the load of engines; see `expect_routers`.
 };
 
--- a/test/peer/sample_messages.hpp
+++ b/test/peer/sample_messages.hpp
@@ -69,7 +69,18 @@
                          core::prefix::prefix_change::events_lost,
                          core::prefix::evidence::event}}},
         quota_request{17, {base::tenant_name("tenant-a"), 12.5, {base::revision(9), 30, 40.5}, 4}},
+        quota_request{
+            18,
+            {base::engine_name("engine-1"),
+             1,
+             {},
+             0,
+             0,
+             {},
+             coordination::quota::slot_use{1'700'000'000'000, 16, 3, 2, 5, 77, 12, {9, 11}},
+             std::chrono::milliseconds(250)}},
         quota_grant{17, {false, std::chrono::milliseconds(900), 6}},
+        quota_grant{18, {false, {}, 6, false, true, 9}},
         empty{}};
     std::vector<call> calls;
     for (const call_body& body : bodies) {
--- a/test/relay/quota_datagrams_test.cpp
+++ b/test/relay/quota_datagrams_test.cpp
@@ -29,7 +29,7 @@
           transport(network, self.address),
           datagrams(
               loop.scheduler, transport, self.name,
-              [this](const auto& asker, const auto& question) {
+              [this](const auto& asker, const auto& question, const auto&) {
                   return quotas.decide_for(asker, question);
               },
               20ms),
@@ -136,7 +136,7 @@
     cr_assert(decided.verdict.granted);
     cr_assert_neq(decided.counted_by, home.self.name);
     at.count(asking, 1);
-    cr_assert_eq(at.routers[asking]->quotas.counters().asks_unanswered, 3,
+    cr_assert_eq(at.routers[asking]->quotas.asks().asks_unanswered, 3,
                  "a silent router must not be asked again");
 }
 
