Log the prompt parts of a failed dispatch

'dispatch failed' names the digests of the shared parts of the request's prompt, so that what the requests at crashed engines have in common can be read from the lines.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -664,6 +664,7 @@
                      failure.lost ? "dispatch not sent" : "dispatch failed",
                      {{"request_id", m_plan.call->id.value},
                       {"digest", core::quarantine::to_string(m_plan.identity)},
+                      {"parts", core::quarantine::to_string(m_plan.parts)},
                       {"engine", m_selected.target.name.value},
                       {"reason", failure.message},
                       {"lost", failure.lost ? std::string(to_string(*failure.lost)) : "none"},
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/core/execution/request_execution.hpp"
+#include "ferryroad/core/quarantine/part_identity.hpp"
 #include "ferryroad/core/quarantine/request_identity.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace ferryroad::relay {
 
@@ -94,6 +96,8 @@
     /// Software version that began the stream which the caller resumes, if any.
     std::optional<coordination::release::software_version> begun_at;
     core::quarantine::request_identity identity;  ///< Shared by repeats of the request.
+    /// Parts of the prompt that other requests share.
+    std::vector<core::quarantine::part_identity> parts;
 };
 
 /// @return whether the route's requests may run more than once. Thread-safe, as are all functions
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -228,6 +228,9 @@
         const bool own_priority = plan.tenant != nullptr && plan.tenant->priority;
         plan.priority = own_priority ? *plan.tenant->priority : plan.matched_route->priority;
         plan.identity = identity_of(plan);
+        if (call->prompt) {
+            plan.parts = core::quarantine::parts_of(*call->prompt);
+        }
         // Repeats of a request have new ids and arrive at any router. Without a check by identity,
         // one repeated request crashed 26 engines behind a fleet of 7 routers.
         if (m_dependencies.quarantine != nullptr) {
