Slots: comparison of ask ids and a parameter as the linter wants them

clang-tidy 14 takes a defaulted three-way comparison for a null pointer, and a callback was copied where a reference does. No change of behaviour.

--- a/src/ferryroad/coordination/quota/slot_ledger.hpp
+++ b/src/ferryroad/coordination/quota/slot_ledger.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 
 namespace ferryroad::coordination::quota {
@@ -52,7 +53,10 @@
     base::router_name asker;
     std::uint64_t number = 0;
 
-    friend auto operator<=>(const slot_ask_id&, const slot_ask_id&) = default;
+    friend bool operator==(const slot_ask_id&, const slot_ask_id&) = default;
+    friend bool operator<(const slot_ask_id& first, const slot_ask_id& second) {
+        return std::tie(first.asker, first.number) < std::tie(second.asker, second.number);
+    }
 };
 
 /// Pure: the verdict depends only on the state, the ask and the time. Not thread-safe.
--- a/src/ferryroad/quotas/slot_service.cpp
+++ b/src/ferryroad/quotas/slot_service.cpp
@@ -9,8 +9,8 @@
     : m_scheduler(scheduler),
       m_ledger(scheduler.now(), tunables),
       m_homes(scheduler, std::move(self), std::move(ask),
-              [this](const auto& asker, const auto& question, later_verdict later) {
-                  return decide_for(asker, question, std::move(later));
+              [this](const auto& asker, const auto& question, const later_verdict& later) {
+                  return decide_for(asker, question, later);
               }) {}
 
 void slot_service::set_routers(std::vector<base::router_name> present) {
