Prompt parts under which engines crash are quarantined

Cause: a crash was charged to whole requests by their content, and such a request comes once. Class: what failures have in common isn't what is remembered of them. Beside it, a request that had brought an event was no candidate while a silent one was in progress.

Change: candidates of a crash carry the shared parts of their prompts (model and part). A part in progress at three crashes, not all with one request, is quarantined by all routers, from the evidence that they exchange already; any success with it clears it, everywhere. Requests that wait at engines with it are withdrawn; after a minute, then two, four, one at a time tries it at one router.

Why it holds: ordinary requests share the other parts, succeed all the time and so clear them; nothing with the bad part ever does.

--- a/src/ferryroad/core/quarantine/crash_suspects.cpp
+++ b/src/ferryroad/core/quarantine/crash_suspects.cpp
@@ -31,6 +31,32 @@
     return static_cast<std::size_t>(named) + crash.unnamed;
 }
 
+bool has_part(const crash_candidate& one, const part_identity& part) {
+    return std::find(one.parts.begin(), one.parts.end(), part) != one.parts.end();
+}
+
+bool has_part(const engine_crash& crash, const part_identity& part) {
+    return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                       [&](const crash_candidate& one) { return has_part(one, part); });
+}
+
+/// @return whether one request with the part was in progress at all of the crashes.
+bool is_one_request_at_all(const std::vector<const engine_crash*>& crashes,
+                           const part_identity& part) {
+    const auto was_in_progress = [&](const engine_crash& crash, const request_identity& request) {
+        return std::any_of(crash.candidates.begin(), crash.candidates.end(), [&](const auto& one) {
+            return one.request == request && has_part(one, part);
+        });
+    };
+    return std::any_of(crashes.front()->candidates.begin(), crashes.front()->candidates.end(),
+                       [&](const crash_candidate& one) {
+                           return std::all_of(crashes.begin(), crashes.end(),
+                                              [&](const auto* crash) {
+                                                  return was_in_progress(*crash, one.request);
+                                              });
+                       });
+}
+
 }  // namespace
 
 bool is_same_crash(const engine_crash& first, const engine_crash& second) {
@@ -39,7 +65,9 @@
 }
 
 crash_suspects::crash_suspects(suspects_tunables tunables)
-    : m_tunables(tunables), m_successes(tunables.success_lifetime) {}
+    : m_tunables(tunables),
+      m_successes(tunables.success_lifetime),
+      m_part_successes(tunables.success_lifetime) {}
 
 bool crash_suspects::record_crash(const engine_crash& report, base::monotonic_time now) {
     drop_expired(now);
@@ -76,8 +104,12 @@
             std::find_if(known.candidates.begin(), known.candidates.end(),
                          [&](const auto& other) { return other.request == one.request; });
         if (same != known.candidates.end()) {
-            has_changes = has_changes || (one.silent && !same->silent);
+            has_changes = has_changes || (one.silent && !same->silent) ||
+                          (same->parts.empty() && !one.parts.empty());
             same->silent = same->silent || one.silent;
+            if (same->parts.empty()) {
+                same->parts = one.parts;
+            }
         } else if (known.candidates.size() < m_tunables.candidates) {
             known.candidates.push_back(one);
             has_changes = true;
@@ -104,6 +136,24 @@
     return known;
 }
 
+std::vector<part_identity> crash_suspects::record_part_successes(
+    const std::vector<part_identity>& parts, base::monotonic_time now) {
+    std::vector<part_identity> cleared;
+    for (const part_identity& part : parts) {
+        m_part_successes.record(part, now);
+        bool known = m_quarantined_parts.erase(part) > 0;
+        for (engine_crash& crash : m_crashes) {
+            for (crash_candidate& one : crash.candidates) {
+                known = std::erase(one.parts, part) > 0 || known;
+            }
+        }
+        if (known) {
+            cleared.push_back(part);
+        }
+    }
+    return cleared;
+}
+
 const quarantined_request* crash_suspects::find(const request_identity& request,
                                                 base::monotonic_time now) {
     evaluate(now);
@@ -149,10 +199,11 @@
             }
         }
         if (worst == nullptr) {
-            return;
+            break;
         }
         quarantine(worst->first, worst->second, now);
     }
+    evaluate_parts(now);
 }
 
 crash_suspects::tallies crash_suspects::count(base::monotonic_time now) const {
@@ -185,7 +236,8 @@
 }
 
 bool crash_suspects::is_explained(const engine_crash& crash) const {
-    return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+    return is_explained_by_part(crash) ||
+           std::any_of(crash.candidates.begin(), crash.candidates.end(),
                        [&](const crash_candidate& one) {
                            const auto found = m_quarantined.find(one.request);
                            return found != m_quarantined.end() && crash.at <= found->second.until &&
@@ -248,4 +300,127 @@
     m_quarantined.erase(oldest);
 }
 
+const quarantined_part* crash_suspects::find_part(const std::vector<part_identity>& parts,
+                                                  base::monotonic_time now) {
+    evaluate(now);
+    for (const part_identity& part : parts) {
+        const auto found = m_quarantined_parts.find(part);
+        if (found != m_quarantined_parts.end()) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
+std::size_t crash_suspects::crashes_with(const part_identity& part) const {
+    return static_cast<std::size_t>(
+        std::count_if(m_crashes.begin(), m_crashes.end(),
+                      [&](const engine_crash& crash) { return has_part(crash, part); }));
+}
+
+std::vector<quarantined_part> crash_suspects::take_newly_quarantined_parts(
+    base::monotonic_time now) {
+    evaluate(now);
+    return std::exchange(m_new_parts, {});
+}
+
+void crash_suspects::evaluate_parts(base::monotonic_time now) {
+    for (;;) {
+        const part_tallies all = count_parts(now);
+        const std::pair<const part_identity, part_tally>* worst = nullptr;
+        // Of parts that always come together the one furthest from the root is the narrowest.
+        const auto rank = [](const auto& entry) {
+            return std::tuple(entry.second.crashes.size(), entry.second.depth, entry.first);
+        };
+        for (const auto& one : all) {
+            const bool is_worse = worst == nullptr || rank(one) > rank(*worst);
+            if (is_worse && should_quarantine_part(one.first, one.second, now)) {
+                worst = &one;
+            }
+        }
+        if (worst == nullptr) {
+            return;
+        }
+        quarantine_part(worst->first, worst->second, now);
+    }
+}
+
+// Crashes that a quarantined request explains count as well: each of several requests with the part
+// may have been quarantined by itself.
+crash_suspects::part_tallies crash_suspects::count_parts(base::monotonic_time now) const {
+    part_tallies all;
+    for (const engine_crash& crash : m_crashes) {
+        if (is_explained_by_part(crash)) {
+            continue;
+        }
+        for (const crash_candidate& one : crash.candidates) {
+            for (std::size_t depth = 0; depth < one.parts.size(); ++depth) {
+                const part_identity& part = one.parts[depth];
+                if (succeeded_recently(part, now)) {
+                    continue;
+                }
+                part_tally& sum = all[part];
+                sum.depth = std::max(sum.depth, depth);
+                if (sum.crashes.empty() || sum.crashes.back() != &crash) {
+                    sum.crashes.push_back(&crash);
+                }
+            }
+        }
+    }
+    return all;
+}
+
+bool crash_suspects::is_explained_by_part(const engine_crash& crash) const {
+    return std::any_of(m_quarantined_parts.begin(), m_quarantined_parts.end(),
+                       [&](const auto& entry) {
+                           return crash.at <= entry.second.until && has_part(crash, entry.first);
+                       });
+}
+
+bool crash_suspects::should_quarantine_part(const part_identity& part, const part_tally& sum,
+                                            base::monotonic_time now) {
+    if (m_quarantined_parts.contains(part)) {
+        return true;
+    }
+    if (sum.crashes.size() < m_tunables.part_crashes || is_one_request_at_all(sum.crashes, part)) {
+        return false;
+    }
+    base::monotonic_time newest{};
+    for (const engine_crash* crash : sum.crashes) {
+        newest = std::max(newest, crash->at);
+    }
+    // Other routers may know that requests with the part succeed.
+    const base::monotonic_time settled = newest + m_tunables.settle;
+    if (now >= settled) {
+        return true;
+    }
+    m_next_evaluation = std::min(settled, m_next_evaluation.value_or(settled));
+    return false;
+}
+
+void crash_suspects::quarantine_part(const part_identity& part, const part_tally& sum,
+                                     base::monotonic_time now) {
+    const auto [place, is_first] = m_quarantined_parts.try_emplace(part);
+    quarantined_part& entry = place->second;
+    const base::duration before = entry.until - entry.since;
+    entry.part = part;
+    entry.since = now;
+    entry.until = now + (is_first ? m_tunables.initial_part_quarantine
+                                  : std::min(2 * before, m_tunables.max_quarantine));
+    entry.times += is_first ? 0 : 1;
+    entry.crashes += static_cast<std::uint32_t>(sum.crashes.size());
+    for (const engine_crash* crash : sum.crashes) {
+        entry.engines.push_back(crash->engine);
+    }
+    m_new_parts.push_back(entry);
+    if (m_quarantined_parts.size() > m_tunables.quarantined) {
+        const auto oldest = std::min_element(
+            m_quarantined_parts.begin(), m_quarantined_parts.end(),
+            [](const auto& a, const auto& b) { return a.second.until < b.second.until; });
+        const part_identity forgotten = oldest->first;
+        m_quarantined_parts.erase(oldest);
+        std::erase_if(m_crashes, [&](const auto& crash) { return has_part(crash, forgotten); });
+    }
+}
+
 }  // namespace ferryroad::core::quarantine
--- a/src/ferryroad/core/quarantine/crash_suspects.hpp
+++ b/src/ferryroad/core/quarantine/crash_suspects.hpp
@@ -1,7 +1,7 @@
 /// @file
 /// Detects requests that crash the engines that run them. Each request that was in progress at an
 /// engine when it crashed is a candidate; a request that is a candidate of several crashes is
-/// quarantined.
+/// quarantined. So is a prompt part that different candidates of several crashes have in common.
 ///
 /// These rules tell the cause of a crash from requests that were merely in progress:
 /// - A request that has produced output is a candidate only if every request in progress had.
@@ -13,6 +13,7 @@
 
 #include "ferryroad/base/ids.hpp"
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/core/quarantine/part_identity.hpp"
 #include "ferryroad/core/quarantine/recent_successes.hpp"
 #include "ferryroad/core/quarantine/request_identity.hpp"
 
@@ -31,6 +32,8 @@
     /// The engine had the request for a short time and had sent nothing of its answer yet. Most
     /// likely the request had just started to run.
     bool silent = true;
+    /// Prompt parts of the request that others share and that may have caused the crash.
+    std::vector<part_identity> parts;
 
     friend bool operator==(const crash_candidate&, const crash_candidate&) = default;
 };
@@ -55,6 +58,15 @@
 /// may be outdated. Thread-safe.
 bool is_same_crash(const engine_crash& first, const engine_crash& second);
 
+/// Requests and prompt parts that an engine survived.
+struct cleared_suspects {
+    std::vector<request_identity> requests;
+    std::vector<part_identity> parts;
+
+    bool empty() const { return requests.empty() && parts.empty(); }
+    friend bool operator==(const cleared_suspects&, const cleared_suspects&) = default;
+};
+
 /// A request that is temporarily not sent to any engine.
 struct quarantined_request {
     request_identity request;
@@ -68,6 +80,19 @@
     friend bool operator==(const quarantined_request&, const quarantined_request&) = default;
 };
 
+/// A prompt part with which requests are temporarily not sent to any engine.
+struct quarantined_part {
+    part_identity part;
+    base::monotonic_time since{};
+    /// From then on one request at a time may find out whether the part still crashes engines.
+    base::monotonic_time until{};
+    std::uint32_t crashes = 0;               ///< Crashes of engines that had it in progress.
+    std::uint32_t times = 1;                 ///< Number of times it has been quarantined.
+    std::vector<base::engine_name> engines;  ///< Engines that crashed with it in progress.
+
+    friend bool operator==(const quarantined_part&, const quarantined_part&) = default;
+};
+
 struct suspects_tunables {
     /// A request is quarantined after this many crashes, whatever else was in progress.
     std::uint32_t certain_crashes = 3;
@@ -87,6 +112,13 @@
     /// crashes another engine afterwards is quarantined at once, for twice as long as before.
     base::duration initial_quarantine = std::chrono::minutes(10);
     base::duration max_quarantine = std::chrono::hours(24);
+    /// A prompt part is quarantined after this many crashes with it in progress, unless one request
+    /// alone was in progress at all of them. It needs no share: a part that others have succeeds
+    /// all the time, which clears it.
+    std::uint32_t part_crashes = 3;
+    /// First quarantine of a part. It is shorter than that of a request, as a part that is
+    /// quarantined wrongly affects many callers.
+    base::duration initial_part_quarantine = std::chrono::minutes(1);
     /// Time for which crashes are remembered. Requests that crash engines less often do little
     /// harm.
     base::duration crash_lifetime = std::chrono::minutes(30);
@@ -96,8 +128,8 @@
     /// 1,200 engines that restart within 2 s, at most about 600 engines crash per second, so that
     /// at least the crashes of the last 1.7 s are kept.
     std::size_t crashes = 1024;
-    std::size_t quarantined = 1024;
-    std::size_t candidates = 64;  ///< Candidates of one crash.
+    std::size_t quarantined = 1024;  ///< Of requests, and of parts.
+    std::size_t candidates = 64;     ///< Candidates of one crash.
     /// Minimum interval between two evaluations of all crashes. One takes 0.23 ms for 1,024 crashes
     /// with three candidates each (mean of 50).
     base::duration evaluation_interval = std::chrono::milliseconds(20);
@@ -116,23 +148,40 @@
     /// candidates of all earlier crashes and from quarantine.
     /// @return whether it was a candidate or quarantined, so that other routers must be notified.
     bool record_success(const request_identity& request, base::monotonic_time now);
+    /// The same for the parts of its prompt. @return those of them that were.
+    std::vector<part_identity> record_part_successes(const std::vector<part_identity>& parts,
+                                                     base::monotonic_time now);
     /// @return whether the request succeeded within `success_lifetime`.
     bool succeeded_recently(const request_identity& request, base::monotonic_time now) const {
         return m_successes.contains(request, now);
     }
+    /// @return whether a request with the part did.
+    bool succeeded_recently(const part_identity& part, base::monotonic_time now) const {
+        return m_part_successes.contains(part, now);
+    }
 
     /// @return the request's quarantine, or null if it may be sent. The pointer is valid until the
     /// next call of a non-const member function.
     const quarantined_request* find(const request_identity& request, base::monotonic_time now);
+    /// @return the quarantine of the first of the parts that has one, even if its time has passed;
+    /// null if none has. The pointer is valid until the next call of a non-const member function.
+    const quarantined_part* find_part(const std::vector<part_identity>& parts,
+                                      base::monotonic_time now);
+    /// @return the number of remembered crashes with the part in progress.
+    std::size_t crashes_with(const part_identity& part) const;
     /// @return whether the request is a candidate of any remembered crash.
     bool is_candidate(const request_identity& request) const;
     /// @return the requests quarantined since the last call.
     std::vector<quarantined_request> take_newly_quarantined(base::monotonic_time now);
-    /// @return when `take_newly_quarantined` may return a request, given the reports so far;
-    /// nothing if none is expected.
+    /// @return the parts quarantined since the last call.
+    std::vector<quarantined_part> take_newly_quarantined_parts(base::monotonic_time now);
+    /// @return when `take_newly_quarantined` or `take_newly_quarantined_parts` may return
+    /// something, given the reports so far; nothing if none is expected.
     std::optional<base::monotonic_time> next_look() const { return m_next_evaluation; }
     /// @return the number of requests in quarantine.
     std::size_t quarantined(base::monotonic_time now) const;
+    /// @return the number of parts in quarantine, including those whose time has passed.
+    std::size_t quarantined_parts() const { return m_quarantined_parts.size(); }
     /// @return the number of crashes remembered.
     std::size_t crashes() const { return m_crashes.size(); }
 
@@ -145,6 +194,11 @@
         base::monotonic_time newest{};
     };
     using tallies = std::unordered_map<request_identity, tally>;
+    struct part_tally {
+        std::vector<const engine_crash*> crashes;
+        std::size_t depth = 0;  ///< Number of parts before it in a prompt, at most.
+    };
+    using part_tallies = std::unordered_map<part_identity, part_tally>;
 
     engine_crash* find_crash(const engine_crash& report);
     /// @return whether the report contained anything new.
@@ -162,13 +216,27 @@
                            base::monotonic_time now);
     void quarantine(const request_identity& request, const tally& sum, base::monotonic_time now);
     void evict_oldest();
+    /// Quarantines the parts that the remembered crashes are enough for.
+    void evaluate_parts(base::monotonic_time now);
+    part_tallies count_parts(base::monotonic_time now) const;
+    /// @return whether the crash is attributed to a part that is or was quarantined.
+    bool is_explained_by_part(const engine_crash& crash) const;
+    /// As `should_quarantine`.
+    bool should_quarantine_part(const part_identity& part, const part_tally& sum,
+                                base::monotonic_time now);
+    void quarantine_part(const part_identity& part, const part_tally& sum,
+                         base::monotonic_time now);
 
     suspects_tunables m_tunables;
-    recent_successes m_successes;
+    recent_successes<request_identity> m_successes;
+    recent_successes<part_identity> m_part_successes;
     std::deque<engine_crash> m_crashes;  ///< In order of the reports.
     /// Includes expired quarantines.
     std::unordered_map<request_identity, quarantined_request> m_quarantined;
     std::vector<quarantined_request> m_new;
+    /// Includes those whose time has passed.
+    std::unordered_map<part_identity, quarantined_part> m_quarantined_parts;
+    std::vector<quarantined_part> m_new_parts;
     std::optional<base::monotonic_time> m_next_evaluation;  ///< Set if an evaluation is due.
     base::monotonic_time m_last_evaluation{};
 };
--- a/src/ferryroad/peer/crash_message.hpp
+++ b/src/ferryroad/peer/crash_message.hpp
@@ -29,20 +29,22 @@
     friend bool operator==(const observed_crash&, const observed_crash&) = default;
 };
 
-/// Crashes observed by the sender, and requests cleared of suspicion.
+/// Crashes observed by the sender, and requests and prompt parts cleared of suspicion.
 struct crash_notice {
     base::router_name sender;
     /// Table owner's clock in milliseconds when the message was written; ages are relative to it. 0
     /// means that ages are relative to the arrival of the message.
     std::uint64_t owner_time = 0;
     std::vector<observed_crash> crashes;
-    std::vector<core::quarantine::request_identity> cleared;  ///< An engine survived them.
+    core::quarantine::cleared_suspects cleared;  ///< An engine survived them.
 
     friend bool operator==(const crash_notice&, const crash_notice&) = default;
 };
 
 /// Number of candidates of one crash, or of cleared requests, that always fits into a datagram.
 inline constexpr std::size_t max_requests_per_crash_datagram = 32;
+/// Number of distinct prompt parts of these candidates that fits, too.
+inline constexpr std::size_t max_parts_per_crash_datagram = 24;
 
 /// All functions of this file are thread-safe.
 message_bytes encode(const crash_notice& news);
--- a/src/ferryroad/relay/crash_exchange.cpp
+++ b/src/ferryroad/relay/crash_exchange.cpp
@@ -7,9 +7,22 @@
 
 namespace ferryroad::relay {
 
+using core::quarantine::cleared_suspects;
 using core::quarantine::engine_crash;
+using core::quarantine::part_identity;
 using core::quarantine::request_identity;
 
+namespace {
+
+/// Appends as many identities as fit into a datagram.
+template <typename Identity>
+void append(std::vector<Identity>& all, const std::vector<Identity>& further) {
+    all.insert(all.end(), further.begin(), further.end());
+    all.resize(std::min(all.size(), peer::max_requests_per_crash_datagram));
+}
+
+}  // namespace
+
 crash_exchange::crash_exchange(crash_exchange_ports ports, base::router_name self,
                                crash_exchange_settings settings)
     : m_ports(ports), m_self(std::move(self)), m_settings(settings) {}
@@ -17,7 +30,7 @@
 void crash_exchange::start() {
     m_ports.quarantine.set_callbacks(
         {[this](const engine_crash& crash) { publish_crash(crash); },
-         [this](const request_identity& one) { publish_cleared(one); }});
+         [this](const cleared_suspects& cleared) { publish_cleared(cleared); }});
 }
 
 // ---- Publishing ----
@@ -31,14 +44,14 @@
     m_ports.scheduler.spawn(component, send_crash(crash));
 }
 
-void crash_exchange::publish_cleared(const request_identity& request) {
+void crash_exchange::publish_cleared(const cleared_suspects& cleared) {
     if (m_stopped) {
         return;
     }
-    if (remove_own(request)) {
+    if (!remove_own(cleared).empty()) {
         schedule_row_write();
     }
-    m_ports.scheduler.spawn(component, send_cleared(request));
+    m_ports.scheduler.spawn(component, send_cleared(cleared));
 }
 
 peer::observed_crash crash_exchange::to_message(const engine_crash& crash) const {
@@ -56,11 +69,11 @@
     }
 }
 
-runtime::task<void> crash_exchange::send_cleared(request_identity request) {
+runtime::task<void> crash_exchange::send_cleared(cleared_suspects cleared) {
     for (std::uint32_t sent = 0; sent < m_settings.send_count; ++sent) {
         peer::crash_notice report;
         report.sender = m_self;
-        report.cleared = {request};
+        report.cleared = cleared;
         send_to_all(report);
         co_await m_ports.scheduler.sleep_for((sent + 1) * m_settings.resend_delay);
     }
@@ -89,28 +102,26 @@
     for (const peer::observed_crash& one : report->crashes) {
         const engine_crash crash{one.engine, now - one.age, now - one.began_age, one.candidates,
                                  one.unnamed};
-        for (const request_identity& cleared_request :
-             m_ports.quarantine.learn(crash, report->sender.value)) {
-            answer.cleared.push_back(cleared_request);
-        }
+        const cleared_suspects known = m_ports.quarantine.learn(crash, report->sender.value);
+        append(answer.cleared.requests, known.requests);
+        append(answer.cleared.parts, known.parts);
     }
-    for (const request_identity& one : report->cleared) {
-        learn_cleared(one, report->sender.value);
+    if (!report->cleared.empty()) {
+        learn_cleared(report->cleared, report->sender.value);
     }
     if (!answer.cleared.empty()) {
-        answer.cleared.resize(
-            std::min(answer.cleared.size(), peer::max_requests_per_crash_datagram));
         m_ports.transport.send(from, peer::encode(answer));
     }
 }
 
-/// Other routers know the crashes that this router published, so it also has to publish that one
-/// of the requests is cleared.
-void crash_exchange::learn_cleared(const request_identity& request, std::string_view from) {
-    m_ports.quarantine.learn_cleared(request, from);
-    if (remove_own(request)) {
+/// Other routers know the crashes that this router published, so it also has to publish what of
+/// them is cleared.
+void crash_exchange::learn_cleared(const cleared_suspects& cleared, std::string_view from) {
+    m_ports.quarantine.learn_cleared(cleared, from);
+    cleared_suspects published = remove_own(cleared);
+    if (!published.empty()) {
         schedule_row_write();
-        m_ports.scheduler.spawn(component, send_cleared(request));
+        m_ports.scheduler.spawn(component, send_cleared(std::move(published)));
     }
 }
 
@@ -161,13 +172,30 @@
     }
 }
 
-bool crash_exchange::remove_own(const request_identity& request) {
-    std::size_t named = 0;
-    for (engine_crash& crash : m_own_crashes) {
-        named += std::erase_if(crash.candidates,
-                               [&](const auto& one) { return one.request == request; });
+cleared_suspects crash_exchange::remove_own(const cleared_suspects& cleared) {
+    cleared_suspects removed;
+    for (const request_identity& request : cleared.requests) {
+        std::size_t named = 0;
+        for (engine_crash& crash : m_own_crashes) {
+            named += std::erase_if(crash.candidates,
+                                   [&](const auto& one) { return one.request == request; });
+        }
+        if (named > 0) {
+            removed.requests.push_back(request);
+        }
+    }
+    for (const part_identity& part : cleared.parts) {
+        std::size_t named = 0;
+        for (engine_crash& crash : m_own_crashes) {
+            for (core::quarantine::crash_candidate& one : crash.candidates) {
+                named += std::erase(one.parts, part);
+            }
+        }
+        if (named > 0) {
+            removed.parts.push_back(part);
+        }
     }
-    return named > 0;
+    return removed;
 }
 
 void crash_exchange::schedule_row_write() {
--- a/src/ferryroad/relay/crash_exchange.hpp
+++ b/src/ferryroad/relay/crash_exchange.hpp
@@ -35,9 +35,10 @@
     base::duration row_write_delay = std::chrono::milliseconds(100);
     /// Delay between further writes of one run, and after a write that failed.
     base::duration row_retry_delay = std::chrono::milliseconds(500);
-    /// The row holds this number of the newest crashes that this router observed: some 8 KB with
-    /// 24 requests each, which is less than the size at which a table change counts as large.
-    std::size_t max_row_crashes = 16;
+    /// The row holds this number of the newest crashes that this router observed: some 10 KB with
+    /// 24 requests of two shared prompt parts each, which is less than the size at which a table
+    /// change counts as large.
+    std::size_t max_row_crashes = 8;
 };
 
 /// Collaborators of `crash_exchange`; all of them must outlive it.
@@ -81,16 +82,17 @@
     static constexpr std::string_view component = "relay.crashes";
 
     void publish_crash(const core::quarantine::engine_crash& crash);
-    void publish_cleared(const core::quarantine::request_identity& request);
-    void learn_cleared(const core::quarantine::request_identity& request, std::string_view from);
+    void publish_cleared(const core::quarantine::cleared_suspects& cleared);
+    void learn_cleared(const core::quarantine::cleared_suspects& cleared, std::string_view from);
     void learn_row(const std::string& value);
-    /// Removes the request from the crashes that this router observed.
-    /// @return whether any of them named it.
-    bool remove_own(const core::quarantine::request_identity& request);
+    /// Removes requests and parts from the crashes that this router observed.
+    /// @return those that any of them named.
+    core::quarantine::cleared_suspects remove_own(
+        const core::quarantine::cleared_suspects& cleared);
     void add_own(const core::quarantine::engine_crash& crash);
     peer::observed_crash to_message(const core::quarantine::engine_crash& crash) const;
     runtime::task<void> send_crash(core::quarantine::engine_crash crash);
-    runtime::task<void> send_cleared(core::quarantine::request_identity request);
+    runtime::task<void> send_cleared(core::quarantine::cleared_suspects cleared);
     void send_to_all(const peer::crash_notice& report);
     void schedule_row_write();
     runtime::task<void> write_row();
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -19,16 +19,25 @@
            tenant->name == m_plan.tenant->name;
 }
 
-const core::quarantine::quarantined_request* dispatch_preconditions::quarantine() const {
-    return m_sources.quarantine == nullptr ? nullptr : m_sources.quarantine->find(m_plan.identity);
+std::optional<base::monotonic_time> dispatch_preconditions::quarantined_until() const {
+    if (m_sources.quarantine == nullptr) {
+        return std::nullopt;
+    }
+    if (const auto* request = m_sources.quarantine->find(m_plan.identity)) {
+        return request->until;
+    }
+    const auto* part = m_plan.tries_part ? nullptr : m_sources.quarantine->find_part(m_plan.parts);
+    return part == nullptr ? std::nullopt : std::optional(part->until);
 }
 
 // A request whose exchange just broke is not retried if an engine has already crashed while running
-// it: it would most likely crash a third one. 3 crashes suffice for quarantine; without this check,
-// each repeatable request crashed 4 engines.
+// it, or several have while running others with a part of its prompt: it would most likely crash
+// another one. 3 crashes suffice for quarantine; without this check, each repeatable request
+// crashed 4 engines.
 bool dispatch_preconditions::is_held_back() const {
-    return quarantine() != nullptr || (m_broke && m_sources.quarantine != nullptr &&
-                                       m_sources.quarantine->is_suspect(m_plan.identity));
+    return quarantined_until() || (m_broke && m_sources.quarantine != nullptr &&
+                                   (m_sources.quarantine->is_suspect(m_plan.identity) ||
+                                    m_sources.quarantine->is_suspect(m_plan.parts)));
 }
 
 std::optional<dispatch_precondition> dispatch_preconditions::lost_before_sending(
@@ -68,7 +77,7 @@
     const bool can_become_outdated = m_timing.can_become_outdated();
     for (;;) {
         const base::monotonic_time now = m_sources.scheduler.now();
-        if (quarantine() != nullptr) {
+        if (quarantined_until()) {
             co_return dispatch_precondition::no_quarantine;
         }
         if (can_become_outdated && m_timing.may_no_longer_begin(now)) {
--- a/src/ferryroad/relay/dispatch_preconditions.hpp
+++ b/src/ferryroad/relay/dispatch_preconditions.hpp
@@ -48,9 +48,9 @@
 
     /// @return whether the caller's API key is valid by a sufficiently fresh policy.
     bool key_is_valid() const;
-    /// @return the request's quarantine, or null if it has none. The pointer is valid until the
-    /// next call.
-    const core::quarantine::quarantined_request* quarantine() const;
+    /// @return until when the request is in quarantine, itself or for a part of its prompt; nothing
+    /// if it is not.
+    std::optional<base::monotonic_time> quarantined_until() const;
     /// @return whether the request must not be sent because engines crashed while running it or its
     /// repeats. This may change after the request has arrived.
     bool is_held_back() const;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -617,7 +617,8 @@
         if (lost == dispatch_precondition::no_quarantine) {
             m_outcome.quarantined_waiting = true;
             m_dependencies.quarantine->withdrawn(
-                m_selected.target.name, {m_plan.identity, m_exchange_began, m_plan.deadline});
+                m_selected.target.name,
+                {m_plan.identity, m_exchange_began, m_plan.deadline, m_plan.parts});
         } else {
             m_timing.withdrawn(now);
         }
@@ -730,6 +731,7 @@
         how.replaced = m_engine_start && listed->listed.process_start_ms &&
                        m_engine_start != listed->listed.process_start_ms;
         how.began = m_exchange_began;
+        how.parts = m_plan.parts;
         m_dependencies.quarantine->exchange_broke(m_selected.target, m_plan.identity, how);
     }
 
@@ -907,7 +909,7 @@
             engine->health.record_success();
         }
         if (m_dependencies.quarantine != nullptr) {
-            m_dependencies.quarantine->exchange_completed(m_plan.identity);
+            m_dependencies.quarantine->exchange_completed(m_plan.identity, m_plan.parts);
         }
     }
 
@@ -934,10 +936,11 @@
     void apply_quarantine(relay_refusal& refusal) const {
         const bool unserved = refusal.cause == refusal_cause::no_engine ||
                               refusal.cause == refusal_cause::engine_failed;
-        const auto* quarantine = unserved ? m_preconditions.quarantine() : nullptr;
-        if (quarantine != nullptr) {
+        const auto until = unserved ? m_preconditions.quarantined_until() : std::nullopt;
+        if (until) {
             refusal.cause = refusal_cause::quarantined;
-            refusal.retry_after = quarantine->until - m_dependencies.scheduler.now();
+            refusal.retry_after = std::max(*until - m_dependencies.scheduler.now(),
+                                           m_tunables.least_quarantine_retry_after);
         }
     }
 
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -112,6 +112,13 @@
     const quarantine_counters& counted = now.quarantine;
     set("ferryroad_relay_quarantined_requests", "Requests now held back: engines ended under them.",
         static_cast<double>(now.quarantined_requests));
+    set("ferryroad_relay_quarantined_parts",
+        "Prompt parts in quarantine, as engines crash with them.",
+        static_cast<double>(now.quarantined_parts));
+    set("ferryroad_relay_parts_quarantined", "Quarantines of prompt parts that began.",
+        static_cast<double>(now.quarantine.quarantined_parts));
+    set("ferryroad_relay_part_trials", "Requests that tried a prompt part after its quarantine.",
+        static_cast<double>(now.quarantine.part_trials));
     set("ferryroad_relay_engine_crashes_seen", "Engines that ended with requests of this router.",
         static_cast<double>(counted.crashes_seen));
     set("ferryroad_relay_engine_crashes_told", "Ends of engines that other routers told.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -63,6 +63,7 @@
     std::uint64_t store_calls = 0;
     quarantine_counters quarantine;
     std::size_t quarantined_requests = 0;
+    std::size_t quarantined_parts = 0;  ///< Prompt parts that engines crash under.
     std::uint64_t crash_rows_written = 0;
     stream_origin_counters origins;
     std::size_t origins_kept = 0;
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -79,6 +79,9 @@
     base::duration continuation_check_interval = std::chrono::milliseconds(100);
     /// `Retry-After` while this router reaches no engine and no other router passes requests on.
     base::duration lost_paths_retry_after = std::chrono::seconds(1);
+    /// Least `Retry-After` of requests in quarantine. One of a prompt part may be over, and another
+    /// request be finding out whether the part still crashes engines.
+    base::duration least_quarantine_retry_after = std::chrono::seconds(1);
     /// `Retry-After` of refusals without a better estimate.
     base::duration retry_after = std::chrono::milliseconds(150);
 };
@@ -98,6 +101,8 @@
     core::quarantine::request_identity identity;  ///< Shared by repeats of the request.
     /// Parts of the prompt that other requests share.
     std::vector<core::quarantine::part_identity> parts;
+    /// The request finds out whether a part still crashes engines after its quarantine.
+    bool tries_part = false;
 };
 
 /// @return whether the route's requests may run more than once. Thread-safe, as are all functions
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -65,6 +65,7 @@
         if (m_dependencies.quarantine != nullptr) {
             m_dependencies.quarantine->on_quarantined(
                 [this](const auto& request) { m_waiting.wake(request); });
+            m_dependencies.quarantine->on_part_quarantined([this] { m_waiting.wake_all(); });
         }
     }
     relay_service(const relay_service&) = delete;
@@ -240,6 +241,16 @@
                                      core::execution::execution_report::not_run,
                                      quarantined->until - now};
             }
+            if (const auto* part = m_dependencies.quarantine->find_part(plan.parts)) {
+                plan.tries_part = m_dependencies.quarantine->begin_part_trial(*part);
+                if (!plan.tries_part) {
+                    log_quarantined(*call, *part);
+                    return relay_refusal{refusal_cause::quarantined,
+                                         core::execution::execution_report::not_run,
+                                         std::max(part->until - now,
+                                                  m_settings.driver.least_quarantine_retry_after)};
+                }
+            }
         }
         return plan;
     }
@@ -295,6 +306,18 @@
              {"retry_after_ms", std::to_string(base::to_milliseconds(quarantined.until - now))}});
     }
 
+    void log_quarantined(const relay_call& call,
+                         const core::quarantine::quarantined_part& quarantined) const {
+        const base::monotonic_time now = m_dependencies.scheduler.now();
+        runtime::log(runtime::log_level::warning, component,
+                     "request with a quarantined prompt part refused",
+                     {{"request_id", call.id.value},
+                      {"part", core::quarantine::to_string({quarantined.part})},
+                      {"crashes", std::to_string(quarantined.crashes)},
+                      {"since_ms", std::to_string(base::to_milliseconds(now - quarantined.since))},
+                      {"left_ms", std::to_string(base::to_milliseconds(quarantined.until - now))}});
+    }
+
     void log_resumed(const relay_plan& plan, const origin_search& search) const {
         const relay_call& call = *plan.call;
         const auto& found = search.found;
--- a/src/ferryroad/relay/waiting_requests.cpp
+++ b/src/ferryroad/relay/waiting_requests.cpp
@@ -49,4 +49,10 @@
     std::for_each(first, last, [](const auto& entry) { entry.second->wake(); });
 }
 
+void waiting_requests::wake_all() {
+    for (const auto& [request, sleeping] : m_sleepers) {
+        sleeping->wake();
+    }
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/waiting_requests.hpp
+++ b/src/ferryroad/relay/waiting_requests.hpp
@@ -24,6 +24,8 @@
                               std::optional<base::monotonic_time> until);
     /// Wakes the request and all of its repeats; other requests keep sleeping.
     void wake(const core::quarantine::request_identity& request);
+    /// Wakes all requests.
+    void wake_all();
     /// @return the number of sleeping requests.
     std::size_t size() const { return m_sleepers.size(); }
 
--- a/test/core/quarantine/crash_suspects_test.cpp
+++ b/test/core/quarantine/crash_suspects_test.cpp
@@ -40,6 +40,28 @@
 
 constexpr base::monotonic_time start{std::chrono::hours(1)};
 
+part_identity part(std::uint64_t number) {
+    return {{number, number * 104729}};
+}
+
+struct request_with_parts {
+    std::uint64_t number;
+    std::vector<std::uint64_t> parts;
+    bool silent = false;
+};
+
+engine_crash crash_with_parts(int engine, base::monotonic_time at,
+                              const std::vector<request_with_parts>& in_progress) {
+    engine_crash made = crash("p" + std::to_string(engine), at, {});
+    for (const request_with_parts& one : in_progress) {
+        made.candidates.push_back({request(one.number), one.silent, {}});
+        for (const std::uint64_t number : one.parts) {
+            made.candidates.back().parts.push_back(part(number));
+        }
+    }
+    return made;
+}
+
 }  // namespace
 
 Test(crash_suspects, two_crashes_alone_are_enough) {
@@ -200,6 +222,115 @@
     });
 }
 
+Test(crash_suspects, a_part_that_different_requests_have_in_common_is_found) {
+    crash_suspects suspects;
+    for (int number = 0; number < 3; ++number) {
+        cr_assert_null(suspects.find_part({part(1)}, start + number * 1s));
+        const auto at = start + number * 1s;
+        // Each time beside a silent request, and with the prompt's first part in common, too.
+        const std::uint64_t own = 100U + 10U * static_cast<std::uint64_t>(number);
+        suspects.record_part_successes({part(9)}, at - 10ms);
+        suspects.record_crash(
+            crash_with_parts(number, at, {{own, {9, 1}}, {own + 1, {9, own}, true}}), at);
+    }
+    cr_assert_null(suspects.find_part({part(1)}, start + 2s), "other routers' reports may come");
+    const auto* found = suspects.find_part({part(7), part(1)}, start + 3s);
+    cr_assert_not_null(found);
+    cr_assert_eq(found->crashes, 3);
+    cr_assert_eq(found->engines.size(), 3);
+    cr_assert_null(suspects.find_part({part(9)}, start + 3s));
+    cr_assert_null(suspects.find(request(101), start + 3s));
+    cr_assert_null(suspects.find(request(100), start + 3s), "the part is to blame");
+}
+
+Test(crash_suspects, of_two_parts_that_come_together_only_the_narrower_is_quarantined) {
+    crash_suspects suspects;
+    for (int number = 0; number < 6; ++number) {
+        const auto at = start + number * 1s;
+        suspects.record_crash(
+            crash_with_parts(number, at, {{100U + static_cast<std::uint64_t>(number), {1, 2}}}),
+            at);
+    }
+    cr_assert_not_null(suspects.find_part({part(2)}, start + 10s));
+    cr_assert_null(suspects.find_part({part(1)}, start + 10s));
+}
+
+Test(crash_suspects, the_parts_of_one_request_that_is_repeated_are_not_quarantined) {
+    crash_suspects suspects;
+    for (int number = 0; number < 6; ++number) {
+        const auto at = start + number * 1s;
+        suspects.record_crash(crash_with_parts(number, at, {{5, {1}, true}}), at);
+    }
+    cr_assert_not_null(suspects.find(request(5), start + 10s));
+    cr_assert_null(suspects.find_part({part(1)}, start + 10s));
+}
+
+Test(crash_suspects, repeats_of_requests_with_a_part_do_not_hide_it) {
+    crash_suspects suspects;
+    for (int number = 0; number < 4; ++number) {
+        const auto at = start + number * 1s;
+        const auto repeated = static_cast<std::uint64_t>(number / 2);
+        suspects.record_crash(crash_with_parts(number, at, {{100 + repeated, {1}, true}}), at);
+        suspects.find(request(100), at + 500ms);
+    }
+    cr_assert_not_null(suspects.find_part({part(1)}, start + 10s));
+}
+
+Test(crash_suspects, a_success_clears_a_part) {
+    crash_suspects suspects;
+    for (int number = 0; number < 9; ++number) {
+        const auto at = start + number * 12s;
+        const auto own = 100U + static_cast<std::uint64_t>(number);
+        suspects.record_crash(crash_with_parts(number, at, {{own, {1}}}), at);
+        cr_assert_null(suspects.find_part({part(1)}, at + 1s), "crash %d", number);
+        if (number % 2 == 1) {
+            cr_assert(suspects.record_part_successes({part(1), part(2)}, at + 1s) ==
+                      std::vector<part_identity>{part(1)});
+        }
+    }
+    for (int number = 0; number < 2; ++number) {
+        const auto at = start + 120s + number * 1s;
+        const auto own = 200U + static_cast<std::uint64_t>(number);
+        suspects.record_crash(crash_with_parts(20 + number, at, {{own, {1}}}), at);
+    }
+    cr_assert_not_null(suspects.find_part({part(1)}, start + 130s));
+    cr_assert(suspects.record_part_successes({part(1)}, start + 131s) ==
+              std::vector<part_identity>{part(1)});
+    cr_assert_null(suspects.find_part({part(1)}, start + 131s));
+}
+
+Test(crash_suspects, one_crash_after_its_quarantine_quarantines_a_part_for_longer) {
+    crash_suspects suspects;
+    for (int number = 0; number < 3; ++number) {
+        const auto own = 100U + static_cast<std::uint64_t>(number);
+        suspects.record_crash(crash_with_parts(number, start, {{own, {1}}}), start);
+    }
+    const auto* first = suspects.find_part({part(1)}, start + 1s);
+    cr_assert_not_null(first);
+    const auto over = first->until;
+    suspects.record_crash(crash_with_parts(7, over + 1s, {{200, {1}}}), over + 1s);
+    const auto* again = suspects.find_part({part(1)}, over + 2s);
+    cr_assert_eq(again->times, 2);
+    cr_assert_geq((again->until - over).count(), base::duration(119s).count());
+}
+
+Test(crash_suspects, memory_for_parts_is_bounded) {
+    suspects_tunables tunables;
+    tunables.crashes = 50;
+    tunables.quarantined = 20;
+    crash_suspects suspects(tunables);
+    int engine = 0;
+    for (std::uint64_t number = 1; number < 200; ++number) {
+        const auto at = start + number * 3s;
+        for (std::uint64_t own = 0; own < 3; ++own) {
+            suspects.record_crash(crash_with_parts(++engine, at, {{number * 10 + own, {number}}}),
+                                  at);
+        }
+        cr_assert_not_null(suspects.find_part({part(number)}, at + 1s));
+        cr_assert_leq(suspects.quarantined_parts(), 20);
+    }
+}
+
 namespace {
 
 /// Simulated pool in which some requests crash engines. Callers repeat requests that were lost.
--- a/test/peer/crash_message_test.cpp
+++ b/test/peer/crash_message_test.cpp
@@ -20,9 +20,13 @@
     news.sender.value = "r1";
     news.owner_time = 123456789;
     news.crashes.push_back(
-        {base::engine_name("e1"), 1234ms, 2345ms, {{{{1, 2}}, true}, {{{3, 4}}, false}}, 5});
+        {base::engine_name("e1"),
+         1234ms,
+         2345ms,
+         {{{{1, 2}}, true, {{{21, 22}}, {{23, 24}}}}, {{{3, 4}}, false, {{{21, 22}}}}},
+         5});
     news.crashes.push_back({base::engine_name("e2"), 0ms, 0ms, {}, 0});
-    news.cleared = {{{7, 8}}};
+    news.cleared = {{{{7, 8}}}, {{{9, 10}}, {{11, 12}}}};
     return news;
 }
 
@@ -42,13 +46,19 @@
     news.sender.value = std::string(64, 'r');
     observed_crash crash{base::engine_name(std::string(64, 'e')), 100h, 101h, {}, 9};
     for (std::uint64_t number = 0; number < max_requests_per_crash_datagram; ++number) {
-        crash.candidates.push_back({{{~number, ~number}}, true});
+        crash.candidates.push_back({{{~number, ~number}}, true, {}});
+        for (std::uint64_t part = 0; part < core::quarantine::max_identified_parts; ++part) {
+            const std::uint64_t digest = (number * core::quarantine::max_identified_parts + part) %
+                                         max_parts_per_crash_datagram;
+            crash.candidates.back().parts.push_back({{~digest, ~digest}});
+        }
     }
     news.crashes.push_back(crash);
     cr_assert_leq(encode(news).size(), max_datagram_bytes);
     crash_notice cleared;
     cleared.sender.value = std::string(64, 'r');
-    cleared.cleared.resize(max_requests_per_crash_datagram);
+    cleared.cleared.requests.resize(max_requests_per_crash_datagram);
+    cleared.cleared.parts.resize(max_requests_per_crash_datagram);
     cr_assert_leq(encode(cleared).size(), max_datagram_bytes);
 }
 
--- a/test/relay/quarantined_while_waiting_test.cpp
+++ b/test/relay/quarantined_while_waiting_test.cpp
@@ -91,17 +91,33 @@
             quarantine.learn({base::engine_name(name), now, now, {{request, true}}, 0}, "r2");
         }
     }
-    /// Sends the request and has it quarantined while it waits.
+    /// Another router reports engines that crashed with different requests with the part.
+    void report_crashes(const core::quarantine::part_identity& part) {
+        const base::monotonic_time now = loop.scheduler.now();
+        std::uint64_t number = 0;
+        for (const char* name : {"e7", "e8", "e9"}) {
+            ++number;
+            quarantine.learn(
+                {base::engine_name(name), now, now, {{{{number, 0}}, true, {part}}}, 0}, "r2");
+        }
+    }
+    bool is_quarantined(const core::quarantine::request_identity& request) {
+        return quarantine.find(request) != nullptr;
+    }
+    bool is_quarantined(const core::quarantine::part_identity& part) {
+        return quarantine.find_part({part}) != nullptr;
+    }
+    /// Sends the request and has it, or a part of its prompt, quarantined while it waits.
     /// @return the number of requests that wait at engines `withdrawn_within` later.
-    int waiting_after_quarantine(const relay_call& one,
-                                 const core::quarantine::request_identity& request) {
+    template <typename Identity>
+    int waiting_after_quarantine(const relay_call& one, const Identity& suspect) {
         int left = -1;
         loop.context.restart();
         cr_assert(loop.run([&]() -> runtime::task<void> {
             loop.scheduler.spawn("request", quarantining_service.handle(one, writer));
             co_await loop.until([&] { return engines.waiting == 1; });
-            report_crashes(request);
-            co_await loop.until([&] { return quarantine.find(request) != nullptr; });
+            report_crashes(suspect);
+            co_await loop.until([&] { return is_quarantined(suspect); });
             co_await loop.scheduler.sleep_for(withdrawn_within);
             left = engines.waiting;
         }));
@@ -122,3 +138,12 @@
     cr_assert_eq(fixture.waiting_after_quarantine(bad, request), 0);
     cr_assert_eq(fixture.engines.dispatches.size(), 2, "it must not be sent to another engine");
 }
+
+Test(quarantined_while_waiting, a_request_with_a_quarantined_part_is_withdrawn) {
+    waiting_fixture fixture;
+    relay_call bad = fixture.call("/unsafe/");
+    bad.prompt = core::prefix::declared_prompt{"m", {{"all", 10}, {"bad", 10}, {"own", 1}}, 21, 5};
+    const auto parts = core::quarantine::parts_of(*bad.prompt);
+    cr_assert_eq(fixture.waiting_after_quarantine(bad, parts[1]), 0);
+    cr_assert_eq(fixture.engines.dispatches.size(), 1, "it must not be sent to another engine");
+}
--- a/test/relay/request_quarantine_test.cpp
+++ b/test/relay/request_quarantine_test.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <string>
+#include <thread>
 
 using namespace ferryroad;
 using namespace ferryroad::relay;
@@ -23,10 +24,15 @@
         quarantine_settings settings;
         settings.gather_time = 1ms;
         settings.suspects.settle = 20ms;
+        settings.suspects.initial_part_quarantine = part_quarantine;
         return settings;
     }
 
+    /// Longer than `send` takes.
+    static constexpr base::duration part_quarantine = 600ms;
+
     bool engines_crash = true;
+    bool tries_parts = true;
     request_quarantine quarantine{
         loop.scheduler, [this](engine_target) -> runtime::task<bool> { co_return engines_crash; },
         settings_of_quarantine()};
@@ -35,10 +41,49 @@
         settings_of(),
         [this](const relay_plan&, const relay_outcome& told) { outcomes.push_back(told); }};
 
+    quarantine_fixture() {
+        quarantine.set_trial_check([this](const auto&) { return tries_parts; });
+    }
+    relay_call prompt_call(const std::string& part, const std::string& own) {
+        relay_call one = call("/unsafe/");
+        one.message.body = own;
+        one.prompt = core::prefix::declared_prompt{"m", {{part, 10}, {own, 1}}, 11, 5};
+        return one;
+    }
+    unsigned send_prompt(const std::string& part, const std::string& own) {
+        return send(prompt_call(part, own));
+    }
+    /// Sends a request with the part, and another one before it ends.
+    /// @return the status of the second one.
+    unsigned status_beside_trial() {
+        recorded_writer second(loop.scheduler);
+        loop.context.restart();
+        cr_assert(loop.run([&]() -> runtime::task<void> {
+            relay_call trial = prompt_call("bad", "t1");
+            loop.scheduler.spawn("trial", quarantining_service.handle(std::move(trial), writer));
+            co_await loop.scheduler.sleep_for(20ms);
+            relay_call other = prompt_call("bad", "t2");
+            co_await quarantining_service.handle(std::move(other), second);
+            co_await loop.until([&] { return writer.status == 200; });
+        }));
+        return second.status;
+    }
+    /// Different requests with the part crash engines.
+    void crash_with_part(const std::string& part, int crashes) {
+        for (int crash = 0; crash < crashes; ++crash) {
+            script_break();
+            cr_assert_eq(send_prompt(part, "own" + std::to_string(crash)), 502);
+            restart_engines();
+            loop.context.restart();
+        }
+    }
     /// @return the status, after so long that a further crash of the same engine counts as another.
     unsigned send(const std::string& path, const std::string& body) {
         relay_call one = call(path);
         one.message.body = body;
+        return send(std::move(one));
+    }
+    unsigned send(relay_call one) {
         loop.context.restart();
         cr_assert(loop.run([&]() -> runtime::task<void> {
             co_await quarantining_service.handle(std::move(one), writer);
@@ -125,6 +170,37 @@
     cr_assert_eq(fixture.send("/unsafe/", "another body"), 200);
 }
 
+Test(request_quarantine, a_prompt_part_is_quarantined_that_different_requests_crash_engines_with) {
+    quarantine_fixture fixture;
+    fixture.crash_with_part("bad", 3);
+    const std::size_t sent = fixture.upstream.dispatches.size();
+    cr_assert_eq(fixture.send_prompt("bad", "another"), 503);
+    cr_assert_eq(fixture.upstream.dispatches.size(), sent, "nothing was sent");
+    cr_assert(fixture.writer.headers.find("Retry-After").has_value());
+    fixture.script_answer();
+    cr_assert_eq(fixture.send_prompt("good", "another"), 200);
+    cr_assert_eq(fixture.quarantine.quarantined_parts(), 1);
+}
+
+Test(request_quarantine, after_its_quarantine_one_request_at_a_time_tries_a_part) {
+    quarantine_fixture fixture;
+    fixture.crash_with_part("bad", 3);
+    std::this_thread::sleep_for(fixture.part_quarantine);
+    fixture.tries_parts = false;
+    cr_assert_eq(fixture.send_prompt("bad", "at a router that does not try it"), 503);
+    fixture.tries_parts = true;
+    scripted_answer slow;
+    slow.stream = false;
+    slow.delay = 100ms;
+    slow.body = {bytes("ok"), body_end};
+    fixture.answer(std::move(slow));
+    const std::size_t sent = fixture.upstream.dispatches.size();
+    cr_assert_eq(fixture.status_beside_trial(), 503, "one is being tried");
+    cr_assert_eq(fixture.writer.status, 200);
+    cr_assert_eq(fixture.upstream.dispatches.size(), sent + 1);
+    cr_assert_eq(fixture.quarantine.quarantined_parts(), 0, "the trial went well");
+}
+
 Test(request_quarantine, a_repeatable_request_is_not_retried_after_its_second_crash) {
     quarantine_fixture fixture;
     fixture.script_break();
