Slots: a message that was overtaken is not decided on

A reference to a router's use could outlive its entry: an ask that a newer message had overtaken, from a router whose report had expired since, found its entry removed as all uses were added up (read, not seen; the test asks so). Such an ask is undecided now, and its router decides by its own share.

--- a/src/ferryroad/coordination/quota/slot_ledger.cpp
+++ b/src/ferryroad/coordination/quota/slot_ledger.cpp
@@ -13,8 +13,12 @@
         verdict.decided = false;  // The asking router does not know that the engine has restarted.
         return verdict;
     }
+    reported_use* own = record_use(counted, asker, use, now);
+    if (own == nullptr) {
+        verdict.decided = false;
+        return verdict;
+    }
     counted.newest = use;
-    reported_use& own = record_use(counted, asker, use, now);
     record_rejections(counted, use, now);
     verdict.room = counted.room.room(use.listed, now);
     verdict.askers = static_cast<std::uint32_t>(counted.uses.size());
@@ -27,7 +31,7 @@
     }
     verdict.granted = counted.queue.empty() && has_room(counted, now);
     if (verdict.granted) {
-        own.granted.insert(use.number);
+        own->granted.insert(use.number);
         return verdict;
     }
     const double longest_queue = m_tunables.longest_queue * verdict.room;
@@ -44,7 +48,7 @@
     return verdict;
 }
 
-slot_ledger::reported_use& slot_ledger::record_use(account& counted, const base::router_name& asker,
+slot_ledger::reported_use* slot_ledger::record_use(account& counted, const base::router_name& asker,
                                                    const slot_use& use, base::monotonic_time now) {
     reported_use& own = counted.uses[asker];
     if (own.asker_process != use.asker_process) {
@@ -53,7 +57,7 @@
         std::erase_if(counted.queue, [&](const auto& one) { return one.id.asker == asker; });
     }
     if (use.number < own.number) {
-        return own;  // Overtaken by a newer message.
+        return nullptr;
     }
     const auto is_resolved = [&](std::uint64_t number) {
         return number < use.number &&
@@ -66,7 +70,7 @@
     std::erase_if(counted.queue, [&](const auto& one) {
         return one.id.asker == asker && is_resolved(one.id.number);
     });
-    return own;
+    return &own;
 }
 
 std::optional<slot_ask_id> slot_ledger::take_granted(const quota_subject& engine,
--- a/src/ferryroad/coordination/quota/slot_ledger.hpp
+++ b/src/ferryroad/coordination/quota/slot_ledger.hpp
@@ -114,7 +114,8 @@
     std::size_t total_use(account& counted, base::monotonic_time now) const;
     void record_rejections(account& counted, const slot_use& use, base::monotonic_time now) const;
     /// Records a router's use. Forgets its earlier asks that don't wait any more.
-    static reported_use& record_use(account& counted, const base::router_name& asker,
+    /// @return the use, or null if the message was overtaken by a newer one.
+    static reported_use* record_use(account& counted, const base::router_name& asker,
                                     const slot_use& use, base::monotonic_time now);
     /// @return whether the engine may get one more request.
     bool has_room(account& counted, base::monotonic_time now) const;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -327,10 +327,10 @@
     /// @return whether `m_selected` may get the request.
     runtime::task<bool> select_permitted(selection_query query) {
         const std::uint32_t refused_before = m_slots_refused;
-        std::uint32_t refused = 0;
+        std::uint32_t permits_refused = 0;
         while (may_ask_for_slot() &&
                m_slots_refused - refused_before < m_tunables.slot_attempts_per_selection) {
-            query.without_limit = refused >= m_tunables.max_permit_attempts;
+            query.without_limit = permits_refused >= m_tunables.max_permit_attempts;
             auto chosen = choose_engine(query, m_dependencies.scheduler.now());
             if (!chosen) {
                 co_return false;
@@ -343,7 +343,7 @@
             if (m_permit.granted && m_slot.granted) {
                 co_return true;
             }
-            refused += m_permit.granted ? 0 : 1;
+            permits_refused += m_permit.granted ? 0 : 1;
             undo_canary();
         }
         co_return false;
--- a/test/coordination/quota/slot_ledger_test.cpp
+++ b/test/coordination/quota/slot_ledger_test.cpp
@@ -88,9 +88,11 @@
 
 Test(slot_ledger, a_message_that_was_overtaken_changes_nothing) {
     settled_ledger at;
-    const quota_ask older = at.r1.report(0);
+    const quota_ask older = at.r1.ask(0);
+    at.decide(at.r1, at.r1.report(4));
+    cr_assert_not(at.decide(at.r1, older).decided);
+    cr_assert_not(at.decide(at.r1, older, 2s).decided, "after the report has expired, too");
     at.decide(at.r1, at.r1.report(4));
-    at.decide(at.r1, older);
     cr_assert_not(at.decide(at.r2, at.r2.ask(0)).granted);
     asker restarted("r1", 2);
     at.decide(restarted, restarted.report(0));
