--- a/test/relay/engine_slots_test.cpp
+++ b/test/relay/engine_slots_test.cpp
@@ -216,12 +216,23 @@
     fixture.serve_with_slots();
     cr_assert_eq(fixture.writer.status, 503);
     cr_assert(fixture.asked.empty());
-    fixture.registry.record_rejection_limit(pool, std::nullopt);
+    cr_assert(fixture.registry.record_rejection_limit(pool, std::nullopt));
+    cr_assert_not(fixture.registry.record_rejection_limit(pool, std::nullopt), "no change");
     fixture.answer_whole();
     fixture.serve_with_slots();
     cr_assert_eq(fixture.writer.status, 200, "engines that bear any rejections are tried");
 }
 
+Test(engine_slots, an_engine_that_rejected_another_router_gets_no_requests_for_a_while) {
+    slot_fixture fixture;
+    fixture.loads.state(base::router_name("r2"),
+                        {{e1, 0, 0, 1h}, {base::engine_name("e2"), 0, 0, 1h}},
+                        fixture.loop.scheduler.now());
+    fixture.serve_with_slots();
+    cr_assert_eq(fixture.writer.status, 503);
+    cr_assert(fixture.asked.empty());
+}
+
 Test(engine_slots, a_rejection_is_reported_until_the_home_answers) {
     slot_fixture fixture;
     scripted_answer rejection;
