--- a/review/stand_ins/kv.py
+++ b/review/stand_ins/kv.py
@@ -97,8 +97,11 @@
         self.record("the store of kept KV cache is back, empty")
 
     def save(self, key, part):
-        if not self.down and key not in self.cache.parts:
-            self.cache.put(key, dataclasses.replace(part))
+        """Returns whether the store took the part."""
+        if self.down or key in self.cache.parts:
+            return False
+        self.cache.put(key, dataclasses.replace(part))
+        return True
 
     async def handle(self, method, target, headers, body, writer):
         if target.startswith("/-/kv-events"):
@@ -152,12 +155,27 @@
         while self._held() + self.cache.used() > self.capacity and self.cache.parts:
             self.cache.drop(next(iter(self.cache.parts)))
         while self._held() > self.capacity and len(self.active) > 1:
-            victim = max(self.active, key=lambda run: (run.priority, run.order))
-            self.active.remove(victim)
-            victim.holds, victim.preempted = 0, True
-            self.preemptions += 1
-            self.waiting.append(victim)
-            self.record(f"{self.name} preempts request {victim.id}{' after its first token' if victim.begun else ''}")
+            self._preempt(max(self.active, key=lambda run: (run.priority, run.order)))
+
+    def _preempt(self, victim):
+        self.active.remove(victim)
+        victim.holds, victim.preempted = 0, True
+        self.preemptions += 1
+        self.waiting.append(victim)
+        self.record(f"{self.name} preempts request {victim.id}{' after its first token' if victim.begun else ''}")
+
+    def _displace_for(self, run, needed):
+        """Preempts less urgent runs, the newest first, if the run then fits."""
+        less_urgent = sorted((one for one in self.active if one.priority > run.priority),
+                             key=lambda one: (-one.priority, -one.order))
+        room = self.capacity - self._held() - needed
+        victims = []
+        while room < 0 and less_urgent:
+            victims.append(less_urgent.pop(0))
+            room += victims[-1].holds
+        if room >= 0:
+            for one in victims:
+                self._preempt(one)
 
     # Orders
 
@@ -224,6 +242,8 @@
                 raise ConnectionError
             first = min(self.waiting, key=lambda one: (one.priority, one.order))
             needed = run.input + run.made
+            if run is first and not self.busy:
+                self._displace_for(run, needed)
             fits = self._held() + needed <= self.capacity or not self.active
             if run is first and len(self.active) < self.slots and fits and not self.busy:
                 break
@@ -274,6 +294,8 @@
                 self.cache.put((run.salt, part), dataclasses.replace(moved))
                 used.append((part, moved.made_by))
                 kept += 1
+                self.record(f"{self.name} fetches part {part} of salt {run.salt}, made under version {moved.made_by}, "
+                            f"from {getattr(source, 'name', 'the store')} for request {run.id}")
         read = sum(tokens for _, tokens in run.parts[kept:])
         if run.begun and kept < len(shared):
             self.rereads.append((run.id, run.salt, version))
@@ -284,7 +306,8 @@
                 made = Part(tokens, version)
                 self.cache.put((run.salt, part), made)
                 store = self.stores.get(run.save)
-                if store is not None and store is not self:
-                    store.save((run.salt, part), made)
+                if isinstance(store, KvStore) and store.save((run.salt, part), made):
+                    self.record(f"{self.name} saves part {part} of salt {run.salt}, made under version {version}, for "
+                                f"request {run.id}")
         self._make_room()
         return used
