Review: a fault of a case's own script never counts as a broken rule

Cause: an exception while a case ended its processes gave Python's exit code 1, that of a broken rule. Change: any exception gives 2; an empty folder for logs is none.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -226,4 +226,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    try:
+        code = asyncio.run(main())
+    except BaseException as reason:  # Python's own exit code would be that of a broken rule.
+        print(f"the case could not run: {type(reason).__name__}: {reason}", file=sys.stderr)
+        code = 2
+    sys.exit(code)
--- a/review/stand_ins/system.py
+++ b/review/stand_ins/system.py
@@ -178,7 +178,7 @@
                 one.process.send_signal(signal.SIGCONT)
                 one.process.kill()
                 one.process.wait()
-        if keep_logs_in is not None:
+        if keep_logs_in:
             for one in self.routers:
                 if one.log.exists():
                     shutil.copy(one.log, keep_logs_in)
