--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
 from system import ZONES, CannotRun, Record, System, http  # noqa: E402
 
 MODEL, SERVICE, KEEP, HOST, KEY = "model-1", "llm", "keep", "a.example", "key-1"
-ENGINES, SLOTS, CAPACITY = 6, 64, 16000
+ENGINES, SLOTS, CAPACITY = 6, 64, 10000
 ROUNDS = 9                  # Versions named one after the other, until the rule is broken.
 STORE_DOWN_S = 1.0
 REPORT_TOKENS, LABEL_TOKENS = 1200, 120
--- a/review/stand_ins/kv.py
+++ b/review/stand_ins/kv.py
@@ -51,9 +51,6 @@
         for key in list(self.parts):
             self.drop(key)
 
-    def used(self):
-        return sum(part.tokens for part in self.parts.values())
-
     def leading(self, salt, parts):
         """Returns how many of the parts are kept, from the first on without a gap."""
         return sum(1 for _ in itertools.takewhile(lambda one: (salt, one[0]) in self.parts, parts))
@@ -87,11 +84,11 @@
     async def crash(self, seconds):
         """Is down for a while and returns empty."""
         self.record("the store of kept KV cache goes down")
-        self.down = True
+        self.down, self.cache = True, PartCache(self.model)
         self.close()
         await asyncio.sleep(seconds)
         host, _, port = self.address.rpartition(":")
-        self.servers, self.cache = [], PartCache(self.model)
+        self.servers = []
         await self.listen(host, int(port))
         self.down = False
         self.record("the store of kept KV cache is back, empty")
@@ -122,7 +119,7 @@
         self.first = int(headers.get("last-event-id", 0))
         self.made = self.first * TOKENS_PER_EVENT  # Tokens generated.
         self.begun = False      # Has its first token.
-        self.holds = 0          # Tokens of memory.
+        self.own = self.input - sum(tokens for _, tokens in self.parts[:-1])  # Tokens of its last part.
         self.preempted = False
         self.gone = lambda: False
 
@@ -147,33 +144,44 @@
 
     # Memory
 
-    def _held(self):
-        return sum(run.holds for run in self.active)
+    def _held(self, runs=None):
+        """Returns the tokens of memory that runs take. A part that several share counts once."""
+        runs = self.active if runs is None else runs
+        shared = {(run.salt, part): tokens for run in runs for part, tokens in run.parts[:-1]}
+        return sum(run.own + run.made for run in runs) + sum(shared.values())
+
+    def _evictable(self):
+        used = {(run.salt, part) for run in self.active for part, _ in run.parts[:-1]}
+        return [key for key in self.cache.parts if key not in used]
 
     def _make_room(self):
         """Evicts cached parts, then preempts the newest of the least urgent runs, until all fits."""
-        while self._held() + self.cache.used() > self.capacity and self.cache.parts:
-            self.cache.drop(next(iter(self.cache.parts)))
+        evictable = self._evictable()
+        excess = self._held() + sum(self.cache.parts[key].tokens for key in evictable) - self.capacity
+        for key in evictable:
+            if excess <= 0:
+                break
+            excess -= self.cache.parts[key].tokens
+            self.cache.drop(key)
         while self._held() > self.capacity and len(self.active) > 1:
             self._preempt(max(self.active, key=lambda run: (run.priority, run.order)))
 
     def _preempt(self, victim):
         self.active.remove(victim)
-        victim.holds, victim.preempted = 0, True
+        victim.preempted = True
         self.preemptions += 1
         self.waiting.append(victim)
         self.record(f"{self.name} preempts request {victim.id}{' after its first token' if victim.begun else ''}")
 
-    def _displace_for(self, run, needed):
+    def _displace_for(self, run):
         """Preempts less urgent runs, the newest first, if the run then fits."""
         less_urgent = sorted((one for one in self.active if one.priority > run.priority),
                              key=lambda one: (-one.priority, -one.order))
-        room = self.capacity - self._held() - needed
-        victims = []
-        while room < 0 and less_urgent:
+        victims, stay = [], self.active + [run]
+        while self._held(stay) > self.capacity and less_urgent:
             victims.append(less_urgent.pop(0))
-            room += victims[-1].holds
-        if room >= 0:
+            stay.remove(victims[-1])
+        if self._held(stay) <= self.capacity:
             for one in victims:
                 self._preempt(one)
 
@@ -218,7 +226,6 @@
                 if run.gone():
                     return None
                 run.made += TOKENS_PER_EVENT
-                run.holds += TOKENS_PER_EVENT
                 event = f"id: {number}\ndata: {signature} {number}\n\n".encode()
                 writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                 await writer.drain()
@@ -241,16 +248,15 @@
             if run.gone():
                 raise ConnectionError
             first = min(self.waiting, key=lambda one: (one.priority, one.order))
-            needed = run.input + run.made
             if run is first and not self.busy:
-                self._displace_for(run, needed)
-            fits = self._held() + needed <= self.capacity or not self.active
+                self._displace_for(run)
+            fits = self._held(self.active + [run]) <= self.capacity or not self.active
             if run is first and len(self.active) < self.slots and fits and not self.busy:
                 break
             await asyncio.sleep(0.005)
         self.waiting.remove(run)
         self.active.append(run)
-        run.holds, run.preempted = needed, False
+        run.preempted = False
         self._make_room()
         used = await self._read_input(run)
         if run.preempted or (self.busy and not run.begun):
