Lease: the note for the next holder belongs to the hold, not to the process

Cause: a router that took the lease wrote the note of an earlier hold of its own over that of the last holder, and was stopped before it corrected it; its successor read a time long ago and ordered at once. The note was kept by the process for ever, and pushed at moments of its own: a planned stop, which first withdraws the wish for the lease, wrote none at all.

Ruled out: a wrong conversion of the time after the freeze (the times fit the earlier holds).

Change: the write that takes the lease keeps the note in the row; later ones, the release included, carry a note computed right before the write, by the hold and not by the wish for it. A note about to be replaced does not count as stored. A holder without the store's clock, which wrote "long ago" as the time of its last order, now sends none. One log line for each takeover tells the note found and the wait.

Why it holds: the row's note covers the orders of all holders so far at each moment, so it doesn't matter when the newest of them ends.

The test that waits for a holder that was acting now kills it instead of releasing the lease, and asks for the hold, too.

--- a/src/ferryroad/coordination/lease/lease_holder.cpp
+++ b/src/ferryroad/coordination/lease/lease_holder.cpp
@@ -22,8 +22,19 @@
     return valid ? std::optional(hold_->token) : std::nullopt;
 }
 
+std::optional<base::fencing_token> lease_holder::hold_token() const {
+    return hold_ ? std::optional(hold_->token) : std::nullopt;
+}
+
+void lease_holder::set_note(std::uint64_t note) {
+    if (hold_) {
+        hold_->note = note;
+    }
+}
+
 std::optional<std::uint64_t> lease_holder::stored_note(base::monotonic_time now) const {
-    const bool known = token(now) && !pending_ && row_ && row_->record;
+    const bool known =
+        token(now) && !pending_ && row_ && row_->record && row_->record->note == hold_->note;
     return known ? std::optional(row_->record->note) : std::nullopt;
 }
 
@@ -63,10 +74,8 @@
 
 action lease_holder::start_write(lease_record record, base::monotonic_time now) {
     record.write_id = random_.next();
-    record.note = note_;
     in_flight_ = true;
-    const std::uint64_t replaced = row_->record ? row_->record->note : 0;
-    pending_ = pending_write{record, now, replaced, end_of_seen_hold()};
+    pending_ = pending_write{record, now, end_of_seen_hold()};
     return write_row{row_->version, encode(record)};
 }
 
@@ -105,11 +114,14 @@
     record.holder = self_;
     record.token.value = row_->record ? row_->record->token.value + 1 : 1;
     record.duration = settings_.duration;
+    // Stays in the row until the new holder has something to say: the next one must learn it even
+    // if this process ends before.
+    record.note = row_->record ? row_->record->note : 0;
     return start_write(std::move(record), now);
 }
 
 action lease_holder::renew_if_due(base::monotonic_time now) {
-    const bool note_due = row_->record && row_->record->note != note_;
+    const bool note_due = row_->record && row_->record->note != hold_->note;
     if (now < hold_->renew_at && !note_due) {
         return wait_until{std::min(hold_->renew_at, hold_->valid_until)};
     }
@@ -117,6 +129,7 @@
     record.holder = self_;
     record.token = hold_->token;
     record.duration = settings_.duration;
+    record.note = hold_->note;
     return start_write(std::move(record), now);
 }
 
@@ -124,6 +137,7 @@
     lease_record record;
     record.token = hold_->token;
     record.duration = settings_.duration;
+    record.note = hold_->note;
     hold_.reset();
     return start_write(std::move(record), now);
 }
@@ -191,13 +205,14 @@
     }
     const bool taken_anew = !hold_ || hold_->token != written.record.token;
     if (taken_anew) {
-        predecessor_note_ = written.predecessor_note;
+        predecessor_note_ = written.record.note;
         predecessor_end_ = written.predecessor_end;
     }
+    const std::uint64_t note = taken_anew ? written.record.note : hold_->note;
     const base::duration valid_for =
         scaled(settings_.duration, 1.0 - settings_.drift_bound) - settings_.margin;
     hold_ = hold{written.record.token, written.sent_at + valid_for,
-                 written.sent_at + settings_.renew_after};
+                 written.sent_at + settings_.renew_after, note};
 }
 
 void lease_holder::schedule_retry(base::duration delay, base::monotonic_time now) {
--- a/src/ferryroad/coordination/lease/lease_holder.hpp
+++ b/src/ferryroad/coordination/lease/lease_holder.hpp
@@ -59,11 +59,18 @@
     /// act.
     std::optional<base::fencing_token> token(base::monotonic_time now) const;
 
-    /// Sets the note that the row carries to the next holder. It is written with the next renewal,
-    /// which becomes due at once if the row has a different note.
-    void set_note(std::uint64_t note) { note_ = note; }
+    /// @return the fencing token of this process's hold, even if it is no longer wanted or has just
+    /// expired; nothing if there is no hold.
+    std::optional<base::fencing_token> hold_token() const;
+
+    /// Sets the note that the row carries to the next holder. It belongs to the current hold and
+    /// has no effect without one; until it is set, the row keeps the note of the previous holder.
+    /// It is written with the next renewal, which becomes due at once if the row has a different
+    /// note, or with the release.
+    void set_note(std::uint64_t note);
     /// @return the note stored in the row while this process holds the lease; nothing if it doesn't
-    /// hold the lease, or if a write is not yet known to have taken effect.
+    /// hold the lease, if another note is to replace it, or if a write is not yet known to have
+    /// taken effect.
     std::optional<std::uint64_t> stored_note(base::monotonic_time now) const;
     /// @return the note that the previous holder left in the row; 0 if there was none.
     std::uint64_t predecessor_note() const { return predecessor_note_; }
@@ -89,13 +96,13 @@
         base::fencing_token token;
         base::monotonic_time valid_until;
         base::monotonic_time renew_at;
+        std::uint64_t note = 0;  ///< For the next holder.
     };
     /// A write whose effect is not yet known.
     struct pending_write {
         lease_record record;
         base::monotonic_time sent_at;
-        std::uint64_t predecessor_note = 0;      ///< Note in the row that it replaces.
-        base::monotonic_time predecessor_end{};  ///< End of the hold in that row.
+        base::monotonic_time predecessor_end{};  ///< End of the hold in the row that it replaces.
     };
 
     action start_read();
@@ -127,7 +134,6 @@
     std::optional<seen_row> row_;
     std::optional<hold> hold_;
     std::optional<pending_write> pending_;
-    std::uint64_t note_ = 0;
     std::uint64_t predecessor_note_ = 0;
     base::monotonic_time predecessor_end_{};
     base::duration delay_;
--- a/src/ferryroad/leases/lease_service.cpp
+++ b/src/ferryroad/leases/lease_service.cpp
@@ -41,8 +41,10 @@
                              lease::lease_identity self, lease_service_settings settings)
     : scheduler_(scheduler), table_(table), self_(std::move(self)), settings_(settings) {}
 
-void lease_service::contend(lease_name name, std::function<bool()> wanted) {
-    contended_lease entry{{self_, settings_.lease, scheduler_.random()}, std::move(wanted)};
+void lease_service::contend(lease_name name, std::function<bool()> wanted,
+                            std::function<std::uint64_t()> note) {
+    contended_lease entry{
+        {self_, settings_.lease, scheduler_.random()}, std::move(wanted), std::move(note)};
     const auto [position, added] = leases_.emplace(name, std::move(entry));
     if (added) {
         scheduler_.spawn(component, run(std::move(name), position->second));
@@ -60,11 +62,9 @@
     return found != leases_.end() && found->second.holder.token(scheduler_.now()).has_value();
 }
 
-void lease_service::set_note(const lease_name& name, std::uint64_t note) {
+std::optional<base::fencing_token> lease_service::hold_token(const lease_name& name) const {
     const auto found = leases_.find(name);
-    if (found != leases_.end()) {
-        found->second.holder.set_note(note);
-    }
+    return found == leases_.end() ? std::nullopt : found->second.holder.hold_token();
 }
 
 std::optional<std::uint64_t> lease_service::stored_note(const lease_name& name) const {
@@ -93,6 +93,9 @@
             log_change(name, token);
             last_token = token;
         }
+        if (lease.note && lease.holder.hold_token()) {
+            lease.holder.set_note(lease.note());
+        }
         lease::action action = lease.holder.next(scheduler_.now());
         if (const auto* wait = std::get_if<lease::wait_until>(&action)) {
             if (stopped_ && wait->when == base::monotonic_time::max()) {
--- a/src/ferryroad/leases/lease_service.hpp
+++ b/src/ferryroad/leases/lease_service.hpp
@@ -31,7 +31,10 @@
 
     /// Tries to acquire and keep the lease `name` while `wanted` returns true, and releases it
     /// when `wanted` returns false. Call it once per lease.
-    void contend(lease_name name, std::function<bool()> wanted);
+    /// @param note returns the note for the next holder. Called before each write of the lease's
+    /// row by its holder, the release included. If empty, the row keeps the note that it has.
+    void contend(lease_name name, std::function<bool()> wanted,
+                 std::function<std::uint64_t()> note = {});
     /// Releases all leases and ends the coroutines that maintain them.
     void stop() { stopped_ = true; }
 
@@ -43,11 +46,12 @@
     /// @return whether this router holds the lease, even if it is no longer wanted.
     bool holds(const lease_name& name) const;
 
-    /// Sets the note that is stored in the lease's row for the next holder. Does nothing for a
-    /// lease that `contend` was not called for.
-    void set_note(const lease_name& name, std::uint64_t note);
+    /// @return the fencing token of this router's hold, even if the lease is no longer wanted, this
+    /// router is stopping or the hold has just expired; nothing if there is no hold.
+    std::optional<base::fencing_token> hold_token(const lease_name& name) const;
+
     /// @return the note that is known to be stored; nothing if this router doesn't hold the
-    /// lease or the outcome of a write is still unknown.
+    /// lease, another note is to replace it or the outcome of a write is still unknown.
     std::optional<std::uint64_t> stored_note(const lease_name& name) const;
     /// @return the note that the previous holder left in the row; 0 if there is none.
     std::uint64_t predecessor_note(const lease_name& name) const;
@@ -61,6 +65,7 @@
     struct contended_lease {
         coordination::lease::lease_holder holder;
         std::function<bool()> wanted;
+        std::function<std::uint64_t()> note;  ///< May be empty.
     };
 
     runtime::task<void> run(lease_name name, contended_lease& lease);
--- a/src/ferryroad/relay/rollout_lease.cpp
+++ b/src/ferryroad/relay/rollout_lease.cpp
@@ -1,7 +1,11 @@
 #include "ferryroad/relay/rollout_lease.hpp"
 
+#include "ferryroad/runtime/log.hpp"
+
 #include <algorithm>
 #include <chrono>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace ferryroad::relay {
@@ -13,6 +17,8 @@
 /// of routers.
 constexpr base::duration contention_delay = std::chrono::milliseconds(800);
 
+constexpr std::string_view component = "relay.rollout_lease";
+
 }  // namespace
 
 bool contends_for_rollout(const lease_contender& router) {
@@ -31,24 +37,17 @@
       m_name(std::move(name)),
       m_handover_gap(handover_gap) {}
 
+void rollout_lease::contend(std::function<bool()> wanted) {
+    m_leases.contend(m_name, std::move(wanted), [this] { return current_note(); });
+}
+
 void rollout_lease::set_intent(bool acting) {
     track_holder_change();
-    if (!m_last_token || m_finished) {
-        return;
-    }
-    if (acting && m_scheduler.now() + announce_lead >= m_may_act_from) {
-        m_leases.set_note(m_name, note_acting);
-        return;
-    }
-    write_last_action_note();
+    m_wants_to_act = acting;
 }
 
 void rollout_lease::finish() {
-    track_holder_change();
     m_finished = true;
-    if (m_last_token) {
-        write_last_action_note();
-    }
 }
 
 void rollout_lease::end_action() {
@@ -64,27 +63,50 @@
     return m_last_action.value_or(m_may_act_from - m_handover_gap);
 }
 
-void rollout_lease::write_last_action_note() {
-    const base::monotonic_time last_action = latest_arrival_time();
-    const auto owner_time = m_clock.known() ? m_clock.to_owner_latest(last_action) : 0;
-    m_leases.set_note(m_name, std::max<std::int64_t>(owner_time, note_acting + 1));
+std::uint64_t rollout_lease::current_note() {
+    track_holder_change();
+    const bool may_act = m_leases.token(m_name) && !m_finished;
+    const bool is_due = m_scheduler.now() + announce_lead >= m_may_act_from;
+    return may_act && m_wants_to_act && is_due ? note_acting : last_action_note();
+}
+
+std::uint64_t rollout_lease::last_action_note() const {
+    if (!m_clock.known()) {
+        // It has not acted without the clock.
+        return m_leases.predecessor_note(m_name);
+    }
+    const auto owner_time = m_clock.to_owner_latest(latest_arrival_time());
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(owner_time, note_acting + 1));
 }
 
 void rollout_lease::track_holder_change() {
-    const auto token = m_leases.token(m_name);
-    if (token == m_last_token) {
+    // The hold counts, not the right to act: after a planned stop has begun, the time of the last
+    // action is still to be written.
+    const auto hold = m_leases.hold_token(m_name);
+    if (hold == m_hold) {
         return;
     }
-    m_last_token = token;
+    m_hold = hold;
     m_last_action.reset();
-    if (token) {
+    m_wants_to_act = false;
+    if (hold) {
         m_may_act_from = first_action_time(m_leases.predecessor_note(m_name));
+        log_takeover();
     }
 }
 
+void rollout_lease::log_takeover() const {
+    const base::duration wait = m_may_act_from - m_scheduler.now();
+    runtime::log(runtime::log_level::info, component, "rollout lease taken over",
+                 {{"token", std::to_string(m_hold->value)},
+                  {"predecessor_note", std::to_string(m_leases.predecessor_note(m_name))},
+                  {"clock_known", m_clock.known() ? "true" : "false"},
+                  {"may_act_in_ms", std::to_string(base::to_milliseconds(wait))}});
+}
+
 base::monotonic_time rollout_lease::first_action_time(std::uint64_t predecessor_note) const {
     const base::monotonic_time now = m_scheduler.now();
-    const bool first_ever = m_last_token->value == 1;
+    const bool first_ever = m_hold->value == 1;
     if (first_ever) {
         return now;
     }
@@ -103,12 +125,14 @@
 std::optional<base::fencing_token> rollout_lease::token() {
     track_holder_change();
     const base::monotonic_time now = m_scheduler.now();
+    const auto token = m_leases.token(m_name);
     const bool announced = m_leases.stored_note(m_name) == note_acting;
-    if (!m_last_token || m_finished || !announced || now < m_may_act_from) {
+    // Without the clock, this router could not leave the time of its last action.
+    if (!token || m_finished || !announced || !m_clock.known() || now < m_may_act_from) {
         return std::nullopt;
     }
     m_last_action = now;
-    return m_last_token;
+    return token;
 }
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/rollout_lease.hpp
+++ b/src/ferryroad/relay/rollout_lease.hpp
@@ -2,7 +2,10 @@
 /// The lease that entitles a router to act on a rollout (to order engines to load weights), with
 /// the note that holders write into the lease. A holder announces in it that it is about to act;
 /// when it is done, it replaces this by the time of its last action. The next holder therefore has
-/// to wait only where its predecessor may have acted recently.
+/// to wait only where a predecessor may have acted recently.
+///
+/// The note covers the actions of all holders so far: a holder that has not acted passes on what
+/// its predecessor left, whenever and however it ends.
 #pragma once
 
 #include "ferryroad/base/ids.hpp"
@@ -12,6 +15,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 namespace ferryroad::relay {
@@ -41,11 +45,14 @@
     rollout_lease(const runtime::scheduler& scheduler, leases::lease_service& leases,
                   const owner_clock& clock, leases::lease_name name, base::duration handover_gap);
 
-    /// Updates the note in the lease. To be called often.
+    /// Tries to acquire and keep the lease while `wanted` returns true, and releases it when
+    /// `wanted` returns false. To be called once.
+    void contend(std::function<bool()> wanted);
+    /// States whether this router wants to act; the note in the lease follows. To be called often.
     /// @param acting whether there is something to do.
     void set_intent(bool acting);
-    /// Ends this router's actions for good and writes the time of the last one into the lease. To
-    /// be called on a planned stop, before the lease is released.
+    /// Ends this router's actions for good. To be called on a planned stop; the time of the last
+    /// action is written when the lease is released.
     void finish();
     /// To be called immediately before each action.
     /// @return the fencing token that the action must carry, or nothing where this router may not
@@ -61,9 +68,8 @@
     bool held() const { return m_leases.token(m_name).has_value(); }
 
   private:
-    /// Value of the note while a holder acts. Greater ones are the time of its last action, in
-    /// milliseconds of the table owner's clock; the least of them is written while that clock is
-    /// unknown.
+    /// Value of the note while a holder acts. Greater ones are the time of the last action, in
+    /// milliseconds of the table owner's clock.
     static constexpr std::uint64_t note_acting = 1;
     /// A holder that still has to wait announces its actions only this long before it may act. If
     /// it ends before that, its successor does not have to wait for it.
@@ -75,9 +81,12 @@
     /// @return a time after which no action of this router arrives at an engine, unless it starts
     /// another one.
     base::monotonic_time latest_arrival_time() const;
-    void write_last_action_note();
+    /// @return the note to store in the lease. Precondition: this router holds it.
+    std::uint64_t current_note();
+    std::uint64_t last_action_note() const;
     /// Resets the state where this router has got or lost the lease since the last call.
     void track_holder_change();
+    void log_takeover() const;
     /// @return when this router, a new holder, may act for the first time.
     base::monotonic_time first_action_time(std::uint64_t predecessor_note) const;
 
@@ -86,8 +95,9 @@
     const owner_clock& m_clock;
     leases::lease_name m_name;
     base::duration m_handover_gap;
-    std::optional<base::fencing_token> m_last_token;
+    std::optional<base::fencing_token> m_hold;  ///< Token of the hold that the members refer to.
     base::monotonic_time m_may_act_from{};
+    bool m_wants_to_act = false;
     std::optional<base::monotonic_time> m_last_action;
     std::size_t m_actions_in_flight = 0;  ///< Sent, and neither answered nor timed out.
     bool m_finished = false;
--- a/test/coordination/lease/lease_holder_test.cpp
+++ b/test/coordination/lease/lease_holder_test.cpp
@@ -245,3 +245,46 @@
     at.answer(write_committed{row_version(7)});
     cr_assert_eq(at.holder.predecessor_note(), 777);
 }
+
+// Guards against: a holder that took the lease again overwrote the note of the holder before it
+// with the one that it had set in an earlier hold.
+Test(lease_holder, takes_the_lease_with_the_note_that_its_predecessor_left) {
+    bench at;
+    at.acquire();
+    at.answer(write_committed{row_version(1)});
+    at.holder.set_note(111);
+    const auto noted = at.expect<write_row>();
+    cr_assert_eq(decode(noted.value)->note, 111);
+    const lease_record left{std::nullopt, base::fencing_token(2), 10s, 99, 222};
+    at.answer(write_conflicted{{row_version(3), encode(left)}});
+    at.holder.set_note(333);  // Has no effect: the lease is lost.
+    const auto taken = at.expect<write_row>();
+    cr_assert_eq(decode(taken.value)->note, 222);
+    at.answer(write_committed{row_version(4)});
+    cr_assert_eq(at.holder.predecessor_note(), 222);
+    at.holder.want(false);
+    const auto released = at.expect<write_row>();
+    cr_assert_not(decode(released.value)->holder.has_value());
+    cr_assert_eq(decode(released.value)->note, 222, "it set none in this hold");
+}
+
+Test(lease_holder, a_release_carries_the_note_set_last) {
+    bench at;
+    at.acquire();
+    at.answer(write_committed{row_version(1)});
+    at.holder.set_note(5);
+    at.holder.want(false);
+    cr_assert(at.holder.hold_token() == base::fencing_token(1), "held until it is released");
+    cr_assert_eq(decode(at.expect<write_row>().value)->note, 5);
+    cr_assert_not(at.holder.hold_token().has_value());
+}
+
+Test(lease_holder, a_note_about_to_be_replaced_does_not_count_as_stored) {
+    bench at;
+    at.acquire();
+    at.answer(write_committed{row_version(1)});
+    at.holder.set_note(1);
+    cr_assert_not(at.holder.stored_note(at.now).has_value());
+    at.holder.set_note(0);
+    cr_assert_eq(at.holder.stored_note(at.now), 0U);
+}
--- a/test/relay/lease_router.hpp
+++ b/test/relay/lease_router.hpp
@@ -5,6 +5,7 @@
 #include "ferryroad/relay/rollout_lease.hpp"
 #include "test/http/loopback.hpp"
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
 namespace ferryroad::relay::test {
 
 /// Table with a single row. Writes are conditional on the row's version, and may be refused.
+/// `on_committed` is called after each write that took effect, before its answer arrives.
 class single_row_table final : public platform::table {
   public:
     runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
@@ -27,6 +29,9 @@
                 row = {wanted.writes.at(0).key, *wanted.writes.at(0).value,
                        platform::row_version(row.version.value + 1)};
                 outcome.version = row.version;
+                if (on_committed) {
+                    on_committed();
+                }
             } else {
                 outcome.conflicting = row;
             }
@@ -48,18 +53,24 @@
     }
     platform::row row;
     bool writes_refused = false;
+    std::function<void()> on_committed;  ///< May be empty.
 };
 
-/// A router that contends for the lease; its clock equals the table owner's.
+/// A router that contends for the lease; its clock equals the table owner's, where it knows that.
 struct lease_router {
+    enum class clock_state { known, unknown };
+
     lease_router(ferryroad::test::loopback& loop, platform::table& table, std::uint64_t process,
-                 base::duration handover_gap = std::chrono::milliseconds(200))
+                 base::duration handover_gap = std::chrono::milliseconds(200),
+                 clock_state owner = clock_state::known)
         : leases(loop.scheduler, table, {"router", base::incarnation(process)}, settings()),
           lease(loop.scheduler, leases, clock, leases::lease_name("x"), handover_gap) {
-        clock.observe(loop.scheduler.now(), loop.scheduler.now(),
-                      std::chrono::milliseconds(
-                          base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
-        leases.contend(leases::lease_name("x"), [] { return true; });
+        if (owner == clock_state::known) {
+            clock.observe(loop.scheduler.now(), loop.scheduler.now(),
+                          std::chrono::milliseconds(
+                              base::to_milliseconds(loop.scheduler.now().time_since_epoch())));
+        }
+        lease.contend([this] { return wanted; });
     }
     static leases::lease_service_settings settings() {
         leases::lease_service_settings all;
@@ -71,6 +82,14 @@
         all.check_period = std::chrono::milliseconds(2);
         return all;
     }
+    /// Begins a planned stop as the program does: from then on it does not want the lease.
+    void stop() {
+        wanted = false;
+        lease.finish();
+        leases.stop();
+    }
+
+    bool wanted = true;
     owner_clock clock;
     leases::lease_service leases;
     rollout_lease lease;
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -50,10 +50,11 @@
     single_row_table table;
     router first(loop, table, 1);
     time_to_act(loop, first);
-    first.leases.stop();
-    router second(loop, table, 2);
+    single_row_table without_first;  // As if the first holder had been killed.
+    without_first.row = table.row;
+    router second(loop, without_first, 2);
     const base::duration waited = time_to_act(loop, second);
-    cr_assert(waited >= 200ms);
+    cr_assert(waited >= 400ms + 200ms, "the hold and the gap");
     cr_assert_eq(second.lease.token()->value, 2);
 }
 
@@ -124,6 +125,78 @@
     cr_assert(waited < 200ms, "%ld ms", static_cast<long>(base::to_milliseconds(waited)));
 }
 
+// Guards against: a router that took the lease wrote a note of its own, older than its
+// predecessor's last action, and ended at once; its successor then acted without waiting.
+Test(rollout_lease, a_holder_that_ends_as_it_takes_the_lease_hides_no_action_before_it) {
+    ferryroad::test::loopback loop;
+    single_row_table table;
+    constexpr base::duration gap = 1500ms;
+    router early(loop, table, 1, gap);
+    run_for(loop, 30ms);
+    early.lease.set_intent(false);  // Held the lease once, without an action.
+    run_for(loop, 30ms);
+    early.wanted = false;
+    run_for(loop, 30ms);
+    router acting(loop, table, 2, gap);
+    time_to_act(loop, acting);
+    const base::monotonic_time acted = loop.scheduler.now();
+    acting.stop();
+    run_for(loop, 30ms);
+    table.on_committed = [&] {
+        if (early.wanted) {
+            early.stop();
+        }
+    };
+    early.wanted = true;
+    run_for(loop, 60ms);
+    table.on_committed = {};
+    cr_assert_not(early.wanted, "it took the lease");
+    router last(loop, table, 3, gap);
+    time_to_act(loop, last);
+    const base::duration since = loop.scheduler.now() - acted;
+    cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+}
+
+// Guards against: a planned stop left the note of a holder that acts, and its successor waited the
+// whole gap although the last action was long ago.
+Test(rollout_lease, a_planned_stop_leaves_the_time_of_the_last_action) {
+    ferryroad::test::loopback loop;
+    single_row_table table;
+    constexpr base::duration gap = 1500ms;
+    router first(loop, table, 1, gap);
+    time_to_act(loop, first);
+    run_for(loop, 1600ms);  // It announces actions, but takes none.
+    const base::monotonic_time stopped = loop.scheduler.now();
+    first.stop();
+    router second(loop, table, 2, gap);
+    time_to_act(loop, second);
+    const base::duration waited = loop.scheduler.now() - stopped;
+    cr_assert(waited < gap, "%ld ms", static_cast<long>(base::to_milliseconds(waited)));
+}
+
+// Guards against: a holder without the owner's clock left a time long ago as that of its last
+// action.
+Test(rollout_lease, a_router_that_cannot_date_its_actions_takes_none) {
+    ferryroad::test::loopback loop;
+    single_row_table table;
+    constexpr base::duration gap = 1500ms;
+    router first(loop, table, 1, gap);
+    time_to_act(loop, first);
+    const base::monotonic_time acted = loop.scheduler.now();
+    first.stop();
+    router undated(loop, table, 2, gap, router::clock_state::unknown);
+    run_for(loop, 300ms);
+    cr_assert(undated.lease.held());
+    undated.lease.set_intent(true);
+    run_for(loop, 30ms);
+    cr_assert_not(undated.lease.token().has_value());
+    undated.stop();
+    router third(loop, table, 3, gap);
+    time_to_act(loop, third);
+    const base::duration since = loop.scheduler.now() - acted;
+    cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+}
+
 Test(rollout_lease, few_routers_contend_and_none_while_all_start_together) {
     lease_contender router;
     router.uptime = 10s;
