Cached state is fetched only while its weights are certain

What callers saw: nothing but a worse answer.

Cause: an engine that loads weights carries on with its requests, whose scope names the older version; parts that it computes again for them are of the newer one, in the scope of the older one. The router checked a source of state when it chose it: once, and never where it was a store.

Stores took such parts as well.

Change: stores are used only in the scope of the newest weights; weights seen at an engine or announced count like named ones until the router's copy of the namings is confirmed. The source is checked again before the first byte and while the request waits; what would fetch outdated state is withdrawn and sent again (lost=state_current). What can't be withdrawn names no source.

Why it holds: while a version is the newest, no engine can have a newer one, so all state in its scope is of it; what was sent then and waits is withdrawn before an engine can have loaded the next version.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -65,6 +65,7 @@
          {"shared_tokens", std::to_string(shared_tokens(plan))},
          {"prefill_tokens", std::to_string(selected.prefill_tokens)},
          {"fetch_from", text_of(selected.fetch_state_from)},
+         {"save_to", text_of(selected.save_state_to)},
          {"fetch_over", selected.moved_bytes > 0
                             ? std::string(core::topology::to_string(selected.moved_distance))
                             : "none"},
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -1,5 +1,6 @@
 #include "ferryroad/relay/dispatch_preconditions.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace ferryroad::relay {
@@ -9,6 +10,10 @@
             plan.tenant, std::move(excluded), plan.matched_route->target_gap};
 }
 
+bool may_be_withdrawn(const relay_plan& plan, std::uint32_t dispatches) {
+    return is_repeatable(*plan.matched_route) && dispatches + 1 < plan.matched_route->attempts;
+}
+
 bool dispatch_preconditions::key_is_valid() const {
     if (m_plan.tenant == nullptr) {
         return true;
@@ -60,12 +65,15 @@
     if (!m_sources.selection.is_still_valid(chosen, query_of(m_plan), now)) {
         return dispatch_precondition::engine_serves;
     }
+    if (m_sources.selection.would_fetch_outdated_state(chosen, *m_plan.call, now)) {
+        return dispatch_precondition::state_current;
+    }
     return now < m_plan.deadline ? std::nullopt : std::optional(dispatch_precondition::time_left);
 }
 
-bool dispatch_preconditions::can_be_lost() const {
-    return m_timing.is_waiting() &&
-           (m_sources.quarantine != nullptr || m_timing.can_become_outdated());
+bool dispatch_preconditions::can_be_lost(const selected_engine& chosen) const {
+    return m_timing.is_waiting() && (m_sources.quarantine != nullptr ||
+                                     m_timing.can_become_outdated() || chosen.fetch_state_from);
 }
 
 // A quarantine must be noticed here, too: a request that was quarantined while it waited at an
@@ -73,7 +81,8 @@
 //
 // Mere suspects are left waiting: when an engine crashes, every request in progress there becomes a
 // suspect, and most of them did not cause the crash.
-runtime::task<dispatch_precondition> dispatch_preconditions::until_lost() const {
+runtime::task<dispatch_precondition> dispatch_preconditions::until_lost(
+    const selected_engine& chosen) const {
     const bool can_become_outdated = m_timing.can_become_outdated();
     for (;;) {
         const base::monotonic_time now = m_sources.scheduler.now();
@@ -83,8 +92,14 @@
         if (can_become_outdated && m_timing.may_no_longer_begin(now)) {
             co_return dispatch_precondition::engine_serves;
         }
-        const auto check_at =
-            can_become_outdated ? std::optional(m_timing.next_check(now)) : std::nullopt;
+        if (m_sources.selection.would_fetch_outdated_state(chosen, *m_plan.call, now)) {
+            co_return dispatch_precondition::state_current;
+        }
+        auto check_at = m_sources.selection.next_state_check(chosen, *m_plan.call, now);
+        if (can_become_outdated) {
+            const base::monotonic_time next = m_timing.next_check(now);
+            check_at = std::min(check_at.value_or(next), next);
+        }
         co_await m_sources.waiting.sleep(m_plan.identity, check_at);
     }
 }
--- a/src/ferryroad/relay/dispatch_preconditions.hpp
+++ b/src/ferryroad/relay/dispatch_preconditions.hpp
@@ -13,6 +13,7 @@
 #include "ferryroad/relay/waiting_requests.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -32,14 +33,19 @@
 /// must outlive it.
 selection_query query_of(const relay_plan& plan, std::vector<base::engine_name> excluded = {});
 
+/// @param dispatches number of times that the request was sent before.
+/// @return whether the request, once sent to another engine, may still be withdrawn from it and
+/// sent to one more.
+bool may_be_withdrawn(const relay_plan& plan, std::uint32_t dispatches);
+
 /// Checks the preconditions of one request's successive exchanges. Used from the event loop's
 /// thread; the plan and the timing must outlive it.
 ///
-/// While the request waits at an engine, only its quarantine and the age of the engine's weights
-/// are monitored. The other preconditions need no check after sending: the key is only required to
-/// be valid when the request is sent, an engine that is shutting down or whose software is being
-/// replaced completes the requests it accepted before, a process that terminates closes its
-/// connections, and the deadline has a timer of its own.
+/// While the request waits at an engine, only its quarantine, the age of the engine's weights and
+/// the state that it is to fetch are monitored. The other preconditions need no check after
+/// sending: the key is only required to be valid when the request is sent, an engine that is
+/// shutting down or whose software is being replaced completes the requests it accepted before, a
+/// process that terminates closes its connections, and the deadline has a timer of its own.
 class dispatch_preconditions {
   public:
     dispatch_preconditions(precondition_sources sources, const relay_plan& plan,
@@ -63,12 +69,14 @@
     std::optional<dispatch_precondition> lost_before_sending(const selected_engine& chosen,
                                                              const known_engine* engine,
                                                              base::monotonic_time now) const;
+    /// @param chosen the engine that the request was sent to.
     /// @return whether the request waits and `until_lost` may complete.
-    bool can_be_lost() const;
+    bool can_be_lost(const selected_engine& chosen) const;
     /// Completes when the request must no longer begin at the engine where it waits; otherwise runs
     /// until cancelled.
+    /// @param chosen the engine that the request was sent to; must outlive the coroutine.
     /// @return the precondition that was lost.
-    runtime::task<dispatch_precondition> until_lost() const;
+    runtime::task<dispatch_precondition> until_lost(const selected_engine& chosen) const;
 
   private:
     precondition_sources m_sources;
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -253,6 +253,9 @@
     if (engine != nullptr && engine->version_of(model) < version) {
         engine->loading_until = std::max(engine->loading_until, until);
     }
+    if (m_on_weights_announced) {
+        m_on_weights_announced(model, version);
+    }
 }
 
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -180,6 +180,11 @@
     /// it expires at `until`, and earlier if the engine reports newer weights.
     void expect_weights(const base::engine_name& name, const std::string& model,
                         std::uint64_t version, base::monotonic_time until);
+    /// @param handler called with each announcement, whether or not its engine is listed.
+    void on_weights_announced(
+        std::function<void(const std::string& model, std::uint64_t version)> handler) {
+        m_on_weights_announced = std::move(handler);
+    }
 
   private:
     /// Maximum number of recently used engines, over all pools.
@@ -212,6 +217,7 @@
     std::deque<base::engine_name> m_recently_used;  ///< Most recent first.
     std::function<void(const base::engine_name&, const std::string&, std::uint64_t)>
         m_on_newer_weights;
+    std::function<void(const std::string&, std::uint64_t)> m_on_weights_announced;
     std::function<void(const base::engine_name&)> m_on_new_process;
     std::optional<base::monotonic_time> m_confirmed_at;
     std::uint64_t m_process_count = 0;  ///< Processes seen; source of `known_engine::process`.
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -115,6 +115,25 @@
     return since;
 }
 
+bool policy_source::record_sighting(const std::string& model, std::uint64_t version,
+                                    base::monotonic_time now) {
+    sighted_version& newest = m_sighted[model];
+    if (version <= newest.version || version <= versions_of(model).newest()) {
+        return false;
+    }
+    newest = {version, now};
+    return true;
+}
+
+bool policy_source::is_newest(const std::string& model, std::uint64_t version) const {
+    if (version < versions_of(model).newest()) {
+        return false;
+    }
+    const auto sighted = m_sighted.find(model);
+    return sighted == m_sighted.end() || version >= sighted->second.version ||
+           (m_confirmed_at && *m_confirmed_at > sighted->second.at);
+}
+
 base::duration policy_source::age(base::monotonic_time now) const {
     return m_confirmed_at ? now - *m_confirmed_at : base::duration::max();
 }
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -52,6 +52,14 @@
     std::vector<named_version> m_named;  ///< Sorted by version, ascending.
 };
 
+/// A version of a model's weights that an engine has or is announced to load.
+struct sighted_version {
+    std::uint64_t version = 0;
+    base::monotonic_time at{};
+
+    friend bool operator==(const sighted_version&, const sighted_version&) = default;
+};
+
 /// How stale the policy may be for a decision.
 struct policy_staleness_limits {
     /// API keys are accepted only if the policy was confirmed within this time; nullopt if keys are
@@ -85,6 +93,10 @@
     /// Adds a newly named version of a model's weights.
     /// @return whether it is newer than all versions known.
     bool add_named_version(const std::string& model, std::uint64_t version);
+    /// Records that an engine has a version of a model's weights, or is announced to load it. Such
+    /// a version was named, even if this copy does not contain it yet.
+    /// @return whether it is newer than all versions known.
+    bool record_sighting(const std::string& model, std::uint64_t version, base::monotonic_time now);
     /// Adds what the naming record says about a version.
     /// @param moment lower bound of the time at which the version was named.
     void add_recorded_naming(const std::string& model, std::uint64_t version,
@@ -115,6 +127,11 @@
     std::optional<base::monotonic_time> outdated_since(const std::string& model,
                                                        std::uint64_t version) const;
 
+    /// @return whether, as far as known, no version newer than `version` was named. A sighting
+    /// counts until this copy is confirmed as of a later time: if the version is still not in it
+    /// then, it was never named.
+    bool is_newest(const std::string& model, std::uint64_t version) const;
+
     /// @return the time before which everything accepted by the owner is known; nullopt if the
     /// policy was never confirmed.
     std::optional<base::monotonic_time> confirmed_at() const { return m_confirmed_at; }
@@ -129,6 +146,7 @@
     policy_staleness_limits m_bounds;
     std::shared_ptr<const core::traffic::traffic_policy> m_current;
     std::map<std::string, version_history> m_versions;
+    std::map<std::string, sighted_version> m_sighted;  ///< The newest of each model.
     std::optional<base::monotonic_time> m_confirmed_at;
     std::optional<base::monotonic_time> m_awaiting_record_since;
 };
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -89,9 +89,10 @@
     std::optional<relay_refusal> refusal;  ///< Nothing if an engine's answer was forwarded.
     unsigned status = 0;                   ///< HTTP status sent to the caller.
     std::uint32_t dispatches = 0;
-    std::uint32_t withdrawals = 0;     ///< Dispatches cancelled while they waited at an engine.
-    bool quarantined_waiting = false;  ///< The last withdrawal was due to a quarantine.
-    std::uint64_t events = 0;          ///< Forwarded to the caller.
+    std::uint32_t withdrawals = 0;        ///< Dispatches cancelled while they waited at an engine.
+    std::uint32_t state_withdrawals = 0;  ///< Those of them that were to fetch outdated state.
+    bool quarantined_waiting = false;     ///< The last withdrawal was due to a quarantine.
+    std::uint64_t events = 0;             ///< Forwarded to the caller.
     /// Software version that the stream began at; nothing if it has no event.
     std::optional<coordination::release::software_version> begun_at;
     std::uint32_t continued = 0;  ///< Exchanges that continued a stream after an event.
@@ -234,6 +235,7 @@
         if (may_be_sent()) {
             selection_query query = query_of(m_plan, selection.excluded);
             query.software = m_begun_at;
+            query.may_be_withdrawn = may_be_withdrawn(m_plan, m_outcome.dispatches);
             selected = co_await select_with_room(query);
             if (!selected && m_begun_at) {
                 selected = co_await select_for_continuation(std::move(query));
@@ -474,10 +476,10 @@
         using boost::asio::experimental::awaitable_operators::operator||;
         const base::duration limit = wait_limit();
         auto opening = m_dependencies.engines.open(std::move(target), std::move(sent), limit);
-        if (!m_preconditions.can_be_lost()) {
+        if (!m_preconditions.can_be_lost(m_selected)) {
             co_return co_await std::move(opening);
         }
-        auto first = co_await (std::move(opening) || m_preconditions.until_lost());
+        auto first = co_await (std::move(opening) || m_preconditions.until_lost(m_selected));
         if (first.index() == 0) {
             co_return std::get<0>(std::move(first));
         }
@@ -620,6 +622,7 @@
                 m_selected.target.name,
                 {m_plan.identity, m_exchange_began, m_plan.deadline, m_plan.parts});
         } else {
+            m_outcome.state_withdrawals += lost == dispatch_precondition::state_current ? 1 : 0;
             m_timing.withdrawn(now);
         }
         end_exchange();
@@ -796,10 +799,10 @@
     runtime::task<std::variant<read_bytes, dispatch_precondition>> read_while_preconditions_hold() {
         using boost::asio::experimental::awaitable_operators::operator||;
         auto next = m_answer->body->next(wait_limit());
-        if (!m_preconditions.can_be_lost()) {
+        if (!m_preconditions.can_be_lost(m_selected)) {
             co_return co_await std::move(next);
         }
-        co_return co_await (std::move(next) || m_preconditions.until_lost());
+        co_return co_await (std::move(next) || m_preconditions.until_lost(m_selected));
     }
 
     void handle_body_part(const std::optional<std::string>& bytes) {
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -32,7 +32,9 @@
     };
     const std::uint32_t quarantined = outcome.quarantined_waiting ? 1 : 0;
     count(dispatch_precondition::no_quarantine, quarantined);
-    count(dispatch_precondition::engine_serves, outcome.withdrawals - quarantined);
+    count(dispatch_precondition::state_current, outcome.state_withdrawals);
+    count(dispatch_precondition::engine_serves,
+          outcome.withdrawals - quarantined - outcome.state_withdrawals);
 }
 
 void relay_metrics::count_continued(const relay_plan& plan, const relay_outcome& outcome) {
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -79,6 +79,9 @@
 
     /// Refuses all new requests from now on, as this router is shutting down.
     void refuse_new() { m_leaving = true; }
+    /// Checks the requests that wait at engines again. To be called when newer weights were named
+    /// or an engine was announced to load them.
+    void check_waiting() { m_waiting.wake_all(); }
     /// Forgets the delays of engines that shedding is based on, as they were caused by the loss of
     /// this router's paths.
     void forget_delays() {
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -21,6 +21,10 @@
 /// Size of one event of a streamed answer: a piece of text with its framing.
 constexpr double event_kb = 0.1;
 
+/// An engine is announced at least 150 ms before it is ordered to load weights, and loading takes
+/// longer than that. A request that is to fetch state from it is withdrawn within this time.
+constexpr base::duration source_check_period = std::chrono::milliseconds(100);
+
 /// @return the hash key of the prompt's home; nullopt if the prompt has no shared parts.
 std::optional<std::uint64_t> home_key(const core::prefix::declared_prompt& prompt) {
     if (prompt.shared_parts() == 0) {
@@ -168,11 +172,27 @@
                                          std::uint64_t version, base::monotonic_time now) const {
     const known_engine* engine = m_registry.find(holder);
     if (engine == nullptr) {
-        return true;
+        return m_policies.is_newest(model, version);
     }
     return engine->version_of(model) == version && now >= engine->loading_until;
 }
 
+bool engine_selection::would_fetch_outdated_state(const selected_engine& chosen,
+                                                  const relay_call& call,
+                                                  base::monotonic_time now) const {
+    return chosen.fetch_state_from &&
+           !has_scope_weights(chosen.fetched_state_holder, call.prompt->model,
+                              chosen.expected_version.value_or(0), now);
+}
+
+std::optional<base::monotonic_time> engine_selection::next_state_check(
+    const selected_engine& chosen, const relay_call& call, base::monotonic_time now) const {
+    const bool is_being_replaced =
+        chosen.fetch_state_from &&
+        !m_policies.is_newest(call.prompt->model, chosen.expected_version.value_or(0));
+    return is_being_replaced ? std::optional(now + source_check_period) : std::nullopt;
+}
+
 void engine_selection::find_state_sources(const selection_query& query,
                                           scoped_prompt& prompt) const {
     for (const placement::holding& one : prompt.holdings) {
@@ -204,7 +224,13 @@
     std::erase_if(prompt.holdings, [&](const placement::holding& one) {
         return !has_scope_weights(one.holder, query.call.prompt->model, version, now);
     });
-    find_state_sources(query, prompt);
+    prompt.may_use_stores = m_policies.is_newest(query.call.prompt->model, version);
+    // The source may get newer weights while the request waits at the engine. It must then be
+    // withdrawn before it fetches; a request that cannot be withdrawn fetches nothing.
+    prompt.may_fetch = query.may_be_withdrawn;
+    if (prompt.may_fetch) {
+        find_state_sources(query, prompt);
+    }
     return prompt;
 }
 
@@ -550,18 +576,24 @@
     if (shared == 0) {
         return;
     }
-    const std::uint64_t in_store = add_store_terms(query, prompt, cross_region, chosen);
-    if (chosen.warm_tokens >= shared) {
+    const std::uint64_t in_store =
+        prompt.may_use_stores ? add_store_terms(query, prompt, cross_region, chosen) : 0;
+    if (!prompt.may_fetch || chosen.warm_tokens >= shared) {
         return;
     }
     const known_engine* source = best_source(query, prompt, cross_region, chosen, now);
     const std::uint64_t at_source = source == nullptr ? 0 : prompt.held_by(source->listed.name);
     if (at_source >= in_store && at_source > chosen.warm_tokens) {
-        chosen.fetch_state_from = source->listed.address;
-        chosen.fetched_state_zone = source->listed.zone;
+        set_state_source(*source, chosen);
     }
 }
 
+void engine_selection::set_state_source(const known_engine& source, selected_engine& chosen) const {
+    chosen.fetch_state_from = source.listed.address;
+    chosen.fetched_state_holder = source.listed.name;
+    chosen.fetched_state_zone = source.listed.zone;
+}
+
 bool engine_selection::may_provide_state(const known_engine& engine, const selection_query& query,
                                          base::monotonic_time now) const {
     return engine.listed.pool == query.pool && !engine.health.suspended(now) &&
@@ -573,14 +605,14 @@
                                       selected_engine& chosen) const {
     const std::uint64_t shared = query.call.prompt->shared_tokens();
     const bool knows_enough = std::max(chosen.warm_tokens, prompt.everywhere.most_tokens) >= shared;
-    if (home == nullptr || home->listed.name == chosen.target.name || knows_enough) {
+    if (!prompt.may_fetch || home == nullptr || home->listed.name == chosen.target.name ||
+        knows_enough) {
         return;
     }
     const bool same_weights = has_scope_weights(home->listed.name, query.call.prompt->model,
                                                 chosen.expected_version.value_or(0), now);
     if (same_weights && may_provide_state(*home, query, now)) {
-        chosen.fetch_state_from = home->listed.address;
-        chosen.fetched_state_zone = home->listed.zone;
+        set_state_source(*home, chosen);
     }
 }
 
@@ -613,20 +645,23 @@
     if (home == nullptr) {
         return 0;
     }
+    const core::traffic::state_store* source = home;
     std::uint64_t most = prompt.held_by(holder_name_of(*home));
-    chosen.fetch_state_from = home->address;
-    chosen.fetched_state_zone = home->zone;
     for (const core::traffic::state_store& store : stores) {
         const std::uint64_t held = prompt.held_by(holder_name_of(store));
         if (held > most) {
             most = held;
-            chosen.fetch_state_from = store.address;
-            chosen.fetched_state_zone = store.zone;
+            source = &store;
         }
     }
+    if (prompt.may_fetch) {
+        chosen.fetch_state_from = source->address;
+        chosen.fetched_state_holder = holder_name_of(*source);
+        chosen.fetched_state_zone = source->zone;
+    }
     placement::prompt_prefill reading;
     reading.shared = declared.shared_tokens();
-    reading.held = std::max(chosen.warm_tokens, chosen.fetchable_tokens);
+    reading.held = std::max({chosen.warm_tokens, chosen.fetchable_tokens, most});
     reading.own = declared.input_tokens - std::min(reading.shared, declared.input_tokens);
     if (placement::is_worth_saving(reading)) {
         chosen.save_state_to = home->address;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -57,6 +57,8 @@
     base::duration target_gap{};  ///< The route's target for the time between stream events.
     bool canary = false;          ///< Restricted to engines that run the canary version.
     bool without_limit = false;   ///< Restricted to engines without a request limit.
+    /// The request may be withdrawn while it waits at the engine, and sent to another one.
+    bool may_be_withdrawn = true;
     /// Restricted to engines with this software: it began the stream that the request continues.
     std::optional<coordination::release::software_version> software;
 };
@@ -80,7 +82,8 @@
     base::duration begin_bound{};
     std::optional<std::string> cache_scope;
     std::optional<base::endpoint> fetch_state_from;
-    base::zone_name fetched_state_zone;  ///< Zone of `fetch_state_from`.
+    base::engine_name fetched_state_holder;  ///< Engine or store at `fetch_state_from`.
+    base::zone_name fetched_state_zone;      ///< Its zone.
     std::optional<base::endpoint> save_state_to;
     std::uint64_t warm_tokens = 0;  ///< Prompt tokens expected in the engine's KV cache.
     /// Prompt tokens expected in another KV cache that are worth fetching.
@@ -175,6 +178,16 @@
         }
     }
 
+    /// @return whether the request must not begin at the selected engine because the state that it
+    /// would fetch there may have been computed with other weights.
+    bool would_fetch_outdated_state(const selected_engine& chosen, const relay_call& call,
+                                    base::monotonic_time now) const;
+    /// @return when to check `would_fetch_outdated_state` next without further notice; nullopt if
+    /// the naming of newer weights is awaited.
+    std::optional<base::monotonic_time> next_state_check(const selected_engine& chosen,
+                                                         const relay_call& call,
+                                                         base::monotonic_time now) const;
+
     /// @return the deadline for requests to begin with weights of `version`, given the versions
     /// named so far; nullopt if `version` is the newest or there is no limit.
     std::optional<base::monotonic_time> begin_by(const std::string& model,
@@ -215,6 +228,8 @@
         std::string scope;
         std::vector<core::prefix::scoped_part> parts;
         std::vector<core::placement::holding> holdings;  ///< Sorted by holder name.
+        bool may_fetch = false;                          ///< If not, the sources below are empty.
+        bool may_use_stores = false;  ///< State may be fetched from stores and sent to them.
         state_sources everywhere;
         /// Filled only if there are several regions.
         std::map<base::region_name, state_sources> by_region;
@@ -239,12 +254,13 @@
     std::optional<base::zone_name> zone_of(const selection_query& query,
                                            const base::engine_name& holder) const;
     /// Loading other weights makes an engine drop its KV cache. State that it then recomputes for
-    /// requests begun before is reported under their old scope, although it was computed with the
-    /// new weights and must not be used.
-    /// @return whether the state that the holder reports for a scope was computed with the scope's
-    /// weights. Always true for a state store, as it loads no weights.
+    /// requests begun before is cached, reported and stored under their old scope, although it was
+    /// computed with the new weights and must not be used.
+    /// @return whether the state that the holder has for a scope was computed with the scope's
+    /// weights. That of a store was, as far as known, until newer weights are named.
     bool has_scope_weights(const base::engine_name& holder, const std::string& model,
                            std::uint64_t version, base::monotonic_time now) const;
+    void set_state_source(const known_engine& source, selected_engine& chosen) const;
     void find_state_sources(const selection_query& query, scoped_prompt& prompt) const;
     bool same_region(const base::zone_name& one, const base::zone_name& other) const {
         return m_settings.zones.same_region(one, other);
--- a/src/ferryroad/relay/types.cpp
+++ b/src/ferryroad/relay/types.cpp
@@ -18,6 +18,8 @@
             return "within_limit";
         case dispatch_precondition::engine_serves:
             return "engine_serves";
+        case dispatch_precondition::state_current:
+            return "state_current";
         case dispatch_precondition::time_left:
             break;
     }
--- a/test/relay/policy_source_test.cpp
+++ b/test/relay/policy_source_test.cpp
@@ -114,3 +114,22 @@
     cr_assert(outdated_limit_for(8s) > 7s);
     cr_assert(outdated_limit_for(100ms) == 50ms);
 }
+
+Test(policy_source, a_version_seen_at_an_engine_counts_until_it_should_have_been_named) {
+    policy_source source(policy_staleness_limits{});
+    source.add_named_version(model, 2);
+    source.confirm(start);
+    cr_assert(source.is_newest(model, 2));
+    cr_assert_not(source.is_newest(model, 1));
+    cr_assert(source.record_sighting(model, 3, start + 1s));
+    cr_assert_not(source.record_sighting(model, 3, start + 2s), "known already");
+    cr_assert_not(source.is_newest(model, 2));
+    cr_assert(source.is_newest(model, 3));
+    cr_assert_eq(source.versions_of(model).newest(), 2, "a sighting names nothing");
+    source.confirm(start + 1s);
+    cr_assert_not(source.is_newest(model, 2), "may have been named since");
+    source.confirm(start + 2s);
+    cr_assert(source.is_newest(model, 2), "it was never named");
+    source.add_named_version(model, 3);
+    cr_assert_not(source.is_newest(model, 2));
+}
