Execution tells whether the next attempt may be repeated

Whether a request may be withdrawn, and so may fetch cached state, was reckoned in relay/ from the number of dispatches; those that engines refused as not run counted as well, though they leave all executions. Now the state machine that decides on retries tells it, from the same count.

A request whose first engine refused it fetches state again at the second. Test: relay.waiting_state_fetch, an_attempt_that_did_not_run_is_not_counted (failed before: no source at the second engine), and one of the state machine.

--- a/src/ferryroad/core/execution/request_execution.cpp
+++ b/src/ferryroad/core/execution/request_execution.cpp
@@ -248,6 +248,18 @@
     return {resume_attempt{last_exchange_, attempt.number, attempt.engine, next_token_}};
 }
 
+std::size_t request_execution::executions() const {
+    const auto count =
+        std::count_if(attempts_.begin(), attempts_.end(),
+                      [](const attempt_record& attempt) { return !is_proven_not_run(attempt); });
+    return static_cast<std::size_t>(count);
+}
+
+bool request_execution::may_repeat_next_attempt() const {
+    return rules_.repeatable && attempts_.size() + 1 < limits_.attempts &&
+           executions() + 1 < limits_.executions;
+}
+
 bool request_execution::may_retry(const exchange_failed& failed, context& at) {
     if (failed.kind == failure_kind::rejected || at.now >= rules_.deadline) {
         return false;
@@ -258,10 +270,7 @@
     if (overloaded_refusals_ >= limits_.max_overloaded_refusals) {
         return false;
     }
-    const auto executions =
-        std::count_if(attempts_.begin(), attempts_.end(),
-                      [](const attempt_record& attempt) { return !is_proven_not_run(attempt); });
-    if (static_cast<std::uint64_t>(executions) >= limits_.executions) {
+    if (executions() >= limits_.executions) {
         return false;
     }
     if (!rules_.repeatable && !is_proven_not_run(attempts_.back())) {
--- a/src/ferryroad/core/execution/request_execution.hpp
+++ b/src/ferryroad/core/execution/request_execution.hpp
@@ -63,6 +63,9 @@
     /// ended or was unknown.
     std::uint32_t dropped() const { return dropped_; }
     std::uint32_t emitted_tokens() const { return next_token_; }
+    /// @return whether the next attempt may be cancelled after it was sent, and the request be sent
+    /// once more; the retry budget may still refuse that.
+    bool may_repeat_next_attempt() const;
     const std::vector<attempt_record>& attempts() const { return attempts_; }
 
   private:
@@ -90,6 +93,8 @@
     bool may_resume(const attempt_record& attempt, failure_kind kind) const;
     action_list resume(attempt_record& attempt);
     bool may_retry(const exchange_failed& failed, context& at);
+    /// @return the number of attempts that ran or may have run.
+    std::size_t executions() const;
     action_list retry();
     action_list fail(const exchange_failed& failed);
     action_list end_with_refusal(refusal_reason reason, std::optional<base::duration> retry_after);
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -10,10 +10,6 @@
             plan.tenant, std::move(excluded), plan.matched_route->target_gap};
 }
 
-bool may_be_withdrawn(const relay_plan& plan, std::uint32_t dispatches) {
-    return is_repeatable(*plan.matched_route) && dispatches + 1 < plan.matched_route->attempts;
-}
-
 bool dispatch_preconditions::key_is_valid() const {
     if (m_plan.tenant == nullptr) {
         return true;
--- a/src/ferryroad/relay/dispatch_preconditions.hpp
+++ b/src/ferryroad/relay/dispatch_preconditions.hpp
@@ -13,7 +13,6 @@
 #include "ferryroad/relay/waiting_requests.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
-#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -33,11 +32,6 @@
 /// must outlive it.
 selection_query query_of(const relay_plan& plan, std::vector<base::engine_name> excluded = {});
 
-/// @param dispatches number of times that the request was sent before.
-/// @return whether the request, once sent to another engine, may still be withdrawn from it and
-/// sent to one more.
-bool may_be_withdrawn(const relay_plan& plan, std::uint32_t dispatches);
-
 /// Checks the preconditions of one request's successive exchanges. Used from the event loop's
 /// thread; the plan and the timing must outlive it.
 ///
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -235,7 +235,7 @@
         if (may_be_sent()) {
             selection_query query = query_of(m_plan, selection.excluded);
             query.software = m_begun_at;
-            query.may_be_withdrawn = may_be_withdrawn(m_plan, m_outcome.dispatches);
+            query.may_be_withdrawn = m_machine.may_repeat_next_attempt();
             selected = co_await select_with_room(query);
             if (!selected && m_begun_at) {
                 selected = co_await select_for_continuation(std::move(query));
--- a/test/core/execution/request_execution_test.cpp
+++ b/test/core/execution/request_execution_test.cpp
@@ -197,6 +197,22 @@
     cr_assert_eq(find<refuse>(actions)->retry_after, std::chrono::seconds(3));
 }
 
+Test(request_execution, tells_whether_the_next_attempt_may_be_repeated) {
+    tunables limits;
+    limits.executions = 2;
+    request_execution fresh(rules_of(true), limits);
+    ferryroad::core::admission::retry_budget budget(0.1);
+    fresh.begin(start);
+    cr_assert(fresh.may_repeat_next_attempt());
+    fresh.handle(engine("a"), start, budget);
+    fresh.handle(exchange_failed{exchange_number(1), overloaded, not_run}, start, budget);
+    cr_assert(fresh.may_repeat_next_attempt(), "the first attempt did not run");
+    fresh.handle(engine("b"), start, budget);
+    fresh.handle(exchange_failed{exchange_number(2), broken, unknown}, start, budget);
+    cr_assert_not(fresh.may_repeat_next_attempt(), "the second one may have run");
+    cr_assert_not(request_execution(rules_of(false), limits).may_repeat_next_attempt());
+}
+
 Test(request_execution, caller_gone_cancels_the_engines_attempt) {
     running state(rules_of(true), 1);
     const auto actions = state.feed(caller_gone{});
--- a/test/relay/waiting_state_fetch_test.cpp
+++ b/test/relay/waiting_state_fetch_test.cpp
@@ -106,6 +106,17 @@
     cr_assert_not(router.arrived_with_source[1]);
 }
 
+Test(waiting_state_fetch, an_attempt_that_did_not_run_is_not_counted) {
+    store_router router(1s);
+    for (auto& [name, engine] : router.upstream.engines) {
+        engine.refuses_after = 100ms;
+    }
+    router.send_shared("/resumable/");
+    router.run_for(3s);
+    cr_assert_geq(router.arrived_with_source.size(), 2);
+    cr_assert(router.arrived_with_source[1]);
+}
+
 Test(waiting_state_fetch, weights_named_while_the_connection_opens_withhold_the_dispatch) {
     store_router router(100ms);
     router.upstream.connect_time = 200ms;
