A router that would not learn of newer weights exchanges no state

A router that is cut off, or has just been frozen, chose sources of cached state on the strength of what it knew before: its copy of the namings was old, and no announcement of a load reached it.

Also a test of the lease's note with a holder that is killed as it takes it, beside the one that is stopped.

--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -136,6 +136,8 @@
     std::size_t block_size() const { return m_group.block_size(m_ports.scheduler.now()); }
     /// @return the number of peers that sent a notice recently.
     std::size_t live_peers() const { return m_group.live(m_ports.scheduler.now()).size(); }
+    /// @return whether no peer was heard recently although there are peers.
+    bool is_isolated() const { return m_group.is_isolated(m_ports.scheduler.now()); }
     std::uint64_t notices_sent() const { return m_notices_sent; }
     std::uint64_t notices_malformed() const { return m_notices_malformed; }
 
--- a/src/ferryroad/relay/peer_group.cpp
+++ b/src/ferryroad/relay/peer_group.cpp
@@ -194,6 +194,13 @@
     });
 }
 
+bool peer_group::is_isolated(base::monotonic_time now) const {
+    const auto& peers = block(now);
+    return !peers.empty() && std::none_of(peers.begin(), peers.end(), [&](const known_peer* one) {
+        return is_live(*one, now);
+    });
+}
+
 std::vector<base::router_name> peer_group::gone(base::monotonic_time now) const {
     std::vector<base::router_name> names;
     for (const known_peer* one : block(now)) {
--- a/src/ferryroad/relay/peer_group.hpp
+++ b/src/ferryroad/relay/peer_group.hpp
@@ -93,6 +93,8 @@
                  base::monotonic_time now) const;
     /// @return the peers of the block that sent a notice recently.
     std::set<base::router_name> live(base::monotonic_time now) const;
+    /// @return whether no peer of the block sent a notice recently although there are peers.
+    bool is_isolated(base::monotonic_time now) const;
     /// @return routers of the block and of this zone that are gone and that this router has to
     /// report, because it ranks first for them among the live routers.
     std::vector<base::router_name> gone(base::monotonic_time now) const;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -224,10 +224,12 @@
     std::erase_if(prompt.holdings, [&](const placement::holding& one) {
         return !has_scope_weights(one.holder, query.call.prompt->model, version, now);
     });
-    prompt.may_use_stores = m_policies.is_newest(query.call.prompt->model, version);
+    const bool learns_of_weights = !m_learns_of_weights || m_learns_of_weights();
+    prompt.may_use_stores =
+        learns_of_weights && m_policies.is_newest(query.call.prompt->model, version);
     // The source may get newer weights while the request waits at the engine. It must then be
     // withdrawn before it fetches; a request that cannot be withdrawn fetches nothing.
-    prompt.may_fetch = query.may_be_withdrawn;
+    prompt.may_fetch = learns_of_weights && query.may_be_withdrawn;
     if (prompt.may_fetch) {
         find_state_sources(query, prompt);
     }
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -133,6 +133,12 @@
         m_knows_holders = std::move(all_holders_known);
     }
 
+    /// @param learns_of_weights whether this router learns without delay that newer weights are
+    /// named or loaded. If not set, it is taken to; while it does not, no state is exchanged.
+    void set_weights_notice_check(std::function<bool()> learns_of_weights) {
+        m_learns_of_weights = std::move(learns_of_weights);
+    }
+
     /// Scales the known load of each engine: routers whose load isn't received are assumed to load
     /// the engines as much as those whose load is.
     /// @param present number of all routers.
@@ -350,6 +356,7 @@
     core::topology::zone_latency_estimator m_paths;
     std::function<bool(const base::endpoint&)> m_is_connected;
     std::function<bool()> m_knows_holders;
+    std::function<bool()> m_learns_of_weights;
     double m_unseen_load_factor = 1;  ///< Applied to the load of engines; see `expect_routers`.
 };
 
--- a/test/relay/outdated_state_sources_test.cpp
+++ b/test/relay/outdated_state_sources_test.cpp
@@ -217,3 +217,19 @@
     fixture.registry.expect_weights(source_engine, "m", 2, start + 2s);
     cr_assert(fixture.selection.would_fetch_outdated_state(chosen, fixture.call, later));
 }
+
+// Guards against: a router that was cut off or had been frozen used sources on the strength of what
+// it knew before.
+Test(outdated_state_sources, a_router_that_would_not_learn_of_newer_weights_exchanges_no_state) {
+    selection_fixture fixture;
+    bool learns = false;
+    fixture.selection.set_weights_notice_check([&] { return learns; });
+    fixture.report_held(source_engine, 2);
+    fixture.report_stored();
+    const auto cut_off = fixture.select({source_engine});
+    cr_assert_not(cut_off.fetch_state_from.has_value());
+    cr_assert_not(cut_off.save_state_to.has_value());
+    cr_assert_eq(cut_off.fetchable_tokens, 0);
+    learns = true;
+    cr_assert(fixture.select({source_engine}).fetch_state_from.has_value());
+}
--- a/test/relay/peer_group_test.cpp
+++ b/test/relay/peer_group_test.cpp
@@ -235,3 +235,13 @@
     }
     cr_assert_eq(told, 1);
 }
+
+Test(peer_group, a_router_is_isolated_when_it_hears_none_of_its_peers) {
+    peer_group group(router(0));
+    cr_assert_not(group.is_isolated(start), "it has no peers");
+    group.declare({router(0), router(1), router(2)});
+    cr_assert(group.is_isolated(start));
+    group.record_notice(router(2), start);
+    cr_assert_not(group.is_isolated(start + 1s));
+    cr_assert(group.is_isolated(start + 2s));
+}
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -157,6 +157,37 @@
     cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
 }
 
+// Guards against: the same, where the router that took the lease was killed and released nothing.
+Test(rollout_lease, a_holder_killed_as_it_takes_the_lease_hides_no_action_before_it) {
+    ferryroad::test::loopback loop;
+    single_row_table table;
+    constexpr base::duration gap = 1500ms;
+    router early(loop, table, 1, gap);
+    run_for(loop, 30ms);
+    early.lease.set_intent(false);  // Held the lease once, without an action.
+    run_for(loop, 30ms);
+    early.wanted = false;
+    run_for(loop, 30ms);
+    router acting(loop, table, 2, gap);
+    time_to_act(loop, acting);
+    const base::monotonic_time acted = loop.scheduler.now();
+    acting.stop();
+    run_for(loop, 30ms);
+    single_row_table after_kill;
+    table.on_committed = [&] {
+        if (after_kill.row.version.value == 0) {
+            after_kill.row = table.row;  // The first write of `early` is its last.
+        }
+    };
+    early.wanted = true;
+    run_for(loop, 60ms);
+    cr_assert(after_kill.row.version.value > 0, "it took the lease");
+    router last(loop, after_kill, 3, gap);
+    time_to_act(loop, last);
+    const base::duration since = loop.scheduler.now() - acted;
+    cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+}
+
 // Guards against: a planned stop left the note of a holder that acts, and its successor waited the
 // whole gap although the last action was long ago.
 Test(rollout_lease, a_planned_stop_leaves_the_time_of_the_last_action) {
