--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -115,9 +115,9 @@
     return since;
 }
 
-bool policy_source::record_sighting(const std::string& model, std::uint64_t version,
-                                    base::monotonic_time now) {
-    sighted_version& newest = m_sighted[model];
+bool policy_source::record_observed_version(const std::string& model, std::uint64_t version,
+                                            base::monotonic_time now) {
+    observed_version& newest = m_observed[model];
     if (version <= newest.version || version <= versions_of(model).newest()) {
         return false;
     }
@@ -129,9 +129,9 @@
     if (version < versions_of(model).newest()) {
         return false;
     }
-    const auto sighted = m_sighted.find(model);
-    return sighted == m_sighted.end() || version >= sighted->second.version ||
-           (m_confirmed_at && *m_confirmed_at > sighted->second.at);
+    const auto observed = m_observed.find(model);
+    return observed == m_observed.end() || version >= observed->second.version ||
+           (m_confirmed_at && *m_confirmed_at > observed->second.at);
 }
 
 base::duration policy_source::age(base::monotonic_time now) const {
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -53,11 +53,11 @@
 };
 
 /// A version of a model's weights that an engine has or is announced to load.
-struct sighted_version {
+struct observed_version {
     std::uint64_t version = 0;
     base::monotonic_time at{};
 
-    friend bool operator==(const sighted_version&, const sighted_version&) = default;
+    friend bool operator==(const observed_version&, const observed_version&) = default;
 };
 
 /// How stale the policy may be for a decision.
@@ -96,7 +96,8 @@
     /// Records that an engine has a version of a model's weights, or is announced to load it. Such
     /// a version was named, even if this copy does not contain it yet.
     /// @return whether it is newer than all versions known.
-    bool record_sighting(const std::string& model, std::uint64_t version, base::monotonic_time now);
+    bool record_observed_version(const std::string& model, std::uint64_t version,
+                                 base::monotonic_time now);
     /// Adds what the naming record says about a version.
     /// @param moment lower bound of the time at which the version was named.
     void add_recorded_naming(const std::string& model, std::uint64_t version,
@@ -127,9 +128,9 @@
     std::optional<base::monotonic_time> outdated_since(const std::string& model,
                                                        std::uint64_t version) const;
 
-    /// @return whether, as far as known, no version newer than `version` was named. A sighting
-    /// counts until this copy is confirmed as of a later time: if the version is still not in it
-    /// then, it was never named.
+    /// @return whether, as far as known, no version newer than `version` was named. An observed one
+    /// counts until this copy is confirmed as of a later time: if it is still not in the copy then,
+    /// it was never named.
     bool is_newest(const std::string& model, std::uint64_t version) const;
 
     /// @return the time before which everything accepted by the owner is known; nullopt if the
@@ -146,7 +147,7 @@
     policy_staleness_limits m_bounds;
     std::shared_ptr<const core::traffic::traffic_policy> m_current;
     std::map<std::string, version_history> m_versions;
-    std::map<std::string, sighted_version> m_sighted;  ///< The newest of each model.
+    std::map<std::string, observed_version> m_observed;  ///< The newest of each model.
     std::optional<base::monotonic_time> m_confirmed_at;
     std::optional<base::monotonic_time> m_awaiting_record_since;
 };
--- a/test/relay/outdated_state_sources_test.cpp
+++ b/test/relay/outdated_state_sources_test.cpp
@@ -46,10 +46,10 @@
         }
         registry.on_newer_weights(
             [this](const auto&, const std::string& model, std::uint64_t version) {
-                policies.record_sighting(model, version, start);
+                policies.record_observed_version(model, version, start);
             });
         registry.on_weights_announced([this](const std::string& model, std::uint64_t version) {
-            policies.record_sighting(model, version, start);
+            policies.record_observed_version(model, version, start);
         });
         call.prompt =
             core::prefix::declared_prompt{"m", {{"a", 1000}, {"b", 8000}, {"own", 500}}, 9500, 20};
--- a/test/relay/policy_source_test.cpp
+++ b/test/relay/policy_source_test.cpp
@@ -121,11 +121,11 @@
     source.confirm(start);
     cr_assert(source.is_newest(model, 2));
     cr_assert_not(source.is_newest(model, 1));
-    cr_assert(source.record_sighting(model, 3, start + 1s));
-    cr_assert_not(source.record_sighting(model, 3, start + 2s), "known already");
+    cr_assert(source.record_observed_version(model, 3, start + 1s));
+    cr_assert_not(source.record_observed_version(model, 3, start + 2s), "known already");
     cr_assert_not(source.is_newest(model, 2));
     cr_assert(source.is_newest(model, 3));
-    cr_assert_eq(source.versions_of(model).newest(), 2, "a sighting names nothing");
+    cr_assert_eq(source.versions_of(model).newest(), 2, "an observation names nothing");
     source.confirm(start + 1s);
     cr_assert_not(source.is_newest(model, 2), "may have been named since");
     source.confirm(start + 2s);
