What can't be withdrawn fetches state where it begins soon

Requests that can't be withdrawn named no source of cached state.

They now name a source under the newest weights if they are expected to begin within 300 ms: a load takes effect 150 ms and the load time after its naming at the earliest. While weights are replaced they name none.

--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -25,6 +25,10 @@
 /// longer than that. A request that is to fetch state from it is withdrawn within this time.
 constexpr base::duration source_check_period = std::chrono::milliseconds(100);
 
+/// A request that cannot be withdrawn fetches state only if it is expected to begin within this
+/// time. An engine needs longer from the naming of newer weights until it has loaded them.
+constexpr base::duration longest_unattended_wait = std::chrono::milliseconds(300);
+
 /// @return the hash key of the prompt's home; nullopt if the prompt has no shared parts.
 std::optional<std::uint64_t> home_key(const core::prefix::declared_prompt& prompt) {
     if (prompt.shared_parts() == 0) {
@@ -228,8 +232,9 @@
     prompt.may_use_stores =
         learns_of_weights && m_policies.is_newest(query.call.prompt->model, version);
     // The source may get newer weights while the request waits at the engine. It must then be
-    // withdrawn before it fetches; a request that cannot be withdrawn fetches nothing.
-    prompt.may_fetch = learns_of_weights && query.may_be_withdrawn;
+    // withdrawn before it fetches. A request that cannot be withdrawn fetches nothing while weights
+    // are being replaced.
+    prompt.may_fetch = learns_of_weights && (query.may_be_withdrawn || prompt.may_use_stores);
     if (prompt.may_fetch) {
         find_state_sources(query, prompt);
     }
@@ -565,6 +570,9 @@
         if (!placed.all_holders_known) {
             add_home_terms(query, *one.prompt, home, now, chosen);
         }
+        if (!query.may_be_withdrawn && chosen.begin_bound > longest_unattended_wait) {
+            remove_state_source(placed.input_tokens, chosen);
+        }
         set_transfer(query, plan.fetched_tokens, chosen);
     }
     return chosen;
@@ -590,12 +598,18 @@
     }
 }
 
-void engine_selection::set_state_source(const known_engine& source, selected_engine& chosen) const {
+void engine_selection::set_state_source(const known_engine& source, selected_engine& chosen) {
     chosen.fetch_state_from = source.listed.address;
     chosen.fetched_state_holder = source.listed.name;
     chosen.fetched_state_zone = source.listed.zone;
 }
 
+void engine_selection::remove_state_source(std::uint64_t input_tokens, selected_engine& chosen) {
+    chosen.fetch_state_from.reset();
+    chosen.fetchable_tokens = 0;
+    chosen.prefill_tokens = input_tokens - std::min(chosen.warm_tokens, input_tokens);
+}
+
 bool engine_selection::may_provide_state(const known_engine& engine, const selection_query& query,
                                          base::monotonic_time now) const {
     return engine.listed.pool == query.pool && !engine.health.suspended(now) &&
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -266,7 +266,8 @@
     /// weights. That of a store was, as far as known, until newer weights are named.
     bool has_scope_weights(const base::engine_name& holder, const std::string& model,
                            std::uint64_t version, base::monotonic_time now) const;
-    void set_state_source(const known_engine& source, selected_engine& chosen) const;
+    static void set_state_source(const known_engine& source, selected_engine& chosen);
+    static void remove_state_source(std::uint64_t input_tokens, selected_engine& chosen);
     void find_state_sources(const selection_query& query, scoped_prompt& prompt) const;
     bool same_region(const base::zone_name& one, const base::zone_name& other) const {
         return m_settings.zones.same_region(one, other);
