A request that can't be sent again is never withdrawn for its state

Whether it may be withdrawn is now kept with the selection, and only such requests are watched.

The expected wait up to which the others fetch is 500 ms: engines take longer than that from the naming of weights until they have loaded them.

--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -67,9 +67,13 @@
     return now < m_plan.deadline ? std::nullopt : std::optional(dispatch_precondition::time_left);
 }
 
+bool dispatch_preconditions::watches_state(const selected_engine& chosen) {
+    return chosen.fetch_state_from && chosen.may_be_withdrawn;
+}
+
 bool dispatch_preconditions::can_be_lost(const selected_engine& chosen) const {
     return m_timing.is_waiting() && (m_sources.quarantine != nullptr ||
-                                     m_timing.can_become_outdated() || chosen.fetch_state_from);
+                                     m_timing.can_become_outdated() || watches_state(chosen));
 }
 
 // A quarantine must be noticed here, too: a request that was quarantined while it waited at an
@@ -88,10 +92,14 @@
         if (can_become_outdated && m_timing.may_no_longer_begin(now)) {
             co_return dispatch_precondition::engine_serves;
         }
-        if (m_sources.selection.would_fetch_outdated_state(chosen, *m_plan.call, now)) {
+        if (watches_state(chosen) &&
+            m_sources.selection.would_fetch_outdated_state(chosen, *m_plan.call, now)) {
             co_return dispatch_precondition::state_current;
         }
-        auto check_at = m_sources.selection.next_state_check(chosen, *m_plan.call, now);
+        std::optional<base::monotonic_time> check_at;
+        if (watches_state(chosen)) {
+            check_at = m_sources.selection.next_state_check(chosen, *m_plan.call, now);
+        }
         if (can_become_outdated) {
             const base::monotonic_time next = m_timing.next_check(now);
             check_at = std::min(check_at.value_or(next), next);
--- a/src/ferryroad/relay/dispatch_preconditions.hpp
+++ b/src/ferryroad/relay/dispatch_preconditions.hpp
@@ -73,6 +73,9 @@
     runtime::task<dispatch_precondition> until_lost(const selected_engine& chosen) const;
 
   private:
+    /// @return whether the request is withdrawn when the state that it is to fetch is outdated.
+    static bool watches_state(const selected_engine& chosen);
+
     precondition_sources m_sources;
     const relay_plan& m_plan;
     const exchange_timing& m_timing;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -27,7 +27,7 @@
 
 /// A request that cannot be withdrawn fetches state only if it is expected to begin within this
 /// time. An engine needs longer from the naming of newer weights until it has loaded them.
-constexpr base::duration longest_unattended_wait = std::chrono::milliseconds(300);
+constexpr base::duration longest_unattended_wait = std::chrono::milliseconds(500);
 
 /// @return the hash key of the prompt's home; nullopt if the prompt has no shared parts.
 std::optional<std::uint64_t> home_key(const core::prefix::declared_prompt& prompt) {
@@ -540,6 +540,7 @@
     chosen.target = {one.engine->listed.name, one.engine->listed.address};
     chosen.software = one.engine->listed.software;
     chosen.canary = query.canary;
+    chosen.may_be_withdrawn = query.may_be_withdrawn;
     chosen.continued = query.software.has_value();
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -85,6 +85,7 @@
     base::engine_name fetched_state_holder;  ///< Engine or store at `fetch_state_from`.
     base::zone_name fetched_state_zone;      ///< Its zone.
     std::optional<base::endpoint> save_state_to;
+    bool may_be_withdrawn = true;   ///< See `selection_query`.
     std::uint64_t warm_tokens = 0;  ///< Prompt tokens expected in the engine's KV cache.
     /// Prompt tokens expected in another KV cache that are worth fetching.
     std::uint64_t fetchable_tokens = 0;
@@ -184,8 +185,8 @@
         }
     }
 
-    /// @return whether the request must not begin at the selected engine because the state that it
-    /// would fetch there may have been computed with other weights.
+    /// @return whether the request should not begin at the selected engine because the state that
+    /// it would fetch there may have been computed with other weights.
     bool would_fetch_outdated_state(const selected_engine& chosen, const relay_call& call,
                                     base::monotonic_time now) const;
     /// @return when to check `would_fetch_outdated_state` next without further notice; nullopt if
--- a/test/relay/waiting_state_fetch_test.cpp
+++ b/test/relay/waiting_state_fetch_test.cpp
@@ -102,6 +102,20 @@
     cr_assert_eq(router.writers[0]->status, 200);
 }
 
+// Guards against: a request that can't be sent again was withdrawn, and its caller got an error.
+Test(waiting_state_fetch, an_unrepeatable_request_that_fetches_is_not_withdrawn) {
+    store_router router(1s);
+    router.expect_waits(100ms);
+    router.send_shared("/stream/");
+    router.run_for(500ms);
+    router.replace_weights();
+    router.run_for(3s);
+    cr_assert_eq(router.arrived_with_source.size(), 1);
+    cr_assert(router.arrived_with_source[0]);
+    cr_assert_eq(router.outcomes.at("r0").withdrawals, 0);
+    cr_assert_eq(router.writers[0]->status, 200);
+}
+
 Test(waiting_state_fetch, a_last_attempt_that_waits_fetches_nothing) {
     store_router router(1s);
     router.expect_waits(1s);
