--- a/test/relay/outdated_state_sources_test.cpp
+++ b/test/relay/outdated_state_sources_test.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr base::monotonic_time start{100s};
+constexpr std::uint64_t own_tokens = 500;
 constexpr const char* old_scope = "shared/1";
 const base::engine_name target_engine("e1");
 const base::engine_name other_source_engine("e2");
@@ -51,8 +52,8 @@
         registry.on_weights_announced([this](const std::string& model, std::uint64_t version) {
             policies.record_observed_version(model, version, start);
         });
-        call.prompt =
-            core::prefix::declared_prompt{"m", {{"a", 1000}, {"b", 8000}, {"own", 500}}, 9500, 20};
+        call.prompt = core::prefix::declared_prompt{
+            "m", {{"a", 1000}, {"b", 8000}, {"own", own_tokens}}, 9500, 20};
     }
     static selection_settings settings() {
         selection_settings all;
@@ -83,10 +84,10 @@
     void report_stored() {
         report_held(holder_name_of(policies.current()->declared().stores.front()), 2);
     }
-    /// Makes the selection expect that requests begin after this time.
+    /// Makes the selection expect that requests that fetch all shared parts begin after this time.
     void expect_waits(base::duration wait) {
         for (int request = 0; request < 200; ++request) {
-            selection.record_begin_delay(base::pool_name("p"), {9500, 20}, wait);
+            selection.record_begin_delay(base::pool_name("p"), {own_tokens, 20}, wait);
         }
     }
     /// @return the selection of an engine with the old weights.
