Tests of the lease and of waiting requests: common steps written once

The holders before a taker, and weights named while a request waits, are set up in one place each. Every assertion is kept; the two equal ones of the gap are one function now.

--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -4,6 +4,8 @@
 
 #include "test/relay/lease_router.hpp"
 
+#include <optional>
+
 using namespace ferryroad;
 using namespace ferryroad::relay;
 using namespace ferryroad::relay::test;
@@ -32,6 +34,37 @@
     cr_assert(loop.run([&]() -> runtime::task<void> { co_await loop.scheduler.sleep_for(time); }));
 }
 
+/// The lease was held by a router that took no action, then by one that did.
+struct previous_holders {
+    static constexpr base::duration gap = 1500ms;
+
+    ferryroad::test::loopback loop;
+    single_row_table table;
+    router early{loop, table, 1, gap};
+    base::monotonic_time acted{};
+
+    previous_holders() {
+        run_for(loop, 30ms);
+        early.lease.set_intent(false);
+        run_for(loop, 30ms);
+        early.wanted = false;
+        run_for(loop, 30ms);
+        time_to_act(loop, m_acting.emplace(loop, table, 2, gap));
+        acted = loop.scheduler.now();
+        m_acting->stop();
+        run_for(loop, 30ms);
+    }
+    /// Checks that the router doesn't act within the gap after the action.
+    void expect_gap_until(router& last) {
+        time_to_act(loop, last);
+        const base::duration since = loop.scheduler.now() - acted;
+        cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+    }
+
+  private:
+    std::optional<router> m_acting;
+};
+
 }  // namespace
 
 Test(rollout_lease, the_first_holder_acts_once_it_has_announced_it) {
@@ -128,64 +161,34 @@
 // Guards against: a router that took the lease wrote a note of its own, older than its
 // predecessor's last action, and ended at once; its successor then acted without waiting.
 Test(rollout_lease, a_holder_that_ends_as_it_takes_the_lease_hides_no_action_before_it) {
-    ferryroad::test::loopback loop;
-    single_row_table table;
-    constexpr base::duration gap = 1500ms;
-    router early(loop, table, 1, gap);
-    run_for(loop, 30ms);
-    early.lease.set_intent(false);  // Held the lease once, without an action.
-    run_for(loop, 30ms);
-    early.wanted = false;
-    run_for(loop, 30ms);
-    router acting(loop, table, 2, gap);
-    time_to_act(loop, acting);
-    const base::monotonic_time acted = loop.scheduler.now();
-    acting.stop();
-    run_for(loop, 30ms);
-    table.on_committed = [&] {
-        if (early.wanted) {
-            early.stop();
+    previous_holders before;
+    before.table.on_committed = [&] {
+        if (before.early.wanted) {
+            before.early.stop();
         }
     };
-    early.wanted = true;
-    run_for(loop, 60ms);
-    table.on_committed = {};
-    cr_assert_not(early.wanted, "it took the lease");
-    router last(loop, table, 3, gap);
-    time_to_act(loop, last);
-    const base::duration since = loop.scheduler.now() - acted;
-    cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+    before.early.wanted = true;
+    run_for(before.loop, 60ms);
+    before.table.on_committed = {};
+    cr_assert_not(before.early.wanted, "it took the lease");
+    router last(before.loop, before.table, 3, before.gap);
+    before.expect_gap_until(last);
 }
 
 // Guards against: the same, where the router that took the lease was killed and released nothing.
 Test(rollout_lease, a_holder_killed_as_it_takes_the_lease_hides_no_action_before_it) {
-    ferryroad::test::loopback loop;
-    single_row_table table;
-    constexpr base::duration gap = 1500ms;
-    router early(loop, table, 1, gap);
-    run_for(loop, 30ms);
-    early.lease.set_intent(false);  // Held the lease once, without an action.
-    run_for(loop, 30ms);
-    early.wanted = false;
-    run_for(loop, 30ms);
-    router acting(loop, table, 2, gap);
-    time_to_act(loop, acting);
-    const base::monotonic_time acted = loop.scheduler.now();
-    acting.stop();
-    run_for(loop, 30ms);
+    previous_holders before;
     single_row_table after_kill;
-    table.on_committed = [&] {
+    before.table.on_committed = [&] {
         if (after_kill.row.version.value == 0) {
-            after_kill.row = table.row;  // The first write of `early` is its last.
+            after_kill.row = before.table.row;  // The first write of `early` is its last.
         }
     };
-    early.wanted = true;
-    run_for(loop, 60ms);
+    before.early.wanted = true;
+    run_for(before.loop, 60ms);
     cr_assert(after_kill.row.version.value > 0, "it took the lease");
-    router last(loop, after_kill, 3, gap);
-    time_to_act(loop, last);
-    const base::duration since = loop.scheduler.now() - acted;
-    cr_assert(since >= gap, "%ld ms", static_cast<long>(base::to_milliseconds(since)));
+    router last(before.loop, after_kill, 3, before.gap);
+    before.expect_gap_until(last);
 }
 
 // Guards against: a planned stop left the note of a holder that acts, and its successor waited the
--- a/test/relay/waiting_state_fetch_test.cpp
+++ b/test/relay/waiting_state_fetch_test.cpp
@@ -58,6 +58,13 @@
         name_weights(2);
         service.check_waiting();
     }
+    /// Sends a request, names version 2 half a second later and runs until the request has ended.
+    void replace_weights_while_waiting(const std::string& path) {
+        send_shared(path);
+        run_for(500ms);
+        replace_weights();
+        run_for(3s);
+    }
 
     std::vector<bool> arrived_with_source;  ///< Whether each dispatch named a source of state.
 };
@@ -66,10 +73,7 @@
 
 Test(waiting_state_fetch, a_waiting_request_that_would_fetch_replaced_state_is_withdrawn) {
     store_router router(1s);
-    router.send_shared("/resumable/");
-    router.run_for(500ms);
-    router.replace_weights();
-    router.run_for(3s);
+    router.replace_weights_while_waiting("/resumable/");
     cr_assert_eq(router.arrived_with_source.size(), 2);
     cr_assert(router.arrived_with_source[0]);
     cr_assert_not(router.arrived_with_source[1]);
@@ -93,10 +97,7 @@
 Test(waiting_state_fetch, an_unrepeatable_request_that_waits_fetches_nothing_and_stays) {
     store_router router(1s);
     router.expect_waits(1s);
-    router.send_shared("/stream/");
-    router.run_for(500ms);
-    router.replace_weights();
-    router.run_for(3s);
+    router.replace_weights_while_waiting("/stream/");
     cr_assert_eq(router.arrived_with_source.size(), 1);
     cr_assert_not(router.arrived_with_source[0]);
     cr_assert_eq(router.writers[0]->status, 200);
@@ -106,10 +107,7 @@
 Test(waiting_state_fetch, an_unrepeatable_request_that_fetches_is_not_withdrawn) {
     store_router router(1s);
     router.expect_waits(100ms);
-    router.send_shared("/stream/");
-    router.run_for(500ms);
-    router.replace_weights();
-    router.run_for(3s);
+    router.replace_weights_while_waiting("/stream/");
     cr_assert_eq(router.arrived_with_source.size(), 1);
     cr_assert(router.arrived_with_source[0]);
     cr_assert_eq(router.outcomes.at("r0").withdrawals, 0);
