--- a/src/ferryroad/coordination/lease/lease_holder.cpp
+++ b/src/ferryroad/coordination/lease/lease_holder.cpp
@@ -114,8 +114,8 @@
     record.holder = self_;
     record.token.value = row_->record ? row_->record->token.value + 1 : 1;
     record.duration = settings_.duration;
-    // Stays in the row until the new holder has something to say: the next one must learn it even
-    // if this process ends before.
+    // The note is kept until this holder sets its own, so that the next one reads it even if this
+    // process ends before.
     record.note = row_->record ? row_->record->note : 0;
     return start_write(std::move(record), now);
 }
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -59,7 +59,7 @@
     bool without_limit = false;   ///< Restricted to engines without a request limit.
     /// The request may be withdrawn while it waits at the engine, and sent to another one.
     bool may_be_withdrawn = true;
-    bool was_sent_before = false;  ///< The request was sent to another engine, in vain.
+    bool was_sent_before = false;  ///< An earlier attempt at another engine failed.
     /// Restricted to engines with this software: it began the stream that the request continues.
     std::optional<coordination::release::software_version> software;
 };
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -122,7 +122,7 @@
 
 void engine_selection::limit_state_source(const selection_query& query, std::uint64_t input_tokens,
                                           selected_engine& chosen) {
-    // What an earlier attempt met with shows that waits are not as expected at present.
+    // After a failed attempt the expected wait is not relied on.
     const bool may_wait_long =
         query.was_sent_before || chosen.begin_bound > longest_unattended_wait;
     if (query.may_be_withdrawn || !may_wait_long) {
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -54,7 +54,7 @@
     no_backoff,      ///< The engine has not asked for a time without requests.
     within_limit,    ///< The request is permitted under the engine's request limit.
     engine_serves,   ///< The engine's weights and software may serve the request.
-    state_current,   ///< The state that the request fetches is of the newest weights.
+    state_current,   ///< The state that the request fetches was computed with its weights.
     time_left        ///< The caller's deadline has not passed.
 };
 
--- a/test/relay/rollout_lease_test.cpp
+++ b/test/relay/rollout_lease_test.cpp
@@ -160,7 +160,7 @@
 
 // Guards against: a router that took the lease wrote a note of its own, older than its
 // predecessor's last action, and ended at once; its successor then acted without waiting.
-Test(rollout_lease, a_holder_that_ends_as_it_takes_the_lease_hides_no_action_before_it) {
+Test(rollout_lease, a_holder_that_ends_as_it_takes_the_lease_preserves_the_handover_gap) {
     previous_holders before;
     before.table.on_committed = [&] {
         if (before.early.wanted) {
@@ -176,7 +176,7 @@
 }
 
 // Guards against: the same, where the router that took the lease was killed and released nothing.
-Test(rollout_lease, a_holder_killed_as_it_takes_the_lease_hides_no_action_before_it) {
+Test(rollout_lease, a_holder_killed_as_it_takes_the_lease_preserves_the_handover_gap) {
     previous_holders before;
     single_row_table after_kill;
     before.table.on_committed = [&] {
