Logs tell who granted a slot, and which router that counts does not answer

Answers that came after their request had stopped waiting looked like answers that never came.

Adds slot_by to 'dispatched', the lines 'home does not answer' and 'home answers again' (one at each change), and the metric quota_late_answers. No decision changes: quota_homes reports what it already did.

--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -47,14 +47,22 @@
     return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
-void quota_homes::silent(const base::router_name& home, base::monotonic_time now) {
+bool quota_homes::answered(const base::router_name& home) {
+    const auto found = m_exclusions.extract(home);
+    return !found.empty() && found.mapped().last_exclusion > base::duration{};
+}
+
+std::optional<base::duration> quota_homes::silent(const base::router_name& home,
+                                                  base::monotonic_time now) {
     exclusion_state& one = m_exclusions[home];
     ++one.unanswered_asks;
-    if (one.unanswered_asks >= m_tunables.exclude_after_unanswered) {
-        one.last_exclusion = std::clamp(2 * one.last_exclusion, m_tunables.first_exclusion,
-                                        m_tunables.longest_exclusion);
-        one.excluded_until = now + one.last_exclusion;
+    if (one.unanswered_asks < m_tunables.exclude_after_unanswered) {
+        return std::nullopt;
     }
+    one.last_exclusion = std::clamp(2 * one.last_exclusion, m_tunables.first_exclusion,
+                                    m_tunables.longest_exclusion);
+    one.excluded_until = now + one.last_exclusion;
+    return one.last_exclusion;
 }
 
 bool quota_homes::is_excluded(const base::router_name& home, base::monotonic_time now) const {
--- a/src/ferryroad/coordination/quota/quota_homes.hpp
+++ b/src/ferryroad/coordination/quota/quota_homes.hpp
@@ -47,10 +47,11 @@
     std::optional<base::router_name> first_home_of(const quota_subject& subject) const;
     /// @return whether the router is excluded because it didn't answer.
     bool is_excluded(const base::router_name& home, base::monotonic_time now) const;
-    /// The router answered an ask.
-    void answered(const base::router_name& home) { m_exclusions.erase(home); }
-    /// The router did not answer an ask in time.
-    void silent(const base::router_name& home, base::monotonic_time now);
+    /// The router answered an ask. @return whether it had been excluded.
+    bool answered(const base::router_name& home);
+    /// The router did not answer an ask in time. @return for how long it is excluded from now on;
+    /// nothing if it isn't.
+    std::optional<base::duration> silent(const base::router_name& home, base::monotonic_time now);
     /// @return number of routers present.
     std::size_t size() const { return m_present.size(); }
 
--- a/src/ferryroad/quotas/home_client.cpp
+++ b/src/ferryroad/quotas/home_client.cpp
@@ -1,13 +1,22 @@
 #include "ferryroad/quotas/home_client.hpp"
 
 #include "ferryroad/quotas/pending_verdict.hpp"
+#include "ferryroad/runtime/log.hpp"
 
 #include <algorithm>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace ferryroad::quotas {
 
+namespace {
+
+constexpr std::string_view component = "quotas.homes";
+
+}  // namespace
+
 home_client::home_client(runtime::scheduler& scheduler, base::router_name self, ask_router ask,
                          decide_as_home decide)
     : m_scheduler(scheduler),
@@ -30,17 +39,34 @@
         co_return co_await ask_here(std::move(question));
     }
     ++m_counters.asks_sent;
+    const std::string subject = question.subject.name;
     base::router_name target = home;
     const auto verdict = co_await m_ask(std::move(target), std::move(question));
     if (verdict) {
-        m_homes.answered(home);
+        record_answer(home);
     } else {
-        ++m_counters.asks_unanswered;
-        m_homes.silent(home, m_scheduler.now());
+        record_silence(home, subject);
     }
     co_return verdict;
 }
 
+void home_client::record_answer(const base::router_name& home) {
+    if (m_homes.answered(home)) {
+        runtime::log(runtime::log_level::info, component, "home answers again",
+                     {{"home", home.value}});
+    }
+}
+
+void home_client::record_silence(const base::router_name& home, const std::string& subject) {
+    ++m_counters.asks_unanswered;
+    if (const auto excluded = m_homes.silent(home, m_scheduler.now())) {
+        runtime::log(runtime::log_level::warning, component, "home does not answer",
+                     {{"home", home.value},
+                      {"subject", subject},
+                      {"excluded_ms", std::to_string(base::to_milliseconds(*excluded))}});
+    }
+}
+
 runtime::task<quota_verdict> home_client::ask_here(quota_ask question) {
     const auto pending = std::make_shared<pending_verdict>(m_scheduler.executor());
     const quota_verdict first = m_decide(
--- a/src/ferryroad/quotas/home_client.hpp
+++ b/src/ferryroad/quotas/home_client.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace ferryroad::quotas {
@@ -51,6 +52,8 @@
 
   private:
     runtime::task<quota_verdict> ask_here(quota_ask question);
+    void record_answer(const base::router_name& home);
+    void record_silence(const base::router_name& home, const std::string& subject);
 
     runtime::scheduler& m_scheduler;
     base::router_name m_self;
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -21,6 +21,7 @@
     base::duration engines_age{};
     engine_limit limit;
     base::router_name counted_by;              ///< Empty if none did.
+    std::string slot_by;                       ///< Who granted the slot, as of `grantor_of`.
     std::optional<std::uint64_t> after_event;  ///< Last event of the stream that is continued.
     /// Version that the stream began at; nothing if it has no event yet or that is not known.
     std::optional<coordination::release::software_version> begun_at;
--- a/src/ferryroad/relay/engine_slots.cpp
+++ b/src/ferryroad/relay/engine_slots.cpp
@@ -43,6 +43,13 @@
 
 }  // namespace
 
+std::string grantor_of(const slot_permit& permit) {
+    if (permit.by_own_share) {
+        return "own share";
+    }
+    return permit.counted_by.value.empty() ? "none" : permit.counted_by.value;
+}
+
 engine_slots::engine_slots(runtime::scheduler& scheduler, engine_registry& registry,
                            base::router_name self, slot_calls calls, engine_slot_settings settings)
     : m_scheduler(scheduler),
--- a/src/ferryroad/relay/engine_slots.hpp
+++ b/src/ferryroad/relay/engine_slots.hpp
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -34,6 +35,10 @@
     bool by_own_share = false;  ///< Decided by this router's own share, as no router counted.
 };
 
+/// @return the name of the router that granted the slot, `own share`, or `none` if none was needed;
+/// for logs.
+std::string grantor_of(const slot_permit& permit);
+
 struct engine_slot_counters {
     std::uint64_t granted = 0;
     std::uint64_t refused = 0;
--- a/src/ferryroad/relay/quota_datagrams.cpp
+++ b/src/ferryroad/relay/quota_datagrams.cpp
@@ -94,7 +94,9 @@
         return;
     }
     const auto pending = m_pending.find(grant->number);
-    if (pending != m_pending.end() && pending->second->home() == message->sender) {
+    if (pending == m_pending.end()) {
+        ++m_late_answers;
+    } else if (pending->second->home() == message->sender) {
         pending->second->verdict().resolve(grant->verdict);
     }
 }
--- a/src/ferryroad/relay/quota_datagrams.hpp
+++ b/src/ferryroad/relay/quota_datagrams.hpp
@@ -42,6 +42,8 @@
 
     /// @return the number of malformed datagrams received.
     std::uint64_t malformed() const { return m_malformed; }
+    /// @return the number of answers received after their request had stopped waiting.
+    std::uint64_t late_answers() const { return m_late_answers; }
 
   private:
     class pending_ask;
@@ -57,6 +59,7 @@
     std::unordered_map<std::uint64_t, pending_ask*> m_pending;  ///< By the request's number.
     std::uint64_t m_next_number;
     std::uint64_t m_malformed = 0;
+    std::uint64_t m_late_answers = 0;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -439,7 +439,7 @@
         log_dispatch(m_plan, m_selected, attempt.attempt,
                      {now, m_dependencies.policies.age(now), m_dependencies.registry.age(now),
                       engine == nullptr ? engine_limit{} : engine->limit, m_permit.counted_by,
-                      m_last_id, m_begun_at});
+                      grantor_of(m_slot), m_last_id, m_begun_at});
         log_prompt(m_plan, m_selected, parts);
         engine_target target = m_selected.target;
         meter(traffic_kind::request, size_of(m_plan.call->message));
@@ -699,8 +699,7 @@
                       {"running_known", std::to_string(m_selected.running)},
                       {"running_here", std::to_string(running_at_engine())},
                       {"rejection_limit", limit ? std::to_string(*limit) : "none"},
-                      {"counted_by", m_slot.counted_by.value.empty() ? std::string("none")
-                                                                     : m_slot.counted_by.value}});
+                      {"counted_by", grantor_of(m_slot)}});
     }
 
     /// @return whether the exchange used this router's own path to the engine, and that is lost.
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -228,6 +228,11 @@
         static_cast<double>(now.quota_asks));
     set("ferryroad_relay_quota_asks_unanswered", "Those that were not answered in time.",
         static_cast<double>(now.quota_asks_unanswered));
+    set("ferryroad_relay_quota_late_answers",
+        "Answers, also on limits and slots of engines, that arrived after their request had "
+        "stopped "
+        "waiting.",
+        static_cast<double>(now.quota_late_answers));
     set("ferryroad_relay_quota_own_part", "Requests that this router's own part decided.",
         static_cast<double>(now.quota_own_part));
     set("ferryroad_relay_quota_tenants", "Tenants for whom this router counts.",
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -44,6 +44,7 @@
     double shed_share = 0;  ///< Share of streams shed in the pool with the highest share, 0 to 1.
     std::uint64_t quota_asks = 0;             ///< Requests another router was asked to count.
     std::uint64_t quota_asks_unanswered = 0;  ///< Of these, not answered in time.
+    std::uint64_t quota_late_answers = 0;     ///< Received after the request had stopped waiting.
     std::uint64_t quota_own_part = 0;         ///< Requests decided by this router's own share.
     std::size_t quota_tenants = 0;            ///< Tenants that this router counts for.
     std::size_t active_requests = 0;
