Routers wait for answers from other regions as long as these take

What callers saw: on a deployment of three regions engines that limit their requests got more than they take (LIMIT), engines that bear few rejections got up to 43 requests at 24 slots, and one request in six was refused in calm times.

Cause: a router waited 40 ms for the router that counts (home), whatever the distance. Between regions (20 ms one way) every answer came later. Each home of another region was taken for silent: each region counted the whole limit by a home of its own, shares were used on top, and slots in use were no longer reported to the home that granted them. Class: a fixed timeout that takes distance for silence.

Change: answer_times estimates the time for each home from its answers (as RFC 6298), late ones included, and starts with a long timeout for other regions. Slots in use are reported to an excluded home, too. Asks that fail together exclude a home once (the exclusion doubled with each of them).

Holds, as a timeout now follows each distance and speed; an answer that comes late makes the next one be waited for.

--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -56,7 +56,7 @@
                                                   base::monotonic_time now) {
     exclusion_state& one = m_exclusions[home];
     ++one.unanswered_asks;
-    if (one.unanswered_asks < m_tunables.exclude_after_unanswered) {
+    if (one.unanswered_asks < m_tunables.exclude_after_unanswered || now < one.excluded_until) {
         return std::nullopt;
     }
     one.last_exclusion = std::clamp(2 * one.last_exclusion, m_tunables.first_exclusion,
--- a/src/ferryroad/quotas/slot_service.cpp
+++ b/src/ferryroad/quotas/slot_service.cpp
@@ -38,7 +38,10 @@
 
 runtime::task<std::optional<slot_decision>> slot_service::ask(quota_ask question) {
     const auto home = m_homes.homes().first_home_of(question.subject);
-    if (!home || m_homes.homes().is_excluded(*home, m_scheduler.now())) {
+    const bool needs_verdict = question.amount > 0;
+    // Slots in use are reported to an excluded home, too: it may hear this router although its
+    // answers don't arrive, and would grant them again.
+    if (!home || (needs_verdict && m_homes.homes().is_excluded(*home, m_scheduler.now()))) {
         slot_decision undecided;
         undecided.verdict.decided = false;
         co_return undecided;
--- a/src/ferryroad/relay/quota_datagrams.hpp
+++ b/src/ferryroad/relay/quota_datagrams.hpp
@@ -3,6 +3,8 @@
 /// lost, and a request waits for its answer only for a short time.
 #pragma once
 
+#include "ferryroad/coordination/quota/answer_times.hpp"
+#include "ferryroad/core/topology/zone_map.hpp"
 #include "ferryroad/peer/messages.hpp"
 #include "ferryroad/peer/transport.hpp"
 #include "ferryroad/quotas/home_client.hpp"
@@ -24,11 +26,11 @@
 /// pending requests; scheduler and transport must outlive it.
 class quota_datagrams {
   public:
-    /// @param answer_timeout after which a router counts as silent. It is several times the round
-    /// trip between zones, and a small part of the time that any caller waits.
+    /// @param zones tells which routers are in other regions.
     quota_datagrams(runtime::scheduler& scheduler, peer::transport& transport,
-                    base::router_name self, quotas::decide_as_home handler,
-                    base::duration answer_timeout = std::chrono::milliseconds(40));
+                    const peer_address& self, core::topology::zone_map zones,
+                    quotas::decide_as_home handler,
+                    coordination::quota::answer_time_tunables answer_times = {});
 
     /// Sets the routers that are present, with their addresses.
     void set_routers(const std::vector<peer_address>& present);
@@ -47,16 +49,27 @@
 
   private:
     class pending_ask;
+    /// A request whose sender waits no more.
+    struct abandoned_ask {
+        base::router_name home;
+        base::monotonic_time sent_at{};
+    };
 
     void send(const base::endpoint& to, peer::call_body body);
+    void handle_answer(const base::router_name& sender, const peer::quota_grant& grant);
+    /// Remembers a request without an answer, so that a late answer tells how long it took.
+    void abandon(std::uint64_t number, const base::router_name& home, base::monotonic_time sent_at);
 
     runtime::scheduler& m_scheduler;
     peer::transport& m_transport;
     base::router_name m_self;
+    base::zone_name m_zone;
+    core::topology::zone_map m_zones;
     quotas::decide_as_home m_decide;
-    base::duration m_answer_timeout;
+    coordination::quota::answer_times m_answer_times;
     std::map<base::router_name, base::endpoint> m_addresses;
     std::unordered_map<std::uint64_t, pending_ask*> m_pending;  ///< By the request's number.
+    std::map<std::uint64_t, abandoned_ask> m_abandoned;         ///< By the request's number.
     std::uint64_t m_next_number;
     std::uint64_t m_malformed = 0;
     std::uint64_t m_late_answers = 0;
--- a/test/coordination/quota/quota_homes_test.cpp
+++ b/test/coordination/quota/quota_homes_test.cpp
@@ -31,6 +31,18 @@
 
 }  // namespace
 
+/// Many asks may be under way when a router falls silent.
+Test(quota_homes, asks_that_fail_together_exclude_a_router_once) {
+    quota_homes homes;
+    homes.declare(routers(2));
+    const base::router_name home = *homes.home_of(tenant, start);
+    for (int ask = 0; ask < 20; ++ask) {
+        homes.silent(home, start);
+    }
+    cr_assert(homes.is_excluded(home, start + 1999ms));
+    cr_assert_not(homes.is_excluded(home, start + 2s));
+}
+
 Test(quota_homes, the_order_of_the_list_does_not_matter) {
     quota_homes one;
     quota_homes other;
--- a/test/relay/fake_network.hpp
+++ b/test/relay/fake_network.hpp
@@ -1,8 +1,10 @@
 /// @file
-/// Test double: a network that delivers datagrams between the routers of a test synchronously.
+/// Test double: a network that delivers datagrams between the routers of a test, synchronously or
+/// after a delay.
 #pragma once
 
 #include "ferryroad/peer/transport.hpp"
+#include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
 #include <map>
@@ -14,6 +16,20 @@
 struct fake_network {
     std::map<base::endpoint, peer::transport::datagram_handler> handlers;
     std::size_t sent = 0;
+    base::duration delay{};  ///< Needs `scheduler`.
+    runtime::scheduler* scheduler = nullptr;
+
+    void deliver(const base::endpoint& from, const base::endpoint& to,
+                 const peer::message_bytes& bytes) {
+        if (handlers.contains(to)) {
+            handlers[to](from, bytes);
+        }
+    }
+    runtime::task<void> deliver_later(base::endpoint from, base::endpoint to,
+                                      peer::message_bytes bytes) {
+        co_await scheduler->sleep_for(delay);
+        deliver(from, to, bytes);
+    }
 };
 
 class fake_transport final : public peer::transport {
@@ -26,8 +42,11 @@
     void on_call(call_handler) override {}
     void send(const base::endpoint& to, peer::message_bytes bytes) override {
         ++m_network.sent;
-        if (m_network.handlers.contains(to)) {
-            m_network.handlers[to](m_self, bytes);
+        if (m_network.delay > base::duration{}) {
+            m_network.scheduler->spawn("network",
+                                       m_network.deliver_later(m_self, to, std::move(bytes)));
+        } else {
+            m_network.deliver(m_self, to, bytes);
         }
     }
     runtime::task<peer::result<peer::message_bytes>> call(const base::endpoint&,
--- a/test/relay/quota_datagrams_test.cpp
+++ b/test/relay/quota_datagrams_test.cpp
@@ -21,18 +21,30 @@
 
 const coordination::quota::rate_limit limit{base::revision(1), 1000, 1000};
 
+const core::topology::zone_map zones({{base::zone_name("z"), base::region_name("one")},
+                                      {base::zone_name("other"), base::region_name("two")}});
+
+/// A timeout of 20 ms for near routers. Distant ones are waited for much longer than the tests
+/// take.
+coordination::quota::answer_time_tunables test_answer_times() {
+    coordination::quota::answer_time_tunables tunables;
+    tunables.least_margin = 20ms;
+    tunables.unmeasured_region = 10s;
+    tunables.longest = 10s;
+    return tunables;
+}
+
 struct router {
-    router(ferryroad::test::loopback& loop, fake_network& network, std::uint16_t port)
-        : self{base::router_name("r" + std::to_string(port)),
-               base::zone_name("z"),
-               {"10.0.0.1", port}},
+    router(ferryroad::test::loopback& loop, fake_network& network, std::uint16_t port,
+           base::zone_name zone)
+        : self{base::router_name("r" + std::to_string(port)), std::move(zone), {"10.0.0.1", port}},
           transport(network, self.address),
           datagrams(
-              loop.scheduler, transport, self.name,
+              loop.scheduler, transport, self, zones,
               [this](const auto& asker, const auto& question, const auto&) {
                   return quotas.decide_for(asker, question);
               },
-              20ms),
+              test_answer_times()),
           quotas(loop.scheduler, self.name,
                  [this](base::router_name home, quotas::quota_ask question) {
                      return datagrams.ask(std::move(home), std::move(question));
@@ -60,11 +72,14 @@
     fake_network network;
     std::vector<std::unique_ptr<router>> routers;
 
-    explicit fixture(std::uint16_t size) {
+    /// @param in_two_regions half of the routers are in another region.
+    explicit fixture(std::uint16_t size, bool in_two_regions = false) {
+        network.scheduler = &loop.scheduler;
         std::vector<peer_address> present;
         std::vector<base::router_name> names;
         for (std::uint16_t port = 1; port <= size; ++port) {
-            routers.push_back(std::make_unique<router>(loop, network, port));
+            const base::zone_name zone(in_two_regions && port % 2 == 0 ? "other" : "z");
+            routers.push_back(std::make_unique<router>(loop, network, port, zone));
             present.push_back(routers.back()->self);
             names.push_back(routers.back()->self.name);
         }
@@ -83,6 +98,20 @@
         cr_assert(ended);
         return decided;
     }
+    /// Asks one router again and again. @return whether it ever answered in time.
+    bool ask_until_answered(router& asking, const router& home) {
+        loop.context.restart();
+        return loop.run([&]() -> runtime::task<void> {
+            bool answered = false;
+            while (!answered) {
+                base::router_name target = home.self.name;
+                quotas::quota_ask question{base::tenant_name("t"), 1, limit};
+                const auto verdict =
+                    co_await asking.datagrams.ask(std::move(target), std::move(question));
+                answered = verdict.has_value();
+            }
+        });
+    }
     /// @return the router that counts for the tenant.
     router& home() {
         const auto name = count(0, 1).counted_by;
@@ -140,6 +169,27 @@
                  "a silent router must not be asked again");
 }
 
+/// Routers took the routers of other regions for silent, and each region counted for itself.
+Test(quota_datagrams, the_answers_of_another_region_are_not_taken_for_silence) {
+    fixture at(2, true);
+    at.network.delay = 30ms;
+    const router& home = at.home();
+    const std::size_t asking = at.other_than(home);
+    for (int ask = 0; ask < 4; ++ask) {
+        cr_assert(at.count(asking, 1).counted_by == home.self.name);
+    }
+    cr_assert_eq(at.routers[asking]->quotas.asks().asks_unanswered, 0);
+}
+
+Test(quota_datagrams, answers_that_are_late_at_first_are_waited_for_later) {
+    fixture at(2);
+    const router& home = at.home();
+    router& asking = *at.routers[at.other_than(home)];
+    at.network.delay = 30ms;
+    cr_assert(at.ask_until_answered(asking, home));
+    cr_assert_gt(asking.datagrams.late_answers(), 0);
+}
+
 Test(quota_datagrams, an_isolated_router_grants_at_most_its_own_share) {
     fixture at(3);
     router& home = at.home();
