The router that counts for an engine is in the engine's region

Cause: homes were spread over all routers, so that of three regions two thirds of the asks crossed regions, and while regions have lost each other two thirds of a region's own engines had no home that answers: each request to them depended on an equal share (a third of a slot at 76 routers and 24 slots).

Change: the home is one of the routers of the engine's region, if it has any. All routers compute it from the zones that their list has. Tenants' homes are unchanged.

--- a/src/ferryroad/coordination/quota/quota_homes.cpp
+++ b/src/ferryroad/coordination/quota/quota_homes.cpp
@@ -7,16 +7,19 @@
 
 namespace ferryroad::coordination::quota {
 
-void quota_homes::declare(std::vector<base::router_name> present) {
+void quota_homes::declare(std::vector<base::router_name> present, router_regions regions) {
     m_present = std::move(present);
+    m_regions = std::move(regions);
     std::erase_if(m_exclusions, [this](const auto& entry) {
         return std::find(m_present.begin(), m_present.end(), entry.first) == m_present.end();
     });
 }
 
 std::optional<base::router_name> quota_homes::home_of(const quota_subject& subject,
-                                                      base::monotonic_time now) const {
-    return home_for(subject.name, now);
+                                                      base::monotonic_time now,
+                                                      const base::region_name& region) const {
+    return best_near(subject.name, region,
+                     [&](const auto& name) { return !is_excluded(name, now); });
 }
 
 std::optional<base::router_name> quota_homes::home_for(std::string_view subject,
@@ -24,8 +27,22 @@
     return best_of(subject, [&](const auto& name) { return !is_excluded(name, now); });
 }
 
-std::optional<base::router_name> quota_homes::first_home_of(const quota_subject& subject) const {
-    return best_of(subject.name, [](const auto&) { return true; });
+std::optional<base::router_name> quota_homes::first_home_of(const quota_subject& subject,
+                                                            const base::region_name& region) const {
+    return best_near(subject.name, region, [](const auto&) { return true; });
+}
+
+template <typename Predicate>
+std::optional<base::router_name> quota_homes::best_near(std::string_view subject,
+                                                        const base::region_name& region,
+                                                        const Predicate& may_be_home) const {
+    const auto is_near = [&](const base::router_name& name) {
+        const auto found = m_regions.find(name);
+        return found != m_regions.end() && found->second == region;
+    };
+    const auto near =
+        best_of(subject, [&](const auto& name) { return is_near(name) && may_be_home(name); });
+    return near ? near : best_of(subject, may_be_home);
 }
 
 template <typename Predicate>
--- a/src/ferryroad/quotas/home_client.cpp
+++ b/src/ferryroad/quotas/home_client.cpp
@@ -26,11 +26,12 @@
     m_homes.declare({m_self});
 }
 
-void home_client::set_routers(std::vector<base::router_name> present) {
+void home_client::set_routers(std::vector<base::router_name> present,
+                              coordination::quota::router_regions regions) {
     if (std::find(present.begin(), present.end(), m_self) == present.end()) {
         present.push_back(m_self);
     }
-    m_homes.declare(std::move(present));
+    m_homes.declare(std::move(present), std::move(regions));
 }
 
 runtime::task<std::optional<quota_verdict>> home_client::ask(base::router_name home,
--- a/src/ferryroad/quotas/home_client.hpp
+++ b/src/ferryroad/quotas/home_client.hpp
@@ -43,7 +43,8 @@
                 decide_as_home decide);
 
     /// Replaces the list of routers that are present. This router is added if it is missing.
-    void set_routers(std::vector<base::router_name> present);
+    void set_routers(std::vector<base::router_name> present,
+                     coordination::quota::router_regions regions = {});
     /// Asks one home. @return the last verdict; nothing if the home doesn't answer.
     runtime::task<std::optional<quota_verdict>> ask(base::router_name home, quota_ask question);
 
--- a/src/ferryroad/quotas/quota_service.cpp
+++ b/src/ferryroad/quotas/quota_service.cpp
@@ -15,8 +15,9 @@
               }),
       m_ledger(scheduler.now(), settings.ledger) {}
 
-void quota_service::set_routers(std::vector<base::router_name> present) {
-    m_homes.set_routers(std::move(present));
+void quota_service::set_routers(std::vector<base::router_name> present,
+                                coordination::quota::router_regions regions) {
+    m_homes.set_routers(std::move(present), std::move(regions));
 }
 
 void quota_service::expect_routers(std::size_t expected) {
@@ -25,13 +26,14 @@
 }
 
 runtime::task<quota_decision> quota_service::count(quota_subject subject, rate_limit limit,
-                                                   double amount, limit_evidence evidence) {
+                                                   double amount, limit_evidence evidence,
+                                                   base::region_name region) {
     reclaim();
     quota_ask question{std::move(subject), amount, limit, 0, evidence.uncounted,
                        evidence.limit_age};
     question.known_askers = known_askers(question.subject);
     for (std::size_t attempt = 0; attempt < m_settings.max_attempts; ++attempt) {
-        const auto home = m_homes.homes().home_of(question.subject, m_scheduler.now());
+        const auto home = m_homes.homes().home_of(question.subject, m_scheduler.now(), region);
         if (!home) {
             break;
         }
--- a/src/ferryroad/quotas/quota_service.hpp
+++ b/src/ferryroad/quotas/quota_service.hpp
@@ -54,15 +54,18 @@
                   quota_settings settings = {});
 
     /// Replaces the list of routers that are present. This router is added if it is missing.
-    void set_routers(std::vector<base::router_name> present);
+    void set_routers(std::vector<base::router_name> present,
+                     coordination::quota::router_regions regions = {});
     /// @param expected number of routers that each limit is divided by when no home answers; at
     /// least 1.
     void expect_routers(std::size_t expected);
 
     /// Counts `amount` against the subject's limit, at its home or, if that doesn't answer in
     /// `max_attempts` attempts, against this router's own share. @param limit above 0.
+    /// @param region of the subject; empty if it lies in none.
     runtime::task<quota_decision> count(quota_subject subject, rate_limit limit, double amount,
-                                        limit_evidence evidence = {});
+                                        limit_evidence evidence = {},
+                                        base::region_name region = {});
     /// Decides as the subject's home. @param asker the router that asks.
     quota_verdict decide_for(const base::router_name& asker, const quota_ask& question);
 
--- a/src/ferryroad/quotas/slot_service.cpp
+++ b/src/ferryroad/quotas/slot_service.cpp
@@ -13,31 +13,33 @@
                   return decide_for(asker, question, later);
               }) {}
 
-void slot_service::set_routers(std::vector<base::router_name> present) {
-    m_homes.set_routers(std::move(present));
+void slot_service::set_routers(std::vector<base::router_name> present,
+                               coordination::quota::router_regions regions) {
+    m_homes.set_routers(std::move(present), std::move(regions));
 }
 
-runtime::task<std::optional<slot_decision>> slot_service::acquire(base::engine_name engine,
+runtime::task<std::optional<slot_decision>> slot_service::acquire(located_engine engine,
                                                                   slot_use use,
                                                                   base::duration wait) {
     quota_ask question;
-    question.subject = std::move(engine);
+    question.subject = std::move(engine.name);
     question.amount = 1;
     question.slots = std::move(use);
     question.wait = wait;
-    return ask(std::move(question));
+    return ask(std::move(question), std::move(engine.region));
 }
 
-runtime::task<bool> slot_service::report(base::engine_name engine, slot_use use) {
+runtime::task<bool> slot_service::report(located_engine engine, slot_use use) {
     quota_ask question;
-    question.subject = std::move(engine);
+    question.subject = std::move(engine.name);
     question.slots = std::move(use);
-    const auto answer = co_await ask(std::move(question));
+    const auto answer = co_await ask(std::move(question), std::move(engine.region));
     co_return answer && answer->verdict.decided;
 }
 
-runtime::task<std::optional<slot_decision>> slot_service::ask(quota_ask question) {
-    const auto home = m_homes.homes().first_home_of(question.subject);
+runtime::task<std::optional<slot_decision>> slot_service::ask(quota_ask question,
+                                                              base::region_name region) {
+    const auto home = m_homes.homes().first_home_of(question.subject, region);
     const bool needs_verdict = question.amount > 0;
     // Slots in use are reported to an excluded home, too: it may hear this router although its
     // answers don't arrive, and would grant them again.
--- a/src/ferryroad/quotas/slot_service.hpp
+++ b/src/ferryroad/quotas/slot_service.hpp
@@ -15,6 +15,14 @@
 
 using coordination::quota::slot_use;
 
+/// An engine, and the region that it is in; empty if that isn't known.
+struct located_engine {
+    base::engine_name name;
+    base::region_name region;
+
+    friend bool operator==(const located_engine&, const located_engine&) = default;
+};
+
 /// Verdict of an engine's home.
 struct slot_decision {
     quota_verdict verdict;
@@ -29,17 +37,18 @@
                  coordination::quota::slot_ledger_tunables tunables = {});
 
     /// Replaces the list of routers that are present. This router is added if it is missing.
-    void set_routers(std::vector<base::router_name> present);
+    void set_routers(std::vector<base::router_name> present,
+                     coordination::quota::router_regions regions = {});
 
     /// Asks the engine's home for a slot. No other router decides in its place: two that count for
     /// one engine would grant its slots twice.
     /// @return nothing if the home doesn't answer. The verdict is undecided if it hasn't answered
     /// repeatedly, or doesn't know enough.
     /// @param wait how long the request waits for a slot if none is free.
-    runtime::task<std::optional<slot_decision>> acquire(base::engine_name engine, slot_use use,
+    runtime::task<std::optional<slot_decision>> acquire(located_engine engine, slot_use use,
                                                         base::duration wait);
     /// Reports the slots that this router uses. @return whether the home answered.
-    runtime::task<bool> report(base::engine_name engine, slot_use use);
+    runtime::task<bool> report(located_engine engine, slot_use use);
     /// Decides as the engine's home. @param question must have `slots`. @param later is called if
     /// the request is queued and gets a slot in time.
     quota_verdict decide_for(const base::router_name& asker, const quota_ask& question,
@@ -55,7 +64,7 @@
         base::monotonic_time until;
     };
 
-    runtime::task<std::optional<slot_decision>> ask(quota_ask question);
+    runtime::task<std::optional<slot_decision>> ask(quota_ask question, base::region_name region);
     /// Grants free slots of the engine to queued requests.
     void grant_queued(const quota_subject& engine);
     void drop_expired();
--- a/test/coordination/quota/quota_homes_test.cpp
+++ b/test/coordination/quota/quota_homes_test.cpp
@@ -43,6 +43,32 @@
     cr_assert_not(homes.is_excluded(home, start + 2s));
 }
 
+/// Regions lose each other for minutes; each must then count for its own engines.
+Test(quota_homes, the_home_of_an_engine_is_in_its_region_while_that_has_a_router) {
+    const base::region_name north("north");
+    const base::region_name south("south");
+    router_regions regions;
+    for (const base::router_name& name : routers(6)) {
+        regions[name] = name.value < "r2" ? north : south;
+    }
+    quota_homes homes;
+    homes.declare(routers(6), regions);
+    for (int number = 0; number < 50; ++number) {
+        const base::engine_name engine("e" + std::to_string(number));
+        const base::router_name home = *homes.first_home_of(engine, north);
+        cr_assert(regions[home] == north);
+        cr_assert(regions[*homes.home_of(engine, start, south)] == south);
+        miss_three_asks(homes, base::router_name("r0"), start);
+        miss_three_asks(homes, base::router_name("r1"), start);
+        cr_assert(regions[*homes.home_of(engine, start, north)] == south);
+        cr_assert(*homes.first_home_of(engine, north) == home);
+        homes.answered(base::router_name("r0"));
+        homes.answered(base::router_name("r1"));
+        cr_assert(*homes.first_home_of(engine, base::region_name("west")) ==
+                  *homes.first_home_of(engine));
+    }
+}
+
 Test(quota_homes, the_order_of_the_list_does_not_matter) {
     quota_homes one;
     quota_homes other;
