A request whose asks for slots take long waits for one sooner

Cause: a request asks three engines for a slot without waiting and then waits at a fourth, within 0.45 of its target latency. Where an answer takes 50 ms the three asks use that time up, and slots that become free find nobody.

Change: once a quarter of the time is used, the next ask waits.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -259,8 +259,8 @@
     runtime::task<bool> select_with_room(selection_query query) {
         const base::monotonic_time began = m_dependencies.scheduler.now();
         const base::duration target = m_plan.matched_route->target_latency;
-        m_wait_for_room_until =
-            began + base::from_seconds(base::to_seconds(target) * m_tunables.room_wait_share);
+        limit_wait_for_room(
+            began, base::from_seconds(base::to_seconds(target) * m_tunables.room_wait_share));
         m_slots_refused = 0;
         for (;;) {
             const bool selected = co_await select_permitted(query);
@@ -275,6 +275,12 @@
         }
     }
 
+    void limit_wait_for_room(base::monotonic_time began, base::duration longest) {
+        m_wait_for_room_until = began + longest;
+        m_waits_for_slot_from = began + base::from_seconds(base::to_seconds(longest) *
+                                                           m_tunables.longest_share_without_wait);
+    }
+
     bool may_ask_for_slot() const {
         const bool in_time = m_dependencies.scheduler.now() < m_wait_for_room_until;
         return m_slots_refused < m_tunables.max_slot_attempts &&
@@ -299,7 +305,7 @@
         query.excluded.clear();
         const base::monotonic_time until = std::min(
             m_plan.deadline, m_dependencies.scheduler.now() + m_tunables.continuation_wait);
-        m_wait_for_room_until = until;
+        limit_wait_for_room(m_dependencies.scheduler.now(), until - m_dependencies.scheduler.now());
         const auto backoff_end = first_backoff_end();
         while (m_dependencies.scheduler.now() < until && may_be_sent() &&
                (!backoff_end || *backoff_end < until) &&
@@ -369,8 +375,10 @@
         if (m_dependencies.slots == nullptr) {
             co_return;
         }
-        const base::duration left = m_wait_for_room_until - m_dependencies.scheduler.now();
-        const bool waits = m_slots_refused >= m_tunables.slot_attempts_without_wait;
+        const base::monotonic_time now = m_dependencies.scheduler.now();
+        const base::duration left = m_wait_for_room_until - now;
+        const bool waits = m_slots_refused >= m_tunables.slot_attempts_without_wait ||
+                           now >= m_waits_for_slot_from;
         const base::duration wait = waits ? std::max(left, base::duration{}) : base::duration{};
         base::engine_name name = m_selected.target.name;
         m_slot = co_await m_dependencies.slots->acquire(std::move(name), wait);
@@ -1022,6 +1030,7 @@
     /// Slots that the routers that count refused since the selection began.
     std::uint32_t m_slots_refused = 0;
     base::monotonic_time m_wait_for_room_until{};
+    base::monotonic_time m_waits_for_slot_from{};  ///< Asks for slots wait from then on.
     std::optional<engine_load> m_load;
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -64,6 +64,9 @@
     /// Slots that are asked for without waiting for them to become free, as another engine may have
     /// a free one.
     std::uint32_t slot_attempts_without_wait = 3;
+    /// Share of the time for a slot after which the next ask waits all the same: the answers of
+    /// distant routers take so long that further asks would leave no time to wait.
+    double longest_share_without_wait = 0.25;
     /// Slots that are asked for per selection. Routers that see the same loads ask the same
     /// engines; those that are refused spread out until they select again.
     std::uint32_t slot_attempts_per_selection = 4;
