--- a/test/relay/engine_slots_test.cpp
+++ b/test/relay/engine_slots_test.cpp
@@ -41,6 +41,7 @@
     std::vector<slot_call> asked;
     std::vector<slot_call> reported;
     bool home_answers = true;                                    ///< Reports.
+    base::duration answer_time = 1ms;                            ///< Of the home.
     std::deque<std::optional<quotas::slot_decision>> decisions;  ///< Granted once there are none.
     engine_slots slots{
         loop.scheduler,
@@ -52,37 +53,49 @@
          [this](base::engine_name engine, quotas::slot_use use) {
              return report(std::move(engine), use);
          }}};
-    relay_service<fake_upstream> slot_service{
-        {loop.scheduler,
-         upstream,
-         registry,
-         selection,
-         policies,
-         {},
-         {},
-         &releases,
-         nullptr,
-         nullptr,
-         nullptr,
-         nullptr,
-         nullptr,
-         &slots},
-        slot_settings_of(),
-        [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
-
-    slot_fixture() { registry.record_rejection_limit(pool, 5); }
+    relay_service<fake_upstream> slot_service;
+
+    explicit slot_fixture(const relay_settings& settings = slot_settings_of())
+        : slot_service{{loop.scheduler,
+                        upstream,
+                        registry,
+                        selection,
+                        policies,
+                        {},
+                        {},
+                        &releases,
+                        nullptr,
+                        nullptr,
+                        nullptr,
+                        nullptr,
+                        nullptr,
+                        &slots},
+                       settings,
+                       [this](const relay_plan&, const relay_outcome& outcome) {
+                           outcomes.push_back(outcome);
+                       }} {
+        registry.record_rejection_limit(pool, 5);
+    }
 
     static relay_settings slot_settings_of() {
         relay_settings settings = settings_of();
         settings.driver.room_wait_share = 2;
         settings.driver.room_check_interval = 2ms;
+        settings.driver.longest_share_without_wait = 1;
+        return settings;
+    }
+    /// Requests have 6 s for a slot; 6 ms of them are for asks that don't wait.
+    static relay_settings settings_with_much_time() {
+        relay_settings settings = slot_settings_of();
+        settings.driver.room_wait_share = 100;
+        settings.driver.longest_share_without_wait = 0.001;
         return settings;
     }
     runtime::task<std::optional<quotas::slot_decision>> decide(base::engine_name engine,
                                                                quotas::slot_use use,
                                                                base::duration wait) {
         asked.push_back({std::move(engine), use, wait});
-        co_await loop.scheduler.sleep_for(1ms);
+        co_await loop.scheduler.sleep_for(answer_time);
         std::optional<quotas::slot_decision> decision = granted();
         if (!decisions.empty()) {
             decision = decisions.front();
@@ -168,6 +181,18 @@
     cr_assert_eq(fixture.reported.size(), 1, "the slot may have been granted too late");
 }
 
+/// Asks to routers of other regions used up the time, and slots that became free found nobody.
+Test(engine_slots, where_answers_take_long_a_request_waits_for_a_slot_sooner) {
+    slot_fixture fixture(slot_fixture::settings_with_much_time());
+    fixture.answer_time = 10ms;
+    fixture.decisions = {refused()};
+    fixture.answer_whole();
+    fixture.serve_with_slots();
+    cr_assert_eq(fixture.writer.status, 200);
+    cr_assert_eq(fixture.asked.size(), 2);
+    cr_assert_gt(fixture.asked[1].wait.count(), 0);
+}
+
 Test(engine_slots, an_engine_that_refused_is_not_asked_before_its_time) {
     slot_fixture fixture;
     fixture.decisions = {refused(), refused()};
