Chunk headers and trailers of an answer are bounded

A chunk size, a chunk extension or trailers that never end were kept until the request's deadline, without a bound; some such answers at once exceed the memory of a small machine, which ends the router. The same held for what callers send.

Cause: Beast bounds heads and bodies, but not chunk headers and trailers, whose bytes it leaves in the buffer. Class: a bound for each part of a message but one.

Change: bytes that the decoder can't consume yet may be no more than a head may. Seven rows of client_answer: endless first line, head, header line, chunk size, chunk extension, trailer, chunks; the three for chunk headers and trailers failed before (connection lost after 1 MiB, all of it kept).

--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -32,8 +32,10 @@
 }
 
 /// Passes bytes to a Beast parser and updates `state`. @return the number of bytes consumed.
+/// @param framing_limit for chunk headers and trailers, which Beast doesn't limit.
 template <typename Parser>
-std::size_t feed_parser(Parser& parser, std::string_view bytes, decode_state& state) {
+std::size_t feed_parser(Parser& parser, std::string_view bytes, std::size_t framing_limit,
+                        decode_state& state) {
     if (state != decode_state::need_more || bytes.empty()) {
         return 0;
     }
@@ -44,6 +46,8 @@
         state = state_of(failure);
     } else if (parser.is_done()) {
         state = decode_state::complete;
+    } else if (bytes.size() - consumed > framing_limit) {
+        state = decode_state::headers_too_large;
     }
     return consumed;
 }
@@ -103,7 +107,7 @@
 };
 
 request_decoder::request_decoder(std::size_t header_bytes, std::size_t body_bytes)
-    : parser_(std::make_unique<parser>()) {
+    : header_bytes_(header_bytes), parser_(std::make_unique<parser>()) {
     parser_->native.eager(true);
     parser_->native.header_limit(static_cast<std::uint32_t>(header_bytes));
     parser_->native.body_limit(body_bytes);
@@ -112,7 +116,7 @@
 request_decoder::~request_decoder() = default;
 
 std::size_t request_decoder::feed(std::string_view bytes) {
-    return feed_parser(parser_->native, bytes, state_);
+    return feed_parser(parser_->native, bytes, header_bytes_, state_);
 }
 
 decode_state request_decoder::state() const {
@@ -179,7 +183,8 @@
     started_ = started_ || !bytes.empty();
     std::size_t consumed = 0;
     for (;;) {
-        consumed += feed_parser(parser_->native, bytes.substr(consumed), state_);
+        consumed +=
+            feed_parser(parser_->native, bytes.substr(consumed), limit_.header_bytes, state_);
         const bool is_interim = state_ == decode_state::complete && status() < 200;
         if (!is_interim) {
             return consumed;
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -40,6 +40,7 @@
 
   private:
     struct parser;
+    std::size_t header_bytes_;
     std::unique_ptr<parser> parser_;
     decode_state state_ = decode_state::need_more;
 };
--- a/test/http/client_answer_test.cpp
+++ b/test/http/client_answer_test.cpp
@@ -23,6 +23,18 @@
     return {{std::move(answer)}, true};
 }
 
+/// More bytes than any limit on a head or an answer in these tests.
+constexpr std::size_t endless_bytes = std::size_t{1} << 20;
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string repeated(std::string_view text) {
+    std::string all;
+    while (all.size() < endless_bytes) {
+        all += text;
+    }
+    return all;
+}
+
 const std::vector<row>& rows() {
     using code = http::error_code;
     static const std::vector<row> table = {
@@ -53,6 +65,21 @@
         {"not HTTP", one_answer("nonsense\r\n\r\n"), code::malformed, ""},
         {"body over the limit", one_answer("HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n"),
          code::too_large, ""},
+        {"first line without end", one_answer(std::string(endless_bytes, 'a')), code::malformed,
+         ""},
+        {"head without end", one_answer("HTTP/1.1 200 OK\r\n" + repeated("X-A: b\r\n")),
+         code::too_large, ""},
+        {"header line without end",
+         one_answer("HTTP/1.1 200 OK\r\nX-A: " + std::string(endless_bytes, 'b')), code::too_large,
+         ""},
+        {"chunk size without end", one_answer(chunked_head + std::string(endless_bytes, '0')),
+         code::too_large, ""},
+        {"chunk extension without end",
+         one_answer(chunked_head + "1;a=" + std::string(endless_bytes, 'b')), code::too_large, ""},
+        {"trailer without end", one_answer(chunked_head + "0\r\n" + repeated("X-A: b\r\n")),
+         code::too_large, ""},
+        {"chunks without end", one_answer(chunked_head + repeated("1\r\na\r\n")), code::too_large,
+         ""},
         {"silence", {{""}, false}, code::timed_out, "", short_limit},
         {"silence in the body",
          {{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"}, false},
