Logs tell what a failed dispatch proves, and why an answer counts as its request's

Two of the hypotheses on requests that ran twice differ in what a refusal is taken to prove, and none of it was in the logs: 'dispatch failed' named the status only. It now has the proof, whether the refusing answer names the request, whether its connection had carried requests before, and how many answers to other requests preceded it; 'ended' says whether the request ran and how many such answers it met. The line moves from the driver to dispatch_log. No change of logic.

--- a/src/ferryroad/core/execution/events.hpp
+++ b/src/ferryroad/core/execution/events.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 
 namespace ferryroad::core::execution {
@@ -78,6 +79,19 @@
 /// What a failure proves about the request of its exchange.
 enum class failure_proof { not_sent, not_run, unknown };
 
+/// @return the proof's name for logs. Thread-safe.
+constexpr std::string_view to_string(failure_proof proof) {
+    switch (proof) {
+        case failure_proof::not_sent:
+            return "not_sent";
+        case failure_proof::not_run:
+            return "not_run";
+        case failure_proof::unknown:
+            break;
+    }
+    return "unknown";
+}
+
 struct exchange_failed {
     exchange_number exchange;
     failure_kind kind{};
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -11,6 +11,7 @@
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -38,6 +39,15 @@
     virtual runtime::task<result<std::string>> read_rest(base::duration limit) = 0;
 };
 
+/// Why a response counts as the one to its request.
+struct answer_attribution {
+    bool names_request = false;      ///< It echoes the header in `relay_options::echoed_header`.
+    bool reused_connection = false;  ///< The connection had carried requests before.
+    std::uint32_t skipped = 0;       ///< Responses to other requests that preceded it.
+
+    friend bool operator==(const answer_attribution&, const answer_attribution&) = default;
+};
+
 /// The body of a response, read in blocks as they arrive. Destroying the object before the end of
 /// the body closes the connection. Use it from the event loop's thread only.
 class byte_stream {
@@ -45,6 +55,7 @@
     virtual ~byte_stream() = default;
     virtual unsigned status() const = 0;
     virtual const header_list& headers() const = 0;
+    virtual answer_attribution attribution() const { return {}; }
     /// @return the next bytes, at least one; `nullopt` at the regular end of the body. A body that
     /// has neither a length nor chunks ends regularly when the peer closes without a reset.
     /// @param limit time for the next bytes to arrive; `timed_out` if it is exceeded.
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -196,9 +196,15 @@
         return false;
     }
     decoder_.restart();
+    ++skipped_;
     return !link_->received().empty();
 }
 
+answer_attribution exchange::attribution() const {
+    const bool names_request = echoed_ && decoder_.headers().find(echoed_->name);
+    return {names_request, reused_, skipped_};
+}
+
 runtime::task<result<void>> exchange::read_some(base::monotonic_time deadline) {
     if (failure_) {
         co_return *failure_;
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -5,6 +5,8 @@
 #include "ferryroad/http/codec.hpp"
 #include "ferryroad/http/connection_pool.hpp"
 
+#include <cstdint>
+
 namespace ferryroad::http {
 
 /// The parameters of one request.
@@ -50,6 +52,8 @@
     runtime::task<result<void>> connect(bool fresh, base::monotonic_time deadline);
     /// @return whether the connection was taken from the pool.
     bool is_reused() const { return reused_; }
+    /// @return why the response counts as this request's. Precondition: `start` has succeeded.
+    answer_attribution attribution() const;
     /// Sends the request and reads until the response headers are complete.
     runtime::task<result<void>> start(const std::string& head, const std::string& body,
                                       base::monotonic_time deadline);
@@ -98,6 +102,7 @@
     /// Whether the connection may be reused, apart from what the response says about keep-alive.
     bool reusable_ = true;
     bool reused_ = false;
+    std::uint32_t skipped_ = 0;  ///< Responses to other requests that were discarded.
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/relayed_body.cpp
+++ b/src/ferryroad/http/relayed_body.cpp
@@ -5,7 +5,8 @@
 relayed_body::relayed_body(std::unique_ptr<exchange> started)
     : m_exchange(std::move(started)),
       m_status(m_exchange->decoder().status()),
-      m_headers(m_exchange->decoder().headers()) {}
+      m_headers(m_exchange->decoder().headers()),
+      m_attribution(m_exchange->attribution()) {}
 
 runtime::task<result<std::optional<std::string>>> relayed_body::next(base::duration limit) {
     const base::monotonic_time deadline = m_exchange->deadline_after(limit);
--- a/src/ferryroad/http/relayed_body.hpp
+++ b/src/ferryroad/http/relayed_body.hpp
@@ -14,12 +14,14 @@
 
     unsigned status() const override { return m_status; }
     const header_list& headers() const override { return m_headers; }
+    answer_attribution attribution() const override { return m_attribution; }
     runtime::task<result<std::optional<std::string>>> next(base::duration limit) override;
 
   private:
     std::unique_ptr<exchange> m_exchange;
     unsigned m_status;
     header_list m_headers;
+    answer_attribution m_attribution;
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -23,6 +23,17 @@
     return version ? std::to_string(*version) : "none";
 }
 
+std::string text_of(bool value) {
+    return value ? "true" : "false";
+}
+
+std::string connection_of(const std::optional<http::answer_attribution>& answer) {
+    if (!answer) {
+        return "none";
+    }
+    return answer->reused_connection ? "kept" : "new";
+}
+
 /// @return time until a request must have begun, in milliseconds; `none` if it may at any time.
 std::string begin_left_ms(const std::optional<base::monotonic_time>& begin_by,
                           base::monotonic_time now) {
@@ -83,6 +94,28 @@
          {"left_ms", std::to_string(base::to_milliseconds(plan.deadline - moment.now))}});
 }
 
+void log_dispatch_failure(const relay_plan& plan, const selected_engine& selected,
+                          const dispatch_failure& failure, const failed_exchange& exchange) {
+    const auto& answer = failure.attribution;
+    runtime::log(runtime::log_level::warning, component,
+                 failure.lost ? "dispatch not sent" : "dispatch failed",
+                 {{"request_id", plan.call->id.value},
+                  {"digest", core::quarantine::to_string(plan.identity)},
+                  {"parts", core::quarantine::to_string(plan.parts)},
+                  {"engine", selected.target.name.value},
+                  {"reason", failure.message},
+                  {"proof", std::string(core::execution::to_string(failure.proof))},
+                  {"answer_names_request", answer ? text_of(answer->names_request) : "none"},
+                  {"connection", connection_of(answer)},
+                  {"answers_skipped", answer ? std::to_string(answer->skipped) : "none"},
+                  {"lost", failure.lost ? std::string(to_string(*failure.lost)) : "none"},
+                  {"via", failure.via ? failure.via->value : "none"},
+                  {"own_path", text_of(exchange.own_path)},
+                  {"events", std::to_string(exchange.events)},
+                  {"running", std::to_string(exchange.running)},
+                  {"after_ms", std::to_string(base::to_milliseconds(exchange.taken))}});
+}
+
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
                     dispatch_precondition lost, base::duration waited, base::monotonic_time now) {
     runtime::log(runtime::log_level::warning, component, "withdrawn",
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -8,6 +8,7 @@
 #include "ferryroad/relay/relay_plan.hpp"
 #include "ferryroad/relay/selection.hpp"
 
+#include <cstdint>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -32,6 +33,18 @@
 void log_dispatch(const relay_plan& plan, const selected_engine& selected,
                   core::execution::attempt_number attempt, const dispatch_moment& moment);
 
+/// What an exchange had come to when it failed.
+struct failed_exchange {
+    bool own_path = false;      ///< This router reached no engine.
+    std::uint64_t events = 0;   ///< Received in this exchange.
+    std::uint32_t running = 0;  ///< This router's requests at the engine.
+    base::duration taken{};
+};
+
+/// Logs why a dispatch failed or was not sent, and what that proves about whether it ran.
+void log_dispatch_failure(const relay_plan& plan, const selected_engine& selected,
+                          const dispatch_failure& failure, const failed_exchange& exchange);
+
 /// Logs that a request was withdrawn from its engine because it must no longer begin there.
 /// @param lost the precondition that no longer holds. @param waited time since it was sent there.
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -15,6 +15,7 @@
 
     unsigned status() const override { return m_body->status(); }
     const http::header_list& headers() const override { return m_body->headers(); }
+    http::answer_attribution attribution() const override { return m_body->attribution(); }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
         auto bytes = co_await m_body->next(limit);
         if (bytes) {
@@ -38,6 +39,7 @@
 
     unsigned status() const override { return m_body->status(); }
     const http::header_list& headers() const override { return m_body->headers(); }
+    http::answer_attribution attribution() const override { return m_body->attribution(); }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
         return m_body->next(limit);
     }
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -91,8 +91,10 @@
     std::uint32_t dispatches = 0;
     std::uint32_t withdrawals = 0;        ///< Dispatches cancelled while they waited at an engine.
     std::uint32_t state_withdrawals = 0;  ///< Those of them that were to fetch outdated state.
-    bool quarantined_waiting = false;     ///< The last withdrawal was due to a quarantine.
-    std::uint64_t events = 0;             ///< Forwarded to the caller.
+    /// Answers to other requests that engines sent before those to this one.
+    std::uint32_t answers_skipped = 0;
+    bool quarantined_waiting = false;  ///< The last withdrawal was due to a quarantine.
+    std::uint64_t events = 0;          ///< Forwarded to the caller.
     /// Software version that the stream began at; nothing if it has no event.
     std::optional<coordination::release::software_version> begun_at;
     std::uint32_t continued = 0;  ///< Exchanges that continued a stream after an event.
@@ -462,6 +464,7 @@
             co_return;
         }
         m_outcome.via = opened->via;
+        m_outcome.answers_skipped += opened->answers_skipped;
         if (!m_plan.call->prompt && !opened->via) {
             const base::monotonic_time opened_at = m_dependencies.scheduler.now();
             m_dependencies.selection.record_path_latency(m_selected.zone, opened_at - now,
@@ -657,6 +660,7 @@
         } else {
             m_evidence.failed(failure, streaming, now < m_plan.deadline, now);
         }
+        m_outcome.answers_skipped += failure.attribution ? failure.attribution->skipped : 0;
         if (failure.lost) {
             undo_dispatch();
         } else {
@@ -673,19 +677,9 @@
                 m_dependencies.slots->rejected(*engine);
             }
         }
-        runtime::log(runtime::log_level::warning, component,
-                     failure.lost ? "dispatch not sent" : "dispatch failed",
-                     {{"request_id", m_plan.call->id.value},
-                      {"digest", core::quarantine::to_string(m_plan.identity)},
-                      {"parts", core::quarantine::to_string(m_plan.parts)},
-                      {"engine", m_selected.target.name.value},
-                      {"reason", failure.message},
-                      {"lost", failure.lost ? std::string(to_string(*failure.lost)) : "none"},
-                      {"via", failure.via ? failure.via->value : "none"},
-                      {"own_path", own_path ? "true" : "false"},
-                      {"events", std::to_string(m_exchange_events)},
-                      {"running", std::to_string(running_at_engine())},
-                      {"after_ms", std::to_string(base::to_milliseconds(now - m_exchange_began))}});
+        log_dispatch_failure(
+            m_plan, m_selected, failure,
+            {own_path, m_exchange_events, running_at_engine(), now - m_exchange_began});
         if (failure.kind == execution::failure_kind::overloaded) {
             log_lack_of_room();
         }
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -374,7 +374,11 @@
              {"status", std::to_string(outcome.status)},
              {"cause", outcome.refusal ? std::string(to_string(outcome.refusal->cause))
                                        : std::string("answered")},
+             {"run", outcome.refusal
+                         ? std::string(core::execution::to_string(outcome.refusal->report))
+                         : std::string("complete")},
              {"engine", outcome.engine},
+             {"answers_skipped", std::to_string(outcome.answers_skipped)},
              {"via", outcome.via ? outcome.via->value : "none"},
              {"dispatches", std::to_string(outcome.dispatches)},
              {"events", std::to_string(outcome.events)},
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -123,6 +123,7 @@
     /// Nothing if the head states an invalid limit.
     std::optional<stated_rejection_limit> rejection_limit;
     std::optional<base::router_name> via;  ///< The router that passed the request on, if any.
+    std::uint32_t answers_skipped = 0;     ///< Answers to other requests that preceded it.
     std::unique_ptr<http::byte_stream> body;
 };
 
@@ -137,6 +138,8 @@
     /// The same for the limit on rejections.
     std::optional<stated_rejection_limit> rejection_limit;
     std::string message;
+    /// Why the engine's refusal counts as this dispatch's; nothing if it sent none.
+    std::optional<http::answer_attribution> attribution;
     std::optional<dispatch_precondition> lost;       ///< Why it was not sent, if so.
     std::optional<dispatch_precondition> withdrawn;  ///< Why it was cancelled while waiting, if so.
     std::optional<base::router_name> via;  ///< The router that passed the request on, if any.
