An answer that names no request proves nothing about the one in progress

Callers saw requests that must run once run twice, and requests refused with 503 that had run. The router compared an answer's id with the request's only where the answer bore one, and read the status and X-Not-Executed before it asked for the id. A refusal in excess on a kept connection, without an id, thus proved that the request which the engine was just running had not run.

In the client an answer now belongs to a request only if it echoes the request's id. On a kept connection another one is skipped and the connection not used again, as the own answer may follow; on a new one, where no other answer can be due, the exchange fails without a proof. What such an answer states of its engine (leaving, limits, backoffs) is no longer read either. An answer without an end is not skipped, as nothing could be found behind it.

--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -87,8 +87,9 @@
 struct relay_options {
     base::duration limit{};  ///< Time until the response headers have arrived.
     /// Request header that every response to this request echoes. A response with another value
-    /// belongs to an earlier request on the connection: it is skipped, and the connection is not
-    /// reused.
+    /// belongs to an earlier request on the connection, and one without it may belong to none: it
+    /// is skipped, and the connection is not reused. On a new connection, where no other response
+    /// can be due, a response without it is `malformed`.
     std::optional<header> echoed_header;
     bool fresh_connection = false;  ///< Opens a new connection instead of taking an idle one.
     /// If set, called once the connection is open, right before the first byte is written: opening
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -152,8 +152,13 @@
 
 runtime::task<result<void>> exchange::read_head() {
     for (;;) {
-        if (decoder_.headers_complete() && !answers_other_request()) {
-            co_return result<void>();
+        if (decoder_.headers_complete()) {
+            if (answers_this_request()) {
+                co_return result<void>();
+            }
+            if (!may_precede_own_response()) {
+                co_return fail({error_code::malformed, "the response does not name the request"});
+            }
         }
         const bool more_needed = !skip_other_response();
         if (more_needed) {
@@ -166,7 +171,7 @@
         if (!decoded) {
             const result<void> failed = fail(decoded.error());
             // An error in the body is reported by the reads of the body, after the bytes before it.
-            const bool head_is_whole = decoder_.headers_complete() && !answers_other_request();
+            const bool head_is_whole = decoder_.headers_complete() && answers_this_request();
             co_return head_is_whole ? result<void>() : failed;
         }
     }
@@ -177,13 +182,16 @@
     echoed_ = std::move(echoed_header);
 }
 
-bool exchange::answers_other_request() const {
-    if (!echoed_) {
-        return false;
+bool exchange::answers_this_request() const {
+    return !echoed_ || decoder_.headers().find(echoed_->name) == std::string_view(echoed_->value);
+}
+
+bool exchange::may_precede_own_response() const {
+    if (decoder_.is_unbounded()) {
+        return false;  // It has no end behind which another response could begin.
     }
-    const header_list headers = decoder_.headers();
-    const auto value = headers.find(echoed_->name);
-    return value && *value != echoed_->value;
+    const bool carried_others = reused_ || skipped_ > 0;
+    return carried_others || decoder_.headers().find(echoed_->name).has_value();
 }
 
 bool exchange::skip_other_response() {
@@ -201,8 +209,7 @@
 }
 
 answer_attribution exchange::attribution() const {
-    const bool names_request = echoed_ && decoder_.headers().find(echoed_->name);
-    return {names_request, reused_, skipped_};
+    return {echoed_.has_value(), reused_, skipped_};
 }
 
 runtime::task<result<void>> exchange::read_some(base::monotonic_time deadline) {
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -74,10 +74,13 @@
     runtime::task<result<void>> write_and_read_head(std::string head, std::string body);
     /// Reads until the head of the response to this request is complete.
     runtime::task<result<void>> read_head();
-    /// @return whether the response head just read belongs to an earlier request: it echoes another
-    /// value of the header in `echoed_`.
-    bool answers_other_request() const;
-    /// Discards the received part of the response to an earlier request.
+    /// @return whether the response head just read belongs to this request: it echoes the header in
+    /// `echoed_`.
+    bool answers_this_request() const;
+    /// @return whether the response head just read, which does not name this request, may belong to
+    /// an earlier request or to none, so that this request's own response may follow.
+    bool may_precede_own_response() const;
+    /// Discards the received part of a response that does not name this request.
     /// @return whether bytes that follow it are waiting to be decoded.
     bool skip_other_response();
     /// @return the server's idle timeout from the Keep-Alive header, if it sent one.
