Orders, reports and state events no longer share connections with requests

Operators would have seen an engine counted as loading that had refused its order, or ordered again though it had accepted: an answer in excess to a caller's request, or to an earlier report, that an engine sends on a kept connection was taken for the order's answer. A report or a poll of state events was lost the same way, and what the foreign answer stated of its engine (that it leaves) was believed. Shown by tests only; no run of the users' shows it.

The cause: these calls took their connections from the pool of callers' requests, and their answers name no request, so that only the place on the connection attributes them.

An order goes out on a new connection, where no other answer can be due. A report may still be taken for the one before it; reports are some hundred ms old anyway, and an order states how many orders it expects.

--- a/src/ferryroad/http/client.cpp
+++ b/src/ferryroad/http/client.cpp
@@ -33,8 +33,9 @@
 }
 
 runtime::task<result<response>> client::send(const base::endpoint& address, request message,
-                                             base::duration limit, resend again) {
-    return send_request(state_->pool, {address, std::move(message), limit, again});
+                                             base::duration limit, resend again,
+                                             connection_choice choice) {
+    return send_request(state_->pool, {address, std::move(message), limit, again, choice});
 }
 
 runtime::task<result<response>> client::fetch(const base::endpoint& address, request message,
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -76,6 +76,12 @@
 /// closed before any byte of a response. If forbidden, the request fails with `connection_lost`.
 enum class resend { allowed, forbidden };
 
+/// Which connection a request is sent on.
+enum class connection_choice {
+    pooled,  ///< An idle connection of the pool if there is one, else a new one.
+    fresh    ///< A new one: no response to another request can be due there.
+};
+
 /// Result of opening a connection.
 enum class connect_outcome {
     connected,
@@ -128,7 +134,8 @@
     /// Sends a request and reads the whole response.
     /// @param limit time for the whole exchange.
     runtime::task<result<response>> send(const base::endpoint& address, request message,
-                                         base::duration limit, resend again);
+                                         base::duration limit, resend again,
+                                         connection_choice choice = connection_choice::pooled);
     /// Like `send`, for responses of unknown size: reads on as long as more data arrives within the
     /// timeouts of `options`.
     runtime::task<result<response>> fetch(const base::endpoint& address, request message,
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -44,7 +44,7 @@
     if (!head) {
         co_return head.error();
     }
-    for (bool fresh = false;; fresh = true) {
+    for (bool fresh = parameters.choice == connection_choice::fresh;; fresh = true) {
         auto attempt = std::make_unique<exchange>(pool, parameters.address, limits,
                                                   parameters.message.method == "HEAD");
         const auto connected = co_await attempt->connect(fresh, deadline);
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -15,6 +15,7 @@
     request message;
     base::duration limit;
     resend again;
+    connection_choice choice = connection_choice::pooled;
 };
 
 /// Implements `client::send`.
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -139,6 +139,14 @@
     return limits;
 }
 
+/// Limits of connections to engines and state stores for reports, orders and state events. One is
+/// enough: polls of a holder follow one another.
+inline http::client_limits engine_call_connections() {
+    http::client_limits limits = engine_connections();
+    limits.idle_connections_per_address = 1;
+    return limits;
+}
+
 /// Limits of connections to routers that pass requests on. Bounds the time lost on a router that
 /// has ended.
 inline http::client_limits forwarding_connections() {
