Answers that name no request: fail at once where none can follow, no sign of a crash

A review of the fix found three rough edges. An answer without an id on a kept connection was waited past even if it says that the connection closes: a caller would have waited until its deadline. On a new connection an empty id counted as another request's. And an answer that is no answer to the request was reported as a broken exchange, from which the quarantine may conclude that the request crashed its engine; an engine that answers has not crashed.

Timeouts and lost connections say how many answers to others came before. The field answer_names_request goes again: since the fix every refusal that counts names its request.

--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -39,9 +39,8 @@
     virtual runtime::task<result<std::string>> read_rest(base::duration limit) = 0;
 };
 
-/// Why a response counts as the one to its request.
+/// Where a response was received. It names its request if `relay_options::echoed_header` is set.
 struct answer_attribution {
-    bool names_request = false;      ///< It echoes the header in `relay_options::echoed_header`.
     bool reused_connection = false;  ///< The connection had carried requests before.
     std::uint32_t skipped = 0;       ///< Responses to other requests that preceded it.
 
@@ -95,7 +94,7 @@
     /// Request header that every response to this request echoes. A response with another value
     /// belongs to an earlier request on the connection, and one without it may belong to none: it
     /// is skipped, and the connection is not reused. On a new connection, where no other response
-    /// can be due, a response without it is `malformed`.
+    /// can be due, a response without it is `malformed`, as is one that no other can follow.
     std::optional<header> echoed_header;
     bool fresh_connection = false;  ///< Opens a new connection instead of taking an idle one.
     /// If set, called once the connection is open, right before the first byte is written: opening
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -157,7 +157,9 @@
                 co_return result<void>();
             }
             if (!may_precede_own_response()) {
-                co_return fail({error_code::malformed, "the response does not name the request"});
+                co_return fail({error_code::malformed, "the response with status " +
+                                                           std::to_string(decoder_.status()) +
+                                                           " does not name the request"});
             }
         }
         const bool more_needed = !skip_other_response();
@@ -190,8 +192,9 @@
     if (decoder_.is_unbounded()) {
         return false;  // It has no end behind which another response could begin.
     }
+    const bool names_other = !decoder_.headers().find(echoed_->name).value_or("").empty();
     const bool carried_others = reused_ || skipped_ > 0;
-    return carried_others || decoder_.headers().find(echoed_->name).has_value();
+    return names_other || (carried_others && decoder_.keep_alive());
 }
 
 bool exchange::skip_other_response() {
@@ -209,7 +212,7 @@
 }
 
 answer_attribution exchange::attribution() const {
-    return {echoed_.has_value(), reused_, skipped_};
+    return {reused_, skipped_};
 }
 
 runtime::task<result<void>> exchange::read_some(base::monotonic_time deadline) {
@@ -271,12 +274,14 @@
 
 error exchange::to_error(const boost::system::error_code& failure) const {
     link_->throw_if_cancelled(failure);
+    const std::string after_skipped =
+        skipped_ == 0 ? "" : ", after " + std::to_string(skipped_) + " to other requests";
     if (link_->is_expired()) {
-        return {error_code::timed_out,
-                "no complete response before the deadline from " + address_.to_string()};
+        return {error_code::timed_out, "no complete response before the deadline from " +
+                                           address_.to_string() + after_skipped};
     }
-    return {error_code::connection_lost,
-            "connection to " + address_.to_string() + " lost: " + failure.message()};
+    return {error_code::connection_lost, "connection to " + address_.to_string() +
+                                             " lost: " + failure.message() + after_skipped};
 }
 
 result<void> exchange::fail(error reason) {
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -683,7 +683,7 @@
         if (failure.kind == execution::failure_kind::overloaded) {
             log_lack_of_room();
         }
-        if (failure.kind == execution::failure_kind::broken) {
+        if (failure.kind == execution::failure_kind::broken && !failure.answer_invalid) {
             report_break();
         }
         end_exchange();
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -138,7 +138,9 @@
     /// The same for the limit on rejections.
     std::optional<stated_rejection_limit> rejection_limit;
     std::string message;
-    /// Why the engine's refusal counts as this dispatch's; nothing if it sent none.
+    /// The engine answered, with something else than an answer to the request.
+    bool answer_invalid = false;
+    /// Where the engine's refusal was received; nothing if it sent none.
     std::optional<http::answer_attribution> attribution;
     std::optional<dispatch_precondition> lost;       ///< Why it was not sent, if so.
     std::optional<dispatch_precondition> withdrawn;  ///< Why it was cancelled while waiting, if so.
