Messages by which a router has an origin of a stream stored, and its confirmation

`store` asks another router to write an origin to the table, `stored` tells that this has committed.

--- a/src/ferryroad/peer/stream_origin_message.hpp
+++ b/src/ferryroad/peer/stream_origin_message.hpp
@@ -39,7 +39,23 @@
     friend bool operator==(const origin_answer&, const origin_answer&) = default;
 };
 
-using origin_body = std::variant<origin_record, origin_query, origin_answer>;
+/// Asks the receiver to write a stream's origin to the table and to confirm that.
+struct origin_store_request {
+    std::uint64_t number = 0;                    ///< Chosen by the sender to match the answer.
+    coordination::stream::aged_origin recorded;  ///< The age has millisecond precision.
+
+    friend bool operator==(const origin_store_request&, const origin_store_request&) = default;
+};
+
+/// Answer to `origin_store_request`: the table has the origin.
+struct origin_stored {
+    std::uint64_t number = 0;  ///< Number of the request.
+
+    friend bool operator==(const origin_stored&, const origin_stored&) = default;
+};
+
+using origin_body =
+    std::variant<origin_record, origin_query, origin_answer, origin_store_request, origin_stored>;
 
 struct stream_origin_message {
     base::router_name sender;
--- a/src/ferryroad/peer/stream_origin_message_codec.cpp
+++ b/src/ferryroad/peer/stream_origin_message_codec.cpp
@@ -35,6 +35,14 @@
     return {wire::StreamOriginKind::answer, body.number, *body.found};
 }
 
+message_fields fields_of(const origin_store_request& body) {
+    return {wire::StreamOriginKind::store, body.number, body.recorded};
+}
+
+message_fields fields_of(const origin_stored& body) {
+    return {wire::StreamOriginKind::stored, body.number, {}};
+}
+
 coordination::stream::stream_key read_key(const wire::StreamOriginMessage& encoded) {
     return {{encoded.stream_high(), encoded.stream_low()}};
 }
@@ -59,6 +67,10 @@
             return origin_answer{encoded.number(), read_origin(reader, encoded)};
         case wire::StreamOriginKind::unknown:
             return origin_answer{encoded.number(), std::nullopt};
+        case wire::StreamOriginKind::store:
+            return origin_store_request{encoded.number(), read_origin(reader, encoded)};
+        case wire::StreamOriginKind::stored:
+            return origin_stored{encoded.number()};
     }
     reader.require(false, "a known kind");
     return origin_query{};
--- a/test/peer/stream_origin_message_test.cpp
+++ b/test/peer/stream_origin_message_test.cpp
@@ -2,6 +2,7 @@
 #include "ferryroad/peer/stream_origin_message.hpp"
 
 #include "ferryroad/peer/codec.hpp"
+#include "ferryroad/peer/codec_fields.hpp"
 #include "test/peer/sample_messages.hpp"
 
 #include <criterion/criterion.h>
@@ -23,7 +24,8 @@
 Test(stream_origin_message, each_kind_survives_encoding) {
     for (const origin_body& body :
          {origin_body(origin_record{recorded}), origin_body(origin_query{7, key}),
-          origin_body(origin_answer{7, recorded}), origin_body(origin_answer{7, std::nullopt})}) {
+          origin_body(origin_answer{7, recorded}), origin_body(origin_answer{7, std::nullopt}),
+          origin_body(origin_store_request{7, recorded}), origin_body(origin_stored{7})}) {
         const stream_origin_message message{sender, body};
         const message_bytes bytes = encode(message);
         cr_assert(is_stream_origin_message(bytes));
@@ -59,3 +61,14 @@
     nameless.origin.pool = {};
     cr_assert_not(decode_stream_origin_message(encode({sender, origin_record{nameless}})));
 }
+
+// A newer router sends kinds of messages that this one doesn't know.
+Test(stream_origin_message, a_message_of_an_unknown_kind_is_malformed) {
+    buffer_builder builder(max_datagram_bytes);
+    const auto name = write_text(builder, sender.value);
+    const auto later = static_cast<wire::StreamOriginKind>(100);
+    const message_bytes bytes =
+        finish(builder, wire::CreateStreamOriginMessage(builder, name, later, 7, 1, 2), "FRSO");
+    cr_assert(is_stream_origin_message(bytes));
+    cr_assert_not(decode_stream_origin_message(bytes));
+}
