A router that has just started takes no version that the stored record doesn't prove

A stream that its caller resumed after a restart of all routers could be continued by engines of another version than began it. If no router knew the stream, the only version that the process had seen in the pool was taken; a process that has just started has seen the engine list as it is now, so if the engines of the old version left while no router ran, the new version was taken for the only one.

Without a record, with one that can't be read or a table that doesn't respond, the attempt is refused. A record that contradicts a process that has run for long counts as well.

--- a/src/ferryroad/coordination/stream/version_history.cpp
+++ b/src/ferryroad/coordination/stream/version_history.cpp
@@ -8,12 +8,20 @@
                               base::monotonic_time now) {
     const auto [place, added] = m_pools.try_emplace(pool);
     pool_versions& one = place->second;
-    if (!added && versions != one.current) {
+    if (added) {
+        one.first_observed = now;
+    } else if (versions != one.current) {
         one.others_until = now;
     }
     one.current = std::move(versions);
 }
 
+std::optional<base::monotonic_time> version_history::first_observed(
+    const base::pool_name& pool) const {
+    const auto found = m_pools.find(pool);
+    return found == m_pools.end() ? std::nullopt : std::optional(found->second.first_observed);
+}
+
 std::optional<software_version> version_history::sole_version(const base::pool_name& pool,
                                                               base::duration within,
                                                               base::monotonic_time now) const {
--- a/src/ferryroad/coordination/stream/version_history.hpp
+++ b/src/ferryroad/coordination/stream/version_history.hpp
@@ -16,6 +16,8 @@
     /// Records the versions of a pool's engines. Must be called after each change of them.
     void observe(const base::pool_name& pool, std::set<software_version> versions,
                  base::monotonic_time now);
+    /// @return when the pool's engines were first observed; nothing if never.
+    std::optional<base::monotonic_time> first_observed(const base::pool_name& pool) const;
     /// @param within time that no other version may have been seen in.
     /// @return the version of all engines of the pool, if no other one has been seen recently.
     std::optional<software_version> sole_version(const base::pool_name& pool, base::duration within,
@@ -24,6 +26,7 @@
   private:
     struct pool_versions {
         std::set<software_version> current;
+        base::monotonic_time first_observed{};
         /// When engines of several versions, or of a version that is gone, were last seen.
         std::optional<base::monotonic_time> others_until;
     };
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -75,7 +75,8 @@
 
 stream_origins::stream_origins(runtime::scheduler& scheduler, peer::transport& transport,
                                const engine_registry& registry, const peer_address& self,
-                               core::topology::zone_map zones, stream_origin_settings settings)
+                               core::topology::zone_map zones, stream_origin_settings settings,
+                               std::optional<origin_store> store)
     : m_scheduler(scheduler),
       m_transport(transport),
       m_registry(registry),
@@ -85,7 +86,28 @@
       m_table(settings.table),
       // A random first number tells this process's queries from those of an earlier process of the
       // same name, whose answers may still arrive.
-      m_next_number(scheduler.random().next()) {}
+      m_next_number(scheduler.random().next()) {
+    if (store) {
+        m_stored.emplace(
+            scheduler, *store, registry, m_self.name,
+            [this](const base::router_name& to, peer::origin_body body) {
+                send(to, std::move(body));
+            },
+            settings.stored);
+    }
+}
+
+void stream_origins::start() {
+    if (m_stored) {
+        m_stored->start();
+    }
+}
+
+void stream_origins::stop() {
+    if (m_stored) {
+        m_stored->stop();
+    }
+}
 
 void stream_origins::set_routers(const std::vector<peer_address>& present) {
     m_addresses.clear();
@@ -106,6 +128,14 @@
     for (auto& [region, routers] : far) {
         m_far_regions.push_back(std::move(routers));
     }
+    if (m_stored) {
+        std::vector<base::router_name> all;
+        all.reserve(m_addresses.size());
+        for (const auto& [name, address] : m_addresses) {
+            all.push_back(name);
+        }
+        m_stored->set_routers(m_region, std::move(all));
+    }
 }
 
 void stream_origins::engines_changed() {
@@ -141,18 +171,36 @@
             co_return asked;
         }
     }
-    co_return find_by_engines(pool);
+    bool refreshed = false;
+    if (m_stored) {
+        refreshed = co_await m_stored->refresh();
+    }
+    co_return find_by_engines(pool, refreshed);
 }
 
-origin_search stream_origins::find_by_engines(const base::pool_name& pool) const {
+origin_search stream_origins::find_by_engines(const base::pool_name& pool, bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
     const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
-    if (!sole || m_registry.age(now) > m_settings.max_list_age) {
+    if (!sole || m_registry.age(now) > m_settings.max_list_age ||
+        !had_no_other_version(pool, *sole, refreshed)) {
         return {};
     }
     return {origin_source::sole_version, stream::aged_origin{{{}, pool, *sole}, {}}, {}};
 }
 
+bool stream_origins::had_no_other_version(const base::pool_name& pool,
+                                          const stream::software_version& sole,
+                                          bool refreshed) const {
+    const base::monotonic_time now = m_scheduler.now();
+    const base::duration retention = m_settings.table.retention;
+    const auto observed = m_versions.first_observed(pool);
+    const bool observed_long = observed && now - *observed >= retention;
+    if (!refreshed || !m_stored->versions().has_record(pool)) {
+        return observed_long;
+    }
+    return m_stored->versions().sole_version(pool, retention, now) == sole;
+}
+
 runtime::task<origin_search> stream_origins::ask_routers(stream::stream_key stream) {
     auto first = stream::ranked_routers(stream, m_region, m_settings.first_asked);
     origin_search search = co_await ask(stream, std::move(first), m_settings.answer_timeout);
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -2,7 +2,8 @@
 /// Finds out at which software version a stream began that a caller resumes, possibly at another
 /// router than before. Each router sends the origin of a stream to a few other routers, its
 /// replicas, before the first event is passed on; the stream's key determines which. A router at
-/// which a stream is resumed asks them.
+/// which a stream is resumed asks them. While a pool has engines of several versions, origins are
+/// also stored outside of the routers.
 #pragma once
 
 #include "ferryroad/coordination/stream/origin_table.hpp"
@@ -12,6 +13,7 @@
 #include "ferryroad/peer/transport.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/peer_group.hpp"
+#include "ferryroad/relay/stored_origins.hpp"
 #include "ferryroad/relay/types.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 #include "ferryroad/runtime/task.hpp"
@@ -42,13 +44,14 @@
     /// An engine list that was confirmed longer ago may lack engines of other versions.
     base::duration max_list_age = std::chrono::seconds(3);
     coordination::stream::origin_table_limits table = {};
+    stored_origin_settings stored = {};
 };
 
 /// How the origin of a resumed stream is known.
 enum class origin_source {
     recorded,      ///< This router keeps it.
     replica,       ///< Another router answered.
-    sole_version,  ///< No router knows it, and no other version has been listed recently.
+    sole_version,  ///< It isn't known, and no other version has been listed recently.
     unknown
 };
 
@@ -75,10 +78,17 @@
 /// outlive it, and it must outlive its pending searches.
 class stream_origins {
   public:
+    /// @param store where origins are stored outside of the routers; without it, a process that
+    /// has just started takes no pool to be of one version.
     stream_origins(runtime::scheduler& scheduler, peer::transport& transport,
                    const engine_registry& registry, const peer_address& self,
-                   core::topology::zone_map zones, stream_origin_settings settings = {});
+                   core::topology::zone_map zones, stream_origin_settings settings = {},
+                   std::optional<origin_store> store = {});
 
+    /// Begins to read and write what is stored. Must be called at most once.
+    void start();
+    /// Ends the periodic work.
+    void stop();
     /// Sets the routers that are present.
     void set_routers(const std::vector<peer_address>& present);
     /// To be called after each change of the engine list.
@@ -98,6 +108,8 @@
     const stream_origin_counters& counters() const { return m_counters; }
     /// @return the number of origins kept, this router's own and replicas.
     std::size_t kept() const { return m_table.size(); }
+    /// @return what is stored outside of the routers; null if nothing is.
+    const stored_origins* stored() const { return m_stored ? &*m_stored : nullptr; }
 
   private:
     class pending_search;
@@ -105,7 +117,13 @@
     using region_routers = std::vector<base::router_name>;
 
     /// @return the origin if the pool's engines leave only one possibility.
-    origin_search find_by_engines(const base::pool_name& pool) const;
+    /// @param refreshed whether the stored versions have been read since the search began.
+    origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
+    /// @return whether no engines that left before this process started can have had another
+    /// version than `sole`, the only one that it has seen.
+    bool had_no_other_version(const base::pool_name& pool,
+                              const coordination::stream::software_version& sole,
+                              bool refreshed) const;
     runtime::task<origin_search> ask_routers(coordination::stream::stream_key stream);
     /// Asks the highest ranked routers, and waits for the first that knows the origin.
     runtime::task<origin_search> ask(coordination::stream::stream_key stream,
@@ -127,6 +145,7 @@
     std::unordered_map<std::uint64_t, pending_search*> m_pending;  ///< By the query's number.
     std::uint64_t m_next_number;
     stream_origin_counters m_counters;
+    std::optional<stored_origins> m_stored;
 };
 
 }  // namespace ferryroad::relay
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-listed_engine engine(const char* name, const char* software) {
+listed_engine engine_of(const char* name, const char* software) {
     listed_engine one = relay_fixture::listed(name);
     one.software.value = software;
     return one;
@@ -47,7 +47,8 @@
         [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
 
     fixture() {
-        list({engine("e1", "v1"), engine("e2", "v1"), engine("e3", "v2"), engine("e4", "v2")});
+        list({engine_of("e1", "v1"), engine_of("e2", "v1"), engine_of("e3", "v2"),
+              engine_of("e4", "v2")});
     }
 
     void list(const std::vector<listed_engine>& engines) {
@@ -75,7 +76,7 @@
 
 runtime::task<void> restart_with_v2(fixture& one) {
     co_await one.loop.until([&one] { return !one.writer.body.empty(); });
-    one.list({engine("e1", "v2")});
+    one.list({engine_of("e1", "v2")});
 }
 
 }  // namespace
@@ -129,7 +130,7 @@
 
 Test(stream_continuation, the_last_engine_of_a_version_is_asked_again_after_a_break) {
     fixture one;
-    one.list({engine("e1", "v1"), engine("e2", "v2"), engine("e3", "v2")});
+    one.list({engine_of("e1", "v1"), engine_of("e2", "v2"), engine_of("e3", "v2")});
     one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v1"));
     one.answer(stream({bytes(event(2)), body_broken}));
     one.answer(stream({bytes(event(3)), body_end}));
@@ -142,7 +143,7 @@
 
 Test(stream_continuation, an_engine_that_restarted_with_other_software_does_not_go_on) {
     fixture one;
-    one.list({engine("e1", "v1")});
+    one.list({engine_of("e1", "v1")});
     one.answer(stream({bytes(event(1)), body_broken}));
     one.answer(stream({bytes(event(2)), body_end}));
     one.upstream.answers.front().body = {bytes(event(1)), body_silence};
@@ -155,7 +156,7 @@
 // While a version is on trial, only requests selected for it may begin there.
 Test(stream_continuation, a_stream_that_began_at_a_version_on_trial_goes_on_there) {
     fixture one;
-    one.list({engine("e1", ""), engine("e2", "")});
+    one.list({engine_of("e1", ""), engine_of("e2", "")});
     one.begin_trial();
     one.origins.engines_changed();
     one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v2"));
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -22,7 +22,7 @@
 const base::pool_name pool("p");
 const base::request_id attempt("first attempt");
 
-listed_engine engine(const char* name, const char* software) {
+listed_engine engine_of(const char* name, const char* software) {
     listed_engine one;
     one.name.value = name;
     one.pool = pool;
@@ -78,7 +78,8 @@
                                     base::zone_name(port % 2 == 0 ? "za" : "zb"),
                                     {"10.0.0.1", port}};
             routers.push_back(std::make_unique<router>(loop, network, self, zones));
-            routers.back()->list({engine("e1", "v1"), engine("e2", "v2")}, loop.scheduler.now());
+            routers.back()->list({engine_of("e1", "v1"), engine_of("e2", "v2")},
+                                 loop.scheduler.now());
             present.push_back(self);
         }
         for (const auto& one : routers) {
@@ -154,14 +155,20 @@
     cr_assert_lt(base::to_milliseconds(all.loop.scheduler.now() - began), 200);
 }
 
-Test(stream_origins, the_only_version_listed_is_taken_by_a_process_that_saw_no_other) {
+// A process that has just started can't know of engines that left before.
+Test(stream_origins, the_only_version_listed_is_taken_by_a_process_that_long_saw_no_other) {
     fixture all(3);
     router& last = *all.routers[2];
-    last.list({engine("e1", "v1")}, all.loop.scheduler.now());
+    last.list({engine_of("e1", "v1")}, all.loop.scheduler.now());
     cr_assert_not(all.find(2).found, "another version was listed a moment ago");
     fixture restarted(1);
-    router fresh(restarted.loop, restarted.network, restarted.routers[0]->self, {});
-    fresh.list({engine("e1", "v1")}, restarted.loop.scheduler.now());
+    stream_origin_settings settings = router::settings();
+    settings.table.retention = 100ms;
+    router fresh(restarted.loop, restarted.network, restarted.routers[0]->self, {}, settings);
+    fresh.list({engine_of("e1", "v1")}, restarted.loop.scheduler.now());
+    cr_assert_not(restarted.find_at(fresh).found, "the process has just started");
+    restarted.loop.context.restart();
+    cr_assert(restarted.loop.run([&] { return restarted.loop.scheduler.sleep_for(100ms); }));
     const origin_search found = restarted.find_at(fresh);
     cr_assert(found.source == origin_source::sole_version);
     cr_assert(found.found->origin.software == software_version("v1"));
@@ -170,8 +177,12 @@
 // A list that is behind may lack the engines of the version that began the stream.
 Test(stream_origins, a_sole_version_in_an_outdated_list_is_not_taken) {
     fixture all(2);
-    router fresh(all.loop, all.network, all.routers[0]->self, {});
-    fresh.list({engine("e1", "v1")}, all.loop.scheduler.now() - 4s);
+    stream_origin_settings settings = router::settings();
+    settings.table.retention = 50ms;
+    router fresh(all.loop, all.network, all.routers[0]->self, {}, settings);
+    fresh.list({engine_of("e1", "v1")}, all.loop.scheduler.now() - 4s);
+    all.loop.context.restart();
+    cr_assert(all.loop.run([&] { return all.loop.scheduler.sleep_for(60ms); }));
     cr_assert_not(all.find_at(fresh).found);
     fresh.registry.confirm(all.loop.scheduler.now());
     cr_assert(all.find_at(fresh).found);
@@ -190,7 +201,7 @@
         present.push_back(one->self);
     }
     behind.origins.set_routers(present);
-    behind.list({engine("e1", "v1")}, all.loop.scheduler.now());
+    behind.list({engine_of("e1", "v1")}, all.loop.scheduler.now());
     all.loop.context.restart();
     cr_assert(all.loop.run([&] { return all.loop.scheduler.sleep_for(20ms); }));
     cr_assert(all.find_at(behind).found->origin.software == software_version("v2"));
