Streams of pools with several versions go on after a restart of all routers

Where engines of two versions were listed, all streams that callers resumed after a restart of all routers were refused (origin_unknown), although engines of the right version were there: origins were kept in routers' memory alone.

Unless all engines of the pool are known to have had one version, the router now has the origin stored before the first event is passed on: it asks the recorder of its region, which writes many origins in one transaction, and holds the event back until the confirmation, for 100 ms at most. After a wait in vain no stream is held back for a second, and the next ranked recorder is asked for 5 s. A search that no router answers reads the stored rows. Pools of one version send, wait for and read nothing more.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -594,6 +594,7 @@
             m_outcome.begun_at = m_begun_at;
             if (m_dependencies.origins != nullptr && is_repeatable(*m_plan.matched_route)) {
                 m_dependencies.origins->record(m_plan.call->id, m_plan.pool, *m_begun_at);
+                m_must_store_origin = true;
             }
         }
         m_outcome.mixed_software = m_outcome.mixed_software || *m_begun_at != m_selected.software;
@@ -888,12 +889,25 @@
         feed(execution::token_received{m_exchange, m_machine.emitted_tokens()});
     }
 
+    /// Has the origin of a stream stored that this request began. The engine's further events wait
+    /// in the connection meanwhile.
+    runtime::task<void> store_origin() {
+        if (std::exchange(m_must_store_origin, false)) {
+            base::request_id attempt = m_plan.call->id;
+            base::pool_name pool = m_plan.pool;
+            coordination::release::software_version software = *m_begun_at;
+            co_await m_dependencies.origins->store(std::move(attempt), std::move(pool),
+                                                   std::move(software));
+        }
+    }
+
     runtime::task<void> flush() {
         if (m_outbox.empty()) {
             co_return;
         }
         if (!m_head_sent) {
             m_head_sent = true;
+            co_await store_origin();
             m_outcome.status = m_answer->status;
             http::header_list headers = m_answer->headers;
             const auto begun = co_await m_writer.begin_stream(m_answer->status, std::move(headers));
@@ -1039,6 +1053,7 @@
     /// Software version of the engine that sent the stream's first event, if known.
     std::optional<coordination::release::software_version> m_begun_at;
     base::monotonic_time m_last_event_at{};
+    bool m_must_store_origin = false;
     bool m_head_sent = false;        ///< The response head has been sent to the caller.
     bool m_waited_for_room = false;  ///< The request has been considered for a version on trial.
     bool m_may_be_sent = false;      ///< Part of the dispatch may have been sent.
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -150,6 +150,23 @@
         static_cast<double>(counted.queries));
     set("ferryroad_relay_stream_origin_queries_received", "The same, received.",
         static_cast<double>(counted.answered));
+    const stored_origin_totals& stored = now.stored_origins;
+    set("ferryroad_relay_stream_origin_waits", "Streams held back until their origin was stored.",
+        static_cast<double>(stored.waiting.waits));
+    set("ferryroad_relay_stream_origin_wait_timeouts", "Those that were not stored in time.",
+        static_cast<double>(stored.waiting.timeouts));
+    set("ferryroad_relay_stream_origins_stored", "Origins that this router wrote to the table.",
+        static_cast<double>(stored.recorder.stored));
+    set("ferryroad_relay_stream_origin_batches", "Transactions with origins.",
+        static_cast<double>(stored.recorder.batches));
+    set("ferryroad_relay_stream_origin_batches_failed", "Those that failed.",
+        static_cast<double>(stored.recorder.failed_batches));
+    set("ferryroad_relay_stream_origin_rows_removed", "Old rows with origins that were removed.",
+        static_cast<double>(stored.recorder.removed_rows));
+    set("ferryroad_relay_stream_origin_reads_failed", "Failed reads of stored origins.",
+        static_cast<double>(stored.reader.failures));
+    set("ferryroad_relay_version_record_failures", "Failed writes of the pools' versions.",
+        static_cast<double>(stored.versions.failures));
 }
 
 std::string relay_metrics::to_text(const relay_gauges& now) {
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -68,6 +68,7 @@
     std::uint64_t crash_rows_written = 0;
     stream_origin_counters origins;
     std::size_t origins_kept = 0;
+    stored_origin_totals stored_origins;
     std::vector<metered_bytes> exchanged;
     std::vector<local_release> releases;  ///< One for each pool with a release order.
     release_counters release_traffic;
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -19,6 +19,8 @@
             return "recorded";
         case origin_source::replica:
             return "replica";
+        case origin_source::stored:
+            return "stored";
         case origin_source::sole_version:
             return "sole_version";
         case origin_source::unknown:
@@ -160,13 +162,33 @@
     }
 }
 
+runtime::task<void> stream_origins::store(base::request_id attempt, base::pool_name pool,
+                                          stream::software_version software) {
+    if (!m_stored) {
+        co_return;
+    }
+    const base::monotonic_time now = m_scheduler.now();
+    const base::duration retention = m_settings.table.retention;
+    const auto sole = m_versions.sole_version(pool, retention, now);
+    if (sole && m_stored->versions().sole_version(pool, retention, now) == sole) {
+        co_return;
+    }
+    stream::aged_origin recorded{{stream::key_of(attempt), std::move(pool), std::move(software)},
+                                 {}};
+    co_await m_stored->store(std::move(recorded));
+}
+
 runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
+    std::optional<stream::stream_key> key;
     if (call.resumed_attempt) {
-        const stream::stream_key key = stream::key_of(*call.resumed_attempt);
-        if (auto own = m_table.find(key, m_scheduler.now())) {
+        key = stream::key_of(*call.resumed_attempt);
+        if (auto own = m_table.find(*key, m_scheduler.now())) {
             co_return origin_search{origin_source::recorded, std::move(own), {}};
         }
-        origin_search asked = co_await ask_routers(key);
+        if (auto read = find_stored(*key)) {
+            co_return origin_search{origin_source::stored, std::move(read), {}};
+        }
+        origin_search asked = co_await ask_routers(*key);
         if (asked.found) {
             co_return asked;
         }
@@ -175,9 +197,17 @@
     if (m_stored) {
         refreshed = co_await m_stored->refresh();
     }
+    if (auto read = key ? find_stored(*key) : std::nullopt) {
+        co_return origin_search{origin_source::stored, std::move(read), {}};
+    }
     co_return find_by_engines(pool, refreshed);
 }
 
+std::optional<stream::aged_origin> stream_origins::find_stored(
+    const stream::stream_key& stream) const {
+    return m_stored ? m_stored->find(stream) : std::nullopt;
+}
+
 origin_search stream_origins::find_by_engines(const base::pool_name& pool, bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
     const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
@@ -254,7 +284,23 @@
         if (pending != m_pending.end()) {
             pending->second->record_answer(message->sender, *answer);
         }
+    } else if (const auto* request = std::get_if<peer::origin_store_request>(&message->body)) {
+        handle_store_request(from, *request);
+    } else if (const auto* stored = std::get_if<peer::origin_stored>(&message->body)) {
+        if (m_stored) {
+            m_stored->handle_confirmation(stored->number);
+        }
+    }
+}
+
+void stream_origins::handle_store_request(const base::endpoint& from,
+                                          const peer::origin_store_request& request) {
+    if (!m_stored) {
+        return;
     }
+    m_stored->store_for(request, [this, from, number = request.number] {
+        m_transport.send(from, peer::encode({m_self.name, peer::origin_stored{number}}));
+    });
 }
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -51,6 +51,7 @@
 enum class origin_source {
     recorded,      ///< This router keeps it.
     replica,       ///< Another router answered.
+    stored,        ///< It was stored outside of the routers.
     sole_version,  ///< It isn't known, and no other version has been listed recently.
     unknown
 };
@@ -101,6 +102,11 @@
     /// @param attempt the caller's attempt that receives the first event.
     void record(const base::request_id& attempt, const base::pool_name& pool,
                 const coordination::stream::software_version& software);
+    /// Has the origin stored outside of the routers, unless all engines of the pool are known to
+    /// have had one version. Returns once that is confirmed, or after a limited time. To be called
+    /// before the first event is passed on to the caller.
+    runtime::task<void> store(base::request_id attempt, base::pool_name pool,
+                              coordination::stream::software_version software);
     /// Finds where the stream began that `call` resumes.
     /// @param pool pool of the call's route.
     runtime::task<origin_search> find(const relay_call& call, base::pool_name pool);
@@ -116,6 +122,8 @@
     /// Routers of one region, by name.
     using region_routers = std::vector<base::router_name>;
 
+    std::optional<coordination::stream::aged_origin> find_stored(
+        const coordination::stream::stream_key& stream) const;
     /// @return the origin if the pool's engines leave only one possibility.
     /// @param refreshed whether the stored versions have been read since the search began.
     origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
@@ -124,6 +132,8 @@
     bool had_no_other_version(const base::pool_name& pool,
                               const coordination::stream::software_version& sole,
                               bool refreshed) const;
+    void handle_store_request(const base::endpoint& from,
+                              const peer::origin_store_request& request);
     runtime::task<origin_search> ask_routers(coordination::stream::stream_key stream);
     /// Asks the highest ranked routers, and waits for the first that knows the origin.
     runtime::task<origin_search> ask(coordination::stream::stream_key stream,
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -102,6 +102,20 @@
         one.registry.confirm(loop.scheduler.now());
         one.origins.engines_changed();
     }
+    /// All routers end at the same moment: what they knew is lost, and their work.
+    void end_all_routers() {
+        for (const auto& one : routers) {
+            one->transport.on_datagram([](const auto&, auto) {});
+            one->origins.stop();
+            one->origins.set_routers({});
+        }
+        ended.insert(ended.end(), std::make_move_iterator(routers.begin()),
+                     std::make_move_iterator(routers.end()));
+        routers.clear();
+        network.handlers.clear();
+    }
+    std::vector<std::unique_ptr<router>> ended;
+
     void run_for(base::duration time) {
         loop.context.restart();
         cr_assert(loop.run([&] { return loop.scheduler.sleep_for(time); }));
@@ -116,6 +130,19 @@
         }));
         return found;
     }
+    /// @return how long the stream's first event was held back.
+    base::duration store(router& one, const char* software,
+                         const base::request_id& begun = attempt) {
+        const base::monotonic_time asked = loop.scheduler.now();
+        loop.context.restart();
+        cr_assert(loop.run([&]() -> runtime::task<void> {
+            base::request_id id = begun;
+            base::pool_name name = pool;
+            software_version version(software);
+            co_await one.origins.store(std::move(id), std::move(name), std::move(version));
+        }));
+        return loop.scheduler.now() - asked;
+    }
     void put_record(const std::set<software_version>& versions,
                     std::optional<std::chrono::milliseconds> others_age = std::nullopt) {
         stream::version_record record{versions, std::nullopt};
@@ -252,3 +279,142 @@
     cr_assert_gt(all.table.rows[record_key].version.value, version);
     cr_assert(all.record().current == (std::set{v1, v2}));
 }
+
+Test(stored_origins, streams_of_a_pool_with_two_versions_are_found_after_a_restart_of_all_routers) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    for (int count = 0; count < 3; ++count) {
+        all.start_router(engines);
+    }
+    all.run_for(20ms);
+    const base::request_id other("other attempt");
+    all.store(*all.routers[0], "v1");
+    all.store(*all.routers[1], "v2", other);
+    cr_assert_eq(all.routers[0]->origins.stored()->counters().timeouts, 0);
+    all.end_all_routers();
+    fixture::router& started = all.start_router(engines);
+    const origin_search first = all.find(started);
+    cr_assert(first.source == origin_source::stored);
+    cr_assert(first.found->origin.software == v1);
+    cr_assert(all.find(started, other).found->origin.software == v2);
+    cr_assert_not(all.find(started, base::request_id("never seen")).found);
+}
+
+// It was stored after the router read what was there when it started.
+Test(stored_origins, an_origin_that_was_stored_later_is_found) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    fixture::router& first = all.start_router(engines);
+    fixture::router& second = all.start_router(engines);
+    all.run_for(20ms);
+    all.store(first, "v2");
+    all.network.handlers.clear();
+    cr_assert(all.find(second).source == origin_source::stored);
+}
+
+Test(stored_origins, streams_of_a_pool_of_one_version_cost_nothing) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    fixture::router& two = all.start_router({engine_of("e1", "v1")});
+    all.run_for(50ms);
+    const std::size_t calls = all.table.writes + one.origins.stored()->all_counters().reader.calls +
+                              two.origins.stored()->all_counters().reader.calls;
+    const std::size_t datagrams = all.network.sent;
+    all.store(one, "v1");
+    all.store(two, "v1");
+    all.run_for(20ms);
+    cr_assert_eq(all.network.sent, datagrams);
+    cr_assert_eq(one.origins.stored()->counters().waits, 0);
+    cr_assert_eq(two.origins.stored()->counters().waits, 0);
+    cr_assert_eq(calls, all.table.writes + one.origins.stored()->all_counters().reader.calls +
+                            two.origins.stored()->all_counters().reader.calls);
+    cr_assert_eq(all.table.count("origins/"), 0);
+}
+
+Test(stored_origins, a_silent_table_holds_back_one_stream_a_second) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    all.run_for(20ms);
+    all.table.delay = 1h;
+    const base::duration held_back = all.store(one, "v1");
+    cr_assert_geq(held_back, 200ms);
+    cr_assert_lt(held_back, 400ms);
+    for (int count = 0; count < 5; ++count) {
+        cr_assert_lt(all.store(one, "v1", base::request_id(std::to_string(count))), 100ms);
+    }
+    cr_assert_eq(one.origins.stored()->counters().timeouts, 1);
+    cr_assert_eq(one.origins.stored()->counters().waits, 1);
+}
+
+Test(stored_origins, an_origin_that_could_not_be_written_is_written_later) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    all.run_for(20ms);
+    all.table.down = true;
+    all.store(one, "v1");
+    cr_assert_eq(all.table.count("origins/"), 0);
+    all.table.down = false;
+    all.run_for(20ms);
+    cr_assert_eq(all.table.count("origins/"), 1);
+    cr_assert_gt(one.origins.stored()->all_counters().recorder.failed_batches, 0);
+}
+
+// The highest ranked router of the region is of an older release, or has ended.
+Test(stored_origins, a_recorder_that_does_not_answer_is_passed_over) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    stream_origin_settings settings = short_times();
+    settings.stored.pause_after_timeout = 0ms;
+    for (int count = 0; count < 4; ++count) {
+        all.start_router(engines, settings);
+    }
+    all.run_for(20ms);
+    all.store(*all.routers[0], "v1");
+    for (const auto& one : all.routers) {
+        if (one->origins.stored()->all_counters().recorder.batches > 0) {
+            one->transport.on_datagram([](const auto&, auto) {});
+        }
+    }
+    std::size_t stored = 0;
+    for (const auto& one : all.routers) {
+        all.store(*one, "v1", base::request_id("a" + one->self.name.value));
+        const std::size_t before = all.table.count("origins/");
+        all.store(*one, "v1", base::request_id("b" + one->self.name.value));
+        stored += all.table.count("origins/") > before ? 1 : 0;
+    }
+    cr_assert_eq(stored, 4);
+}
+
+Test(stored_origins, origins_that_two_routers_record_at_the_same_time_are_all_kept) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    fixture::router& one = all.start_router(engines);
+    all.run_for(20ms);
+    fixture::router& two = all.start_router(engines);
+    one.origins.set_routers({});
+    two.origins.set_routers({});
+    for (int count = 0; count < 10; ++count) {
+        all.store(one, "v1", base::request_id("one " + std::to_string(count)));
+        all.store(two, "v2", base::request_id("two " + std::to_string(count)));
+    }
+    all.network.handlers.clear();
+    for (int count = 0; count < 10; ++count) {
+        cr_assert(all.find(two, base::request_id("one " + std::to_string(count))).found);
+        cr_assert(all.find(one, base::request_id("two " + std::to_string(count))).found);
+    }
+}
+
+Test(stored_origins, a_malformed_row_does_not_hide_the_others) {
+    fixture all;
+    const base::router_name writer("r9");
+    all.table.put(stream::origin_row_key(store_time.count() - 20, writer, 0), "?");
+    const auto rows = stream::encode_origin_rows(
+        {{{stream::key_of(attempt), pool, v2}, store_time.count() - 10}}, 1000);
+    all.table.put(stream::origin_row_key(store_time.count() - 10, writer, 0), rows.front());
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    const origin_search search = all.find(one);
+    cr_assert(search.source == origin_source::stored);
+    cr_assert(search.found->origin.software == v2);
+    cr_assert_geq(search.found->age, 10ms);
+    cr_assert_gt(one.origins.stored()->counters().rows_malformed, 0);
+}
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -1,6 +1,7 @@
 /// Tests that a stream goes on only at engines of the software version that began it, within one
 /// answer and when its caller resumes it.
 #include "test/relay/fake_network.hpp"
+#include "test/relay/fake_table.hpp"
 #include "test/relay/fake_upstream.hpp"
 
 using namespace ferryroad;
@@ -28,7 +29,10 @@
     fake_network network;
     fake_transport transport{network, {"10.0.0.1", 1}};
     peer_address self{base::router_name("r1"), base::zone_name("z"), {"10.0.0.1", 1}};
-    stream_origins origins{loop.scheduler, transport, registry, self, {}};
+    fake_table table{loop.scheduler};
+    owner_clock clock;
+    stream_origins origins{
+        loop.scheduler, transport, registry, self, {}, short_times(), origin_store{table, clock}};
     relay_service<fake_upstream> knowing{
         {loop.scheduler,
          upstream,
@@ -47,10 +51,17 @@
         [this](const relay_plan&, const relay_outcome& outcome) { outcomes.push_back(outcome); }};
 
     fixture() {
+        clock.observe(loop.scheduler.now(), loop.scheduler.now(), 500s);
         list({engine_of("e1", "v1"), engine_of("e2", "v1"), engine_of("e3", "v2"),
               engine_of("e4", "v2")});
     }
 
+    static stream_origin_settings short_times() {
+        stream_origin_settings all;
+        all.stored.store_timeout = 60ms;
+        all.stored.read_timeout = 60ms;
+        return all;
+    }
     void list(const std::vector<listed_engine>& engines) {
         registry.replace_all(engines, loop.scheduler.now());
         releases.engines_changed(loop.scheduler.now());
@@ -74,6 +85,12 @@
     }
 };
 
+/// Notes the number of stored rows as the caller receives the first event.
+runtime::task<void> count_rows_at_first_event(fixture& one, std::optional<std::size_t>& rows) {
+    co_await one.loop.until([&one] { return !one.writer.body.empty(); });
+    rows = one.table.count("origins/");
+}
+
 runtime::task<void> restart_with_v2(fixture& one) {
     co_await one.loop.until([&one] { return !one.writer.body.empty(); });
     one.list({engine_of("e1", "v2")});
@@ -179,3 +196,28 @@
     }
     cr_assert_eq(one.origins.kept(), 0);
 }
+
+Test(stream_continuation, the_origin_is_stored_before_the_first_event_is_passed_on) {
+    fixture one;
+    one.table.delay = 20ms;
+    one.answer(stream({bytes(event(1)), bytes(event(2)), bytes(event(3)), body_end}));
+    std::optional<std::size_t> rows;
+    one.loop.scheduler.spawn("count", count_rows_at_first_event(one, rows));
+    one.serve_knowing(one.call("/resumable/"));
+    cr_assert_eq(*rows, 1);
+    cr_assert(one.writer.body == event(1) + event(2) + event(3));
+    cr_assert_eq(one.outcomes[0].events, 3);
+}
+
+Test(stream_continuation,
+     a_table_that_does_not_respond_holds_back_the_first_event_for_a_limited_time) {
+    fixture one;
+    one.table.delay = 1h;
+    one.answer(stream({bytes(event(1)), bytes(event(2)), body_end}));
+    const base::monotonic_time began = one.loop.scheduler.now();
+    one.serve_knowing(one.call("/resumable/"));
+    cr_assert_geq(one.loop.scheduler.now() - began, 60ms);
+    cr_assert_eq(one.writer.status, 200);
+    cr_assert(one.writer.body == event(1) + event(2));
+    cr_assert_eq(one.origins.stored()->counters().timeouts, 1);
+}
