--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -19,6 +19,8 @@
             return "recorded";
         case origin_source::replica:
             return "replica";
+        case origin_source::stored:
+            return "stored";
         case origin_source::sole_version:
             return "sole_version";
         case origin_source::unknown:
@@ -75,7 +77,8 @@
 
 stream_origins::stream_origins(runtime::scheduler& scheduler, peer::transport& transport,
                                const engine_registry& registry, const peer_address& self,
-                               core::topology::zone_map zones, stream_origin_settings settings)
+                               core::topology::zone_map zones, stream_origin_settings settings,
+                               std::optional<origin_store> store)
     : m_scheduler(scheduler),
       m_transport(transport),
       m_registry(registry),
@@ -85,7 +88,28 @@
       m_table(settings.table),
       // A random first number tells this process's queries from those of an earlier process of the
       // same name, whose answers may still arrive.
-      m_next_number(scheduler.random().next()) {}
+      m_next_number(scheduler.random().next()) {
+    if (store) {
+        m_stored.emplace(
+            scheduler, *store, registry, m_self.name,
+            [this](const base::router_name& to, peer::origin_body body) {
+                send(to, std::move(body));
+            },
+            settings.stored);
+    }
+}
+
+void stream_origins::start() {
+    if (m_stored) {
+        m_stored->start();
+    }
+}
+
+void stream_origins::stop() {
+    if (m_stored) {
+        m_stored->stop();
+    }
+}
 
 void stream_origins::set_routers(const std::vector<peer_address>& present) {
     m_addresses.clear();
@@ -106,6 +130,14 @@
     for (auto& [region, routers] : far) {
         m_far_regions.push_back(std::move(routers));
     }
+    if (m_stored) {
+        std::vector<base::router_name> all;
+        all.reserve(m_addresses.size());
+        for (const auto& [name, address] : m_addresses) {
+            all.push_back(name);
+        }
+        m_stored->set_routers(m_region, std::move(all));
+    }
 }
 
 void stream_origins::engines_changed() {
@@ -130,29 +162,75 @@
     }
 }
 
+runtime::task<void> stream_origins::store(base::request_id attempt, base::pool_name pool,
+                                          stream::software_version software) {
+    if (!m_stored) {
+        co_return;
+    }
+    const base::monotonic_time now = m_scheduler.now();
+    const base::duration retention = m_settings.table.retention;
+    const auto sole = m_versions.sole_version(pool, retention, now);
+    if (sole && m_stored->versions().sole_version(pool, retention, now) == sole) {
+        co_return;
+    }
+    stream::aged_origin recorded{{stream::key_of(attempt), std::move(pool), std::move(software)},
+                                 {}};
+    co_await m_stored->store(std::move(recorded));
+}
+
 runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
+    std::optional<stream::stream_key> key;
     if (call.resumed_attempt) {
-        const stream::stream_key key = stream::key_of(*call.resumed_attempt);
-        if (auto own = m_table.find(key, m_scheduler.now())) {
+        key = stream::key_of(*call.resumed_attempt);
+        if (auto own = m_table.find(*key, m_scheduler.now())) {
             co_return origin_search{origin_source::recorded, std::move(own), {}};
         }
-        origin_search asked = co_await ask_routers(key);
+        if (auto read = find_stored(*key)) {
+            co_return origin_search{origin_source::stored, std::move(read), {}};
+        }
+        origin_search asked = co_await ask_routers(*key);
         if (asked.found) {
             co_return asked;
         }
     }
-    co_return find_by_engines(pool);
+    bool refreshed = false;
+    if (m_stored) {
+        refreshed = co_await m_stored->refresh();
+    }
+    if (auto read = key ? find_stored(*key) : std::nullopt) {
+        co_return origin_search{origin_source::stored, std::move(read), {}};
+    }
+    co_return find_by_engines(pool, refreshed);
 }
 
-origin_search stream_origins::find_by_engines(const base::pool_name& pool) const {
+std::optional<stream::aged_origin> stream_origins::find_stored(
+    const stream::stream_key& stream) const {
+    return m_stored ? m_stored->find(stream) : std::nullopt;
+}
+
+origin_search stream_origins::find_by_engines(const base::pool_name& pool, bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
     const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
-    if (!sole || m_registry.age(now) > m_settings.max_list_age) {
+    if (!sole || m_registry.age(now) > m_settings.max_list_age ||
+        !had_no_other_version(pool, *sole, refreshed)) {
         return {};
     }
     return {origin_source::sole_version, stream::aged_origin{{{}, pool, *sole}, {}}, {}};
 }
 
+bool stream_origins::had_no_other_version(const base::pool_name& pool,
+                                          const stream::software_version& sole,
+                                          bool refreshed) const {
+    const base::monotonic_time now = m_scheduler.now();
+    const base::duration retention = m_settings.table.retention;
+    const auto observed = m_versions.first_observed(pool);
+    const bool observed_long = observed && now - *observed >= retention;
+    if (!refreshed || !m_stored->versions().has_record(pool)) {
+        return observed_long;
+    }
+    return m_stored->versions().sole_version(pool, retention, now) == sole;
+}
+
 runtime::task<origin_search> stream_origins::ask_routers(stream::stream_key stream) {
     auto first = stream::ranked_routers(stream, m_region, m_settings.first_asked);
     origin_search search = co_await ask(stream, std::move(first), m_settings.answer_timeout);
@@ -206,7 +284,23 @@
         if (pending != m_pending.end()) {
             pending->second->record_answer(message->sender, *answer);
         }
+    } else if (const auto* request = std::get_if<peer::origin_store_request>(&message->body)) {
+        handle_store_request(from, *request);
+    } else if (const auto* stored = std::get_if<peer::origin_stored>(&message->body)) {
+        if (m_stored) {
+            m_stored->handle_confirmation(stored->number);
+        }
+    }
+}
+
+void stream_origins::handle_store_request(const base::endpoint& from,
+                                          const peer::origin_store_request& request) {
+    if (!m_stored) {
+        return;
     }
+    m_stored->store_for(request, [this, from, number = request.number] {
+        m_transport.send(from, peer::encode({m_self.name, peer::origin_stored{number}}));
+    });
 }
 
 }  // namespace ferryroad::relay
--- /dev/null
+++ b/test/relay/stored_origins_test.cpp
@@ -0,0 +1,420 @@
+/// Tests that streams are taken up after a restart of all routers where what is stored proves their
+/// version, and only there.
+#include "ferryroad/relay/stored_origins.hpp"
+
+#include "ferryroad/coordination/stream/origin_rows.hpp"
+#include "ferryroad/relay/stream_origins.hpp"
+#include "test/http/loopback.hpp"
+#include "test/relay/fake_network.hpp"
+#include "test/relay/fake_table.hpp"
+
+#include <memory>
+
+using namespace ferryroad;
+using namespace ferryroad::relay;
+using namespace ferryroad::relay::test;
+using namespace std::chrono_literals;
+namespace stream = coordination::stream;
+using stream::software_version;
+
+namespace {
+
+const base::pool_name pool("p");
+const base::request_id attempt("first attempt");
+const std::string record_key = "versions/p";
+constexpr std::chrono::milliseconds store_time = 500s;
+
+listed_engine engine_of(const char* name, const char* software) {
+    listed_engine one;
+    one.name.value = name;
+    one.pool = pool;
+    one.address = {"127.0.0.1", 1};
+    one.zone.value = "z";
+    one.software.value = software;
+    return one;
+}
+
+stream_origin_settings short_times() {
+    stream_origin_settings all;
+    all.answer_timeout = 10ms;
+    all.far_answer_timeout = 10ms;
+    all.stored.store_timeout = 200ms;
+    all.stored.read_timeout = 200ms;
+    all.stored.reader.period = 5ms;
+    all.stored.versions.check_period = 2ms;
+    all.stored.versions.retry = 5ms;
+    all.stored.versions.rank_delay = 10ms;
+    all.stored.versions.read_period = 10ms;
+    all.stored.versions.read_period_per_router = 0ms;
+    all.stored.recorder.min_interval = 2ms;
+    all.stored.recorder.retry = 5ms;
+    all.stored.recorder.removal_period = 5ms;
+    return all;
+}
+
+/// A table, and routers that use it, if they aren't of an older release.
+struct fixture {
+    ferryroad::test::loopback loop;
+    fake_network network;
+    fake_table table{loop.scheduler};
+    owner_clock clock;
+
+    struct router {
+        router(fixture& all, std::uint16_t port, const stream_origin_settings& settings,
+               bool stores)
+            : self{base::router_name("r" + std::to_string(port)),
+                   base::zone_name("z"),
+                   {"10.0.0.1", port}},
+              transport(all.network, self.address),
+              origins(all.loop.scheduler, transport, registry, self, {}, settings,
+                      stores ? std::optional(origin_store{all.table, all.clock}) : std::nullopt) {
+            transport.on_datagram([this](const base::endpoint& from, std::string_view bytes) {
+                origins.handle_datagram(from, bytes);
+            });
+            origins.start();
+        }
+        peer_address self;
+        engine_registry registry;
+        fake_transport transport;
+        stream_origins origins;
+    };
+    std::vector<std::unique_ptr<router>> routers;
+
+    fixture() { clock.observe(loop.scheduler.now(), loop.scheduler.now(), store_time); }
+
+    router& start_router(const std::vector<listed_engine>& engines,
+                         const stream_origin_settings& settings = short_times(),
+                         bool stores = true) {
+        const auto port = static_cast<std::uint16_t>(routers.size() + 1);
+        routers.push_back(std::make_unique<router>(*this, port, settings, stores));
+        list(*routers.back(), engines);
+        std::vector<peer_address> present;
+        for (const auto& one : routers) {
+            present.push_back(one->self);
+        }
+        for (const auto& one : routers) {
+            one->origins.set_routers(present);
+        }
+        return *routers.back();
+    }
+    void list(router& one, const std::vector<listed_engine>& engines) {
+        one.registry.replace_all(engines, loop.scheduler.now());
+        one.registry.confirm(loop.scheduler.now());
+        one.origins.engines_changed();
+    }
+    /// All routers end at the same moment: what they knew is lost, and their work.
+    void end_all_routers() {
+        for (const auto& one : routers) {
+            one->transport.on_datagram([](const auto&, auto) {});
+            one->origins.stop();
+            one->origins.set_routers({});
+        }
+        ended.insert(ended.end(), std::make_move_iterator(routers.begin()),
+                     std::make_move_iterator(routers.end()));
+        routers.clear();
+        network.handlers.clear();
+    }
+    std::vector<std::unique_ptr<router>> ended;
+
+    void run_for(base::duration time) {
+        loop.context.restart();
+        cr_assert(loop.run([&] { return loop.scheduler.sleep_for(time); }));
+    }
+    origin_search find(router& one, const base::request_id& resumed = attempt) {
+        origin_search found;
+        loop.context.restart();
+        cr_assert(loop.run([&]() -> runtime::task<void> {
+            relay_call call;
+            call.resumed_attempt = resumed;
+            found = co_await one.origins.find(call, pool);
+        }));
+        return found;
+    }
+    /// @return how long the stream's first event was held back.
+    base::duration store(router& one, const char* software,
+                         const base::request_id& begun = attempt) {
+        const base::monotonic_time asked = loop.scheduler.now();
+        loop.context.restart();
+        cr_assert(loop.run([&]() -> runtime::task<void> {
+            base::request_id id = begun;
+            base::pool_name name = pool;
+            software_version version(software);
+            co_await one.origins.store(std::move(id), std::move(name), std::move(version));
+        }));
+        return loop.scheduler.now() - asked;
+    }
+    void put_record(const std::set<software_version>& versions,
+                    std::optional<std::chrono::milliseconds> others_age = std::nullopt) {
+        stream::version_record record{versions, std::nullopt};
+        if (others_age) {
+            record.others_until = (store_time - *others_age).count();
+        }
+        table.put(record_key, stream::encode(record));
+    }
+    stream::version_record record() {
+        return *stream::decode_version_record(table.rows[record_key].value);
+    }
+};
+
+const software_version v1("v1");
+const software_version v2("v2");
+
+}  // namespace
+
+Test(stored_origins,
+     a_process_that_has_just_started_does_not_take_the_version_that_replaced_another) {
+    fixture all;
+    all.put_record({v2}, 10s);
+    cr_assert_not(all.find(all.start_router({engine_of("e2", "v2")})).found);
+}
+
+// The engines of the first version left while no router was running.
+Test(stored_origins, a_version_that_the_record_does_not_name_is_not_taken) {
+    fixture all;
+    all.put_record({v1});
+    fixture::router& started = all.start_router({engine_of("e2", "v2")});
+    cr_assert_not(all.find(started).found);
+    all.run_for(40ms);
+    cr_assert(all.record().current == std::set{v2});
+    cr_assert_not(all.find(started).found, "the record tells of others");
+}
+
+Test(stored_origins, the_only_version_by_list_and_record_is_taken_after_a_restart) {
+    for (const bool others_long_ago : {false, true}) {
+        fixture all;
+        all.put_record({v1}, others_long_ago ? std::optional(61s) : std::nullopt);
+        const origin_search search = all.find(all.start_router({engine_of("e1", "v1")}));
+        cr_assert(search.source == origin_source::sole_version);
+        cr_assert(search.found->origin.software == v1);
+    }
+}
+
+Test(stored_origins, without_a_readable_record_a_process_that_has_just_started_takes_no_version) {
+    fixture absent;
+    stream_origin_settings never_writes = short_times();
+    never_writes.stored.versions.check_period = 1h;
+    cr_assert_not(absent.find(absent.start_router({engine_of("e1", "v1")}, never_writes)).found);
+    fixture malformed;
+    malformed.table.put(record_key, "?");
+    cr_assert_not(malformed.find(malformed.start_router({engine_of("e1", "v1")})).found);
+    fixture silent;
+    silent.put_record({v1});
+    silent.table.down = true;
+    cr_assert_not(silent.find(silent.start_router({engine_of("e1", "v1")})).found);
+    fixture older;
+    cr_assert_not(
+        older.find(older.start_router({engine_of("e1", "v1")}, short_times(), false)).found);
+}
+
+Test(stored_origins, a_process_that_observed_one_version_for_long_needs_no_record) {
+    fixture all;
+    all.table.down = true;
+    stream_origin_settings settings = short_times();
+    settings.stored.read_timeout = 20ms;
+    settings.table.retention = 300ms;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")}, settings);
+    cr_assert_not(all.find(one).found);
+    all.run_for(300ms);
+    cr_assert(all.find(one).source == origin_source::sole_version);
+}
+
+// A predecessor left them.
+Test(stored_origins, rows_past_the_retention_are_removed) {
+    fixture all;
+    const base::router_name before("before");
+    for (std::size_t index = 0; index < 200; ++index) {
+        const auto age = std::chrono::milliseconds(index < 150 ? 70'000 : 20'000);
+        all.table.put(stream::origin_row_key((store_time - age).count(), before, index), "[]");
+    }
+    stream_origin_settings settings = short_times();
+    settings.stored.recorder.short_removal_period = 2ms;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")}, settings);
+    all.run_for(60ms);
+    cr_assert_eq(all.table.count("origins/"), 50);
+    cr_assert_eq(one.origins.stored()->all_counters().recorder.removed_rows, 150);
+}
+
+Test(stored_origins, a_conflicting_write_of_the_record_is_applied_to_the_current_one) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(20ms);
+    cr_assert(all.record() == (stream::version_record{{v1}, std::nullopt}));
+    all.put_record({v1, v2});
+    all.list(one, {engine_of("e1", "v1"), engine_of("e3", "v3")});
+    all.run_for(20ms);
+    const software_version v3("v3");
+    cr_assert(all.record().current == (std::set{v1, v3}));
+    cr_assert(all.record().others_until);
+    cr_assert_eq(one.origins.stored()->versions().counters().conflicts, 1);
+}
+
+Test(stored_origins, routers_with_different_lists_do_not_make_the_record_tell_of_one_version) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(20ms);
+    fixture::router& two = all.start_router({engine_of("e2", "v2")});
+    all.run_for(100ms);
+    cr_assert(all.record().others_until);
+    cr_assert_not(all.find(one).found);
+    cr_assert_not(all.find(two).found);
+}
+
+Test(stored_origins, the_record_is_written_by_another_router_if_the_highest_ranked_one_has_ended) {
+    fixture all;
+    std::vector<listed_engine> engines{engine_of("e1", "v1")};
+    for (int count = 0; count < 3; ++count) {
+        all.start_router(engines);
+    }
+    all.run_for(60ms);
+    const std::uint64_t version = all.table.rows[record_key].version.value;
+    engines.push_back(engine_of("e2", "v2"));
+    for (const auto& one : all.routers) {
+        if (one->origins.stored()->versions().counters().writes > 0) {
+            one->origins.stop();
+        } else {
+            all.list(*one, engines);
+        }
+    }
+    all.run_for(80ms);
+    cr_assert_gt(all.table.rows[record_key].version.value, version);
+    cr_assert(all.record().current == (std::set{v1, v2}));
+}
+
+Test(stored_origins, streams_of_a_pool_with_two_versions_are_found_after_a_restart_of_all_routers) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    for (int count = 0; count < 3; ++count) {
+        all.start_router(engines);
+    }
+    all.run_for(20ms);
+    const base::request_id other("other attempt");
+    all.store(*all.routers[0], "v1");
+    all.store(*all.routers[1], "v2", other);
+    cr_assert_eq(all.routers[0]->origins.stored()->counters().timeouts, 0);
+    all.end_all_routers();
+    fixture::router& started = all.start_router(engines);
+    const origin_search first = all.find(started);
+    cr_assert(first.source == origin_source::stored);
+    cr_assert(first.found->origin.software == v1);
+    cr_assert(all.find(started, other).found->origin.software == v2);
+    cr_assert_not(all.find(started, base::request_id("never seen")).found);
+}
+
+// It was stored after the router read what was there when it started.
+Test(stored_origins, an_origin_that_was_stored_later_is_found) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    fixture::router& first = all.start_router(engines);
+    fixture::router& second = all.start_router(engines);
+    all.run_for(20ms);
+    all.store(first, "v2");
+    all.network.handlers.clear();
+    cr_assert(all.find(second).source == origin_source::stored);
+}
+
+Test(stored_origins, streams_of_a_pool_of_one_version_cost_nothing) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    fixture::router& two = all.start_router({engine_of("e1", "v1")});
+    all.run_for(50ms);
+    const std::size_t calls = all.table.writes + one.origins.stored()->all_counters().reader.calls +
+                              two.origins.stored()->all_counters().reader.calls;
+    const std::size_t datagrams = all.network.sent;
+    all.store(one, "v1");
+    all.store(two, "v1");
+    all.run_for(20ms);
+    cr_assert_eq(all.network.sent, datagrams);
+    cr_assert_eq(one.origins.stored()->counters().waits, 0);
+    cr_assert_eq(two.origins.stored()->counters().waits, 0);
+    cr_assert_eq(calls, all.table.writes + one.origins.stored()->all_counters().reader.calls +
+                            two.origins.stored()->all_counters().reader.calls);
+    cr_assert_eq(all.table.count("origins/"), 0);
+}
+
+Test(stored_origins, a_silent_table_holds_back_one_stream_a_second) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    all.run_for(20ms);
+    all.table.delay = 1h;
+    const base::duration held_back = all.store(one, "v1");
+    cr_assert_geq(held_back, 200ms);
+    cr_assert_lt(held_back, 400ms);
+    for (int count = 0; count < 5; ++count) {
+        cr_assert_lt(all.store(one, "v1", base::request_id(std::to_string(count))), 100ms);
+    }
+    cr_assert_eq(one.origins.stored()->counters().timeouts, 1);
+    cr_assert_eq(one.origins.stored()->counters().waits, 1);
+}
+
+Test(stored_origins, an_origin_that_could_not_be_written_is_written_later) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    all.run_for(20ms);
+    all.table.down = true;
+    all.store(one, "v1");
+    cr_assert_eq(all.table.count("origins/"), 0);
+    all.table.down = false;
+    all.run_for(20ms);
+    cr_assert_eq(all.table.count("origins/"), 1);
+    cr_assert_gt(one.origins.stored()->all_counters().recorder.failed_batches, 0);
+}
+
+// The highest ranked router of the region is of an older release, or has ended.
+Test(stored_origins, a_recorder_that_does_not_answer_is_passed_over) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    stream_origin_settings settings = short_times();
+    settings.stored.pause_after_timeout = 0ms;
+    for (int count = 0; count < 4; ++count) {
+        all.start_router(engines, settings);
+    }
+    all.run_for(20ms);
+    all.store(*all.routers[0], "v1");
+    for (const auto& one : all.routers) {
+        if (one->origins.stored()->all_counters().recorder.batches > 0) {
+            one->transport.on_datagram([](const auto&, auto) {});
+        }
+    }
+    std::size_t stored = 0;
+    for (const auto& one : all.routers) {
+        all.store(*one, "v1", base::request_id("a" + one->self.name.value));
+        const std::size_t before = all.table.count("origins/");
+        all.store(*one, "v1", base::request_id("b" + one->self.name.value));
+        stored += all.table.count("origins/") > before ? 1 : 0;
+    }
+    cr_assert_eq(stored, 4);
+}
+
+Test(stored_origins, origins_that_two_routers_record_at_the_same_time_are_all_kept) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    fixture::router& one = all.start_router(engines);
+    all.run_for(20ms);
+    fixture::router& two = all.start_router(engines);
+    one.origins.set_routers({});
+    two.origins.set_routers({});
+    for (int count = 0; count < 10; ++count) {
+        all.store(one, "v1", base::request_id("one " + std::to_string(count)));
+        all.store(two, "v2", base::request_id("two " + std::to_string(count)));
+    }
+    all.network.handlers.clear();
+    for (int count = 0; count < 10; ++count) {
+        cr_assert(all.find(two, base::request_id("one " + std::to_string(count))).found);
+        cr_assert(all.find(one, base::request_id("two " + std::to_string(count))).found);
+    }
+}
+
+Test(stored_origins, a_malformed_row_does_not_hide_the_others) {
+    fixture all;
+    const base::router_name writer("r9");
+    all.table.put(stream::origin_row_key(store_time.count() - 20, writer, 0), "?");
+    const auto rows = stream::encode_origin_rows(
+        {{{stream::key_of(attempt), pool, v2}, store_time.count() - 10}}, 1000);
+    all.table.put(stream::origin_row_key(store_time.count() - 10, writer, 0), rows.front());
+    fixture::router& one = all.start_router({engine_of("e1", "v1"), engine_of("e2", "v2")});
+    const origin_search search = all.find(one);
+    cr_assert(search.source == origin_source::stored);
+    cr_assert(search.found->origin.software == v2);
+    cr_assert_geq(search.found->age, 10ms);
+    cr_assert_gt(one.origins.stored()->counters().rows_malformed, 0);
+}
