--- a/test/http/loopback.hpp
+++ b/test/http/loopback.hpp
@@ -87,23 +87,33 @@
                 boost::asio::redirect_error(boost::asio::use_awaitable, failure));
             text.append(block.data(), count);
             if (failure) {
+                was_reset_ = failure != boost::asio::error::eof;
                 break;
             }
         }
         co_return text;
     }
     runtime::task<std::string> read_to_close() { return read_until({}); }
+    /// @return whether the last read ended with an error, and not with a regular close.
+    bool was_reset() const { return was_reset_; }
     void close() { socket_.close(); }
+    /// Closes with a reset (RST).
+    void reset() {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
 
   private:
     boost::asio::ip::tcp::socket socket_;
+    bool was_reset_ = false;
 };
 
 /// What a scripted server does on one connection: sends one answer per request (without a body),
-/// then closes the connection or leaves it open without sending anything more.
+/// then closes or resets the connection, or leaves it open without sending anything more.
 struct script {
     std::vector<std::string> answers;
     bool close_at_end = true;
+    bool reset_at_end = false;
 };
 
 /// A server that runs the nth script on the nth connection.
@@ -137,7 +147,9 @@
             ++requests_;
             co_await socket.write(answer);
         }
-        if (!one.close_at_end) {
+        if (one.reset_at_end) {
+            socket.reset();
+        } else if (!one.close_at_end) {
             co_await socket.read_to_close();
         }
     }
