A stream that ends before its first event is broken, unless it is resumed

Callers received a 200 with an empty body, framed as complete, for a stream of which the engine had sent the head only. A stream without a length ends with its connection, and an engine that stops after its head closes it; the relay took the end for that of the stream and sent an empty answer of known length. Through another router, which frames such an answer in chunks, the same.

The end of a stream counts only once an event was received, or where the caller or the router resumes after one, as nothing may be left then. It doesn't matter how the answer is framed: a stream is a series of events, a server that fails may still end its chunks, and the framing is not known behind another router. A stream that may be resumed goes to another engine; others get 502 and no signature. Answers to HEAD have no body and are no streams.

An answer without a length that is no stream can't be told from a whole one if its connection is closed, not reset.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -833,6 +833,11 @@
                 fail_exchange(execution::failure_kind::broken, "stream ended within an event");
                 co_return;
             }
+            if (!m_last_id && m_outcome.events == 0) {
+                fail_exchange(execution::failure_kind::broken,
+                              "stream ended before its first event");
+                co_return;
+            }
             if (!m_head_sent) {
                 // The stream has no events if the caller resumes after the last one.
                 m_last_answer = http::response{m_answer->status, m_answer->headers, {}};
--- a/test/http/loopback.hpp
+++ b/test/http/loopback.hpp
@@ -128,12 +128,17 @@
     base::endpoint address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
     std::size_t connections() const { return connections_; }
     std::size_t requests() const { return requests_; }
+    /// Replaces the scripts, of which the next connection runs the first.
+    void set_scripts(std::vector<script> scripts) {
+        scripts_ = std::move(scripts);
+        first_ = connections_;
+    }
 
   private:
     runtime::task<void> accept() {
         for (;;) {
             auto socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
-            const std::size_t index = connections_++;
+            const std::size_t index = connections_++ - first_;
             script one = index < scripts_.size() ? scripts_[index] : script{};
             loop_.scheduler.spawn("script", play(std::move(one), raw_socket(std::move(socket))));
         }
@@ -158,6 +163,7 @@
     std::vector<script> scripts_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::size_t connections_ = 0;
+    std::size_t first_ = 0;  ///< Number of connections before the first script.
     std::size_t requests_ = 0;
 };
 
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -153,6 +153,25 @@
     cr_assert_eq(fixture.writer.final_answers, 1);
 }
 
+Test(relay_service, a_stream_that_ends_before_its_first_event_is_broken) {
+    relay_fixture fixture;
+    fixture.answer(stream({body_end}));
+    fixture.serve(fixture.call("/stream/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert_eq(fixture.writer.status, 502);
+    cr_assert(header(fixture.writer, "X-Response-Signature").empty());
+}
+
+Test(relay_service, a_resumable_stream_without_events_goes_to_another_engine) {
+    relay_fixture fixture;
+    fixture.answer(stream({body_end}, "first"));
+    fixture.answer(stream({bytes(event(1)), body_end}, "second"));
+    fixture.serve(fixture.call("/resumable/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 2);
+    cr_assert(fixture.writer.body == event(1));
+    cr_assert(header(fixture.writer, "X-Response-Signature") == "second");
+}
+
 Test(relay_service, an_unrepeatable_request_that_may_have_run_is_not_retried) {
     relay_fixture fixture;
     fixture.answer(fails(failure_kind::broken, failure_proof::unknown));
