--- a/test/http/loopback.hpp
+++ b/test/http/loopback.hpp
@@ -87,23 +87,33 @@
                 boost::asio::redirect_error(boost::asio::use_awaitable, failure));
             text.append(block.data(), count);
             if (failure) {
+                was_reset_ = failure != boost::asio::error::eof;
                 break;
             }
         }
         co_return text;
     }
     runtime::task<std::string> read_to_close() { return read_until({}); }
+    /// @return whether the last read ended with an error, and not with a regular close.
+    bool was_reset() const { return was_reset_; }
     void close() { socket_.close(); }
+    /// Closes with a reset (RST).
+    void reset() {
+        socket_.set_option(boost::asio::socket_base::linger(true, 0));
+        socket_.close();
+    }
 
   private:
     boost::asio::ip::tcp::socket socket_;
+    bool was_reset_ = false;
 };
 
 /// What a scripted server does on one connection: sends one answer per request (without a body),
-/// then closes the connection or leaves it open without sending anything more.
+/// then closes or resets the connection, or leaves it open without sending anything more.
 struct script {
     std::vector<std::string> answers;
     bool close_at_end = true;
+    bool reset_at_end = false;
 };
 
 /// A server that runs the nth script on the nth connection.
@@ -118,12 +128,17 @@
     base::endpoint address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
     std::size_t connections() const { return connections_; }
     std::size_t requests() const { return requests_; }
+    /// Replaces the scripts, of which the next connection runs the first.
+    void set_scripts(std::vector<script> scripts) {
+        scripts_ = std::move(scripts);
+        first_ = connections_;
+    }
 
   private:
     runtime::task<void> accept() {
         for (;;) {
             auto socket = co_await acceptor_.async_accept(boost::asio::use_awaitable);
-            const std::size_t index = connections_++;
+            const std::size_t index = connections_++ - first_;
             script one = index < scripts_.size() ? scripts_[index] : script{};
             loop_.scheduler.spawn("script", play(std::move(one), raw_socket(std::move(socket))));
         }
@@ -137,7 +152,9 @@
             ++requests_;
             co_await socket.write(answer);
         }
-        if (!one.close_at_end) {
+        if (one.reset_at_end) {
+            socket.reset();
+        } else if (!one.close_at_end) {
             co_await socket.read_to_close();
         }
     }
@@ -146,6 +163,7 @@
     std::vector<script> scripts_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::size_t connections_ = 0;
+    std::size_t first_ = 0;  ///< Number of connections before the first script.
     std::size_t requests_ = 0;
 };
 
