An engine gets a request a second time on a new connection

Callers could be told 503, a promise that nothing ran, for a stream that an engine was running. A stream that was begun may go to an engine again that refused it before, as few engines have its version. On the connection that carried the first dispatch, which is kept after a refusal, a refusal in excess bears the same id as the one that is due, so that the id can't tell them apart.

The driver now remembers which engines may have received the request and asks for a new connection there. The test failed before: the second dispatch to an engine that had refused went out on a pooled connection.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -39,6 +39,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -419,8 +420,10 @@
         sent.priority = m_plan.priority;
         sent.resume_after = m_last_id;
         // If the last failure was a lost connection, all pooled connections may have broken with
-        // it; a refusal by an engine does not suggest that.
-        sent.fresh_connection = attempt.attempt.value > 1 && m_lost_connection;
+        // it; a refusal by an engine does not suggest that. On a connection that carried this
+        // request before, the id would not distinguish an answer in excess to that dispatch.
+        sent.fresh_connection = (attempt.attempt.value > 1 && m_lost_connection) ||
+                                m_sent_to.contains(m_selected.target.name);
         return sent;
     }
 
@@ -459,6 +462,9 @@
         }
         dispatch sent = make_dispatch(attempt);
         auto opened = co_await open_while_preconditions_hold(std::move(target), std::move(sent));
+        if (m_may_be_sent) {
+            m_sent_to.insert(m_selected.target.name);
+        }
         if (!opened) {
             handle_failure(opened.error());
             co_return;
@@ -1042,7 +1048,8 @@
     bool m_head_sent = false;        ///< The response head has been sent to the caller.
     bool m_waited_for_room = false;  ///< The request has been considered for a version on trial.
     bool m_may_be_sent = false;      ///< Part of the dispatch may have been sent.
-    bool m_lost_connection = false;  ///< The last failure was not a refusal by the engine.
+    std::set<base::engine_name> m_sent_to;  ///< Engines that may have received the request.
+    bool m_lost_connection = false;         ///< The last failure was not a refusal by the engine.
     relay_outcome m_outcome;
 };
 
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -80,7 +80,7 @@
     std::optional<base::endpoint> save_state_to;
     std::optional<std::uint32_t> priority;  ///< 0 is the most urgent.
     std::optional<std::uint64_t> resume_after;
-    bool fresh_connection = false;
+    bool fresh_connection = false;  ///< Sent on a new connection rather than on an idle one.
     /// If set, called once the connection is open and before any byte is written; checks the
     /// dispatch's preconditions again. Call it from the event loop's thread only, and not after
     /// `upstream::open` has returned.
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -8,6 +8,8 @@
 using namespace ferryroad::relay::test;
 using namespace std::chrono_literals;
 using coordination::release::software_version;
+using core::execution::failure_kind;
+using core::execution::failure_proof;
 
 namespace {
 
@@ -23,6 +25,12 @@
     return one;
 }
 
+scripted_answer refuses() {
+    scripted_answer one;
+    one.failure = failure(failure_kind::overloaded, failure_proof::not_run);
+    return one;
+}
+
 /// A relay service that knows where streams began.
 struct fixture : relay_fixture {
     fake_network network;
@@ -140,6 +148,23 @@
     cr_assert(one.writer.body == event(2) + event(3));
 }
 
+// On a connection that carried the request before, a second refusal to that could be taken for the
+// answer to this one, as both name the same request.
+Test(stream_continuation, an_engine_that_refused_is_asked_again_on_a_new_connection) {
+    fixture one;
+    one.list({engine("e1", "v1"), engine("e2", "v2"), engine("e3", "v2")});
+    one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v1"));
+    one.answer(refuses());
+    one.answer(stream({bytes(event(2)), body_end}));
+    one.serve_knowing(one.resumed("first"));
+    cr_assert_eq(one.upstream.engines.size(), 2);
+    cr_assert_str_eq(one.upstream.engines[0].c_str(), "e1");
+    cr_assert_str_eq(one.upstream.engines[1].c_str(), "e1");
+    cr_assert_not(one.upstream.dispatches[0].fresh_connection);
+    cr_assert(one.upstream.dispatches[1].fresh_connection);
+    cr_assert(one.writer.body == event(2));
+}
+
 Test(stream_continuation, an_engine_that_restarted_with_other_software_does_not_go_on) {
     fixture one;
     one.list({engine("e1", "v1")});
