A router that passes a request on opens a new connection where it must

Only the connection between the routers was a new one.

The test failed before: the request that asked for a new connection went out on the kept one and got no answer.

--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -139,9 +139,10 @@
 
 runtime::task<std::optional<engine_transport::carry_result>> engine_transport::relay_via(
     peer_address router, engine_target target, http::request message, http::relay_options options) {
-    add_forward_parameters(message,
-                           {target.name, m_self, options.limit,
-                            options.echoed_header ? options.echoed_header->name : std::string()});
+    add_forward_parameters(
+        message, {target.name, m_self, options.limit,
+                  options.echoed_header ? options.echoed_header->name : std::string(), false,
+                  options.fresh_connection});
     log_forwarding(router, target, options);
     const forwarding_routers::request_in_progress in_progress(m_others, router.name);
     const base::monotonic_time began = m_scheduler.now();
--- a/src/ferryroad/relay/forward_protocol.cpp
+++ b/src/ferryroad/relay/forward_protocol.cpp
@@ -17,9 +17,11 @@
 constexpr std::string_view limit_header = "Ferryroad-Limit-Ms";
 constexpr std::string_view echoed_name_header = "Ferryroad-Echoed-Header";
 constexpr std::string_view probe_header = "Ferryroad-Probe";
+constexpr std::string_view fresh_connection_header = "Ferryroad-Fresh-Connection";
 constexpr std::string_view failure_header = "Ferryroad-Failure";
 constexpr std::array forward_headers = {engine_header,      sender_header, limit_header,
-                                        echoed_name_header, probe_header,  failure_header};
+                                        echoed_name_header, probe_header,  fresh_connection_header,
+                                        failure_header};
 constexpr unsigned status_bad_gateway = 502;
 /// Longer limits are capped to this.
 constexpr base::duration max_limit = std::chrono::hours(1);
@@ -112,6 +114,7 @@
     message.headers.set(limit_header, std::to_string(limit));
     message.headers.set(echoed_name_header, parameters.echoed_header);
     message.headers.set(probe_header, parameters.probe ? "1" : "0");
+    message.headers.set(fresh_connection_header, parameters.fresh_connection ? "1" : "0");
 }
 
 std::optional<forward_parameters> take_forward_parameters(http::request& message) {
@@ -120,6 +123,7 @@
     parameters.sender = base::router_name(text_of(message.headers, sender_header));
     parameters.echoed_header = text_of(message.headers, echoed_name_header);
     parameters.probe = text_of(message.headers, probe_header) == "1";
+    parameters.fresh_connection = text_of(message.headers, fresh_connection_header) == "1";
     const auto limit = parse_limit(text_of(message.headers, limit_header));
     if (!limit || parameters.engine.value.empty() || parameters.sender.value.empty()) {
         return std::nullopt;
--- a/src/ferryroad/relay/forward_protocol.hpp
+++ b/src/ferryroad/relay/forward_protocol.hpp
@@ -49,6 +49,8 @@
     std::string echoed_header;
     /// Only opens a connection to the engine, to see whether it accepts one.
     bool probe = false;
+    /// Whether the request must go to the engine on a new connection.
+    bool fresh_connection = false;
 
     friend bool operator==(const forward_parameters&, const forward_parameters&) = default;
 };
--- a/src/ferryroad/relay/forwarding_server.cpp
+++ b/src/ferryroad/relay/forwarding_server.cpp
@@ -136,6 +136,7 @@
     http::relay_options options;
     options.limit = parameters.limit;
     options.echoed_header = echoed;
+    options.fresh_connection = parameters.fresh_connection;
     auto opened = co_await m_transport.relay_directly(std::move(target), std::move(message),
                                                       std::move(options));
     if (!opened) {
--- a/test/relay/forwarding_test.cpp
+++ b/test/relay/forwarding_test.cpp
@@ -114,10 +114,12 @@
     }
 }
 
-runtime::task<engine_transport::carry_result> send(test_router& router) {
+runtime::task<engine_transport::carry_result> send(test_router& router,
+                                                   bool fresh_connection = false) {
     engine_target target = router.target();
     http::request message = request();
     http::relay_options all = options();
+    all.fresh_connection = fresh_connection;
     co_return co_await router.transport.relay(std::move(target), std::move(message),
                                               std::move(all));
 }
@@ -267,6 +269,18 @@
     cr_assert_eq(server.requests(), 1);
 }
 
+runtime::task<void> check_new_connection(loopback& loop) {
+    scripted_server server(loop, {{{whole_answer, whole_answer}, false}, {{whole_answer}, false}});
+    pair_of_routers routers(loop, server.address());
+    for (const bool fresh : {false, false, true}) {
+        auto answer = co_await send(routers.a, fresh);
+        cr_assert(answer.has_value());
+        const std::string body = co_await read_body(*answer->body);
+        cr_assert(body == "ok");
+        cr_assert_eq(server.connections(), fresh ? 2 : 1);
+    }
+}
+
 runtime::task<void> check_direct_while_it_works(loopback& loop) {
     scripted_server server(loop, {{{whole_answer}, true}});
     test_router a(loop, "a", server.address());
@@ -350,6 +364,10 @@
 Test(forwarding, requests_of_other_routers_are_bounded) {
     run(check_bound);
 }
+// The id does not distinguish answers to two dispatches of one request on one connection.
+Test(forwarding, a_new_connection_is_opened_to_the_engine_if_the_request_needs_one) {
+    run(check_new_connection);
+}
 Test(forwarding, a_router_with_a_path_uses_it) {
     run(check_direct_while_it_works);
 }
