An unproven 503, 429 or 408 of an engine is not passed on as a promise

Callers take 408, 421, 429 and 503 for a promise that a request did not run and never will. An engine that answers one of them without X-Not-Executed has promised nothing and may have run the request, but the relay passed its answer on as it was, so that a request that must not be repeated was refused with a promise and had run.

For a request that must not be repeated the relay doesn't pass such an answer on: what is known of it is that it may have run, so the caller gets the relay's own 502, without the engine's headers, body and signature. The engine's status is logged. Requests that may be repeated keep the engine's answer; a caller that repeats them breaks nothing.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -116,6 +116,16 @@
                   {"after_ms", std::to_string(base::to_milliseconds(exchange.taken))}});
 }
 
+void log_unproven_promise(const relay_plan& plan, const selected_engine& selected,
+                          unsigned status) {
+    runtime::log(runtime::log_level::warning, component,
+                 "engine's answer not passed on: its status promises that the request did not run, "
+                 "which the engine has not stated",
+                 {{"request_id", plan.call->id.value},
+                  {"engine", selected.target.name.value},
+                  {"status", std::to_string(status)}});
+}
+
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
                     dispatch_precondition lost, base::duration waited, base::monotonic_time now) {
     runtime::log(runtime::log_level::warning, component, "withdrawn",
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -45,6 +45,10 @@
 void log_dispatch_failure(const relay_plan& plan, const selected_engine& selected,
                           const dispatch_failure& failure, const failed_exchange& exchange);
 
+/// Logs that an engine's answer is not passed on because its status promises that the request did
+/// not run, which the engine has not stated.
+void log_unproven_promise(const relay_plan& plan, const selected_engine& selected, unsigned status);
+
 /// Logs that a request was withdrawn from its engine because it must no longer begin there.
 /// @param lost the precondition that no longer holds. @param waited time since it was sent there.
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -815,11 +815,18 @@
             }
             return;
         }
-        m_last_answer = http::response{m_answer->status, m_answer->headers, std::move(m_body)};
-        m_evidence.answered(m_answer->status, m_dependencies.scheduler.now());
+        const unsigned status = m_answer->status;
+        const bool repeatable = is_repeatable(*m_plan.matched_route);
+        const bool unproven_promise = m_answer->status_promises_not_run && !repeatable;
+        if (unproven_promise) {
+            log_unproven_promise(m_plan, m_selected, status);
+        } else {
+            m_last_answer = http::response{status, m_answer->headers, std::move(m_body)};
+        }
+        m_evidence.answered(status, m_dependencies.scheduler.now());
         report_success();
         end_exchange();
-        if (m_last_answer->status >= first_failure_status && is_repeatable(*m_plan.matched_route)) {
+        if (unproven_promise || (status >= first_failure_status && repeatable)) {
             feed(execution::exchange_failed{m_exchange, execution::failure_kind::engine_failure,
                                             execution::failure_proof::unknown, std::nullopt});
             return;
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -118,6 +118,9 @@
     unsigned status = 0;
     http::header_list headers;  ///< End-to-end headers only.
     bool is_event_stream = false;
+    /// Whether callers take the status for a promise that the request did not run and never will.
+    /// The engine has not given that promise; otherwise the answer would be a `dispatch_failure`.
+    bool status_promises_not_run = false;
     std::optional<std::uint64_t> version;  ///< Weights version the engine reported.
     std::optional<stated_limit> limit;     ///< Nothing if the head states an invalid limit.
     /// Nothing if the head states an invalid limit.
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -77,6 +77,7 @@
     std::optional<dispatch_failure> failure;
     unsigned status = 200;
     bool stream = true;
+    bool status_promises_not_run = false;
     std::string signature = "sig";
     std::vector<body_step> body;
     base::duration delay{};       ///< From the connection to the answer's head.
@@ -127,6 +128,7 @@
         answer.status = next.status;
         answer.headers.add("X-Response-Signature", next.signature);
         answer.is_event_stream = next.stream;
+        answer.status_promises_not_run = next.status_promises_not_run;
         answer.body =
             std::make_unique<scripted_body>(m_scheduler, std::move(next.body), open_bodies);
         co_return std::move(answer);
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -225,6 +225,40 @@
     cr_assert_eq(fixture.writer.status, 500);
 }
 
+// Guards against a caller being told that its request did not run by an engine that ran it.
+Test(relay_service, an_unproven_refusal_of_an_unrepeatable_request_is_not_passed_on) {
+    for (const char* route : {"/unsafe/", "/stream/"}) {
+        for (const unsigned status : {408U, 429U, 503U}) {
+            relay_fixture fixture;
+            scripted_answer refusal = whole(status, "busy");
+            refusal.status_promises_not_run = true;
+            fixture.answer(refusal);
+            fixture.serve(fixture.call(route));
+            cr_expect_eq(fixture.upstream.dispatches.size(), 1, "%s %u", route, status);
+            cr_expect_eq(fixture.writer.status, 502, "%s %u", route, status);
+            cr_expect(header(fixture.writer, "X-Response-Signature").empty(), "%s %u", route,
+                      status);
+            cr_expect(fixture.writer.body != "busy", "%s %u", route, status);
+            cr_expect_eq(fixture.writer.final_answers, 1, "%s %u", route, status);
+        }
+    }
+}
+
+Test(relay_service, an_unproven_refusal_of_a_repeatable_request_is_passed_on) {
+    for (const char* route : {"/safe/", "/resumable/"}) {
+        relay_fixture fixture;
+        for (const char* text : {"first", "second"}) {
+            scripted_answer refusal = whole(503, text);
+            refusal.status_promises_not_run = true;
+            fixture.answer(refusal);
+        }
+        fixture.serve(fixture.call(route));
+        cr_expect_eq(fixture.upstream.dispatches.size(), 2, "%s", route);
+        cr_expect_eq(fixture.writer.status, 503, "%s", route);
+        cr_expect(fixture.writer.body == "second", "%s", route);
+    }
+}
+
 Test(relay_service, never_runs_on_more_engines_than_the_route_allows) {
     relay_fixture fixture;
     for (int index = 0; index < 6; ++index) {
