Driver: the head counts as sent once the origin is stored

A stream whose deadline passed while its origin was being stored was cut off instead of answered with 504, as its head counted as sent already.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -924,8 +924,8 @@
             co_return;
         }
         if (!m_head_sent) {
-            m_head_sent = true;
             co_await store_origin();
+            m_head_sent = true;
             m_outcome.status = m_answer->status;
             http::header_list headers = m_answer->headers;
             const auto begun = co_await m_writer.begin_stream(m_answer->status, std::move(headers));
