Streams in progress are stored when their pool gets a second version

Streams that had begun while a pool had one version were refused after a restart of all routers if engines of a second version had come meanwhile: their origins were in routers' memory alone, and what nobody knows is refused. A router now keeps the streams that began there and are still being served, and has their origins stored once the pool is no longer known to have one version. Nobody waits for that.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -599,8 +599,8 @@
             m_begun_at = m_selected.software;
             m_outcome.begun_at = m_begun_at;
             if (m_dependencies.origins != nullptr && is_repeatable(*m_plan.matched_route)) {
-                m_dependencies.origins->record(m_plan.call->id, m_plan.pool, *m_begun_at);
-                m_must_store_origin = true;
+                m_open_stream =
+                    m_dependencies.origins->record(m_plan.call->id, m_plan.pool, *m_begun_at);
             }
         }
         m_outcome.mixed_software = m_outcome.mixed_software || *m_begun_at != m_selected.software;
@@ -907,24 +907,15 @@
         feed(execution::token_received{m_exchange, m_machine.emitted_tokens()});
     }
 
-    /// Has the origin of a stream stored that this request began. The engine's further events wait
-    /// in the connection meanwhile.
-    runtime::task<void> store_origin() {
-        if (std::exchange(m_must_store_origin, false)) {
-            base::request_id attempt = m_plan.call->id;
-            base::pool_name pool = m_plan.pool;
-            coordination::release::software_version software = *m_begun_at;
-            co_await m_dependencies.origins->store(std::move(attempt), std::move(pool),
-                                                   std::move(software));
-        }
-    }
-
     runtime::task<void> flush() {
         if (m_outbox.empty()) {
             co_return;
         }
         if (!m_head_sent) {
-            co_await store_origin();
+            if (m_open_stream) {
+                // Further events wait in the engine's connection meanwhile.
+                co_await m_dependencies.origins->store(*m_open_stream);
+            }
             m_head_sent = true;
             m_outcome.status = m_answer->status;
             http::header_list headers = m_answer->headers;
@@ -1071,7 +1062,8 @@
     /// Software version of the engine that sent the stream's first event, if known.
     std::optional<coordination::release::software_version> m_begun_at;
     base::monotonic_time m_last_event_at{};
-    bool m_must_store_origin = false;
+    /// Set if this request began a stream that may be resumed.
+    std::unique_ptr<stream_origins::open_stream> m_open_stream;
     bool m_head_sent = false;        ///< The response head has been sent to the caller.
     bool m_waited_for_room = false;  ///< The request has been considered for a version on trial.
     bool m_may_be_sent = false;      ///< Part of the dispatch may have been sent.
--- a/src/ferryroad/relay/stored_origins.cpp
+++ b/src/ferryroad/relay/stored_origins.cpp
@@ -127,16 +127,25 @@
     return m_recorders.front();
 }
 
+void stored_origins::ask(const base::router_name& recorder, std::uint64_t number,
+                         stream::aged_origin recorded) {
+    if (recorder == m_self) {
+        m_recorder.store(recorded, [this, number] { handle_confirmation(number); });
+    } else {
+        m_send(recorder, peer::origin_store_request{number, std::move(recorded)});
+    }
+}
+
+void stored_origins::request(stream::aged_origin recorded) {
+    ask(recorder(m_scheduler.now()), m_next_number++, std::move(recorded));
+}
+
 runtime::task<void> stored_origins::store(stream::aged_origin recorded) {
     const base::monotonic_time now = m_scheduler.now();
     const base::router_name asked = recorder(now);
     const std::uint64_t number = m_next_number++;
     pending_store pending(*this, number);
-    if (asked == m_self) {
-        m_recorder.store(recorded, [this, number] { handle_confirmation(number); });
-    } else {
-        m_send(asked, peer::origin_store_request{number, std::move(recorded)});
-    }
+    ask(asked, number, std::move(recorded));
     if (now < m_no_wait_until) {
         co_return;
     }
--- a/src/ferryroad/relay/stored_origins.hpp
+++ b/src/ferryroad/relay/stored_origins.hpp
@@ -90,6 +90,8 @@
     /// @param all routers of all regions; this router may be among them.
     void set_routers(std::vector<base::router_name> region, std::vector<base::router_name> all);
 
+    /// Has an origin stored, without waiting for that.
+    void request(coordination::stream::aged_origin recorded);
     /// Has an origin stored and waits until that is confirmed, within limits.
     runtime::task<void> store(coordination::stream::aged_origin recorded);
     /// Stores an origin for another router.
@@ -115,6 +117,9 @@
 
     void learn_rows(const std::vector<platform::row>& rows);
     void learn_origins(const platform::row& row);
+    /// Asks a recorder to store an origin; it confirms with the number.
+    void ask(const base::router_name& recorder, std::uint64_t number,
+             coordination::stream::aged_origin recorded);
     /// @return the router that records at present.
     base::router_name recorder(base::monotonic_time now) const;
     void record_timeout(const base::router_name& recorder);
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -149,35 +149,54 @@
         }
         m_versions.observe(pool, std::move(versions), now);
     }
+    if (m_stored) {
+        store_open_streams();
+    }
 }
 
-void stream_origins::record(const base::request_id& attempt, const base::pool_name& pool,
-                            const stream::software_version& software) {
+std::unique_ptr<stream_origins::open_stream> stream_origins::record(
+    const base::request_id& attempt, const base::pool_name& pool,
+    const stream::software_version& software) {
+    const base::monotonic_time now = m_scheduler.now();
     const stream::aged_origin recorded{{stream::key_of(attempt), pool, software}, {}};
-    m_table.record(recorded, m_scheduler.now());
+    m_table.record(recorded, now);
     ++m_counters.recorded;
     for (const base::router_name& replica :
          stream::ranked_routers(recorded.origin.stream, m_region, m_settings.replicas)) {
         send(replica, peer::origin_record{recorded});
     }
+    m_open.try_emplace(recorded.origin.stream, open_origin{recorded.origin, now});
+    return std::make_unique<open_stream>(*this, recorded.origin.stream);
 }
 
-runtime::task<void> stream_origins::store(base::request_id attempt, base::pool_name pool,
-                                          stream::software_version software) {
-    if (!m_stored) {
-        co_return;
-    }
+bool stream_origins::has_one_version(const base::pool_name& pool) const {
     const base::monotonic_time now = m_scheduler.now();
     const base::duration retention = m_settings.table.retention;
     const auto sole = m_versions.sole_version(pool, retention, now);
-    if (sole && m_stored->versions().sole_version(pool, retention, now) == sole) {
+    return sole && m_stored->versions().sole_version(pool, retention, now) == sole;
+}
+
+runtime::task<void> stream_origins::store(const open_stream& stream) {
+    const auto found = m_open.find(stream.m_stream);
+    if (!m_stored || found == m_open.end() || has_one_version(found->second.origin.pool)) {
         co_return;
     }
-    stream::aged_origin recorded{{stream::key_of(attempt), std::move(pool), std::move(software)},
-                                 {}};
+    open_origin& open = found->second;
+    open.store_requested = true;
+    stream::aged_origin recorded{open.origin, m_scheduler.now() - open.began_at};
     co_await m_stored->store(std::move(recorded));
 }
 
+void stream_origins::store_open_streams() {
+    const base::monotonic_time now = m_scheduler.now();
+    for (auto& [key, open] : m_open) {
+        if (!open.store_requested && !has_one_version(open.origin.pool)) {
+            open.store_requested = true;
+            m_stored->request({open.origin, now - open.began_at});
+        }
+    }
+}
+
 runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
     std::optional<stream::stream_key> key;
     if (call.resumed_attempt) {
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -21,6 +21,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -97,16 +98,35 @@
     /// Handles a datagram whose header identifies it as a message about a stream's origin.
     void handle_datagram(const base::endpoint& from, std::string_view bytes);
 
+    /// A stream that began at this router and is still being served. As long as it lives, its
+    /// origin is stored when the pool gets engines of another version. Must not outlive the
+    /// `stream_origins`.
+    class open_stream {
+      public:
+        open_stream(stream_origins& owner, coordination::stream::stream_key stream)
+            : m_owner(owner), m_stream(stream) {}
+        ~open_stream() { m_owner.m_open.erase(m_stream); }
+        open_stream(const open_stream&) = delete;
+        open_stream& operator=(const open_stream&) = delete;
+
+      private:
+        friend class stream_origins;
+
+        stream_origins& m_owner;
+        coordination::stream::stream_key m_stream;
+    };
+
     /// Records where a stream began and sends the record to its replicas. To be called before the
     /// first event is passed on to the caller.
     /// @param attempt the caller's attempt that receives the first event.
-    void record(const base::request_id& attempt, const base::pool_name& pool,
-                const coordination::stream::software_version& software);
+    std::unique_ptr<open_stream> record(const base::request_id& attempt,
+                                        const base::pool_name& pool,
+                                        const coordination::stream::software_version& software);
     /// Has the origin stored outside of the routers, unless all engines of the pool are known to
     /// have had one version. Returns once that is confirmed, or after a limited time. To be called
     /// before the first event is passed on to the caller.
-    runtime::task<void> store(base::request_id attempt, base::pool_name pool,
-                              coordination::stream::software_version software);
+    /// @param stream must outlive the returned coroutine.
+    runtime::task<void> store(const open_stream& stream);
     /// Finds where the stream began that `call` resumes.
     /// @param pool pool of the call's route.
     runtime::task<origin_search> find(const relay_call& call, base::pool_name pool);
@@ -119,11 +139,20 @@
 
   private:
     class pending_search;
+    struct open_origin {
+        coordination::stream::stream_origin origin;
+        base::monotonic_time began_at{};
+        bool store_requested = false;
+    };
     /// Routers of one region, by name.
     using region_routers = std::vector<base::router_name>;
 
     std::optional<coordination::stream::aged_origin> find_stored(
         const coordination::stream::stream_key& stream) const;
+    /// @return whether all engines of the pool are known to have had one version.
+    bool has_one_version(const base::pool_name& pool) const;
+    /// Has the origins of open streams stored whose pools have got other versions.
+    void store_open_streams();
     /// @return the origin if the pool's engines leave only one possibility.
     /// @param refreshed whether the stored versions have been read since the search began.
     origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
@@ -155,6 +184,9 @@
     std::unordered_map<std::uint64_t, pending_search*> m_pending;  ///< By the query's number.
     std::uint64_t m_next_number;
     stream_origin_counters m_counters;
+    std::unordered_map<coordination::stream::stream_key, open_origin,
+                       coordination::stream::stream_key_hash>
+        m_open;
     std::optional<stored_origins> m_stored;
 };
 
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -36,6 +36,7 @@
 
 stream_origin_settings short_times() {
     stream_origin_settings all;
+    all.replicas = 0;  // Routers know of each other's streams only what is stored.
     all.answer_timeout = 10ms;
     all.far_answer_timeout = 10ms;
     all.stored.store_timeout = 200ms;
@@ -135,12 +136,8 @@
                          const base::request_id& begun = attempt) {
         const base::monotonic_time asked = loop.scheduler.now();
         loop.context.restart();
-        cr_assert(loop.run([&]() -> runtime::task<void> {
-            base::request_id id = begun;
-            base::pool_name name = pool;
-            software_version version(software);
-            co_await one.origins.store(std::move(id), std::move(name), std::move(version));
-        }));
+        const auto open = one.origins.record(begun, pool, software_version(software));
+        cr_assert(loop.run([&] { return one.origins.store(*open); }));
         return loop.scheduler.now() - asked;
     }
     void put_record(const std::set<software_version>& versions,
@@ -312,6 +309,31 @@
     cr_assert(all.find(second).source == origin_source::stored);
 }
 
+// All routers ended right after the pool had got its second version.
+Test(stored_origins,
+     streams_in_progress_when_a_second_version_is_listed_are_found_after_a_restart) {
+    fixture all;
+    const std::vector<listed_engine> engines{engine_of("e1", "v1"), engine_of("e2", "v2")};
+    fixture::router& first = all.start_router({engine_of("e1", "v1")});
+    fixture::router& second = all.start_router({engine_of("e1", "v1")});
+    all.run_for(50ms);
+    const base::request_id ended("ended before");
+    all.store(first, "v1", ended);
+    const auto open = first.origins.record(attempt, pool, v1);
+    all.loop.context.restart();
+    cr_assert(all.loop.run([&] { return first.origins.store(*open); }));
+    cr_assert_eq(all.table.count("origins/"), 0);
+    all.list(first, engines);
+    all.list(second, engines);
+    all.run_for(50ms);
+    all.end_all_routers();
+    fixture::router& started = all.start_router(engines);
+    const origin_search search = all.find(started);
+    cr_assert(search.source == origin_source::stored);
+    cr_assert(search.found->origin.software == v1);
+    cr_assert_not(all.find(started, ended).found);
+}
+
 Test(stored_origins, streams_of_a_pool_of_one_version_cost_nothing) {
     fixture all;
     fixture::router& one = all.start_router({engine_of("e1", "v1")});
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -170,7 +170,7 @@
 // answer to this one, as both name the same request.
 Test(stream_continuation, an_engine_that_refused_is_asked_again_on_a_new_connection) {
     fixture one;
-    one.list({engine("e1", "v1"), engine("e2", "v2"), engine("e3", "v2")});
+    one.list({engine_of("e1", "v1"), engine_of("e2", "v2"), engine_of("e3", "v2")});
     one.origins.record(base::request_id("first"), base::pool_name("p"), software_version("v1"));
     one.answer(refuses());
     one.answer(stream({bytes(event(2)), body_end}));
