Routers do not keep reading a table that refuses, nor write versions before they know each other

All routers of a large fleet read stored origins as they start. If the table was silent or refused their calls, each would have called it again every 0.2 s for ever; with nobody waiting it is now 1 s. And before a router knew which others are present it took itself for the highest ranked, so that all would have written a changed record of versions at the same time; it now writes none before.

--- a/src/ferryroad/relay/stored_origins.cpp
+++ b/src/ferryroad/relay/stored_origins.cpp
@@ -81,11 +81,10 @@
       m_versions(scheduler, store.table, store.clock, registry, m_reader, settings.versions),
       m_recorder(scheduler, store.table, store.clock, m_self, settings.recorder),
       m_table(settings.table),
+      m_recorders{m_self},
       // A random first number tells this process's requests from those of an earlier process of the
       // same name, whose answers may still arrive.
-      m_next_number(scheduler.random().next()) {
-    set_routers({}, {});
-}
+      m_next_number(scheduler.random().next()) {}
 
 void stored_origins::start() {
     m_reader.request();
@@ -103,7 +102,7 @@
     add_if_absent(region, m_self);
     add_if_absent(all, m_self);
     auto recorders = stream::ranked_routers(recorder_key(), region, m_settings.recorders);
-    if (!m_recorders.empty() && m_recorders.front() != recorders.front()) {
+    if (m_recorders.front() != recorders.front()) {
         runtime::log(
             runtime::log_level::info, component, "recorder of stream origins changed",
             {{"recorder", recorders.front().value}, {"previous", m_recorders.front().value}});
--- a/src/ferryroad/relay/stored_origins.hpp
+++ b/src/ferryroad/relay/stored_origins.hpp
@@ -85,7 +85,8 @@
     void start();
     /// Ends the periodic work; streams that begin are still stored.
     void stop();
-    /// Sets the routers that are present.
+    /// Sets the routers that are present. Before the first call, this router records its own
+    /// streams and writes no versions.
     /// @param region routers of this router's region; this router may be among them.
     /// @param all routers of all regions; this router may be among them.
     void set_routers(std::vector<base::router_name> region, std::vector<base::router_name> all);
--- a/src/ferryroad/relay/stored_row_reader.cpp
+++ b/src/ferryroad/relay/stored_row_reader.cpp
@@ -69,12 +69,10 @@
 
 runtime::task<void> stored_row_reader::run() {
     while (m_wanted && !m_stopped) {
-        if (m_last_start) {
-            co_await m_scheduler.sleep_until(*m_last_start + m_settings.period);
-        }
+        co_await m_scheduler.sleep_until(m_next_start);
         m_wanted = false;
         const base::monotonic_time start = m_scheduler.now();
-        m_last_start = start;
+        m_next_start = start + m_settings.period;
         const bool complete = co_await read_rows();
         if (complete) {
             m_complete_from = start;
@@ -112,6 +110,9 @@
         if (!rows) {
             ++m_counters.failures;
             log_failure(rows.error());
+            if (m_waiting.empty()) {
+                m_next_start = m_scheduler.now() + m_settings.retry;
+            }
             co_return false;
         }
         if (rows->empty()) {
--- a/src/ferryroad/relay/stored_row_reader.hpp
+++ b/src/ferryroad/relay/stored_row_reader.hpp
@@ -24,6 +24,9 @@
     base::duration first_span = std::chrono::seconds(65);
     /// Least time between the starts of two reads.
     base::duration period = std::chrono::milliseconds(200);
+    /// Time between a failed read and the next one while nobody waits, as all routers of a fleet
+    /// may read a table that refuses their calls.
+    base::duration retry = std::chrono::seconds(1);
     /// How much further back than to the previous read a read goes: the time for which a
     /// transaction may be in progress, and the inaccuracy of the table's clock.
     base::duration overlap = std::chrono::seconds(3);
@@ -80,7 +83,7 @@
     bool m_running = false;
     bool m_wanted = false;
     bool m_stopped = false;
-    std::optional<base::monotonic_time> m_last_start;
+    base::monotonic_time m_next_start{};
     /// Start of the last complete read.
     std::optional<base::monotonic_time> m_complete_from;
     std::optional<platform::row_key> m_next_key;  ///< Where a read goes on that was not complete.
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -41,6 +41,7 @@
     all.stored.store_timeout = 200ms;
     all.stored.read_timeout = 200ms;
     all.stored.reader.period = 5ms;
+    all.stored.reader.retry = 20ms;
     all.stored.versions.check_period = 2ms;
     all.stored.versions.retry = 5ms;
     all.stored.versions.rank_delay = 10ms;
@@ -206,6 +207,17 @@
         older.find(older.start_router({engine_of("e1", "v1")}, short_times(), false)).found);
 }
 
+Test(stored_origins, a_table_that_fails_is_read_less_often_while_nobody_waits) {
+    fixture all;
+    all.table.down = true;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(50ms);
+    cr_assert_leq(one.origins.stored()->all_counters().reader.calls, 3);
+    all.table.down = false;
+    all.run_for(100ms);
+    cr_assert(all.record().current == std::set{v1});
+}
+
 Test(stored_origins, a_process_that_observed_one_version_for_long_needs_no_record) {
     fixture all;
     all.table.down = true;
