A continued stream doesn't end before the event that was begun

A stream broke off within an event, and another engine continued it. If that engine sent the head and then closed the connection, or sent no event, the caller received the stream as complete, although the first engine had begun to send one more event. The relay dropped the incomplete event and with it the knowledge that the stream has a next one.

The relay now keeps in mind that the next event was begun until an engine sends it; a stream that ends before is broken. A stream that broke off between events may still be continued by nothing, as it may have had all of them.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -761,6 +761,7 @@
     void end_exchange() {
         m_admission.ended();
         m_answer.reset();
+        m_next_event_begun = m_next_event_begun || m_splitter.in_event();
         const bool was_sent = m_load.has_value();
         m_load.reset();
         if (was_sent && m_dependencies.slots != nullptr) {
@@ -840,9 +841,9 @@
                 fail_exchange(execution::failure_kind::broken, "stream ended within an event");
                 co_return;
             }
-            if (!m_last_id && m_outcome.events == 0) {
+            if (is_event_missing()) {
                 fail_exchange(execution::failure_kind::broken,
-                              "stream ended before its first event");
+                              "stream ended before its next event");
                 co_return;
             }
             if (!m_head_sent) {
@@ -870,6 +871,12 @@
         }
     }
 
+    /// @return whether an engine must send another event before the stream can end.
+    bool is_event_missing() const {
+        const bool has_begun = m_last_id || m_outcome.events > 0;
+        return !has_begun || m_next_event_begun;
+    }
+
     bool is_in_order(const core::stream::complete_event& event) const {
         return !event.id || !m_last_id || *event.id == *m_last_id + 1;
     }
@@ -886,6 +893,7 @@
             m_outcome.longest_gap = std::max(m_outcome.longest_gap, now - m_last_event_at);
         }
         m_last_event_at = now;
+        m_next_event_begun = false;
         m_evidence.event(now);
         record_software();
         if (m_load) {
@@ -1048,6 +1056,8 @@
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
+    /// An exchange ended within the event that follows the last complete one.
+    bool m_next_event_begun = false;
     /// Software version of the engine that sent the stream's first event, if known.
     std::optional<coordination::release::software_version> m_begun_at;
     base::monotonic_time m_last_event_at{};
