A stream is not continued after an event without an id

A resumable stream broke off after events that bore no id. The relay continued it after the last id that it had seen, or from the beginning if there was none, and the engine sent those events again: the caller received them twice, framed as one whole stream.

An event with data but without an id can't be told apart from its repetition, so the stream is not continued until another id has come: the answer ends truncated. Comments carry no data and change nothing.

--- a/src/ferryroad/core/stream/event_splitter.cpp
+++ b/src/ferryroad/core/stream/event_splitter.cpp
@@ -8,25 +8,29 @@
 namespace {
 
 constexpr std::string_view id_field = "id:";
+constexpr std::string_view data_field = "data";
 
-/// @return the value of the last `id` line that starts with a number.
-std::optional<std::uint64_t> id_of(std::string_view event) {
-    std::optional<std::uint64_t> id;
-    while (!event.empty()) {
-        const std::string_view line = event.substr(0, event.find('\n'));
-        event.remove_prefix(std::min(event.size(), line.size() + 1));
-        if (!line.starts_with(id_field)) {
-            continue;
-        }
-        std::string_view digits = line.substr(id_field.size());
-        digits.remove_prefix(digits.starts_with(' ') ? 1 : 0);
-        std::uint64_t value = 0;
-        const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-        if (parsed.ec == std::errc{}) {
-            id = value;
+std::optional<std::uint64_t> number_in(std::string_view digits) {
+    digits.remove_prefix(digits.starts_with(' ') ? 1 : 0);
+    std::uint64_t value = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), value);
+    return parsed.ec == std::errc{} ? std::optional(value) : std::nullopt;
+}
+
+/// Of several `id` lines, the last one with a number counts.
+complete_event parse_event(std::string_view text) {
+    complete_event event;
+    event.bytes = text;
+    while (!text.empty()) {
+        const std::string_view line = text.substr(0, text.find('\n'));
+        text.remove_prefix(std::min(text.size(), line.size() + 1));
+        if (line.starts_with(id_field)) {
+            const auto id = number_in(line.substr(id_field.size()));
+            event.id = id ? id : event.id;
         }
+        event.has_data = event.has_data || line.starts_with(data_field);
     }
-    return id;
+    return event;
 }
 
 /// @return the position after the first empty line, or npos.
@@ -56,8 +60,7 @@
         if (end == std::string_view::npos) {
             break;
         }
-        const std::string_view event = rest.substr(0, end);
-        events.push_back({std::string(event), id_of(event)});
+        events.push_back(parse_event(rest.substr(0, end)));
         rest.remove_prefix(end);
     }
     m_pending.erase(0, m_pending.size() - rest.size());
--- a/src/ferryroad/core/stream/event_splitter.hpp
+++ b/src/ferryroad/core/stream/event_splitter.hpp
@@ -15,6 +15,7 @@
 struct complete_event {
     std::string bytes;                ///< Includes the empty line that ends the event.
     std::optional<std::uint64_t> id;  ///< Nothing if the event has no id or it is not a number.
+    bool has_data = false;            ///< Receivers ignore events without a `data` line.
 
     friend bool operator==(const complete_event&, const complete_event&) = default;
 };
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -234,7 +234,7 @@
             co_return;
         }
         bool selected = false;
-        if (may_be_sent()) {
+        if (may_be_sent() && !m_last_event_unnumbered) {
             selection_query query = query_of(m_plan, selection.excluded);
             query.software = m_begun_at;
             query.may_be_withdrawn = m_machine.may_repeat_next_attempt();
@@ -885,6 +885,7 @@
         if (event.id) {
             m_last_id = event.id;
         }
+        m_last_event_unnumbered = !event.id && (event.has_data || m_last_event_unnumbered);
         const base::monotonic_time now = m_dependencies.scheduler.now();
         if (m_outcome.events == 0) {
             m_outcome.first_event = now - m_plan.call->arrived;
@@ -1056,6 +1057,8 @@
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
+    /// The last event with data has no id: an engine that continues the stream would repeat it.
+    bool m_last_event_unnumbered = false;
     /// An exchange ended within the event that follows the last complete one.
     bool m_next_event_begun = false;
     /// Software version of the engine that sent the stream's first event, if known.
--- a/test/core/stream/event_splitter_test.cpp
+++ b/test/core/stream/event_splitter_test.cpp
@@ -37,6 +37,16 @@
     cr_assert_not(splitter.feed("id: x\n\n")[0].id.has_value());
 }
 
+Test(event_splitter, comments_are_events_without_data) {
+    event_splitter splitter;
+    const auto events = splitter.feed(": alive\n\nid: 3\n\ndata\n\nid: 4\r\ndata:a\r\n\r\n");
+    cr_assert_eq(events.size(), 4);
+    cr_assert_not(events[0].has_data);
+    cr_assert_not(events[1].has_data);
+    cr_assert(events[2].has_data);
+    cr_assert(events[3].has_data);
+}
+
 Test(event_splitter, holds_half_an_event_back) {
     event_splitter splitter;
     cr_assert(splitter.feed("id: 1\ndata: half").empty());
