An unfinished stream to an HTTP/1.0 caller ends with a reset

A stream to an HTTP/1.0 caller has neither a length nor chunks and ends with its connection. Where the server gave the stream up otherwise than through abort, it closed the connection regularly, and the caller took the part that it had for the whole: when a write timed out, when the handler failed or returned, when the server was closed.

From the head of such a stream until its regular end, each way of closing the connection is now a reset, whoever closes it. That includes the end of the process, where the kernel closes the connection.

Before, all four cases of the new test ended with a regular close. The end of the process was not tried.

--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -144,9 +144,13 @@
 }
 
 void connection::reset() {
-    boost::system::error_code ignored;
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    set_reset_on_close(true);
     close();
 }
 
+void connection::set_reset_on_close(bool resets) {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -62,6 +62,8 @@
     void close();
     /// Closes with a reset (RST), so that the peer can't mistake it for a regular end.
     void reset();
+    /// Sets whether each way of closing the connection is a reset, also by the end of the process.
+    void set_reset_on_close(bool resets);
 
   private:
     boost::system::error_code read_available();
--- a/src/ferryroad/http/session_writer.cpp
+++ b/src/ferryroad/http/session_writer.cpp
@@ -77,6 +77,10 @@
     head.keep_alive = kept_alive_;
     head.http_1_0 = !request_properties_.accepts_chunks;
     std::string text = encode_head(head);
+    if (!request_properties_.accepts_chunks) {
+        // Otherwise the caller would take an early end of the connection for the end of the body.
+        link_->set_reset_on_close(true);
+    }
     co_return co_await write_bytes(std::move(text), std::string(), stage::streaming);
 }
 
@@ -100,7 +104,11 @@
     std::string end(request_properties_.accepts_chunks && !request_properties_.is_head
                         ? last_chunk
                         : std::string_view());
-    co_return co_await write_bytes(std::move(end), std::string(), stage::complete);
+    auto written = co_await write_bytes(std::move(end), std::string(), stage::complete);
+    if (written && !request_properties_.accepts_chunks) {
+        link_->set_reset_on_close(false);
+    }
+    co_return written;
 }
 
 runtime::task<void> session_writer::wait_closed() {
