--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -235,7 +235,7 @@
             co_return;
         }
         bool selected = false;
-        if (may_be_sent()) {
+        if (may_be_sent() && !m_last_event_unnumbered) {
             selection_query query = query_of(m_plan, selection.excluded);
             query.software = m_begun_at;
             query.may_be_withdrawn = m_machine.may_repeat_next_attempt();
@@ -768,6 +768,7 @@
     void end_exchange() {
         m_admission.ended();
         m_answer.reset();
+        m_next_event_begun = m_next_event_begun || m_splitter.in_event();
         const bool was_sent = m_load.has_value();
         m_load.reset();
         if (was_sent && m_dependencies.slots != nullptr) {
@@ -847,9 +848,9 @@
                 fail_exchange(execution::failure_kind::broken, "stream ended within an event");
                 co_return;
             }
-            if (!m_last_id && m_outcome.events == 0) {
+            if (is_event_missing()) {
                 fail_exchange(execution::failure_kind::broken,
-                              "stream ended before its first event");
+                              "stream ended before its next event");
                 co_return;
             }
             if (!m_head_sent) {
@@ -877,6 +878,12 @@
         }
     }
 
+    /// @return whether an engine must send another event before the stream can end.
+    bool is_event_missing() const {
+        const bool has_begun = m_last_id || m_outcome.events > 0;
+        return !has_begun || m_next_event_begun;
+    }
+
     bool is_in_order(const core::stream::complete_event& event) const {
         return !event.id || !m_last_id || *event.id == *m_last_id + 1;
     }
@@ -885,6 +892,7 @@
         if (event.id) {
             m_last_id = event.id;
         }
+        m_last_event_unnumbered = !event.id && (event.has_data || m_last_event_unnumbered);
         const base::monotonic_time now = m_dependencies.scheduler.now();
         if (m_outcome.events == 0) {
             m_outcome.first_event = now - m_plan.call->arrived;
@@ -893,6 +901,7 @@
             m_outcome.longest_gap = std::max(m_outcome.longest_gap, now - m_last_event_at);
         }
         m_last_event_at = now;
+        m_next_event_begun = false;
         m_evidence.event(now);
         record_software();
         if (m_load) {
@@ -1059,6 +1068,10 @@
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
+    /// The last event with data has no id: an engine that continues the stream would repeat it.
+    bool m_last_event_unnumbered = false;
+    /// An exchange ended within the event that follows the last complete one.
+    bool m_next_event_begun = false;
     /// Software version of the engine that sent the stream's first event, if known.
     std::optional<coordination::release::software_version> m_begun_at;
     base::monotonic_time m_last_event_at{};
