Tests: bytes that belong to no request, and failures that name none

Bytes behind a whole response, at once or later, are given to no other request, and a failure of another router that doesn't name the request proves nothing.

--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -142,8 +142,81 @@
     cr_assert(stream.error().code == http::error_code::connect_failed);
 }
 
+/// Sends each request a response, followed by bytes that no request asked for.
+struct surplus_server {
+    explicit surplus_server(ferryroad::test::loopback& loop)
+        : acceptor(loop.context, {boost::asio::ip::make_address("127.0.0.1"), 0}) {}
+
+    runtime::task<void> accept(ferryroad::test::loopback& loop) {
+        for (;;) {
+            auto socket = co_await acceptor.async_accept(boost::asio::use_awaitable);
+            ++connections;
+            loop.scheduler.spawn("connection",
+                                 serve(ferryroad::test::raw_socket(std::move(socket)), loop));
+        }
+    }
+    runtime::task<void> serve(ferryroad::test::raw_socket socket, ferryroad::test::loopback& loop) {
+        for (;;) {
+            const std::string request = co_await socket.read_until("\r\n\r\n");
+            if (request.empty()) {
+                co_return;
+            }
+            std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+            if (late) {
+                co_await socket.write(std::move(bytes));
+                co_await loop.until([this] { return read > sent; });
+                bytes.clear();
+            }
+            bytes += behind;
+            co_await socket.write(std::move(bytes));
+            ++sent;
+        }
+    }
+
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::string behind;
+    bool late = false;  ///< The surplus bytes are sent only once the response was read.
+    std::size_t connections = 0;
+    std::size_t read = 0;  ///< Responses that the client has read.
+    std::size_t sent = 0;  ///< Responses sent with what follows them.
+};
+
+runtime::task<void> check_bytes_behind(ferryroad::test::loopback& loop, surplus_server& server) {
+    loop.scheduler.spawn("server", server.accept(loop));
+    http::client client(loop.scheduler, http::client_limits{});
+    const base::endpoint address{"127.0.0.1", server.acceptor.local_endpoint().port()};
+    for (std::size_t request = 1; request <= 3; ++request) {
+        http::request message = post("");
+        http::relay_options options;
+        options.limit = 2s;
+        auto stream = co_await client.relay(address, std::move(message), std::move(options));
+        cr_assert(stream.has_value(), "%s", server.behind.c_str());
+        cr_assert_eq((*stream)->status(), 200, "%s", server.behind.c_str());
+        auto bytes = co_await (*stream)->next(1s);
+        cr_assert(bytes.has_value() && *bytes == "body", "%s", server.behind.c_str());
+        auto end = co_await (*stream)->next(1s);
+        cr_assert(end.has_value() && !*end, "%s", server.behind.c_str());
+        ++server.read;
+        co_await loop.until([&server] { return server.sent == server.read; });
+        cr_assert_eq(server.connections, request, "%s", server.behind.c_str());
+    }
+}
+
 }  // namespace
 
+Test(client_relay, bytes_behind_a_response_belong_to_no_other_request) {
+    for (const bool late : {false, true}) {
+        for (const char* behind : {"id: 9\n\n", "4\r\nmore\r\n0\r\n\r\n",
+                                   "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"}) {
+            ferryroad::test::loopback loop;
+            surplus_server server(loop);
+            server.behind = behind;
+            server.late = late;
+            cr_assert(loop.run([&] { return check_bytes_behind(loop, server); }));
+        }
+    }
+}
+
 Test(client_relay, the_callback_before_sending_is_called_once_the_connection_is_open) {
     for (const bool still_to_be_sent : {true, false}) {
         ferryroad::test::loopback loop;
--- a/test/relay/forwarding_test.cpp
+++ b/test/relay/forwarding_test.cpp
@@ -60,6 +60,7 @@
     }
     void know(const std::vector<const test_router*>& routers) {
         std::vector<peer_address> present;
+        present.reserve(routers.size());
         for (const test_router* one : routers) {
             present.push_back(
                 {one->name, base::zone_name("z"), {"127.0.0.1", 1}, {}, one->address});
@@ -281,6 +282,32 @@
     }
 }
 
+/// Another router answers the first request on a connection, and to the next one sends a failure
+/// that names no request.
+runtime::task<void> check_unnamed_failure(loopback& loop, const std::string& failure) {
+    scripted_server other(loop, {{{whole_answer, failure}, true}});
+    test_router a(loop, "a", refusing_address(loop));
+    a.others.set_routers(
+        {{base::router_name("b"), base::zone_name("z"), {"127.0.0.1", 1}, {}, other.address()}});
+    auto first = co_await send(a);
+    cr_assert(first.has_value());
+    const std::string body = co_await read_body(*first->body);
+    cr_assert(body == "ok");
+    auto second = co_await send(a);
+    cr_assert_not(second.has_value());
+    cr_assert(second.error().error.code == http::error_code::connection_lost, "%s",
+              failure.c_str());
+}
+
+runtime::task<void> check_unnamed_failures(loopback& loop) {
+    for (const char* head :
+         {"400 X\r\n", "500 X\r\n", "503 X\r\n", "502 X\r\nFerryroad-Failure: no_path\r\n",
+          "502 X\r\nFerryroad-Failure: connect_failed\r\n"}) {
+        const std::string failure = std::string("HTTP/1.1 ") + head + "Content-Length: 0\r\n\r\n";
+        co_await check_unnamed_failure(loop, failure);
+    }
+}
+
 runtime::task<void> check_direct_while_it_works(loopback& loop) {
     scripted_server server(loop, {{{whole_answer}, true}});
     test_router a(loop, "a", server.address());
@@ -368,6 +395,9 @@
 Test(forwarding, a_new_connection_is_opened_to_the_engine_if_the_request_needs_one) {
     run(check_new_connection);
 }
+Test(forwarding, a_failure_that_names_no_request_proves_nothing) {
+    run(check_unnamed_failures);
+}
 Test(forwarding, a_router_with_a_path_uses_it) {
     run(check_direct_while_it_works);
 }
