A search for a stream's version waits for each router that it asked

Callers could get a stream joined from two software versions, or a refusal though a router knew its version. A router that is asked where a stream began ended its search once as many answers had come as it had sent queries, whoever sent them: a datagram that was delivered twice counted for a router that had not answered. The search then went on to what the list of engines shows. Found by reading, in the search for answers that aren't bound to what they prove.

The search now keeps the names of the routers that it asked and counts one answer of each. The test failed before: three routers' repeated answers ended the search before the fourth, which knew the origin, had answered.

--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -30,10 +30,10 @@
 /// Waits for the answers to the queries of one search. It is registered as long as it lives.
 class stream_origins::pending_search {
   public:
-    pending_search(stream_origins& owner, std::size_t queries)
+    pending_search(stream_origins& owner, const std::vector<base::router_name>& asked)
         : m_owner(owner),
           m_number(owner.m_next_number++),
-          m_unanswered(queries),
+          m_unanswered(asked.begin(), asked.end()),
           m_timer(owner.m_scheduler.executor()) {
         m_owner.m_pending.emplace(m_number, this);
     }
@@ -54,7 +54,9 @@
     }
 
     void record_answer(const base::router_name& from, const peer::origin_answer& answer) {
-        m_unanswered -= m_unanswered > 0 ? 1 : 0;
+        if (m_unanswered.erase(from) == 0) {
+            return;  // A repeated answer says nothing about the other routers.
+        }
         if (answer.found && !m_result.found) {
             m_result = {origin_source::replica, answer.found, from};
         }
@@ -64,11 +66,11 @@
     }
 
   private:
-    bool is_over() const { return m_result.found || m_unanswered == 0; }
+    bool is_over() const { return m_result.found || m_unanswered.empty(); }
 
     stream_origins& m_owner;
     std::uint64_t m_number;
-    std::size_t m_unanswered;
+    std::set<base::router_name> m_unanswered;  ///< Routers that were asked.
     runtime::boot_timer m_timer;
     origin_search m_result;
 };
@@ -172,7 +174,7 @@
 runtime::task<origin_search> stream_origins::ask(stream::stream_key stream,
                                                  std::vector<base::router_name> routers,
                                                  base::duration timeout) {
-    pending_search pending(*this, routers.size());
+    pending_search pending(*this, routers);
     for (const base::router_name& router : routers) {
         ++m_counters.queries;
         send(router, peer::origin_query{pending.number(), stream});
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -196,6 +196,62 @@
     cr_assert(all.find_at(behind).found->origin.software == software_version("v2"));
 }
 
+namespace {
+
+runtime::task<void> deliver_later(router& to, base::endpoint from, std::string bytes,
+                                  runtime::scheduler& scheduler) {
+    co_await scheduler.sleep_for(5ms);
+    to.origins.handle_datagram(from, bytes);
+}
+
+/// Makes a router receive datagrams late.
+void make_late(fixture& all, std::size_t index) {
+    router& late = *all.routers[index];
+    late.transport.on_datagram([&all, &late](const base::endpoint& from, std::string_view bytes) {
+        all.loop.scheduler.spawn("late",
+                                 deliver_later(late, from, std::string(bytes), all.loop.scheduler));
+    });
+}
+
+/// Makes a router answer each query several times, without knowing any origin.
+void make_repetitive(fixture& all, std::size_t index) {
+    router& one = *all.routers[index];
+    one.transport.on_datagram([&one](const base::endpoint& from, std::string_view bytes) {
+        constexpr int copies = 4;
+        const auto message = peer::decode_stream_origin_message(bytes);
+        const auto query = std::get<peer::origin_query>(message->body);
+        const peer::origin_answer unknown{query.number, std::nullopt};
+        for (int copy = 0; copy < copies; ++copy) {
+            one.transport.send(from, peer::encode({one.self.name, unknown}));
+        }
+    });
+}
+
+}  // namespace
+
+// Guards against a search that ends before the router that knows the origin has answered.
+Test(stream_origins, repeated_answers_of_a_router_are_not_taken_for_those_of_others) {
+    fixture all(4);
+    all.begin_stream(0);
+    make_late(all, 0);
+    std::vector<peer_address> present;
+    for (std::size_t index = 0; index < all.routers.size(); ++index) {
+        present.push_back(all.routers[index]->self);
+        if (index > 0) {
+            make_repetitive(all, index);
+        }
+    }
+    const peer_address self{base::router_name("r9"), base::zone_name("za"), {"10.0.0.1", 9}};
+    stream_origin_settings patient = router::settings();
+    patient.answer_timeout = 1s;
+    router asking(all.loop, all.network, self, {}, patient);
+    asking.origins.set_routers(present);
+    asking.list({engine("e1", "v1"), engine("e2", "v2")}, all.loop.scheduler.now());
+    const origin_search search = all.find_at(asking);
+    cr_assert(search.found.has_value());
+    cr_assert(search.found->origin.software == software_version("v2"));
+}
+
 Test(stream_origins, origins_are_replicated_within_the_region_and_found_from_another) {
     const core::topology::zone_map zones({{base::zone_name("za"), base::region_name("a")},
                                           {base::zone_name("zb"), base::region_name("b")}});
