Stand-alone router: a refusal that names no attempt proves nothing

Refusals of an attempt name it in the header that answers have already. Without it, or with another, the engine's code still counts, but not what it says about execution. The test row failed before: "not-run" was believed.

--- a/emulator/engine/application_service.cpp
+++ b/emulator/engine/application_service.cpp
@@ -83,7 +83,8 @@
     }
     const outcome<call_ticket> ticket = model_.submit(received, scheduler_.now());
     if (ticket.has_error()) {
-        co_await faults_.answer(error_response(ticket.error()), writer);
+        http::response refusal = error_response(ticket.error(), received.attempt);
+        co_await faults_.answer(std::move(refusal), writer);
         co_return;
     }
     co_await scheduler_.sleep_until(ticket->ready_at);
--- a/emulator/engine/engine_service.cpp
+++ b/emulator/engine/engine_service.cpp
@@ -74,6 +74,12 @@
     return answer;
 }
 
+http::response error_response(const engine::error& failure, const base::attempt_id& attempt) {
+    http::response answer = error_response(failure);
+    answer.headers.add(std::string(protocol::attempt_id_header), attempt.value);
+    return answer;
+}
+
 http::response malformed_response(const http::error& fault) {
     return error_response({engine::error_code::refused_bad_request, engine::proof::not_run,
                            fault.message, std::nullopt});
--- a/emulator/engine/engine_service.hpp
+++ b/emulator/engine/engine_service.hpp
@@ -41,6 +41,9 @@
 /// @return the error in the engine protocol's form, with the header `Ferryroad-Execution`.
 http::response error_response(const engine::error& failure);
 
+/// As above, with the attempt that the error concerns.
+http::response error_response(const engine::error& failure, const base::attempt_id& attempt);
+
 /// @return the refusal of a request that the engine can't parse.
 http::response malformed_response(const http::error& fault);
 
--- a/emulator/engine/model_service.cpp
+++ b/emulator/engine/model_service.cpp
@@ -107,7 +107,8 @@
     }
     const outcome<attempt_handle> admitted = model_.submit(*request, scheduler_.now());
     if (admitted.has_error()) {
-        co_await faults_.answer(error_response(admitted.error()), writer);
+        http::response refusal = error_response(admitted.error(), request->attempt);
+        co_await faults_.answer(std::move(refusal), writer);
         co_return;
     }
     runtime::log(runtime::log_level::debug, log_component, "attempt admitted",
@@ -126,7 +127,8 @@
     const outcome<attempt_handle> resumed = model_.resume(
         request->attempt, request->first_token, request->expected_incarnation, scheduler_.now());
     if (resumed.has_error()) {
-        co_await faults_.answer(error_response(resumed.error()), writer);
+        http::response refusal = error_response(resumed.error(), request->attempt);
+        co_await faults_.answer(std::move(refusal), writer);
         co_return;
     }
     co_await stream(*resumed, writer);
--- a/src/ferryroad/engine/http_client.cpp
+++ b/src/ferryroad/engine/http_client.cpp
@@ -85,12 +85,23 @@
     return base::incarnation(value);
 }
 
+/// @return the error that an answer other than the expected one states. It proves nothing unless
+/// the answer names the attempt, as it may be one in excess to an earlier call on the connection.
+error attempt_error(unsigned status, const http::header_list& headers, std::string_view body,
+                    const base::attempt_id& attempt) {
+    error failure = protocol::decode_error(status, body);
+    if (headers.find(protocol::attempt_id_header) != std::string_view(attempt.value)) {
+        failure.proves = proof::unknown;
+    }
+    return failure;
+}
+
 /// Converts an application's response after checking that it belongs to `attempt` and comes from
 /// incarnation `expected`; otherwise returns the engine's error or `protocol_violation`.
 result<application_answer> check_application(http::response answer, const base::attempt_id& attempt,
                                              base::incarnation expected) {
     if (answer.headers.find(protocol::execution_header)) {
-        return protocol::decode_error(answer.status, answer.body);
+        return attempt_error(answer.status, answer.headers, answer.body, attempt);
     }
     const bool same_attempt = answer.headers.find(protocol::attempt_id_header) == attempt.value;
     const base::incarnation incarnation = incarnation_of(answer.headers);
@@ -191,7 +202,7 @@
     if (body.has_error()) {
         co_return to_engine_error(body.error());
     }
-    co_return protocol::decode_error(lines->status(), *body);
+    co_return attempt_error(lines->status(), lines->headers(), *body, expected.attempt);
 }
 
 runtime::task<result<std::unique_ptr<generation_stream>>> http_client::generate(
