Stand-alone router: orders to engines go out on new connections

The test failed before: a refusal in excess to a cancellation was reported for an order that the engine accepted.

--- a/src/ferryroad/engine/http_client.cpp
+++ b/src/ferryroad/engine/http_client.cpp
@@ -241,9 +241,10 @@
 
 runtime::task<result<std::string>> http_client::exchange(base::endpoint address,
                                                          http::request message,
-                                                         base::duration limit) {
-    auto answer =
-        co_await connections_.send(address, std::move(message), limit, http::resend::allowed);
+                                                         base::duration limit,
+                                                         http::connection_choice choice) {
+    auto answer = co_await connections_.send(address, std::move(message), limit,
+                                             http::resend::allowed, choice);
     if (answer.has_error()) {
         co_return to_engine_error(answer.error());
     }
@@ -320,7 +321,8 @@
                                                base::fencing_token token, engine_order order) {
     const protocol::order_call call{target.incarnation, token, std::move(order)};
     http::request message = make_post(protocol::orders_path, protocol::encode(call));
-    const auto body = co_await exchange(target.address, std::move(message), limits_.control);
+    const auto body = co_await exchange(target.address, std::move(message), limits_.control,
+                                        http::connection_choice::fresh);
     if (body.has_error()) {
         co_return body.error();
     }
--- a/src/ferryroad/engine/http_client.hpp
+++ b/src/ferryroad/engine/http_client.hpp
@@ -33,6 +33,8 @@
                                                          base::duration wait) override;
     runtime::task<result<import_answer>> import_state(const engine_target& target,
                                                       import_request request) override;
+    /// Sends the order on a new connection: on any other, an answer, which names no order, could be
+    /// one in excess to an earlier call.
     runtime::task<result<void>> order(const engine_target& target, base::fencing_token token,
                                       engine_order order) override;
 
@@ -53,8 +55,9 @@
         http::resend resend_policy, stream_expectation expected);
     /// Sends an idempotent request, which the HTTP client may resend on a new connection.
     /// @return the body of a response with status 200.
-    runtime::task<result<std::string>> exchange(base::endpoint address, http::request message,
-                                                base::duration limit);
+    runtime::task<result<std::string>> exchange(
+        base::endpoint address, http::request message, base::duration limit,
+        http::connection_choice choice = http::connection_choice::pooled);
 
     runtime::scheduler& scheduler_;
     http::client& connections_;
--- a/test/engine/http_client_faults_test.cpp
+++ b/test/engine/http_client_faults_test.cpp
@@ -195,8 +195,33 @@
     cr_assert_eq(fixture.service().executions().size(), 1U);
 }
 
+std::string answer_of(const std::string& status, const std::string& body) {
+    return "HTTP/1.1 " + status + " X\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// The engine sends a refusal in excess before its answer to the second call on a connection.
+runtime::task<void> order_beside_a_surplus_refusal(engine_fixture& fixture) {
+    const std::string refusal =
+        answer_of("409", R"({"error":{"code":"stale_token","message":"","execution":"not-run"}})");
+    const std::string accepted = answer_of("200", "{}");
+    ferryroad::test::scripted_server server(
+        fixture.loop, {{{accepted, refusal + accepted}, false}, {{accepted}, false}});
+    const engine_target target{base::engine_name("e"), server.address(),
+                               base::incarnation(first_incarnation)};
+    auto cancelled = co_await fixture.client.cancel(target, base::attempt_id("a"));
+    cr_assert(cancelled.has_value());
+    engine_order wanted = load_adapter_order{base::adapter_name("x")};
+    auto ordered = co_await fixture.client.order(target, base::fencing_token(1), std::move(wanted));
+    cr_assert(ordered.has_value(), "%s", ordered.error().message.c_str());
+}
+
 }  // namespace
 
+Test(engine_client, a_surplus_refusal_is_not_taken_for_that_of_an_order) {
+    run_with_fixture(order_beside_a_surplus_refusal);
+}
+
 ParameterizedTestParameters(engine_client, faults) {
     return parameters_of(fault_rows);
 }
