An answer that is no stream doesn't end a stream in progress

A resumable stream broke off after some events, and the engine that was to continue it answered with something else: 429 or 400, 404, 204, or a 200 that is no event stream. The caller received the stream as complete after the events before, although the engine had not continued it. The relay took the end of that answer for the end of the request, and with the head already sent, finishing a request ends the stream.

Once events were received, only a stream can continue the answer; any other counts as a failure of the engine, and is logged with its status. Then another engine is tried, or the answer ends truncated. 500 did so before.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -116,14 +116,13 @@
                   {"after_ms", std::to_string(base::to_milliseconds(exchange.taken))}});
 }
 
-void log_unproven_promise(const relay_plan& plan, const selected_engine& selected,
-                          unsigned status) {
-    runtime::log(runtime::log_level::warning, component,
-                 "engine's answer not passed on: its status promises that the request did not run, "
-                 "which the engine has not stated",
+void log_unusable_answer(const relay_plan& plan, const selected_engine& selected, unsigned status,
+                         std::string_view reason) {
+    runtime::log(runtime::log_level::warning, component, "engine's answer not passed on",
                  {{"request_id", plan.call->id.value},
                   {"engine", selected.target.name.value},
-                  {"status", std::to_string(status)}});
+                  {"status", std::to_string(status)},
+                  {"reason", std::string(reason)}});
 }
 
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -9,6 +9,7 @@
 #include "ferryroad/relay/selection.hpp"
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 namespace ferryroad::relay {
@@ -45,9 +46,11 @@
 void log_dispatch_failure(const relay_plan& plan, const selected_engine& selected,
                           const dispatch_failure& failure, const failed_exchange& exchange);
 
-/// Logs that an engine's answer is not passed on because its status promises that the request did
-/// not run, which the engine has not stated.
-void log_unproven_promise(const relay_plan& plan, const selected_engine& selected, unsigned status);
+/// Logs that an engine's answer is not passed on. @param reason `unproven_promise`: its status
+/// promises that the request did not run, which the engine has not stated; `stream_not_continued`:
+/// the caller has received events, and the answer is no stream.
+void log_unusable_answer(const relay_plan& plan, const selected_engine& selected, unsigned status,
+                         std::string_view reason);
 
 /// Logs that a request was withdrawn from its engine because it must no longer begin there.
 /// @param lost the precondition that no longer holds. @param waited time since it was sent there.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -819,15 +819,18 @@
         const unsigned status = m_answer->status;
         const bool repeatable = is_repeatable(*m_plan.matched_route);
         const bool unproven_promise = m_answer->status_promises_not_run && !repeatable;
-        if (unproven_promise) {
-            log_unproven_promise(m_plan, m_selected, status);
+        const bool continues_stream = m_outcome.events > 0;
+        const bool unusable = unproven_promise || continues_stream;
+        if (unusable) {
+            log_unusable_answer(m_plan, m_selected, status,
+                                continues_stream ? "stream_not_continued" : "unproven_promise");
         } else {
             m_last_answer = http::response{status, m_answer->headers, std::move(m_body)};
         }
         m_evidence.answered(status, m_dependencies.scheduler.now());
         report_success();
         end_exchange();
-        if (unproven_promise || (status >= first_failure_status && repeatable)) {
+        if (unusable || (status >= first_failure_status && repeatable)) {
             feed(execution::exchange_failed{m_exchange, execution::failure_kind::engine_failure,
                                             execution::failure_proof::unknown, std::nullopt});
             return;
--- a/test/relay/stream_order_test.cpp
+++ b/test/relay/stream_order_test.cpp
@@ -126,6 +126,14 @@
      true},
 };
 
+scripted_answer whole(unsigned status) {
+    scripted_answer one;
+    one.status = status;
+    one.stream = false;
+    one.body = {bytes("x"), body_end};
+    return one;
+}
+
 }  // namespace
 
 Test(stream_order, callers_receive_each_event_once_or_a_truncated_stream) {
@@ -157,3 +165,16 @@
     cr_assert(fixture.writer.body == event(1) + event(2) + event(3));
     cr_assert_eq(fixture.writer.final_answers, 1);
 }
+
+Test(stream_order, an_answer_that_is_no_stream_does_not_end_a_stream) {
+    for (const unsigned status : {200U, 204U, 400U, 404U, 429U, 500U}) {
+        relay_fixture fixture;
+        fixture.answer(stream({bytes(event(1)), body_broken}));
+        fixture.answer(whole(status));
+        fixture.serve(fixture.call("/resumable/"));
+        cr_expect_eq(fixture.upstream.dispatches.size(), 2, "%u", status);
+        cr_expect(fixture.writer.aborted, "%u", status);
+        cr_expect_eq(fixture.writer.final_answers, 0, "%u", status);
+        cr_expect(fixture.writer.body == event(1), "%u", status);
+    }
+}
