--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -257,7 +257,7 @@
     patient.answer_timeout = 1s;
     router asking(all.loop, all.network, self, {}, patient);
     asking.origins.set_routers(present);
-    asking.list({engine("e1", "v1"), engine("e2", "v2")}, all.loop.scheduler.now());
+    asking.list({engine_of("e1", "v1"), engine_of("e2", "v2")}, all.loop.scheduler.now());
     const origin_search search = all.find_at(asking);
     cr_assert(search.found.has_value());
     cr_assert(search.found->origin.software == software_version("v2"));
