A refusal that is due as the deadline passes is sent

The driver took the last action of a request off its queue before it performed it; if the deadline cancelled the coroutine at that moment, the refusal was lost, and the state machine, which had ended, gave no other one.

The action that ends a request is now kept until it has been performed, and performed again by 'interrupt'. Other actions are not: a dispatch that was begun must not be repeated.

The new case of relay.relay_service failed before.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -158,6 +158,11 @@
     /// gone.
     runtime::task<void> interrupt(execution::event event) {
         m_outbox.clear();
+        if (m_unfinished) {
+            // The request had ended, but `run` was cancelled before its response was sent.
+            m_pending.push_front(*m_unfinished);
+            m_unfinished.reset();
+        }
         feed(event);
         try {
             co_await run_actions();
@@ -181,10 +186,19 @@
             }
             const execution::action action = std::move(m_pending.front());
             m_pending.pop_front();
+            if (ends_request(action)) {
+                m_unfinished = action;
+            }
             co_await perform(action);
+            m_unfinished.reset();
         }
     }
 
+    static bool ends_request(const execution::action& action) {
+        return std::holds_alternative<execution::refuse>(action) ||
+               std::holds_alternative<execution::finish>(action);
+    }
+
     void feed(const execution::event& event) {
         auto actions = m_machine.handle(event, m_dependencies.scheduler.now(), m_budget);
         for (execution::action& action : actions) {
@@ -1053,6 +1067,7 @@
     exchange_timing m_timing;
     dispatch_preconditions m_preconditions;
     std::deque<execution::action> m_pending;
+    std::optional<execution::action> m_unfinished;  ///< Ends the request, and is being performed.
     selected_engine m_selected;
     send_permit m_permit;  ///< For the selected engine.
     slot_permit m_slot;    ///< For the selected engine.
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -2,6 +2,8 @@
 /// in which an exchange can end.
 #include "test/relay/fake_upstream.hpp"
 
+#include <thread>
+
 using namespace ferryroad;
 using namespace ferryroad::relay;
 using namespace ferryroad::relay::test;
@@ -57,6 +59,13 @@
     fixture.registry.replace_all({one}, fixture.loop.scheduler.now());
 }
 
+/// Keeps the event loop busy from before to after the request's deadline, so that everything that
+/// falls due meanwhile happens at once.
+runtime::task<void> block_around(relay_fixture& fixture, base::duration deadline) {
+    co_await fixture.loop.scheduler.sleep_for(deadline - 10ms);
+    std::this_thread::sleep_for(25ms);
+}
+
 void serve_with(relay_fixture& fixture, relay_service<fake_upstream>& service, relay_call one) {
     fixture.loop.context.restart();
     const auto served = [&]() -> runtime::task<void> {
@@ -82,6 +91,28 @@
     cr_assert_str_eq(fixture.upstream.dispatches[0].tenant->value.c_str(), "t");
 }
 
+// The last dispatch fails in the same turn of the event loop in which the deadline passes.
+Test(relay_service, a_refusal_that_is_due_as_the_deadline_passes_is_sent) {
+    struct row {
+        failure_proof proof;
+        unsigned status;
+    };
+    for (const row& each : {row{failure_proof::not_sent, 503}, row{failure_proof::unknown, 504}}) {
+        relay_fixture fixture;
+        scripted_answer failing;
+        failing.failure = failure(failure_kind::rejected, each.proof);
+        failing.delay = 101ms;
+        fixture.answer(std::move(failing));
+        relay_call call = fixture.call("/unsafe/");
+        call.time_left = 100ms;
+        fixture.loop.scheduler.spawn("block", block_around(fixture, 100ms));
+        fixture.serve(std::move(call));
+        cr_assert_eq(fixture.writer.final_answers, 1);
+        cr_assert(fixture.outcomes.at(0).refusal.has_value());
+        cr_assert_eq(fixture.writer.status, each.status);
+    }
+}
+
 Test(relay_service, forwards_events_and_ends_only_with_the_engines_stream) {
     relay_fixture fixture;
     fixture.answer(stream({bytes(event(1) + "id: 2\n"), bytes("data: x\n\n"), body_end}));
