Streams are not joined from two versions where their route stopped being resumable

A caller took a broken stream up as its route had allowed when it began; a configuration in which the route is no longer resumable had come in between.

The version is now looked for whenever a caller resumes a stream, whatever the route says at present, and what nobody knows is refused as not run. Requests of routes without streams are no longer searched for; they have no events.

The new case of relay.stream_continuation failed before.

--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -141,11 +141,13 @@
     }
 
     /// Finds the software version that began the stream which the caller resumes, and sets it in
-    /// the plan, with the stream's pool if the route still leads there.
+    /// the plan, with the stream's pool if the route still leads there. The route may no longer
+    /// allow to resume streams that it allowed to resume when they began.
     /// @return the refusal if it is not known.
     runtime::task<std::optional<relay_refusal>> find_origin(relay_plan& plan) {
         const bool resumes = plan.call->resumed_attempt || plan.call->last_event_id;
-        if (!resumes || !is_repeatable(*plan.matched_route) || m_dependencies.origins == nullptr) {
+        const bool streams = plan.matched_route->kind == core::traffic::request_kind::streaming;
+        if (!resumes || !streams || m_dependencies.origins == nullptr) {
             co_return std::nullopt;
         }
         base::pool_name pool = plan.pool;
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -84,8 +84,8 @@
     std::string software_of(std::size_t dispatch) {
         return registry.find(base::engine_name(upstream.engines[dispatch]))->listed.software.value;
     }
-    relay_call resumed(const char* attempt) const {
-        relay_call one = call("/resumable/");
+    relay_call resumed(const char* attempt, const char* path = "/resumable/") const {
+        relay_call one = call(path);
         one.id.value = "r2";
         one.resumed_attempt = base::request_id(attempt);
         one.last_event_id = 1;
@@ -133,6 +133,24 @@
     }
 }
 
+// The route stopped being resumable after the stream had begun.
+Test(stream_continuation,
+     a_stream_whose_route_may_no_longer_be_resumed_is_not_joined_with_another) {
+    for (const char* version : {"v1", "v2"}) {
+        fixture one;
+        one.origins.record(base::request_id("first"), base::pool_name("p"),
+                           software_version(version));
+        one.answer(stream({bytes(event(2)), body_end}));
+        one.serve_knowing(one.resumed("first", "/stream/"));
+        cr_assert(one.software_of(0) == version);
+        cr_assert_eq(one.writer.status, 200);
+    }
+    fixture unknown;
+    unknown.serve_knowing(unknown.resumed("never seen", "/stream/"));
+    cr_assert(unknown.upstream.engines.empty());
+    cr_assert_eq(unknown.writer.status, 503);
+}
+
 Test(stream_continuation, a_stream_of_unknown_version_is_refused_as_not_run) {
     fixture one;
     one.serve_knowing(one.resumed("never seen"));
