An answer that ends with its connection is not whole if its engine has crashed

Engines may send answers with neither a length nor chunks, which end with their connection. The operating system closes the connections of a crashed process as regularly as the process itself does, and the router took either for the end of the answer.

At such an end, the router now opens a connection to the engine. If it is refused, and the engine is listed at this address and not leaving, the answer is `connection_lost`. A crashed process no longer listens by the time its connections are closed, and an engine that goes on after its answer listens. Any other outcome, a timeout included, leaves the end a regular one, and so does an engine that leaves: its last answer is whole. The check sits where a router reads from an engine, so that it holds for requests that are passed on for other routers, too. Answers with a length or chunks cost no connection.

An engine that listens again before the router asks, and one that crashes while it leaves, still end their answers as whole.

--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -55,6 +55,9 @@
     virtual unsigned status() const = 0;
     virtual const header_list& headers() const = 0;
     virtual answer_attribution attribution() const { return {}; }
+    /// @return whether the body ends where the connection is closed, as it has neither a length nor
+    /// chunks: its regular end is then no proof that it is whole.
+    virtual bool ends_with_connection() const { return false; }
     /// @return the next bytes, at least one; `nullopt` at the regular end of the body. A body that
     /// has neither a length nor chunks ends regularly when the peer closes without a reset.
     /// @param limit time for the next bytes to arrive; `timed_out` if it is exceeded.
--- a/src/ferryroad/http/relayed_body.hpp
+++ b/src/ferryroad/http/relayed_body.hpp
@@ -15,6 +15,7 @@
     unsigned status() const override { return m_status; }
     const header_list& headers() const override { return m_headers; }
     answer_attribution attribution() const override { return m_attribution; }
+    bool ends_with_connection() const override { return m_ends_with_connection; }
     runtime::task<result<std::optional<std::string>>> next(base::duration limit) override;
 
   private:
@@ -22,6 +23,7 @@
     unsigned m_status;
     header_list m_headers;
     answer_attribution m_attribution;
+    bool m_ends_with_connection;
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -6,28 +6,63 @@
 
 namespace {
 
-/// The answer body of an engine; records with each part that the engine was heard.
+/// The answer body of an engine; records with each part that the engine was heard. The regular end
+/// of a body that ends with its connection is only believed if the engine has not crashed: the
+/// operating system closes the connections of a crashed process in the same way.
 class watched_body final : public http::byte_stream {
   public:
-    watched_body(std::unique_ptr<http::byte_stream> body, path_watcher& watch,
-                 base::engine_name engine)
-        : m_body(std::move(body)), m_watch(watch), m_engine(std::move(engine)) {}
+    /// @param request_id for the log.
+    watched_body(std::unique_ptr<http::byte_stream> body, path_watcher& watch, engine_target engine,
+                 std::string request_id)
+        : m_body(std::move(body)),
+          m_watch(watch),
+          m_engine(std::move(engine)),
+          m_request_id(std::move(request_id)) {}
 
     unsigned status() const override { return m_body->status(); }
     const http::header_list& headers() const override { return m_body->headers(); }
     http::answer_attribution attribution() const override { return m_body->attribution(); }
+    bool ends_with_connection() const override { return m_body->ends_with_connection(); }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
         auto bytes = co_await m_body->next(limit);
         if (bytes) {
-            m_watch.heard(m_engine);
+            m_watch.heard(m_engine.name);
+        }
+        const bool end_of_connection = bytes && !*bytes && m_body->ends_with_connection();
+        if (end_of_connection && co_await has_crashed()) {
+            log_disbelieved_end();
+            co_return http::error{http::error_code::connection_lost,
+                                  "connection closed by an engine that accepts no more"};
         }
         co_return std::move(bytes);
     }
 
   private:
+    static constexpr std::string_view component = "relay.request";
+
+    /// Opens a connection to the engine, unless it may have ended as planned. Takes up to the
+    /// client's connect timeout.
+    /// @return whether the engine refuses connections although it should run.
+    runtime::task<bool> has_crashed() {
+        if (m_watch.may_have_left(m_engine)) {
+            co_return false;
+        }
+        engine_target target = m_engine;
+        const http::connect_outcome outcome = co_await m_watch.probe(std::move(target));
+        // The router may learn meanwhile that the engine leaves.
+        co_return outcome == http::connect_outcome::refused && !m_watch.may_have_left(m_engine);
+    }
+
+    void log_disbelieved_end() const {
+        runtime::log(runtime::log_level::warning, component,
+                     "end of an answer not believed, engine refuses connections",
+                     {{"request_id", m_request_id}, {"engine", m_engine.name.value}});
+    }
+
     std::unique_ptr<http::byte_stream> m_body;
     path_watcher& m_watch;
-    base::engine_name m_engine;
+    engine_target m_engine;
+    std::string m_request_id;
 };
 
 /// The answer body of an engine as another router passes it on.
@@ -40,6 +75,7 @@
     unsigned status() const override { return m_body->status(); }
     const http::header_list& headers() const override { return m_body->headers(); }
     http::answer_attribution attribution() const override { return m_body->attribution(); }
+    bool ends_with_connection() const override { return m_body->ends_with_connection(); }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
         return m_body->next(limit);
     }
@@ -65,12 +101,13 @@
     engine_target target, http::request message, http::relay_options options) {
     const base::monotonic_time began = m_scheduler.now();
     const path_watcher::waiting_exchange waiting(m_watch, target.name);
+    std::string request_id = id_of(options);
     auto stream = co_await m_direct.relay(target.address, std::move(message), std::move(options));
     if (stream) {
         m_watch.heard(target.name);
         notify_answer(target, began, **stream);
-        std::unique_ptr<http::byte_stream> body =
-            std::make_unique<watched_body>(std::move(*stream), m_watch, target.name);
+        std::unique_ptr<http::byte_stream> body = std::make_unique<watched_body>(
+            std::move(*stream), m_watch, std::move(target), std::move(request_id));
         co_return std::move(body);
     }
     if (stream.error().code == http::error_code::connect_failed) {
--- a/src/ferryroad/relay/path_watch.hpp
+++ b/src/ferryroad/relay/path_watch.hpp
@@ -121,6 +121,14 @@
         return !m_paths.silent_since(m_scheduler.now() - m_settings.reliable_for);
     }
 
+    /// @return whether the process at this address may have ended as planned: the engine is
+    /// leaving, or is not listed under this address any more.
+    bool may_have_left(const engine_target& target) const {
+        const auto found = m_registry.engines().find(target.name);
+        return found == m_registry.engines().end() || found->second.is_leaving() ||
+               found->second.listed.address != target.address;
+    }
+
   private:
     static constexpr std::string_view component = "relay.paths";
 
