Test: an unframed answer of a crashed engine is broken through another router, too

A router that passes a request on reads from the engine with the same check, and breaks its own answer off.

--- a/test/relay/forwarding_test.cpp
+++ b/test/relay/forwarding_test.cpp
@@ -248,6 +248,25 @@
     cr_assert(body.ends_with("!"), "a truncated answer must not look whole: %s", body.c_str());
 }
 
+/// Sends a part of an answer without a length or chunks, stops listening and closes regularly.
+runtime::task<void> crash_in_answer(boost::asio::ip::tcp::acceptor& acceptor) {
+    ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
+    co_await socket.read_until("question");
+    co_await socket.write("HTTP/1.1 200 OK\r\nId: id1\r\n\r\npart");
+    acceptor.close();
+}
+
+runtime::task<void> check_crash_in_unframed_answer(loopback& loop) {
+    boost::asio::ip::tcp::acceptor acceptor(loop.context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    pair_of_routers routers(loop, {"127.0.0.1", acceptor.local_endpoint().port()});
+    loop.scheduler.spawn("engine", crash_in_answer(acceptor));
+    auto answer = co_await send(routers.a);
+    cr_assert(answer.has_value());
+    const std::string body = co_await read_body(*answer->body);
+    cr_assert(body == "part!", "%s", body.c_str());
+}
+
 runtime::task<void> check_lost_request(loopback& loop) {
     scripted_server server(loop, {{{""}, true}});  // Closes after the request.
     pair_of_routers routers(loop, server.address());
@@ -385,6 +404,10 @@
 Test(forwarding, a_truncated_answer_stays_truncated) {
     run(check_broken_answer);
 }
+// A part of an answer was passed on as whole.
+Test(forwarding, an_answer_without_framing_is_truncated_if_its_engine_has_crashed) {
+    run(check_crash_in_unframed_answer);
+}
 Test(forwarding, a_request_that_may_have_run_is_not_sent_again) {
     run(check_lost_request);
 }
