Comments and a log line in the terms of the code

'Surplus answer' is used throughout for answers that belong to no request, and the line about an answer whose engine has crashed says what is done. No change of logic.

--- a/src/ferryroad/engine/http_client.cpp
+++ b/src/ferryroad/engine/http_client.cpp
@@ -86,7 +86,7 @@
 }
 
 /// @return the error that an answer other than the expected one states. It proves nothing unless
-/// the answer names the attempt, as it may be one in excess to an earlier call on the connection.
+/// the answer names the attempt, as it may be a surplus one to an earlier call on the connection.
 error attempt_error(unsigned status, const http::header_list& headers, std::string_view body,
                     const base::attempt_id& attempt) {
     error failure = protocol::decode_error(status, body);
--- a/src/ferryroad/engine/http_client.hpp
+++ b/src/ferryroad/engine/http_client.hpp
@@ -34,7 +34,7 @@
     runtime::task<result<import_answer>> import_state(const engine_target& target,
                                                       import_request request) override;
     /// Sends the order on a new connection: on any other, an answer, which names no order, could be
-    /// one in excess to an earlier call.
+    /// a surplus one to an earlier call.
     runtime::task<result<void>> order(const engine_target& target, base::fencing_token token,
                                       engine_order order) override;
 
--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// The answer body of an engine; records with each part that the engine was heard. The regular end
-/// of a body that ends with its connection is only believed if the engine has not crashed: the
+/// of a body that ends with its connection only counts if the engine has not crashed: the
 /// operating system closes the connections of a crashed process in the same way.
 class watched_body final : public http::byte_stream {
   public:
@@ -30,7 +30,7 @@
         }
         const bool end_of_connection = bytes && !*bytes && m_body->ends_with_connection();
         if (end_of_connection && co_await has_crashed()) {
-            log_disbelieved_end();
+            log_crash_at_end();
             co_return http::error{http::error_code::connection_lost,
                                   "connection closed by an engine that accepts no more"};
         }
@@ -53,10 +53,11 @@
         co_return outcome == http::connect_outcome::refused && !m_watch.may_have_left(m_engine);
     }
 
-    void log_disbelieved_end() const {
-        runtime::log(runtime::log_level::warning, component,
-                     "end of an answer not believed, engine refuses connections",
-                     {{"request_id", m_request_id}, {"engine", m_engine.name.value}});
+    void log_crash_at_end() const {
+        runtime::log(
+            runtime::log_level::warning, component,
+            "answer ended with its connection, and its engine refuses new ones; treated as broken",
+            {{"request_id", m_request_id}, {"engine", m_engine.name.value}});
     }
 
     std::unique_ptr<http::byte_stream> m_body;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -435,7 +435,7 @@
         sent.resume_after = m_last_id;
         // If the last failure was a lost connection, all pooled connections may have broken with
         // it; a refusal by an engine does not suggest that. On a connection that carried this
-        // request before, the id would not distinguish an answer in excess to that dispatch.
+        // request before, the id would not distinguish a surplus answer to that dispatch.
         sent.fresh_connection = (attempt.attempt.value > 1 && m_lost_connection) ||
                                 m_sent_to.contains(m_selected.target.name);
         return sent;
--- a/test/engine/http_client_faults_test.cpp
+++ b/test/engine/http_client_faults_test.cpp
@@ -200,7 +200,7 @@
            "\r\n\r\n" + body;
 }
 
-/// The engine sends a refusal in excess before its answer to the second call on a connection.
+/// The engine sends a surplus refusal before its answer to the second call on a connection.
 runtime::task<void> order_beside_a_surplus_refusal(engine_fixture& fixture) {
     const std::string refusal =
         answer_of("409", R"({"error":{"code":"stale_token","message":"","execution":"not-run"}})");
