--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -105,7 +105,7 @@
                   {"engine", selected.target.name.value},
                   {"reason", failure.message},
                   {"proof", std::string(core::execution::to_string(failure.proof))},
-                           {"connection", connection_of(answer)},
+                  {"connection", connection_of(answer)},
                   {"answers_skipped", answer ? std::to_string(answer->skipped) : "none"},
                   {"lost", failure.lost ? std::string(to_string(*failure.lost)) : "none"},
                   {"via", failure.via ? failure.via->value : "none"},
