--- a/src/ferryroad/relay/forwarding_server.cpp
+++ b/src/ferryroad/relay/forwarding_server.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_bad_request = 400;
+constexpr unsigned first_failure_status = 400;
 
 std::optional<http::header> echoed_of(const http::request& message,
                                       const forward_parameters& parameters) {
@@ -145,12 +146,23 @@
                      {{"request_id", id},
                       {"router", parameters.sender.value},
                       {"engine", parameters.engine.value},
-                      {"reason", opened.error().message}});
+                      {"reason", opened.error().message},
+                      {"told", std::string(to_string(failed))}});
         http::response failure = forward_failure_answer(failed, echoed);
         co_await writer.send(std::move(failure));
         co_return;
     }
     const unsigned status = (*opened)->status();
+    if (status >= first_failure_status) {
+        const http::answer_attribution attribution = (*opened)->attribution();
+        runtime::log(runtime::log_level::info, component, "engine's failure passed on",
+                     {{"request_id", id},
+                      {"router", parameters.sender.value},
+                      {"engine", parameters.engine.value},
+                      {"status", std::to_string(status)},
+                      {"connection", attribution.reused_connection ? "kept" : "new"},
+                      {"answers_skipped", std::to_string(attribution.skipped)}});
+    }
     const bool bodiless =
         bodiless_method || status == status_no_content || status == status_not_modified;
     co_await send_answer(**opened, bodiless, writer);
