A request sent to an address again gets a new connection, whatever the engine is called

Cause: a new connection was demanded where the request had been sent to an engine of the same name before. A process that starts again is listed under a new id at its old address: a request that it refused under the old name (421) could be sent to it under the new one on the connection that carries the answers to the first, and a second copy of that refusal names the request, too. Both cases of the users' record begin with a refusal by the same engine. Change: addresses are remembered in place of names. The fixture's engines have addresses of their own now, as real ones do; what its tests demand is unchanged. Result: relay_service.a_request_sent_to_an_address_again_gets_a_new_connection fails on the driver as it was (kept connection for the same address) and passes now. That the users saw this isn't shown: it also takes an engine that sends a refusal twice.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -435,9 +435,10 @@
         sent.resume_after = m_last_id;
         // If the last failure was a lost connection, all pooled connections may have broken with
         // it; a refusal by an engine does not suggest that. On a connection that carried this
-        // request before, the id would not distinguish a surplus answer to that dispatch.
+        // request before, the id would not distinguish a surplus answer to that dispatch, also if
+        // the process at that address is listed under another name by now.
         sent.fresh_connection = (attempt.attempt.value > 1 && m_lost_connection) ||
-                                m_sent_to.contains(m_selected.target.name);
+                                m_sent_to.contains(m_selected.target.address);
         return sent;
     }
 
@@ -477,7 +478,7 @@
         dispatch sent = make_dispatch(attempt);
         auto opened = co_await open_while_preconditions_hold(std::move(target), std::move(sent));
         if (m_may_be_sent) {
-            m_sent_to.insert(m_selected.target.name);
+            m_sent_to.insert(m_selected.target.address);
         }
         if (!opened) {
             handle_failure(opened.error());
@@ -1098,8 +1099,8 @@
     bool m_head_sent = false;        ///< The response head has been sent to the caller.
     bool m_waited_for_room = false;  ///< The request has been considered for a version on trial.
     bool m_may_be_sent = false;      ///< Part of the dispatch may have been sent.
-    std::set<base::engine_name> m_sent_to;  ///< Engines that may have received the request.
-    bool m_lost_connection = false;         ///< The last failure was not a refusal by the engine.
+    std::set<base::endpoint> m_sent_to;  ///< Addresses that the request may have been sent to.
+    bool m_lost_connection = false;      ///< The last failure was not a refusal by the engine.
     relay_outcome m_outcome;
 };
 
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -278,7 +278,7 @@
         listed_engine one;
         one.name.value = name;
         one.pool.value = "p";
-        one.address = {"127.0.0.1", 1};
+        one.address = {"127.0.0.1", static_cast<std::uint16_t>(1 + one.name.value.back())};
         one.zone.value = "z";
         one.slots = 8;
         return one;
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -612,6 +612,26 @@
     cr_assert_not(fixture.upstream.dispatches.back().fresh_connection, "no connection broke");
 }
 
+// Guards against a surplus answer to the first dispatch taken for that to the second: an engine's
+// process may be listed under a new name when the request is sent there again.
+Test(relay_service, a_request_sent_to_an_address_again_gets_a_new_connection) {
+    for (const bool same_address : {false, true}) {
+        relay_fixture fixture;
+        listed_engine first = relay_fixture::listed("e1");
+        listed_engine second = relay_fixture::listed("e2");
+        if (same_address) {
+            second.address = first.address;
+        }
+        fixture.registry.replace_all({first, second}, fixture.loop.scheduler.now());
+        fixture.answer(fails(failure_kind::stale_target, failure_proof::not_run));
+        fixture.answer(whole(200, "ok"));
+        fixture.serve(fixture.call("/unsafe/"));
+        cr_assert_eq(fixture.writer.status, 200);
+        cr_assert_neq(fixture.upstream.engines.at(0), fixture.upstream.engines.at(1));
+        cr_assert_eq(fixture.upstream.dispatches.at(1).fresh_connection, same_address);
+    }
+}
+
 Test(relay_service, in_a_trial_a_share_of_first_dispatches_goes_to_the_canary) {
     relay_fixture fixture;
     fixture.begin_trial();
