A router out of step does not take the only version that it has seen

Cause: where no router knew where a stream began, the only version that a process had seen for 60 s was taken from an engine list up to 3 s old, and without the stored record of versions where that could not be read. A list confirmed before the search began may lack the engines at which the stream began. Class: what a process last saw, taken for what is. Change: a version is taken only from a list confirmed as of the start of the search or later (waited for, 2 s at most): an engine is listed before a stream can begin there. A gap of more than 3 s between two confirmations ends what counts as observed. Else the attempt is refused as not run. Tests: stream_origins.a_router_out_of_step_..., ..._that_did_not_follow_the_engines_for_a_while_..., stored_origins.a_router_out_of_step_takes_no_version_whatever_the_record_says, version_history. Three tests took the version from a list confirmed before the search, which is the fault; they demand refusal there now, and the version once the list is confirmed while the search runs.

--- a/src/ferryroad/coordination/stream/version_history.cpp
+++ b/src/ferryroad/coordination/stream/version_history.cpp
@@ -1,5 +1,6 @@
 #include "ferryroad/coordination/stream/version_history.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace ferryroad::coordination::stream {
@@ -16,10 +17,20 @@
     one.current = std::move(versions);
 }
 
-std::optional<base::monotonic_time> version_history::first_observed(
+void version_history::confirm(base::monotonic_time as_of, base::duration max_gap) {
+    if (!m_confirmed_at || as_of - *m_confirmed_at > max_gap) {
+        m_unbroken_since = as_of;
+    }
+    m_confirmed_at = std::max(as_of, m_confirmed_at.value_or(as_of));
+}
+
+std::optional<base::monotonic_time> version_history::observed_since(
     const base::pool_name& pool) const {
     const auto found = m_pools.find(pool);
-    return found == m_pools.end() ? std::nullopt : std::optional(found->second.first_observed);
+    if (found == m_pools.end() || !m_confirmed_at) {
+        return std::nullopt;
+    }
+    return std::max(found->second.first_observed, m_unbroken_since);
 }
 
 std::optional<software_version> version_history::sole_version(const base::pool_name& pool,
--- a/src/ferryroad/coordination/stream/version_history.hpp
+++ b/src/ferryroad/coordination/stream/version_history.hpp
@@ -16,8 +16,13 @@
     /// Records the versions of a pool's engines. Must be called after each change of them.
     void observe(const base::pool_name& pool, std::set<software_version> versions,
                  base::monotonic_time now);
-    /// @return when the pool's engines were first observed; nothing if never.
-    std::optional<base::monotonic_time> first_observed(const base::pool_name& pool) const;
+    /// Records that every change of the engines before `as_of` has been observed.
+    /// @param max_gap engines that came and went in a longer time between two confirmations may
+    /// have been missed.
+    void confirm(base::monotonic_time as_of, base::duration max_gap);
+    /// @return since when the pool's engines have been observed without a gap; nothing if they
+    /// never were.
+    std::optional<base::monotonic_time> observed_since(const base::pool_name& pool) const;
     /// @param within time that no other version may have been seen in.
     /// @return the version of all engines of the pool, if no other one has been seen recently.
     std::optional<software_version> sole_version(const base::pool_name& pool, base::duration within,
@@ -32,6 +37,8 @@
     };
 
     std::map<base::pool_name, pool_versions> m_pools;
+    std::optional<base::monotonic_time> m_confirmed_at;
+    base::monotonic_time m_unbroken_since{};  ///< Meaningful once `m_confirmed_at` is set.
 };
 
 }  // namespace ferryroad::coordination::stream
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -29,6 +29,20 @@
     return "unknown";
 }
 
+std::string_view to_string(origin_doubt doubt) {
+    switch (doubt) {
+        case origin_doubt::list_not_confirmed:
+            return "list_not_confirmed";
+        case origin_doubt::several_versions:
+            return "several_versions";
+        case origin_doubt::not_proven:
+            return "not_proven";
+        case origin_doubt::none:
+            break;
+    }
+    return "none";
+}
+
 /// Waits for the answers to the queries of one search. It is registered as long as it lives.
 class stream_origins::pending_search {
   public:
@@ -60,7 +74,7 @@
             return;  // A repeated answer says nothing about the other routers.
         }
         if (answer.found && !m_result.found) {
-            m_result = {origin_source::replica, answer.found, from};
+            m_result = {origin_source::replica, answer.found, from, origin_doubt::none};
         }
         if (is_over()) {
             m_timer.cancel();
@@ -156,6 +170,10 @@
     }
 }
 
+void stream_origins::engines_confirmed(base::monotonic_time as_of) {
+    m_versions.confirm(as_of, m_settings.max_list_gap);
+}
+
 std::unique_ptr<stream_origins::open_stream> stream_origins::record(
     const base::request_id& attempt, const base::pool_name& pool,
     const stream::software_version& software) {
@@ -200,14 +218,15 @@
 }
 
 runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
+    const base::monotonic_time began = m_scheduler.now();
     std::optional<stream::stream_key> key;
     if (call.resumed_attempt) {
         key = stream::key_of(*call.resumed_attempt);
         if (auto own = m_table.find(*key, m_scheduler.now())) {
-            co_return origin_search{origin_source::recorded, std::move(own), {}};
+            co_return origin_search{origin_source::recorded, std::move(own), {}, {}};
         }
         if (auto read = find_stored(*key)) {
-            co_return origin_search{origin_source::stored, std::move(read), {}};
+            co_return origin_search{origin_source::stored, std::move(read), {}, {}};
         }
         origin_search asked = co_await ask_routers(*key);
         if (asked.found) {
@@ -219,9 +238,31 @@
         refreshed = co_await m_stored->refresh();
     }
     if (auto read = key ? find_stored(*key) : std::nullopt) {
-        co_return origin_search{origin_source::stored, std::move(read), {}};
+        co_return origin_search{origin_source::stored, std::move(read), {}, {}};
+    }
+    origin_search search = find_by_engines(pool, refreshed);
+    if (!search.found) {
+        co_return search;
+    }
+    // The list may be behind: it may lack engines of another version, at which the stream began.
+    const bool confirmed = co_await list_confirmed_since(began);
+    search = confirmed ? find_by_engines(pool, refreshed) : origin_search{};
+    search.doubt = confirmed ? search.doubt : origin_doubt::list_not_confirmed;
+    co_return search;
+}
+
+runtime::task<bool> stream_origins::list_confirmed_since(base::monotonic_time when) const {
+    const base::monotonic_time until = m_scheduler.now() + m_settings.list_timeout;
+    for (;;) {
+        const base::monotonic_time now = m_scheduler.now();
+        if (m_registry.age(now) <= now - when) {
+            co_return true;
+        }
+        if (now >= until) {
+            co_return false;
+        }
+        co_await m_scheduler.sleep_for(m_settings.list_check_interval);
     }
-    co_return find_by_engines(pool, refreshed);
 }
 
 std::optional<stream::aged_origin> stream_origins::find_stored(
@@ -232,11 +273,16 @@
 origin_search stream_origins::find_by_engines(const base::pool_name& pool, bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
     const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
-    if (!sole || m_registry.age(now) > m_settings.max_list_age ||
-        !had_no_other_version(pool, *sole, refreshed)) {
-        return {};
+    origin_search search;
+    if (!sole) {
+        search.doubt = origin_doubt::several_versions;
+    } else if (!had_no_other_version(pool, *sole, refreshed)) {
+        search.doubt = origin_doubt::not_proven;
+    } else {
+        search.source = origin_source::sole_version;
+        search.found = stream::aged_origin{{{}, pool, *sole}, {}};
     }
-    return {origin_source::sole_version, stream::aged_origin{{{}, pool, *sole}, {}}, {}};
+    return search;
 }
 
 bool stream_origins::had_no_other_version(const base::pool_name& pool,
@@ -244,7 +290,7 @@
                                           bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
     const base::duration retention = m_settings.table.retention;
-    const auto observed = m_versions.first_observed(pool);
+    const auto observed = m_versions.observed_since(pool);
     const bool observed_long = observed && now - *observed >= retention;
     if (!refreshed || !m_stored->versions().has_record(pool)) {
         return observed_long;
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -42,8 +42,14 @@
     base::duration answer_timeout = std::chrono::milliseconds(40);
     /// The same if routers of other regions are asked.
     base::duration far_answer_timeout = std::chrono::milliseconds(400);
-    /// An engine list that was confirmed longer ago may lack engines of other versions.
-    base::duration max_list_age = std::chrono::seconds(3);
+    /// How long a search waits for a confirmation of the engine list as of its own start or later.
+    /// A list of an idle table is confirmed each 1.5 s at least.
+    base::duration list_timeout = std::chrono::seconds(2);
+    /// Interval at which a waiting search checks the engine list.
+    base::duration list_check_interval = std::chrono::milliseconds(20);
+    /// Longest time between two confirmations of the engine list of a router that has followed it
+    /// without a gap: engines of another version serve for longer than this.
+    base::duration max_list_gap = std::chrono::seconds(3);
     coordination::stream::origin_table_limits table = {};
     stored_origin_settings stored = {};
 };
@@ -60,12 +66,24 @@
 /// @return the source's name for logs and metrics. Thread-safe.
 std::string_view to_string(origin_source source);
 
+/// Why a stream that no router knows was not taken to have begun at the only version listed.
+enum class origin_doubt {
+    none,
+    list_not_confirmed,  ///< The engine list was not confirmed after the search had begun.
+    several_versions,    ///< Engines of several versions are listed, or were recently.
+    not_proven           ///< Engines of another version may have left unnoticed.
+};
+
+/// @return the doubt's name for logs. Thread-safe.
+std::string_view to_string(origin_doubt doubt);
+
 /// Result of a search for a stream's origin.
 struct origin_search {
     origin_source source = origin_source::unknown;
     /// Nothing if it is unknown. The age is 0 unless it is from a record.
     std::optional<coordination::stream::aged_origin> found;
     base::router_name answered_by;  ///< Empty unless another router answered.
+    origin_doubt doubt = origin_doubt::none;
 };
 
 struct stream_origin_counters {
@@ -95,6 +113,8 @@
     void set_routers(const std::vector<peer_address>& present);
     /// To be called after each change of the engine list.
     void engines_changed();
+    /// To be called after the registry has been confirmed as of a time.
+    void engines_confirmed(base::monotonic_time as_of);
     /// Handles a datagram whose header identifies it as a message about a stream's origin.
     void handle_datagram(const base::endpoint& from, std::string_view bytes);
 
@@ -153,11 +173,16 @@
     bool has_one_version(const base::pool_name& pool) const;
     /// Has the origins of open streams stored whose pools have got other versions.
     void store_open_streams();
-    /// @return the origin if the pool's engines leave only one possibility.
+    /// Waits until the engine list contains every change before a time. An engine is listed before
+    /// a stream can begin there, so such a list has the version of each stream that began before
+    /// that time, unless its engines have left.
+    /// @return whether that was so within the timeout.
+    runtime::task<bool> list_confirmed_since(base::monotonic_time when) const;
+    /// @return the origin if the pool's engines leave only one possibility, by the list as it is.
     /// @param refreshed whether the stored versions have been read since the search began.
     origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
-    /// @return whether no engines that left before this process started can have had another
-    /// version than `sole`, the only one that it has seen.
+    /// @return whether no engines that left while this process didn't follow the list can have had
+    /// another version than `sole`, the only one that it has seen.
     bool had_no_other_version(const base::pool_name& pool,
                               const coordination::stream::software_version& sole,
                               bool refreshed) const;
--- a/test/coordination/stream/origin_table_test.cpp
+++ b/test/coordination/stream/origin_table_test.cpp
@@ -94,6 +94,23 @@
     cr_assert(history.sole_version(pool, 10s, start + 1s) == v1);
 }
 
+Test(version_history, what_may_have_been_missed_is_not_counted_as_observed) {
+    version_history history;
+    history.observe(pool, {v1}, start);
+    cr_assert_not(history.observed_since(pool), "the list was never confirmed");
+    history.confirm(start, 3s);
+    history.confirm(start + 3s, 3s);
+    cr_assert(history.observed_since(pool) == start);
+    history.confirm(start + 7s, 3s);
+    cr_assert(history.observed_since(pool) == start + 7s);
+    history.confirm(start + 5s, 3s);
+    history.confirm(start + 9s, 3s);
+    cr_assert(history.observed_since(pool) == start + 7s);
+    const base::pool_name later("later");
+    history.observe(later, {v2}, start + 9s);
+    cr_assert(history.observed_since(later) == start + 9s);
+}
+
 // The replicas are chosen without the stream's own router; routers that are asked include it.
 Test(origin_replicas, four_routers_asked_include_the_three_replicas_whichever_router_began) {
     for (const std::size_t count : {4U, 7U, 79U, 985U}) {
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -39,6 +39,8 @@
     all.replicas = 0;  // Routers know of each other's streams only what is stored.
     all.answer_timeout = 10ms;
     all.far_answer_timeout = 10ms;
+    all.list_timeout = 100ms;
+    all.list_check_interval = 2ms;
     all.stored.store_timeout = 200ms;
     all.stored.read_timeout = 200ms;
     all.stored.reader.period = 5ms;
@@ -101,9 +103,21 @@
     }
     void list(router& one, const std::vector<listed_engine>& engines) {
         one.registry.replace_all(engines, loop.scheduler.now());
-        one.registry.confirm(loop.scheduler.now());
         one.origins.engines_changed();
+        confirm_list(one);
+    }
+    void confirm_list(router& one) {
+        one.registry.confirm(loop.scheduler.now());
+        one.origins.engines_confirmed(loop.scheduler.now());
+    }
+    /// Confirms a router's engine list again and again, until the loop ends.
+    runtime::task<void> follow_list(router& one) {
+        while (!out_of_step) {
+            confirm_list(one);
+            co_await loop.scheduler.sleep_for(2ms);
+        }
     }
+    bool out_of_step = false;  ///< No router's engine list is confirmed.
     /// All routers end at the same moment: what they knew is lost, and their work.
     void end_all_routers() {
         for (const auto& one : routers) {
@@ -125,6 +139,7 @@
     origin_search find(router& one, const base::request_id& resumed = attempt) {
         origin_search found;
         loop.context.restart();
+        loop.scheduler.spawn("list", follow_list(one));
         cr_assert(loop.run([&]() -> runtime::task<void> {
             relay_call call;
             call.resumed_attempt = resumed;
@@ -227,6 +242,24 @@
     cr_assert(all.find(one).source == origin_source::sole_version);
 }
 
+// Guards against streams joined from two versions: neither the record nor the list has the engines
+// that came while this router was cut off from the table.
+Test(stored_origins, a_router_out_of_step_takes_no_version_whatever_the_record_says) {
+    for (const bool record_is_read : {false, true}) {
+        fixture all;
+        all.put_record({v1});
+        stream_origin_settings settings = short_times();
+        settings.table.retention = 20ms;
+        fixture::router& one = all.start_router({engine_of("e1", "v1")}, settings);
+        all.run_for(30ms);
+        all.table.down = !record_is_read;
+        all.out_of_step = true;
+        const origin_search search = all.find(one);
+        cr_assert_not(search.found);
+        cr_assert(search.doubt == origin_doubt::list_not_confirmed);
+    }
+}
+
 // A predecessor left them.
 Test(stored_origins, rows_past_the_retention_are_removed) {
     fixture all;
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -47,12 +47,18 @@
         stream_origin_settings all;
         all.answer_timeout = 20ms;
         all.far_answer_timeout = 20ms;
+        all.list_timeout = 60ms;
+        all.list_check_interval = 2ms;
         return all;
     }
     void list(const std::vector<listed_engine>& engines, base::monotonic_time now) {
         registry.replace_all(engines, now);
-        registry.confirm(now);
         origins.engines_changed();
+        confirm_list(now);
+    }
+    void confirm_list(base::monotonic_time as_of) {
+        registry.confirm(as_of);
+        origins.engines_confirmed(as_of);
     }
     /// From now on datagrams to this router are lost.
     void fall_silent() {
@@ -89,6 +95,16 @@
     void begin_stream(std::size_t index) {
         routers[index]->origins.record(attempt, pool, software_version("v2"));
     }
+    /// The search of a router whose engine list changes, and is confirmed, while it waits.
+    origin_search find_and_list(router& one, std::vector<listed_engine> engines) {
+        loop.context.restart();
+        loop.scheduler.spawn("list", list_later(one, std::move(engines)));
+        return find_at(one);
+    }
+    runtime::task<void> list_later(router& one, std::vector<listed_engine> engines) {
+        co_await loop.scheduler.sleep_for(30ms);
+        one.list(engines, loop.scheduler.now());
+    }
     origin_search find_at(router& one, const std::optional<base::request_id>& resumed = attempt) {
         origin_search found;
         loop.context.restart();
@@ -169,11 +185,60 @@
     cr_assert_not(restarted.find_at(fresh).found, "the process has just started");
     restarted.loop.context.restart();
     cr_assert(restarted.loop.run([&] { return restarted.loop.scheduler.sleep_for(100ms); }));
-    const origin_search found = restarted.find_at(fresh);
+    const origin_search found = restarted.find_and_list(fresh, {engine_of("e1", "v1")});
     cr_assert(found.source == origin_source::sole_version);
     cr_assert(found.found->origin.software == software_version("v1"));
 }
 
+namespace {
+
+/// A router that has followed a list of engines of one version for longer than origins are kept,
+/// and that reaches no other router.
+struct router_alone {
+    router_alone() : one(all.loop, all.network, all.routers[0]->self, {}, short_retention()) {
+        one.list({engine_of("e1", "v1")}, all.loop.scheduler.now());
+        wait(60ms);
+    }
+    static stream_origin_settings short_retention() {
+        stream_origin_settings changed = router::settings();
+        changed.table.retention = 50ms;
+        return changed;
+    }
+    void wait(base::duration time) {
+        all.loop.context.restart();
+        cr_assert(all.loop.run([&] { return all.loop.scheduler.sleep_for(time); }));
+    }
+
+    fixture all{1};
+    router one;
+};
+
+}  // namespace
+
+// Guards against streams joined from two versions by a router that did not learn in time of the
+// engines at which they began.
+Test(stream_origins, a_router_out_of_step_does_not_take_the_only_version_that_it_has_seen) {
+    router_alone cut_off;
+    const origin_search search = cut_off.all.find_at(cut_off.one);
+    cr_assert_not(search.found);
+    cr_assert(search.doubt == origin_doubt::list_not_confirmed);
+    router_alone behind;
+    const origin_search later =
+        behind.all.find_and_list(behind.one, {engine_of("e1", "v1"), engine_of("e2", "v2")});
+    cr_assert_not(later.found);
+    cr_assert(later.doubt == origin_doubt::several_versions);
+}
+
+// Engines of another version may have come and gone meanwhile.
+Test(stream_origins, a_router_that_did_not_follow_the_engines_for_a_while_takes_no_version) {
+    router_alone stopped;
+    stopped.wait(30ms);
+    stopped.one.origins.engines_confirmed(stopped.all.loop.scheduler.now() + 4s);
+    const origin_search search = stopped.all.find_and_list(stopped.one, {engine_of("e1", "v1")});
+    cr_assert_not(search.found);
+    cr_assert(search.doubt == origin_doubt::not_proven);
+}
+
 // A list that is behind may lack the engines of the version that began the stream.
 Test(stream_origins, a_sole_version_in_an_outdated_list_is_not_taken) {
     fixture all(2);
@@ -184,8 +249,12 @@
     all.loop.context.restart();
     cr_assert(all.loop.run([&] { return all.loop.scheduler.sleep_for(60ms); }));
     cr_assert_not(all.find_at(fresh).found);
-    fresh.registry.confirm(all.loop.scheduler.now());
-    cr_assert(all.find_at(fresh).found);
+    fresh.confirm_list(all.loop.scheduler.now());
+    cr_assert_not(all.find_at(fresh).found, "the list was not followed without a gap");
+    all.loop.context.restart();
+    cr_assert(all.loop.run([&] { return all.loop.scheduler.sleep_for(60ms); }));
+    cr_assert_not(all.find_at(fresh).found, "the list is older than the search");
+    cr_assert(all.find_and_list(fresh, {engine_of("e1", "v1")}).found);
 }
 
 // The router has seen one version for longer than origins are kept, as its list is behind.
