--- a/src/ferryroad/http/json.cpp
+++ b/src/ferryroad/http/json.cpp
@@ -14,17 +14,6 @@
     return error{error_code::malformed, std::move(message)};
 }
 
-/// @return the number if it is a non-negative integer, whether it is stored signed or unsigned.
-std::optional<std::uint64_t> to_unsigned(const boost::json::value& value) {
-    if (value.is_uint64()) {
-        return value.get_uint64();
-    }
-    if (value.is_int64() && value.get_int64() >= 0) {
-        return static_cast<std::uint64_t>(value.get_int64());
-    }
-    return std::nullopt;
-}
-
 std::optional<double> to_double(const boost::json::value& value) {
     if (value.is_double()) {
         return value.get_double();
@@ -55,6 +44,16 @@
     return parser.release();
 }
 
+std::optional<std::uint64_t> to_unsigned(const boost::json::value& value) {
+    if (value.is_uint64()) {
+        return value.get_uint64();
+    }
+    if (value.is_int64() && value.get_int64() >= 0) {
+        return static_cast<std::uint64_t>(value.get_int64());
+    }
+    return std::nullopt;
+}
+
 std::string to_text(const boost::json::value& value) {
     return boost::json::serialize(value);
 }
--- a/src/ferryroad/http/json.hpp
+++ b/src/ferryroad/http/json.hpp
@@ -18,6 +18,10 @@
 /// limited.
 runtime::result<boost::json::value, error> parse_json(std::string_view text);
 
+/// @return the number if it is a whole one of at least 0 that fits, whether it is stored signed or
+/// unsigned. Thread-safe.
+std::optional<std::uint64_t> to_unsigned(const boost::json::value& value);
+
 /// @return `value` as compact JSON text.
 std::string to_text(const boost::json::value& value);
 
