--- a/src/ferryroad/relay/malformed_row_log.hpp
+++ b/src/ferryroad/relay/malformed_row_log.hpp
@@ -23,8 +23,7 @@
     void report(const std::string& key) {
         ++m_rows;
         if (m_keys.size() < max_keys && m_keys.insert(key).second) {
-            runtime::log(runtime::log_level::warning, "relay.follower",
-                         "row malformed; not used",
+            runtime::log(runtime::log_level::warning, "relay.follower", "row malformed; not used",
                          {{"table", m_table}, {"key", key}, {"rows", std::to_string(m_rows)}});
         }
     }
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -340,9 +340,8 @@
              {"answered_by", search.answered_by.value.empty() ? "none" : search.answered_by.value},
              {"age_ms", found ? std::to_string(base::to_milliseconds(found->age)) : "none"},
              {"doubt", std::string(to_string(search.doubt))},
-             {"list_age_ms",
-              std::to_string(base::to_milliseconds(
-                  m_dependencies.registry.age(m_dependencies.scheduler.now())))},
+             {"list_age_ms", std::to_string(base::to_milliseconds(
+                                 m_dependencies.registry.age(m_dependencies.scheduler.now())))},
              {"cause", found ? "none" : std::string(to_string(refusal_cause::origin_unknown))},
              {"taken_ms", std::to_string(base::to_milliseconds(taken))}});
     }
