The search for a stream's version ends at its caller's deadline

Cause: found when reading again: the wait for the engine list had its own limit of 2 s whatever time the caller had left, so that an attempt near its deadline would be answered late. Change: the wait ends at the request's deadline, and after 1 s. An accessor that nothing used is gone, and a constant says what it is.

--- a/src/ferryroad/relay/forwarding_server.cpp
+++ b/src/ferryroad/relay/forwarding_server.cpp
@@ -15,7 +15,7 @@
 constexpr unsigned status_no_content = 204;
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_bad_request = 400;
-constexpr unsigned first_failure_status = 400;
+constexpr unsigned first_error_status = 400;
 
 std::optional<http::header> echoed_of(const http::request& message,
                                       const forward_parameters& parameters) {
@@ -153,7 +153,7 @@
         co_return;
     }
     const unsigned status = (*opened)->status();
-    if (status >= first_failure_status) {
+    if (status >= first_error_status) {
         const http::answer_attribution attribution = (*opened)->attribution();
         runtime::log(runtime::log_level::info, component, "engine's failure passed on",
                      {{"request_id", id},
--- a/src/ferryroad/relay/malformed_row_log.hpp
+++ b/src/ferryroad/relay/malformed_row_log.hpp
@@ -28,15 +28,12 @@
         }
     }
 
-    /// @return how many malformed rows were received, repeated ones included.
-    std::uint64_t rows() const { return m_rows; }
-
   private:
     static constexpr std::size_t max_keys = 256;
 
     std::string m_table;
     std::set<std::string> m_keys;  ///< Of logged rows.
-    std::uint64_t m_rows = 0;
+    std::uint64_t m_rows = 0;      ///< Received, repeated ones included.
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -152,7 +152,7 @@
         }
         base::pool_name pool = plan.pool;
         const origin_search search =
-            co_await m_dependencies.origins->find(*plan.call, std::move(pool));
+            co_await m_dependencies.origins->find(*plan.call, std::move(pool), plan.deadline);
         log_resumed(plan, search);
         if (!search.found) {
             co_return relay_refusal{refusal_cause::origin_unknown,
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -217,7 +218,8 @@
     }
 }
 
-runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool) {
+runtime::task<origin_search> stream_origins::find(const relay_call& call, base::pool_name pool,
+                                                  base::monotonic_time deadline) {
     const base::monotonic_time began = m_scheduler.now();
     std::optional<stream::stream_key> key;
     if (call.resumed_attempt) {
@@ -245,14 +247,16 @@
         co_return search;
     }
     // The list may be behind: it may lack engines of another version, at which the stream began.
-    const bool confirmed = co_await list_confirmed_since(began);
+    const bool confirmed = co_await list_confirmed_since(began, deadline);
     search = confirmed ? find_by_engines(pool, refreshed) : origin_search{};
     search.doubt = confirmed ? search.doubt : origin_doubt::list_not_confirmed;
     co_return search;
 }
 
-runtime::task<bool> stream_origins::list_confirmed_since(base::monotonic_time when) const {
-    const base::monotonic_time until = m_scheduler.now() + m_settings.list_timeout;
+runtime::task<bool> stream_origins::list_confirmed_since(base::monotonic_time when,
+                                                         base::monotonic_time deadline) const {
+    const base::monotonic_time until =
+        std::min(m_scheduler.now() + m_settings.list_timeout, deadline);
     for (;;) {
         const base::monotonic_time now = m_scheduler.now();
         if (m_registry.age(now) <= now - when) {
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -43,8 +43,8 @@
     /// The same if routers of other regions are asked.
     base::duration far_answer_timeout = std::chrono::milliseconds(400);
     /// How long a search waits for a confirmation of the engine list as of its own start or later.
-    /// A list of an idle table is confirmed each 1.5 s at least.
-    base::duration list_timeout = std::chrono::seconds(2);
+    /// While engines write to the table, a router in touch gets one within 0.7 s.
+    base::duration list_timeout = std::chrono::seconds(1);
     /// Interval at which a waiting search checks the engine list.
     base::duration list_check_interval = std::chrono::milliseconds(20);
     /// Longest time between two confirmations of the engine list of a router that has followed it
@@ -148,8 +148,9 @@
     /// @param stream must outlive the returned coroutine.
     runtime::task<void> store(const open_stream& stream);
     /// Finds where the stream began that `call` resumes.
-    /// @param pool pool of the call's route.
-    runtime::task<origin_search> find(const relay_call& call, base::pool_name pool);
+    /// @param pool pool of the call's route, @param deadline when the caller must have an answer.
+    runtime::task<origin_search> find(const relay_call& call, base::pool_name pool,
+                                      base::monotonic_time deadline);
 
     const stream_origin_counters& counters() const { return m_counters; }
     /// @return the number of origins kept, this router's own and replicas.
@@ -176,8 +177,9 @@
     /// Waits until the engine list contains every change before a time. An engine is listed before
     /// a stream can begin there, so such a list has the version of each stream that began before
     /// that time, unless its engines have left.
-    /// @return whether that was so within the timeout.
-    runtime::task<bool> list_confirmed_since(base::monotonic_time when) const;
+    /// @return whether that was so within the timeout and before `deadline`.
+    runtime::task<bool> list_confirmed_since(base::monotonic_time when,
+                                             base::monotonic_time deadline) const;
     /// @return the origin if the pool's engines leave only one possibility, by the list as it is.
     /// @param refreshed whether the stored versions have been read since the search began.
     origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -143,7 +143,7 @@
         cr_assert(loop.run([&]() -> runtime::task<void> {
             relay_call call;
             call.resumed_attempt = resumed;
-            found = co_await one.origins.find(call, pool);
+            found = co_await one.origins.find(call, pool, loop.scheduler.now() + 5s);
         }));
         return found;
     }
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -112,11 +112,12 @@
             relay_call call;
             call.resumed_attempt = resumed;
             call.last_event_id = 3;
-            found = co_await one.origins.find(call, pool);
+            found = co_await one.origins.find(call, pool, loop.scheduler.now() + time_left);
         });
         cr_assert(ended);
         return found;
     }
+    base::duration time_left = 5s;  ///< Until the caller's deadline.
     origin_search find(std::size_t index,
                        const std::optional<base::request_id>& resumed = attempt) {
         return find_at(*routers[index], resumed);
@@ -195,7 +196,8 @@
 /// A router that has followed a list of engines of one version for longer than origins are kept,
 /// and that reaches no other router.
 struct router_alone {
-    router_alone() : one(all.loop, all.network, all.routers[0]->self, {}, short_retention()) {
+    explicit router_alone(const stream_origin_settings& settings = short_retention())
+        : one(all.loop, all.network, all.routers[0]->self, {}, settings) {
         one.list({engine_of("e1", "v1")}, all.loop.scheduler.now());
         wait(60ms);
     }
@@ -229,6 +231,16 @@
     cr_assert(later.doubt == origin_doubt::several_versions);
 }
 
+Test(stream_origins, a_search_ends_at_the_callers_deadline) {
+    stream_origin_settings patient = router_alone::short_retention();
+    patient.list_timeout = 1h;
+    router_alone cut_off(patient);
+    cut_off.all.time_left = 25ms;
+    const origin_search search = cut_off.all.find_at(cut_off.one);
+    cr_assert_not(search.found);
+    cr_assert(search.doubt == origin_doubt::list_not_confirmed);
+}
+
 // Engines of another version may have come and gone meanwhile.
 Test(stream_origins, a_router_that_did_not_follow_the_engines_for_a_while_takes_no_version) {
     router_alone stopped;
