Names of a log field and of tests in the terms of the code

Cause: read-through: 'told' points at nothing, 'out of step' is not a term of the code. Change: the field is 'reported'; two tests and a variable are named after the outdated list.

--- a/src/ferryroad/relay/forwarding_server.cpp
+++ b/src/ferryroad/relay/forwarding_server.cpp
@@ -147,7 +147,7 @@
                       {"router", parameters.sender.value},
                       {"engine", parameters.engine.value},
                       {"reason", opened.error().message},
-                      {"told", std::string(to_string(failed))}});
+                      {"reported", std::string(to_string(failed))}});
         http::response failure = forward_failure_answer(failed, echoed);
         co_await writer.send(std::move(failure));
         co_return;
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -112,12 +112,12 @@
     }
     /// Confirms a router's engine list again and again, until the loop ends.
     runtime::task<void> follow_list(router& one) {
-        while (!out_of_step) {
+        while (!no_list_is_confirmed) {
             confirm_list(one);
             co_await loop.scheduler.sleep_for(2ms);
         }
     }
-    bool out_of_step = false;  ///< No router's engine list is confirmed.
+    bool no_list_is_confirmed = false;  ///< From then on.
     /// All routers end at the same moment: what they knew is lost, and their work.
     void end_all_routers() {
         for (const auto& one : routers) {
@@ -244,7 +244,7 @@
 
 // Guards against streams joined from two versions: neither the record nor the list has the engines
 // that came while this router was cut off from the table.
-Test(stored_origins, a_router_out_of_step_takes_no_version_whatever_the_record_says) {
+Test(stored_origins, a_router_with_an_outdated_list_takes_no_version_whatever_the_record_says) {
     for (const bool record_is_read : {false, true}) {
         fixture all;
         all.put_record({v1});
@@ -253,7 +253,7 @@
         fixture::router& one = all.start_router({engine_of("e1", "v1")}, settings);
         all.run_for(30ms);
         all.table.down = !record_is_read;
-        all.out_of_step = true;
+        all.no_list_is_confirmed = true;
         const origin_search search = all.find(one);
         cr_assert_not(search.found);
         cr_assert(search.doubt == origin_doubt::list_not_confirmed);
--- a/test/relay/stream_origins_test.cpp
+++ b/test/relay/stream_origins_test.cpp
@@ -219,7 +219,7 @@
 
 // Guards against streams joined from two versions by a router that did not learn in time of the
 // engines at which they began.
-Test(stream_origins, a_router_out_of_step_does_not_take_the_only_version_that_it_has_seen) {
+Test(stream_origins, a_router_with_an_outdated_list_does_not_take_the_only_version_in_it) {
     router_alone cut_off;
     const origin_search search = cut_off.all.find_at(cut_off.one);
     cr_assert_not(search.found);
