A path that was lost again is held back for twice as long as it lasted

Callers saw: at a router whose path to all engines comes and goes each second, the writes (and streams) in progress at each loss fail.

Change: the engines must have answered for twice as long as the path lasted since it was last regained, and for twice as long as they had to before, within the same bounds (0.5 and 4 s). A wrong hold costs one more hop.

Tests: engine_paths.a_path_that_flaps_is_used_once_more_at_the_most (six periods; fails on the code before). Two cases that fixed the hold at 0.5 s after a path that had lasted for a second demand 2 s now: the old figure is the fault itself.

--- a/src/ferryroad/core/reachability/engine_paths.cpp
+++ b/src/ferryroad/core/reachability/engine_paths.cpp
@@ -75,7 +75,9 @@
     if (!relapsed) {
         return {};
     }
-    return std::clamp(m_hold * 2, m_tunables.initial_hold, m_tunables.max_hold);
+    const base::duration lasted = now - *m_regained_at;
+    return std::clamp(std::max(lasted, m_hold) * m_tunables.hold_factor, m_tunables.initial_hold,
+                      m_tunables.max_hold);
 }
 
 }  // namespace ferryroad::core::reachability
--- a/src/ferryroad/core/reachability/engine_paths.hpp
+++ b/src/ferryroad/core/reachability/engine_paths.hpp
@@ -21,9 +21,11 @@
     /// A path that is lost again within this time of its return is not trusted at once when it
     /// returns the next time.
     base::duration relapse_within = std::chrono::seconds(10);
-    /// How long engines must have answered before a path that was lost twice is trusted. Doubles
-    /// with each further loss.
+    /// How long engines must have answered, at least, before a path that was lost twice is trusted.
     base::duration initial_hold = std::chrono::milliseconds(500);
+    /// They must have answered for this many times as long as the path lasted before it was lost
+    /// again, and as they had to the last time.
+    int hold_factor = 2;
     base::duration max_hold = std::chrono::seconds(4);
 };
 
@@ -62,6 +64,7 @@
 
   private:
     std::size_t count_failed_since_last_heard() const;
+    /// @return how long engines must answer before the paths that are lost now are trusted.
     base::duration next_hold(base::monotonic_time now) const;
 
     path_tunables m_tunables;
--- a/test/core/reachability/engine_paths_test.cpp
+++ b/test/core/reachability/engine_paths_test.cpp
@@ -75,8 +75,27 @@
     lose_all(paths, start + 2s);
     cr_assert(paths.heard(engine(7), start + 3s) == path_change::none);
     cr_assert(paths.is_lost(engine(7)));
-    cr_assert(paths.heard(engine(7), start + 3400ms) == path_change::none);
-    cr_assert(paths.heard(engine(7), start + 3500ms) == path_change::regained);
+    cr_assert(paths.heard(engine(7), start + 4900ms) == path_change::none);
+    cr_assert(paths.heard(engine(7), start + 5s) == path_change::regained);
+}
+
+// Guards against requests that are lost whenever a flapping path is lost again.
+Test(engine_paths, a_path_that_flaps_is_used_once_more_at_the_most) {
+    for (const base::duration period : {200ms, 500ms, 900ms, 1000ms, 1500ms, 1900ms}) {
+        engine_paths paths;
+        base::monotonic_time at = start;
+        int regained = 0;
+        for (int flap = 0; flap < 20; ++flap) {
+            paths.failed(engine(1), at, at + 100ms);
+            paths.failed(engine(2), at, at + 100ms);
+            for (base::duration up{}; up < period; up += 50ms) {
+                const auto change = paths.heard(engine(7), at + period + up);
+                regained += change == path_change::regained ? 1 : 0;
+            }
+            at += 2 * period;
+        }
+        cr_assert_eq(regained, 1);
+    }
 }
 
 Test(engine_paths, a_loss_while_a_path_must_hold_starts_the_hold_again) {
@@ -88,7 +107,8 @@
     paths.failed(engine(1), start + 3100ms, start + 3400ms);
     paths.failed(engine(2), start + 3100ms, start + 3400ms);
     cr_assert(paths.heard(engine(7), start + 3600ms) == path_change::none);
-    cr_assert(paths.heard(engine(7), start + 4100ms) == path_change::regained);
+    cr_assert(paths.heard(engine(7), start + 5500ms) == path_change::none);
+    cr_assert(paths.heard(engine(7), start + 5600ms) == path_change::regained);
 }
 
 Test(engine_paths, a_late_loss_is_no_relapse) {
