Streams begin only at software versions that the stored record names

Cause: nothing was stored, as the pool had had one version, and the routers that start again see two: nothing proved that no stream had begun at the new one.

Change: a stream begins only at a version that the pool's stored record names (version_record_sync::versions_to_begin_at, selection_query::begin_at). So a record that is read after the search began, and names one version alone, proves where a stream began that nobody knows (origin_source::recorded_version), whatever else is listed by then. A writer adds no version in the first 5 s of its process, so that the record still tells of the time before when all routers were restarted. Both hold only while the engines of recorded versions are at least as many as the others; else the few would be overloaded, or none is left. Routers read the record 0.3 s after their list began to differ from it (before: at once, mostly before it was written).

Joining from a wrong version would need a stream that began outside of the rule (a process that had read no record yet, most engines of an unrecorded version, a router of an older release), whose origin wasn't stored either, and all routers ended.

Logs: `versions of a pool's engines differ from the record` (listed, recorded, followed, addition_delayed), `dispatched` has `recorded_only`, `stream resumed by its caller` the source `recorded_version`.

The fixture of stored_origins sets the new delays to 0 and 2 ms, as its cases play in milliseconds.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -226,6 +226,7 @@
     /// Only a request's first dispatch may go to a version on trial; if no engine with that version
     /// is available, it goes to the current version.
     std::optional<selected_engine> choose_engine(selection_query query, base::monotonic_time now) {
+        query.begin_at = versions_to_begin_at();
         const bool first = m_outcome.dispatches == 0 && !m_plan.call->last_event_id &&
                            !m_begun_at && !m_waited_for_room;
         query.canary =
@@ -241,6 +242,14 @@
         return m_dependencies.selection.select(query, now);
     }
 
+    /// @return the software versions at which the request may begin; nothing if at any.
+    std::optional<std::set<coordination::release::software_version>> versions_to_begin_at() const {
+        const bool streams = m_plan.matched_route->kind == core::traffic::request_kind::streaming;
+        return m_dependencies.origins != nullptr && streams && !m_begun_at
+                   ? m_dependencies.origins->versions_to_begin_at(m_plan.pool)
+                   : std::nullopt;
+    }
+
     runtime::task<void> select(const execution::select_engine& selection) {
         if (m_outcome.dispatches == 0 && m_admission.refuses()) {
             feed(execution::selection_failed{
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -51,7 +51,7 @@
     if (engine.listed.pool != query.pool || engine.is_leaving() || engine.is_backing_off(now)) {
         return false;
     }
-    if (query.software && engine.listed.software != *query.software) {
+    if (!query.allows(engine.listed.software)) {
         return false;
     }
     const auto& excluded = query.excluded;
@@ -174,13 +174,14 @@
 std::vector<const known_engine*> engine_selection::shortlisted_engines(
     const selection_query& query, scoped_prompts& prompts, base::monotonic_time now) const {
     const engine_pool& all = m_registry.pool(query.pool);
+    const bool restricted = query.software || query.begin_at;
     engine_pool with_software;
-    if (query.software) {
+    if (restricted) {
         std::copy_if(
             all.begin(), all.end(), std::back_inserter(with_software),
-            [&](const pool_member& one) { return one.engine->listed.software == *query.software; });
+            [&](const pool_member& one) { return query.allows(one.engine->listed.software); });
     }
-    const engine_pool& pool = query.software ? with_software : all;
+    const engine_pool& pool = restricted ? with_software : all;
     shortlist_keys keys;
     keys.request = base::hash_bytes(query.call.id.value);
     if (query.call.prompt) {
@@ -462,6 +463,7 @@
     chosen.canary = query.canary;
     chosen.may_be_withdrawn = query.may_be_withdrawn;
     chosen.continued = query.software.has_value();
+    chosen.recorded_only = query.begin_at.has_value();
     chosen.cost_ms = choice->cost_ms;
     chosen.candidates = engines.size();
     chosen.running = candidate.running;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -23,6 +23,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,13 @@
     bool was_sent_before = false;  ///< An earlier attempt at another engine failed.
     /// Restricted to engines with this software: it began the stream that the request continues.
     std::optional<coordination::release::software_version> software;
+    /// If set, restricted to engines with one of these: a stream may begin at no other.
+    std::optional<std::set<coordination::release::software_version>> begin_at;
+
+    /// @return whether engines with this software may get the request.
+    bool allows(const coordination::release::software_version& version) const {
+        return software ? version == *software : !begin_at || begin_at->contains(version);
+    }
 };
 
 struct selected_engine {
@@ -97,6 +105,7 @@
     core::topology::distance moved_distance = core::topology::distance::same_zone;
     bool canary = false;     ///< The request was selected for the canary version.
     bool continued = false;  ///< The request continues a stream at this engine's software version.
+    bool recorded_only = false;  ///< Engines of unrecorded software versions were left out.
     double cost_ms = 0;
     std::size_t candidates = 0;
     std::uint32_t running = 0;  ///< Requests at the engine, as far as this router knows.
--- a/src/ferryroad/relay/stream_origins.cpp
+++ b/src/ferryroad/relay/stream_origins.cpp
@@ -24,6 +24,8 @@
             return "stored";
         case origin_source::sole_version:
             return "sole_version";
+        case origin_source::recorded_version:
+            return "recorded_version";
         case origin_source::unknown:
             break;
     }
@@ -276,19 +278,28 @@
 
 origin_search stream_origins::find_by_engines(const base::pool_name& pool, bool refreshed) const {
     const base::monotonic_time now = m_scheduler.now();
-    const auto sole = m_versions.sole_version(pool, m_settings.table.retention, now);
+    const base::duration retention = m_settings.table.retention;
+    const auto sole = m_versions.sole_version(pool, retention, now);
+    const auto recorded =
+        refreshed ? m_stored->versions().sole_version(pool, retention, now) : std::nullopt;
     origin_search search;
-    if (!sole) {
-        search.doubt = origin_doubt::several_versions;
-    } else if (!had_no_other_version(pool, *sole, refreshed)) {
-        search.doubt = origin_doubt::not_proven;
-    } else {
+    if (sole && had_no_other_version(pool, *sole, refreshed)) {
         search.source = origin_source::sole_version;
         search.found = stream::aged_origin{{{}, pool, *sole}, {}};
+    } else if (recorded && m_stored->versions().is_followed(pool)) {
+        search.source = origin_source::recorded_version;
+        search.found = stream::aged_origin{{{}, pool, *recorded}, {}};
+    } else {
+        search.doubt = sole ? origin_doubt::not_proven : origin_doubt::several_versions;
     }
     return search;
 }
 
+std::optional<std::set<stream::software_version>> stream_origins::versions_to_begin_at(
+    const base::pool_name& pool) const {
+    return m_stored ? m_stored->versions().versions_to_begin_at(pool) : std::nullopt;
+}
+
 bool stream_origins::had_no_other_version(const base::pool_name& pool,
                                           const stream::software_version& sole,
                                           bool refreshed) const {
--- a/src/ferryroad/relay/stream_origins.hpp
+++ b/src/ferryroad/relay/stream_origins.hpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -60,13 +61,17 @@
     replica,       ///< Another router answered.
     stored,        ///< It was stored outside of the routers.
     sole_version,  ///< It isn't known, and no other version has been listed recently.
+    /// It isn't known, and no stream can have begun at another version, as the pool's record names
+    /// this one alone.
+    recorded_version,
     unknown
 };
 
 /// @return the source's name for logs and metrics. Thread-safe.
 std::string_view to_string(origin_source source);
 
-/// Why a stream that no router knows was not taken to have begun at the only version listed.
+/// Why a stream that no router knows was not taken to have begun at the only version listed or
+/// recorded.
 enum class origin_doubt {
     none,
     list_not_confirmed,  ///< The engine list was not confirmed after the search had begun.
@@ -147,6 +152,9 @@
     /// before the first event is passed on to the caller.
     /// @param stream must outlive the returned coroutine.
     runtime::task<void> store(const open_stream& stream);
+    /// @return the versions at which streams of the pool may begin; nothing if at all listed ones.
+    std::optional<std::set<coordination::stream::software_version>> versions_to_begin_at(
+        const base::pool_name& pool) const;
     /// Finds where the stream began that `call` resumes.
     /// @param pool pool of the call's route, @param deadline when the caller must have an answer.
     runtime::task<origin_search> find(const relay_call& call, base::pool_name pool,
@@ -180,7 +188,8 @@
     /// @return whether that was so within the timeout and before `deadline`.
     runtime::task<bool> list_confirmed_since(base::monotonic_time when,
                                              base::monotonic_time deadline) const;
-    /// @return the origin if the pool's engines leave only one possibility, by the list as it is.
+    /// @return the origin if the pool's engines or its record leave only one possibility, by the
+    /// list as it is.
     /// @param refreshed whether the stored versions have been read since the search began.
     origin_search find_by_engines(const base::pool_name& pool, bool refreshed) const;
     /// @return whether no engines that left while this process didn't follow the list can have had
--- a/src/ferryroad/relay/version_record_sync.cpp
+++ b/src/ferryroad/relay/version_record_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "ferryroad/runtime/log.hpp"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +46,7 @@
 }
 
 void version_record_sync::start() {
+    m_started_at = m_scheduler.now();
     m_scheduler.spawn(component, run());
 }
 
@@ -55,11 +57,42 @@
 
 std::optional<stream::software_version> version_record_sync::sole_version(
     const base::pool_name& pool, base::duration within, base::monotonic_time now) const {
+    const stream::version_record* record = find_record(pool);
+    if (record == nullptr || !m_clock.known()) {
+        return std::nullopt;
+    }
+    return stream::sole_version(*record, within, m_clock.to_owner_earliest(now));
+}
+
+const stream::version_record* version_record_sync::find_record(const base::pool_name& pool) const {
     const auto known = m_known.find(pool);
-    if (known == m_known.end() || !known->second.record || !m_clock.known()) {
+    return known != m_known.end() && known->second.record ? &*known->second.record : nullptr;
+}
+
+bool version_record_sync::is_followed(const base::pool_name& pool) const {
+    const stream::version_record* record = find_record(pool);
+    if (record == nullptr) {
+        return false;
+    }
+    std::size_t recorded = 0;
+    std::size_t others = 0;
+    for (const pool_member& one : m_registry.pool(pool)) {
+        if (!one.engine->is_leaving()) {
+            ++(record->current.contains(one.engine->listed.software) ? recorded : others);
+        }
+    }
+    return recorded > 0 && recorded >= others;
+}
+
+std::optional<version_record_sync::version_set> version_record_sync::versions_to_begin_at(
+    const base::pool_name& pool) const {
+    const stream::version_record* record = find_record(pool);
+    const version_set listed = listed_versions(pool);
+    if (record == nullptr || std::includes(record->current.begin(), record->current.end(),
+                                           listed.begin(), listed.end())) {
         return std::nullopt;
     }
-    return stream::sole_version(*known->second.record, within, m_clock.to_owner_earliest(now));
+    return is_followed(pool) ? std::optional(record->current) : std::nullopt;
 }
 
 runtime::task<void> version_record_sync::run() {
@@ -74,13 +107,13 @@
 }
 
 runtime::task<void> version_record_sync::check_pools() {
-    const base::monotonic_time now = m_scheduler.now();
     std::vector<base::pool_name> due;
     for (const auto& [pool, counts] : m_registry.software()) {
         const version_set versions = listed_versions(pool);
         if (versions.empty() || is_recorded(pool, versions)) {
             m_differs_since.erase(pool);
-        } else if (may_write(m_differs_since.try_emplace(pool, now).first->second)) {
+        } else if (may_write(record_difference(pool, versions)) &&
+                   !is_addition_delayed(pool, versions)) {
             due.push_back(pool);
         }
     }
@@ -92,6 +125,33 @@
     }
 }
 
+base::monotonic_time version_record_sync::record_difference(const base::pool_name& pool,
+                                                            const version_set& listed) {
+    const base::monotonic_time now = m_scheduler.now();
+    const auto [place, differs_newly] = m_differs_since.try_emplace(pool, now);
+    if (differs_newly) {
+        m_next_read = std::max(m_next_read, now + m_settings.first_read_delay);
+        const stream::version_record* record = find_record(pool);
+        runtime::log(runtime::log_level::info, component,
+                     "versions of a pool's engines differ from the record",
+                     {{"pool", pool.value},
+                      {"listed", to_text(listed)},
+                      {"recorded", record != nullptr ? to_text(record->current) : "none"},
+                      {"followed", is_followed(pool) ? "true" : "false"},
+                      {"addition_delayed", is_addition_delayed(pool, listed) ? "true" : "false"}});
+    }
+    return place->second;
+}
+
+bool version_record_sync::is_addition_delayed(const base::pool_name& pool,
+                                              const version_set& versions) const {
+    const stream::version_record* record = find_record(pool);
+    return record != nullptr && m_scheduler.now() - m_started_at < m_settings.addition_delay &&
+           !std::includes(record->current.begin(), record->current.end(), versions.begin(),
+                          versions.end()) &&
+           is_followed(pool);
+}
+
 bool version_record_sync::may_write(base::monotonic_time differs_since) const {
     const base::monotonic_time now = m_scheduler.now();
     return m_rank && now >= m_next_write &&
@@ -122,9 +182,8 @@
 
 bool version_record_sync::is_recorded(const base::pool_name& pool,
                                       const version_set& versions) const {
-    const auto known = m_known.find(pool);
-    return known != m_known.end() && known->second.record &&
-           known->second.record->current == versions;
+    const stream::version_record* record = find_record(pool);
+    return record != nullptr && record->current == versions;
 }
 
 runtime::task<void> version_record_sync::write(base::pool_name pool) {
--- a/src/ferryroad/relay/version_record_sync.hpp
+++ b/src/ferryroad/relay/version_record_sync.hpp
@@ -1,6 +1,7 @@
 /// @file
 /// Keeps a stored record of the software versions of each pool's engines, and this router's copy of
-/// it. A few routers write it where it differs from the engine list; all others read it.
+/// it. A few routers write it where it differs from the engine list; all others read it. Streams
+/// begin only at versions that the record names, so that it proves where no stream can have begun.
 #pragma once
 
 #include "ferryroad/coordination/stream/version_record.hpp"
@@ -29,6 +30,12 @@
     base::duration retry = std::chrono::milliseconds(500);
     /// Times that a conflicting write is applied to the current record before the next comparison.
     std::size_t max_conflicts = 3;
+    /// A writer adds no version to a record for this long after its start. If all routers were
+    /// restarted, the record still tells meanwhile at which versions streams had begun before.
+    base::duration addition_delay = std::chrono::seconds(5);
+    /// Time from when a record differs from the engine list until it is read: a writer is expected
+    /// to have written it by then.
+    base::duration first_read_delay = std::chrono::milliseconds(300);
     /// Time between two reads while a record differs from the engine list.
     base::duration read_period = std::chrono::seconds(1);
     /// The same for each router, so that the reads of a large fleet are bounded.
@@ -74,6 +81,13 @@
     /// according to its record.
     std::optional<coordination::stream::software_version> sole_version(
         const base::pool_name& pool, base::duration within, base::monotonic_time now) const;
+    /// @return whether streams of the pool begin only at the versions that its record names. Not
+    /// so without a record, and once most of the engines that may begin requests have other
+    /// versions: the record can't be written then, and the few others would be overloaded.
+    bool is_followed(const base::pool_name& pool) const;
+    /// @return the versions at which streams of the pool may begin; nothing if at all listed ones.
+    std::optional<std::set<coordination::stream::software_version>> versions_to_begin_at(
+        const base::pool_name& pool) const;
     const version_record_counters& counters() const { return m_counters; }
 
   private:
@@ -91,7 +105,13 @@
     /// @return the versions that the list names; empty if the pool has no engines.
     version_set listed_versions(const base::pool_name& pool) const;
     bool is_recorded(const base::pool_name& pool, const version_set& versions) const;
+    /// @return the record of the pool; null if none is known, or it is malformed.
+    const coordination::stream::version_record* find_record(const base::pool_name& pool) const;
     bool may_write(base::monotonic_time differs_since) const;
+    /// @return whether `versions` has one that may not be added to the pool's record yet.
+    bool is_addition_delayed(const base::pool_name& pool, const version_set& versions) const;
+    /// @return since when the record of the pool has differed from the engine list.
+    base::monotonic_time record_difference(const base::pool_name& pool, const version_set& listed);
     void request_read();
     void adopt(const base::pool_name& pool, known_record current, std::string_view source);
     void log_failure(const base::pool_name& pool, std::string_view error);
@@ -108,6 +128,7 @@
     std::map<base::pool_name, known_record> m_known;
     /// Since when the record of a pool has differed from the engine list.
     std::map<base::pool_name, base::monotonic_time> m_differs_since;
+    base::monotonic_time m_started_at{};
     base::monotonic_time m_next_read{};
     base::monotonic_time m_next_write{};
     std::optional<base::monotonic_time> m_logged_at;
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -81,6 +81,23 @@
     cr_assert_not(at.select(nullptr, {base::engine_name("e3")}).has_value());
 }
 
+Test(selection, skips_engines_whose_software_version_a_stream_may_not_begin_at) {
+    fixture at;
+    for (const char* name : {"e1", "e2", "e3"}) {
+        listed_engine one = at.registry.find(base::engine_name(name))->listed;
+        one.software.value = name == std::string("e3") ? "v1" : "v2";
+        at.registry.put(one);
+    }
+    selection_query query{
+        at.call, *at.policies.current(), base::pool_name("p"), &at.open_tenant, {}};
+    query.begin_at.emplace().emplace("v1");
+    cr_assert(at.selection.select(query, start)->target.name == base::engine_name("e3"));
+    query.begin_at.emplace().emplace("v3");
+    cr_assert_not(at.selection.select(query, start).has_value());
+    query.software.emplace("v2");
+    cr_assert(at.selection.select(query, start).has_value(), "the stream began there");
+}
+
 Test(selection, cache_scope_depends_on_the_weights_and_isolated_tenants) {
     fixture at;
     cr_assert(*at.select(&at.open_tenant)->cache_scope == "shared/1");
--- a/test/relay/stored_origins_test.cpp
+++ b/test/relay/stored_origins_test.cpp
@@ -48,6 +48,8 @@
     all.stored.versions.check_period = 2ms;
     all.stored.versions.retry = 5ms;
     all.stored.versions.rank_delay = 10ms;
+    all.stored.versions.addition_delay = 0ms;
+    all.stored.versions.first_read_delay = 2ms;
     all.stored.versions.read_period = 10ms;
     all.stored.versions.read_period_per_router = 0ms;
     all.stored.recorder.min_interval = 2ms;
@@ -260,6 +262,123 @@
     }
 }
 
+namespace {
+
+/// Writers keep the record that they find.
+stream_origin_settings without_additions() {
+    stream_origin_settings settings = short_times();
+    settings.stored.versions.addition_delay = 1h;
+    return settings;
+}
+
+const std::vector<listed_engine> newly_mixed{engine_of("e1", "v1"), engine_of("e2", "v2")};
+
+}  // namespace
+
+// Guards against refusals of all streams that began before a second version was added, if all
+// routers then ended before one of them stored anything.
+Test(stored_origins, streams_began_at_the_only_recorded_version_though_another_is_listed) {
+    fixture all;
+    all.put_record({v1});
+    const origin_search search = all.find(all.start_router(newly_mixed, without_additions()));
+    cr_assert(search.source == origin_source::recorded_version);
+    cr_assert(search.found->origin.software == v1);
+    cr_assert(all.record().current == std::set{v1});
+}
+
+Test(stored_origins, a_record_that_may_be_outdated_or_is_not_followed_proves_no_version) {
+    fixture unreadable;
+    unreadable.put_record({v1});
+    fixture::router& one = unreadable.start_router(newly_mixed, without_additions());
+    unreadable.run_for(20ms);
+    unreadable.table.down = true;
+    cr_assert_not(unreadable.find(one).found);
+    fixture others;
+    others.put_record({v1}, 10s);
+    cr_assert_not(others.find(others.start_router(newly_mixed, without_additions())).found);
+    fixture outnumbered;
+    outnumbered.put_record({v1});
+    std::vector<listed_engine> mostly_new = newly_mixed;
+    mostly_new.push_back(engine_of("e3", "v2"));
+    stream_origin_settings never_writes = without_additions();
+    never_writes.stored.versions.check_period = 1h;
+    cr_assert_not(outnumbered.find(outnumbered.start_router(mostly_new, never_writes)).found);
+}
+
+Test(stored_origins, streams_begin_at_a_version_only_once_it_is_recorded) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(20ms);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+    all.table.down = true;
+    all.list(one, newly_mixed);
+    cr_assert(one.origins.versions_to_begin_at(pool) == std::set{v1});
+    all.run_for(20ms);
+    cr_assert(one.origins.versions_to_begin_at(pool) == std::set{v1});
+    all.table.down = false;
+    all.run_for(40ms);
+    cr_assert(all.record().current == (std::set{v1, v2}));
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+}
+
+// The few engines of recorded versions would be overloaded, or there are none.
+Test(stored_origins, streams_begin_at_versions_that_are_not_recorded_if_most_engines_have_them) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(20ms);
+    all.table.down = true;
+    std::vector<listed_engine> engines = newly_mixed;
+    all.list(one, engines);
+    cr_assert(one.origins.versions_to_begin_at(pool));
+    engines.push_back(engine_of("e3", "v2"));
+    all.list(one, engines);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+    engines.erase(engines.begin());
+    all.list(one, engines);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+}
+
+Test(stored_origins, engines_that_leave_do_not_count_as_those_of_a_recorded_version) {
+    fixture all;
+    fixture::router& one = all.start_router({engine_of("e1", "v1")});
+    all.run_for(20ms);
+    all.table.down = true;
+    std::vector<listed_engine> engines = newly_mixed;
+    engines.front().leaving = true;
+    all.list(one, engines);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+}
+
+Test(stored_origins, a_pool_without_a_record_begins_streams_at_all_versions) {
+    fixture all;
+    stream_origin_settings never_writes = short_times();
+    never_writes.stored.versions.check_period = 1h;
+    fixture::router& one = all.start_router(newly_mixed, never_writes);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+    all.table.put(record_key, "?");
+    all.run_for(20ms);
+    cr_assert_not(one.origins.versions_to_begin_at(pool));
+}
+
+Test(stored_origins, a_version_is_recorded_late_after_a_restart_of_all_routers) {
+    fixture all;
+    all.put_record({v1});
+    stream_origin_settings settings = short_times();
+    settings.stored.versions.addition_delay = 100ms;
+    fixture::router& one = all.start_router(newly_mixed, settings);
+    all.run_for(40ms);
+    cr_assert(all.record().current == std::set{v1});
+    cr_assert(one.origins.versions_to_begin_at(pool) == std::set{v1});
+    all.confirm_list(one);
+    all.run_for(100ms);
+    cr_assert(all.record().current == (std::set{v1, v2}));
+    fixture gone;
+    gone.put_record({v1});
+    gone.start_router({engine_of("e2", "v2")}, without_additions());
+    gone.run_for(20ms);
+    cr_assert(gone.record().current == std::set{v2}, "no engine has the recorded version");
+}
+
 // A predecessor left them.
 Test(stored_origins, rows_past_the_retention_are_removed) {
     fixture all;
--- a/test/relay/stream_continuation_test.cpp
+++ b/test/relay/stream_continuation_test.cpp
@@ -227,6 +227,21 @@
     cr_assert_eq(one.writer.status, 200);
 }
 
+Test(stream_continuation, streams_begin_only_at_recorded_versions) {
+    fixture one;
+    one.table.put("versions/p", R"({"versions": ["v2"]})");
+    one.origins.start();
+    one.loop.context.restart();
+    cr_assert(one.loop.run([&] { return one.loop.scheduler.sleep_for(20ms); }));
+    for (int round = 0; round < 8; ++round) {
+        one.answer(stream({bytes(event(1)), body_end}));
+        relay_call call = one.call("/resumable/");
+        call.id.value = "r" + std::to_string(round);
+        one.serve_knowing(std::move(call));
+        cr_assert(one.software_of(static_cast<std::size_t>(round)) == "v2");
+    }
+}
+
 Test(stream_continuation, plain_requests_go_to_any_version) {
     fixture one;
     scripted_answer whole;
