--- a/src/ferryroad/base/base64.cpp
+++ b/src/ferryroad/base/base64.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t bytes_per_group = 3;
 constexpr std::size_t digits_per_group = 4;
+constexpr std::string_view digits =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 const unsigned char* unsigned_bytes(std::string_view text) {
     return reinterpret_cast<const unsigned char*>(text.data());
@@ -36,7 +38,10 @@
 }
 
 std::optional<std::string> from_base64(std::string_view text) {
-    if (text.size() % digits_per_group != 0) {
+    // EVP_DecodeBlock accepts padding anywhere and blanks around the text.
+    const std::string_view unpadded = text.substr(0, text.size() - padding_of(text));
+    if (text.size() % digits_per_group != 0 ||
+        unpadded.find_first_not_of(digits) != std::string_view::npos) {
         return std::nullopt;
     }
     std::string bytes(text.size() / digits_per_group * bytes_per_group, '\0');
