--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -11,7 +11,7 @@
 import time
 
 from platform_store import Store
-from system import Router
+from system import METRICS_PORT, Router, free_addresses
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 115.0
@@ -47,8 +47,8 @@
             self.spawn(one.beats())
 
     async def start_routers(self, count, bounds=None):
-        for number in range(1, count + 1):
-            self.routers.append(Router(number, self.store.address, pathlib.Path(self.temporary.name),
+        for number, ip in enumerate(free_addresses(count, METRICS_PORT), 1):
+            self.routers.append(Router(number, ip, self.store.address, pathlib.Path(self.temporary.name),
                                        bounds=bounds))
             self.routers[-1].start()
         for one in self.routers:
--- a/review/stand_ins_2/server.py
+++ b/review/stand_ins_2/server.py
@@ -42,7 +42,7 @@
     def __init__(self):
         self.server, self.address, self.writers = None, "", set()
 
-    async def start(self, ip="127.0.18.1", port=0):
+    async def start(self, ip="127.0.0.1", port=0):
         self.server = await asyncio.start_server(self._serve, ip, port)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
 
--- a/review/stand_ins_2/system.py
+++ b/review/stand_ins_2/system.py
@@ -7,6 +7,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -17,6 +18,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_LIMIT_S = 20.0
+METRICS_PORT = 9464  # Of the deploy file.
 
 BOUNDS = {  # Of the sheet of the smallest deployments.
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4,
@@ -123,12 +125,25 @@
                 continue
 
 
+def free_addresses(count, port):
+    """Returns loopback addresses on which the port, which the deploy file sets, is free."""
+    while True:
+        block = random.randrange(20, 250)
+        addresses = [f"127.0.{block}.{number}" for number in range(1, count + 1)]
+        try:
+            for one in addresses:
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                    probe.bind((one, port))
+            return addresses
+        except OSError:
+            continue
+
+
 class Router:
     """One front machine: its address, its settings file and its process."""
 
-    def __init__(self, number, store, folder, zone="zone-a", bounds=None, zones=("zone-a",)):
-        self.number, self.process, self.code = number, None, None
-        self.ip = f"127.0.17.{number}"
+    def __init__(self, number, ip, store, folder, zone="zone-a", bounds=None, zones=("zone-a",)):
+        self.number, self.ip, self.process, self.code = number, ip, None, None
         self.name = f"front-{zone}-{number}"
         self.front, self.ready, self.control, self.peer, self.forward = (
             free_port(self.ip) for _ in range(5))
