--- a/review/stand_ins_2/engine.py
+++ b/review/stand_ins_2/engine.py
@@ -16,7 +16,7 @@
         self.first_name, self.service, self.store, self.record = name, service, store, record
         self.work_s, self.zone, self.starts, self.sequence = work_s, zone, 0, 0
         self.name, self.up, self.state, self.ran = name, False, "ready", []
-        self.tasks = []
+        self.tasks, self.listed_address = [], None  # Listed, if not its own: that of its link.
 
     async def begin(self):
         """Starts a new incarnation under a new id, at the same address after the first time."""
@@ -39,7 +39,7 @@
     def beat(self):
         self.sequence += 1
         self.store.put("servers", self.name, {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "service": self.service, "address": self.listed_address or self.address, "zone": self.zone, "version": "v1",
             "slots": 6, "state": self.state, "cold_remaining_ms": 0, "sequence": self.sequence})
 
     async def beats(self):
--- a/review/stand_ins_2/model_engine.py
+++ b/review/stand_ins_2/model_engine.py
@@ -30,6 +30,7 @@
     def __init__(self, name, service, store, record, models, **more):
         super().__init__(name, service, store, record, **more)
         self.versions, self.orders, self.fence, self.busy = dict.fromkeys(models, 1), 0, 0, False
+        self.checks_fences, self.arrived = True, []  # `arrived`: (time, holder, token) of each order.
         self.kept, self.uses, self.events, self.epoch = {}, [], [], 1
         self.news = asyncio.Event()
         self.heads = {}  # Headers of the requests that ran, by id.
@@ -40,7 +41,7 @@
     def beat(self):
         self.sequence += 1
         self.store.put("servers", self.name, {
-            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "service": self.service, "address": self.listed_address or self.address, "zone": self.zone, "version": "v1",
             "slots": 16, "state": self.state, "cold_remaining_ms": 0, "stage": "both",
             "models": self._models(),
             "sequence": self.sequence})
@@ -76,10 +77,11 @@
     def _take_order(self, order):
         """Returns the status of the answer to an order. One that is taken is carried out by a task."""
         model, version = order.get("model"), order.get("version")
+        self.arrived.append((time.monotonic(), order.get("holder"), order.get("fencing_token")))
         if order.get("operation") != "version" or "holder" not in order or "fencing_token" not in order \
                 or model not in self.versions:
             status = 400
-        elif order["fencing_token"] < self.fence:
+        elif self.checks_fences and order["fencing_token"] < self.fence:
             status = 412
         elif self.busy or order.get("expected_revision", self.orders) != self.orders:
             status = 409
@@ -89,7 +91,8 @@
             status, self.busy = 202, True
             self.fence, self.orders = order["fencing_token"], self.orders + 1
             self.tasks.append(asyncio.create_task(self._load(model, version)))
-        self.record(f"engine {self.name}: order of {order.get('holder')}, {model} version {version}: {status}")
+        self.record(f"engine {self.name}: order of {order.get('holder')} with token {order.get('fencing_token')}, "
+                    f"{model} version {version}: {status}")
         return status
 
     async def _load(self, model, version):
