Peer calls that are still arriving give way when their memory is used up

What peers saw: 100 connections to the port of other routers, each with all but the last bytes of a frame, took 147 MB; any 1,024 silent ones kept real routers out for a minute.

Cause: up to 1,024 connections may each send a frame of 16 MiB, which nothing adds up; a connection that sends nothing holds its place for the idle timeout.

Change: incoming frames are charged to a memory budget, in steps of 64 KiB as they arrive; one that gives way or gets no memory is dropped with its connection, as on any other loss, and the caller of the other router falls back as it does then. At the limit of connections, the oldest that has sent no whole call is closed for a new one; one that has carried a call is never closed for a new one.

Tests: two new cases of asio_transport; the existing one of the limit holds unchanged.

--- a/src/ferryroad/peer/asio_transport.cpp
+++ b/src/ferryroad/peer/asio_transport.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <optional>
@@ -64,7 +65,7 @@
 struct asio_transport::state : std::enable_shared_from_this<state> {
     state(runtime::scheduler& runner, transport_limits chosen)
         : scheduler(runner),
-          limits(chosen),
+          limits(std::move(chosen)),
           acceptor(runner.executor()),
           datagrams(runner.executor()) {}
 
@@ -73,6 +74,9 @@
     runtime::task<void> accept_connections();
     runtime::task<void> serve(connection_pointer connection);
     runtime::task<bool> serve_call(connection_pointer connection);
+    /// @return whether a connection was closed.
+    bool close_oldest_unused();
+    static void log_dropped_call(const result<message_bytes>& call, std::size_t length);
     runtime::task<result<message_bytes>> exchange(connection_pointer connection,
                                                   message_bytes request);
     runtime::task<result<message_bytes>> call(base::endpoint to, message_bytes request,
@@ -90,6 +94,8 @@
     transport_counters counters;
     std::map<base::endpoint, std::vector<idle_connection>> idle;
     std::set<connection_pointer> incoming;
+    /// Incoming connections that have not sent a whole call yet, and when they were accepted.
+    std::map<connection_pointer, base::monotonic_time> incoming_unused;
     std::set<connection_pointer> outgoing;
     bool stopped = false;
 };
@@ -152,7 +158,7 @@
             co_await scheduler.sleep_for(accept_retry_delay);
             continue;
         }
-        if (incoming.size() >= limits.incoming_connections) {
+        if (incoming.size() >= limits.incoming_connections && !close_oldest_unused()) {
             continue;  // The socket is closed by its destructor.
         }
         boost::system::error_code ignored;
@@ -165,6 +171,7 @@
 runtime::task<void> asio_transport::state::serve(connection_pointer connection) {
     const auto self = shared_from_this();
     const connection_registration registered(incoming, connection);
+    incoming_unused[connection] = scheduler.now();
     bool keep_open = true;
     while (keep_open && !stopped) {
         try {
@@ -176,9 +183,38 @@
             keep_open = false;
         }
     }
+    incoming_unused.erase(connection);
     connection->close();
 }
 
+bool asio_transport::state::close_oldest_unused() {
+    const auto oldest = std::min_element(
+        incoming_unused.begin(), incoming_unused.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; });
+    if (oldest == incoming_unused.end()) {
+        return false;
+    }
+    const connection_pointer closed = oldest->first;
+    runtime::log(
+        runtime::log_level::warning, component,
+        "connection that sent no whole call closed to make room for a new one",
+        {{"connections", std::to_string(incoming.size())},
+         {"waited_ms", std::to_string(base::to_milliseconds(scheduler.now() - oldest->second))}});
+    incoming_unused.erase(oldest);
+    incoming.erase(closed);
+    closed->close();
+    return true;
+}
+
+void asio_transport::state::log_dropped_call(const result<message_bytes>& call,
+                                             std::size_t length) {
+    if (call || call.error().code != error_code::too_large) {
+        return;
+    }
+    runtime::log(runtime::log_level::warning, component, "call dropped before it was complete",
+                 {{"reason", call.error().message}, {"announced_bytes", std::to_string(length)}});
+}
+
 runtime::task<bool> asio_transport::state::serve_call(connection_pointer connection) {
     connection->set_deadline(scheduler.now() + limits.server_idle);
     const result<std::size_t> length = co_await connection->read_length();
@@ -186,10 +222,20 @@
         co_return false;
     }
     connection->set_deadline(scheduler.now() + limits.frame);
-    result<message_bytes> request = co_await connection->read_payload(*length);
+    std::optional<runtime::memory_account> memory;
+    if (limits.memory) {
+        memory.emplace(limits.memory, scheduler, [connection] { connection->close(); });
+    }
+    result<message_bytes> request =
+        co_await connection->read_payload(*length, memory ? &*memory : nullptr);
     if (!request || !handle_call) {
+        log_dropped_call(request, *length);
         co_return false;
     }
+    incoming_unused.erase(connection);
+    if (memory) {
+        memory->keep();
+    }
     counters.call_bytes_received += frame_header_bytes + request->size();
     connection->clear_deadline();
     message_bytes bytes = std::move(*request);
@@ -216,7 +262,7 @@
     if (!length) {
         co_return length.error();
     }
-    result<message_bytes> answer = co_await connection->read_payload(*length);
+    result<message_bytes> answer = co_await connection->read_payload(*length, nullptr);
     if (answer) {
         counters.call_bytes_received += frame_header_bytes + answer->size();
     }
@@ -315,7 +361,7 @@
 }
 
 asio_transport::asio_transport(runtime::scheduler& scheduler, transport_limits limits)
-    : state_(std::make_shared<state>(scheduler, limits)) {}
+    : state_(std::make_shared<state>(scheduler, std::move(limits))) {}
 
 asio_transport::~asio_transport() {
     state_->stop();
--- a/src/ferryroad/peer/asio_transport.hpp
+++ b/src/ferryroad/peer/asio_transport.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/base/endpoint.hpp"
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/peer/transport.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <chrono>
@@ -16,6 +17,8 @@
 
 /// Limits of `asio_transport`.
 struct transport_limits {
+    /// At this number, the oldest one that has not sent a whole call yet is closed to make room for
+    /// a new one; if all have, the new one is closed.
     std::size_t incoming_connections = 1024;
     std::size_t idle_connections_per_address = 2;
     /// Largest frame in either direction, in bytes.
@@ -27,6 +30,9 @@
     base::duration server_idle = std::chrono::seconds(60);
     /// Timeout for writing a frame, and for reading one after its length has arrived.
     base::duration frame = std::chrono::seconds(10);
+    /// Limits the memory of incoming calls. A call that is still arriving may be dropped, with its
+    /// connection, to make room. Null: unlimited.
+    std::shared_ptr<runtime::memory_budget> memory;
 };
 
 /// Must be used and destroyed on the event loop's thread. Calls in progress when it is destroyed
--- a/src/ferryroad/peer/framed_connection.cpp
+++ b/src/ferryroad/peer/framed_connection.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <string>
@@ -22,6 +23,7 @@
 using frame_header = std::array<unsigned char, frame_header_bytes>;
 
 constexpr auto awaitable_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t read_step_bytes = std::size_t{64} * 1024;
 
 }  // namespace
 
@@ -66,14 +68,22 @@
     co_return length;
 }
 
-runtime::task<result<message_bytes>> framed_connection::read_payload(std::size_t length) {
+runtime::task<result<message_bytes>> framed_connection::read_payload(
+    std::size_t length, runtime::memory_account* memory) {
     message_bytes payload;
     // The buffer grows with the data received, so that a forged length can't allocate memory.
-    const auto [failure, bytes] =
-        co_await asio::async_read(socket_, asio::dynamic_buffer(payload, length),
-                                  asio::transfer_exactly(length), awaitable_tuple);
-    if (failure) {
-        co_return to_error(failure);
+    while (payload.size() < length) {
+        const std::size_t start = payload.size();
+        const std::size_t end = std::min(length, start + read_step_bytes);
+        if (memory != nullptr && !memory->grow_to(end)) {
+            co_return error{error_code::too_large, "no memory left for a frame"};
+        }
+        payload.resize(end);
+        const auto rest = asio::buffer(payload.data() + start, end - start);
+        const auto [failure, bytes] = co_await asio::async_read(socket_, rest, awaitable_tuple);
+        if (failure) {
+            co_return to_error(failure);
+        }
     }
     co_return payload;
 }
--- a/src/ferryroad/peer/framed_connection.hpp
+++ b/src/ferryroad/peer/framed_connection.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/peer/transport.hpp"
 #include "ferryroad/runtime/boot_clock.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/task.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -30,7 +31,10 @@
     /// Waits for the next frame and reads its length field.
     /// @return the length of the payload in bytes.
     runtime::task<result<std::size_t>> read_length();
-    runtime::task<result<message_bytes>> read_payload(std::size_t length);
+    /// @param memory grows with the data received, unless it is null, and must outlive the call.
+    /// @return `too_large` if it can't grow.
+    runtime::task<result<message_bytes>> read_payload(std::size_t length,
+                                                      runtime::memory_account* memory);
 
     /// Sets the deadline of all operations until the next call of `set_deadline` or
     /// `clear_deadline`.
--- a/test/peer/asio_transport_test.cpp
+++ b/test/peer/asio_transport_test.cpp
@@ -16,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace {
 
@@ -232,6 +233,37 @@
     cr_assert(transports.call("again").has_value());
 }
 
+Test(asio_transport, connections_without_a_call_are_closed_for_new_ones) {
+    peer::transport_limits limits;
+    limits.incoming_connections = 2;
+    transport_pair transports(limits);
+    auto first = raw_connection(transports, std::string("\x00\x00\x00\x10half", 8));
+    auto second = raw_connection(transports, "");
+    transports.run_until([&] { return transports.server.incoming_connections() == 2; });
+    cr_assert(transports.call("request").has_value());
+    wait_closed(transports, first);
+}
+
+Test(asio_transport, a_call_that_stalls_gives_way_to_others) {
+    peer::transport_limits limits;
+    constexpr std::size_t frame_bytes = 96;
+    limits.memory = std::make_shared<runtime::memory_budget>(
+        runtime::memory_limits{2 * frame_bytes, 0, 0, frame_bytes, 10ms});
+    transport_pair transports(limits);
+    const std::string stalled =
+        std::string("\x00\x00\x00\x60", 4) + std::string(frame_bytes - 1, 'x');
+    auto first = raw_connection(transports, stalled);
+    auto second = raw_connection(transports, stalled);
+    transports.run_until([&] { return limits.memory->counters().used_bytes == 2 * frame_bytes; });
+    std::this_thread::sleep_for(20ms);
+    const auto answer = transports.call(std::string(frame_bytes, 'y'));
+    cr_assert(answer.has_value());
+    cr_assert_eq(limits.memory->counters().evicted, 1U);
+    first.close();
+    second.close();
+    transports.run_until([&] { return limits.memory->counters().used_bytes == 0; });
+}
+
 Test(asio_transport, datagrams_in_both_directions) {
     transport_pair transports;
     const base::endpoint client_address = transports.client.listen({"127.0.0.1", 0});
