Bodies that are still arriving give way when the memory of requests is used up

What callers saw: a router of 88 MB ended when 20 clients sent bodies of 4 MiB and stopped short of the end; the same with chunked bodies, with bodies far over the limit that were just sent, and at the port where routers forward requests.

Cause: bodies were bounded one by one; nothing counted the bytes of all of them, and the process did not know its machine.

Each request is charged for what has arrived of it, head included, at the callers' and the forwarding listener alike, until its handler has returned. One that gives way, or for which nothing else does, gets 503 with Retry-After: it was not read, so it has not run. A request that was read whole never gives way. Logged with its figures, counted in metrics.

--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -1,5 +1,7 @@
 #include "ferryroad/http/codec.hpp"
 
+#include "ferryroad/runtime/process_limits.hpp"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -140,7 +142,18 @@
 request_decoder::~request_decoder() = default;
 
 std::size_t request_decoder::feed(std::string_view bytes) {
-    return feed_parser(parser_->native, bytes, header_bytes_, state_);
+    const bool had_head = headers_complete();
+    const std::size_t consumed = feed_parser(parser_->native, bytes, header_bytes_, state_);
+    if (!had_head) {
+        head_bytes_ += consumed;
+    }
+    return consumed;
+}
+
+std::size_t request_decoder::buffered_bytes() const {
+    const std::string& body = parser_->native.get().body();
+    // With a length, the capacity is what the client announced.
+    return head_bytes_ + (parser_->native.chunked() ? runtime::memory_of(body) : body.size());
 }
 
 decode_state request_decoder::state() const {
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -35,12 +35,16 @@
     bool headers_complete() const;
     /// @return whether the client understands chunked encoding (HTTP/1.1).
     bool accepts_chunks() const;
+    /// @return the memory that the decoded part of the request takes, in bytes; too many by the
+    /// part of the body that arrived together with the end of the head.
+    std::size_t buffered_bytes() const;
     /// @return the request. Call it once, in state `complete`.
     request take();
 
   private:
     struct parser;
     std::size_t header_bytes_;
+    std::size_t head_bytes_ = 0;
     std::unique_ptr<parser> parser_;
     decode_state state_ = decode_state::need_more;
 };
--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -28,7 +28,7 @@
         : scheduler(scheduler_in),
           acceptor(scheduler_in.executor()),
           all_sessions_closed(scheduler_in.executor()),
-          shared(std::make_shared<server_shared>()) {
+          shared(std::make_shared<server_shared>(scheduler_in)) {
         shared->limits = limits;
         shared->handle = std::move(handle);
     }
@@ -47,6 +47,7 @@
     runtime::boot_timer all_sessions_closed;  ///< Cancelled when the last session ends.
     std::shared_ptr<server_shared> shared;
     std::unordered_set<session*> sessions;
+    std::uint64_t dispensed = 0;
 };
 
 base::endpoint server::state::listen(const base::endpoint& address) {
@@ -164,6 +165,14 @@
     state_->shared->complete_refusal = std::move(complete);
 }
 
+void server::set_memory_budget(std::shared_ptr<runtime::memory_budget> budget) {
+    state_->shared->memory = std::move(budget);
+}
+
+std::uint64_t server::dispensed_connections() const {
+    return state_->dispensed;
+}
+
 std::size_t server::active_requests() const {
     return state_->shared->active_requests;
 }
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -7,6 +7,7 @@
 #include "ferryroad/base/time.hpp"
 #include "ferryroad/http/errors.hpp"
 #include "ferryroad/http/message.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <cstddef>
@@ -37,10 +38,16 @@
     virtual void abort() = 0;
 };
 
+/// Share of a server's memory budget that requests may take. The rest is for responses: without it,
+/// requests in progress could not be answered.
+inline constexpr double request_memory_share = 2.0 / 3;
+
 /// Timeouts and size limits of a server.
 struct server_limits {
     std::size_t header_bytes = std::size_t{16} * 1024;
     std::size_t body_bytes = std::size_t{8} * 1024 * 1024;
+    /// At this number, connections that wait for their clients are closed to make room for new
+    /// ones, or if there are none, new ones are refused with 503.
     std::size_t connections = 4096;
     base::duration idle = std::chrono::seconds(60);         ///< Between requests.
     base::duration header_read = std::chrono::seconds(30);  ///< For the request head.
@@ -66,6 +73,12 @@
     /// Sets that callback. Call it before `listen`.
     void set_refusal_hook(refusal_hook complete);
 
+    /// Limits the memory of messages, together with all other users of the budget: a request that
+    /// is still arriving may be refused with 503 to make room, and the connection of a client that
+    /// does not read its answer be closed. Without a budget there is no limit. Call it before
+    /// `listen`.
+    void set_memory_budget(std::shared_ptr<runtime::memory_budget> budget);
+
     /// Starts listening and accepting connections. Port 0 chooses a free port.
     /// @return the actual address. @throws boost::system::system_error if it can't listen there.
     base::endpoint listen(const base::endpoint& address);
@@ -84,6 +97,8 @@
 
     /// @return the number of requests being handled.
     std::size_t active_requests() const;
+    /// @return the number of connections closed so far to make room for others.
+    std::uint64_t dispensed_connections() const;
 
   private:
     struct state;
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -17,6 +17,8 @@
 constexpr base::duration linger_timeout = std::chrono::seconds(2);
 /// Time for the first request of a connection that was accepted just before a graceful shutdown.
 constexpr base::duration first_request_drain_timeout = std::chrono::seconds(1);
+/// A connection that has waited for its client for a shorter time isn't closed to make room.
+constexpr base::duration min_wait_to_dispense = std::chrono::seconds(1);
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view log_component = "http.server";
 
@@ -35,7 +37,23 @@
 }  // namespace
 
 session::session(std::shared_ptr<connection> link, std::shared_ptr<server_shared> shared)
-    : link_(std::move(link)), shared_(std::move(shared)) {}
+    : link_(std::move(link)), shared_(std::move(shared)), in_phase_since_(shared_->clock.now()) {}
+
+void session::enter(phase next) {
+    phase_ = next;
+    in_phase_since_ = shared_->clock.now();
+}
+
+session::dispensability session::dispensability_at(base::monotonic_time now) const {
+    const bool for_long = now - in_phase_since_ >= min_wait_to_dispense;
+    if (phase_ == phase::idle) {
+        return dispensability::idle;
+    }
+    if (phase_ == phase::handling || !for_long) {
+        return dispensability::needed;
+    }
+    return phase_ == phase::fresh ? dispensability::silent : dispensability::stalled;
+}
 
 void session::drain() {
     if (phase_ == phase::fresh) {
@@ -48,14 +66,35 @@
 runtime::task<void> session::run() {
     bool keep = true;
     while (keep) {
-        request_decoder decoder(shared_->limits.header_bytes, shared_->limits.body_bytes);
-        const bool complete = co_await read_request(decoder);
-        keep = complete && co_await handle_request(decoder);
-        phase_ = phase::idle;
+        const bool complete = co_await read_request();
+        keep = complete && co_await handle_request();
+        memory_.reset();
+        enter(phase::idle);
     }
     link_->close();
 }
 
+void session::begin_request() {
+    decoder_.emplace(shared_->limits.header_bytes, shared_->limits.body_bytes);
+    if (shared_->memory) {
+        memory_.emplace(
+            shared_->memory, shared_->clock, [this] { give_way(); },
+            runtime::account_terms{request_memory_share, true});
+    }
+}
+
+bool session::decode_received() {
+    link_->consume(decoder_->feed(link_->received()));
+    return !memory_ || memory_->grow_to(decoder_->buffered_bytes() + link_->received().size());
+}
+
+void session::give_way() {
+    gave_way_ = true;
+    decoder_.reset();
+    link_->consume(link_->received().size());
+    link_->interrupt();
+}
+
 runtime::task<bool> session::wait_for_input() {
     const bool draining_without_input = shared_->draining && !link_->has_input();
     if (draining_without_input && phase_ == phase::idle) {
@@ -66,49 +105,65 @@
     co_return !failure;
 }
 
-runtime::task<bool> session::read_request(request_decoder& decoder) {
+runtime::task<bool> session::read_request() {
     if (link_->received().empty()) {
         const bool has_bytes = co_await wait_for_input();
         if (!has_bytes) {
             co_return false;
         }
     }
-    phase_ = phase::reading;
+    enter(phase::reading);
+    begin_request();
     link_->set_timeout(std::min(shared_->limits.header_read, shared_->limits.request_read));
     bool continue_sent = false;
     bool reading_body = false;
     for (;;) {
-        link_->consume(decoder.feed(link_->received()));
-        if (decoder.state() == decode_state::complete) {
+        if (!decode_received()) {
+            co_await refuse_for_memory();
+            co_return false;
+        }
+        const decode_state state = decoder_->state();
+        if (state == decode_state::complete) {
             link_->clear_timeout();
             co_return true;
         }
-        if (decoder.state() != decode_state::need_more) {
-            co_await refuse_input(decoder.state());
+        if (state != decode_state::need_more) {
+            co_await refuse_input(state);
             co_return false;
         }
-        if (decoder.headers_complete() && !reading_body) {
+        if (decoder_->headers_complete() && !reading_body) {
             reading_body = true;
             link_->set_timeout(shared_->limits.request_read);
         }
-        if (decoder.expects_continue() && !continue_sent) {
+        if (decoder_->expects_continue() && !continue_sent) {
             continue_sent = true;
             std::string text(continue_answer);
-            co_await link_->write(std::move(text), std::string(), base::duration::zero());
+            co_await link_->write(std::move(text), std::string_view(), base::duration::zero());
         }
-        const boost::system::error_code failure = co_await link_->read_more();
-        if (failure) {
+        boost::system::error_code failure;
+        if (!gave_way_) {
+            failure = co_await link_->read_more();
+        }
+        const bool refuses = gave_way_ && link_->is_open();
+        if (refuses) {
+            co_await refuse_for_memory();
+        }
+        if (failure || gave_way_) {
             co_return false;
         }
     }
 }
 
-runtime::task<bool> session::handle_request(request_decoder& decoder) {
-    phase_ = phase::handling;
+runtime::task<bool> session::handle_request() {
+    enter(phase::handling);
+    if (memory_) {
+        memory_->keep();
+    }
     const active_count active(shared_->active_requests);
-    const bool keep_alive = decoder.keep_alive();
-    const bool accepts_chunks = decoder.accepts_chunks();
-    request message = decoder.take();
+    const bool keep_alive = decoder_->keep_alive();
+    const bool accepts_chunks = decoder_->accepts_chunks();
+    request message = decoder_->take();
+    decoder_.reset();
     session_writer writer(link_, shared_, {keep_alive, accepts_chunks, message.method == "HEAD"});
     bool failed = false;
     try {
@@ -145,6 +200,22 @@
     }
 }
 
+runtime::task<void> session::refuse_for_memory() {
+    const std::size_t received = memory_->bytes();
+    const runtime::memory_counters& used = memory_->budget().counters();
+    runtime::log(runtime::log_level::warning, log_component,
+                 "request refused before it was complete: no memory left for it",
+                 {{"reason", gave_way_ ? "gave way to other requests" : "no request gives way"},
+                  {"received_bytes", std::to_string(received)},
+                  {"used_bytes", std::to_string(used.used_bytes)},
+                  {"limit_bytes", std::to_string(memory_->budget().limits().total_bytes)}});
+    decoder_.reset();
+    link_->consume(link_->received().size());
+    memory_->release();
+    co_await write_refusal(503, "memory_exhausted",
+                           "no memory is left for the request's body; it was not read");
+}
+
 runtime::task<void> session::write_refusal(unsigned status, std::string_view code,
                                            std::string_view message) {
     const std::string_view type = status == 503 ? "server_error" : "invalid_request_error";
@@ -161,8 +232,8 @@
     head.body_bytes = answer.body.size();
     head.keep_alive = false;
     std::string text = encode_head(head);
-    const boost::system::error_code failure =
-        co_await link_->write(std::move(text), std::move(answer.body), shared_->limits.write);
+    const boost::system::error_code failure = co_await link_->write(
+        std::move(text), std::string_view(answer.body), shared_->limits.write);
     if (!failure) {
         co_await linger();
     }
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -6,11 +6,19 @@
 #include "ferryroad/http/codec.hpp"
 #include "ferryroad/http/connection.hpp"
 #include "ferryroad/http/server.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
+
+#include <optional>
 
 namespace ferryroad::http {
 
 /// State shared by all sessions of one server.
 struct server_shared {
+    explicit server_shared(const base::clock& clock_in) : clock(clock_in) {}
+
+    const base::clock& clock;
+    /// For messages being received, handled or sent. Null: unlimited.
+    std::shared_ptr<runtime::memory_budget> memory;
     server_limits limits;
     server::handler handle;
     server::refusal_hook complete_refusal;  ///< May be empty.
@@ -34,6 +42,19 @@
     /// Closes the connection at once.
     void close() { link_->close(); }
 
+    /// How readily a connection is closed to make room for another; the first ones first.
+    enum class dispensability {
+        silent,   ///< Nothing has been received for a while since it was opened.
+        idle,     ///< Between requests.
+        stalled,  ///< A request has been arriving for a while.
+        needed    ///< It isn't closed.
+    };
+    dispensability dispensability_at(base::monotonic_time now) const;
+    /// @return whether the client has sent something that was not read yet.
+    bool has_input() const { return link_->has_input(); }
+    /// @return since when the connection has been in its phase.
+    base::monotonic_time in_phase_since() const { return in_phase_since_; }
+
   private:
     enum class phase {
         fresh,    ///< Before the first request.
@@ -42,14 +63,24 @@
         handling  ///< The handler runs.
     };
 
+    void enter(phase next);
+    /// Starts to decode the next request.
+    void begin_request();
     /// @return whether a complete request was read. If not, an error response was sent where the
-    /// input was invalid.
-    runtime::task<bool> read_request(request_decoder& decoder);
+    /// input was invalid or took more memory than there is.
+    runtime::task<bool> read_request();
+    /// Decodes what was received. @return whether there is memory for it.
+    bool decode_received();
+    /// Frees the memory of the request being received, which is then refused. Called by the memory
+    /// budget.
+    void give_way();
     /// @return whether bytes arrived before the timeout and before the peer closed.
     runtime::task<bool> wait_for_input();
     /// @return whether the connection may be used for another request.
-    runtime::task<bool> handle_request(request_decoder& decoder);
+    runtime::task<bool> handle_request();
     runtime::task<void> refuse_input(decode_state state);
+    /// Refuses the request being received for lack of memory.
+    runtime::task<void> refuse_for_memory();
     runtime::task<void> write_refusal(unsigned status, std::string_view code,
                                       std::string_view message);
     /// Discards input until the peer closes: closing with unread input would reset the connection
@@ -59,6 +90,10 @@
     std::shared_ptr<connection> link_;
     std::shared_ptr<server_shared> shared_;
     phase phase_ = phase::fresh;
+    base::monotonic_time in_phase_since_;
+    std::optional<request_decoder> decoder_;         ///< Of the request being received.
+    std::optional<runtime::memory_account> memory_;  ///< Of the current request.
+    bool gave_way_ = false;
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -107,6 +107,24 @@
         .observe(base::to_seconds(outcome.longest_gap));
 }
 
+void relay_metrics::set_memory_gauges(const relay_gauges& now) {
+    const auto set = [this](const char* name, const char* help, double value) {
+        m_registry.gauge_of(name, help).set(value);
+    };
+    set("ferryroad_relay_message_memory_bytes", "Memory of requests and answers.",
+        static_cast<double>(now.memory.used_bytes));
+    set("ferryroad_relay_message_memory_peak_bytes", "Its maximum since the start.",
+        static_cast<double>(now.memory.peak_bytes));
+    set("ferryroad_relay_message_memory_limit_bytes", "Its limit.",
+        static_cast<double>(now.memory_limit_bytes));
+    set("ferryroad_relay_messages_evicted", "Messages that gave way as the memory was used up.",
+        static_cast<double>(now.memory.evicted));
+    set("ferryroad_relay_message_memory_refusals", "Messages for which no memory was left.",
+        static_cast<double>(now.memory.refused));
+    set("ferryroad_relay_connections_dispensed", "Connections closed to make room for others.",
+        static_cast<double>(now.dispensed_connections));
+}
+
 void relay_metrics::set_quarantine_gauges(const relay_gauges& now) {
     const auto set = [this](const char* name, const char* help, double value) {
         m_registry.gauge_of(name, help).set(value);
@@ -310,6 +328,7 @@
     set("ferryroad_relay_releases_led", "Releases that this router coordinates.",
         static_cast<double>(now.releases_led));
     set_quarantine_gauges(now);
+    set_memory_gauges(now);
     set_origin_gauges(now);
     for (const local_release& one : now.releases) {
         set_release_gauges(one);
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -9,6 +9,7 @@
 #include "ferryroad/relay/relay_driver.hpp"
 #include "ferryroad/relay/release_service.hpp"
 #include "ferryroad/relay/traffic_meter.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/metrics.hpp"
 
 #include <cstddef>
@@ -48,11 +49,14 @@
     std::uint64_t quota_own_part = 0;         ///< Requests decided by this router's own share.
     std::size_t quota_tenants = 0;            ///< Tenants that this router counts for.
     std::size_t active_requests = 0;
-    std::size_t remembered_parts = 0;     ///< Prompt parts whose holders are known.
-    std::size_t followed_holders = 0;     ///< Engines and stores whose cache state is tracked.
-    std::size_t live_peers = 0;           ///< Routers heard from recently.
-    std::uint64_t notices_sent = 0;       ///< Datagrams sent to other routers.
-    std::uint64_t notices_malformed = 0;  ///< Datagrams received that could not be decoded.
+    runtime::memory_counters memory;  ///< Of requests and answers.
+    std::size_t memory_limit_bytes = 0;
+    std::uint64_t dispensed_connections = 0;  ///< Closed to make room for others.
+    std::size_t remembered_parts = 0;         ///< Prompt parts whose holders are known.
+    std::size_t followed_holders = 0;         ///< Engines and stores whose cache state is tracked.
+    std::size_t live_peers = 0;               ///< Routers heard from recently.
+    std::uint64_t notices_sent = 0;           ///< Datagrams sent to other routers.
+    std::uint64_t notices_malformed = 0;      ///< Datagrams received that could not be decoded.
     bool holds_rollout_lease = false;
     std::uint64_t orders_sent = 0;
     bool reads_owner = false;  ///< Reads the store's tables on behalf of other routers.
@@ -88,6 +92,7 @@
 
   private:
     void set_quarantine_gauges(const relay_gauges& now);
+    void set_memory_gauges(const relay_gauges& now);
     void set_origin_gauges(const relay_gauges& now);
     void count_withdrawals(const relay_outcome& outcome);
     void count_continued(const relay_plan& plan, const relay_outcome& outcome);
