Connections that wait for their clients are closed to make room for new ones

What callers saw: 4,500 idle connections took 4,519 descriptors of a machine that has 3,900 for sockets; for the 14 s until they were closed each ordinary caller got 503.

Cause: the limit of connections (4,096 for each listener) didn't know the machine, and at the limit the newcomer was refused, whatever the others did.

At the limit the most dispensable connection is closed: one that has sent nothing for a second, then the one idle for longest, then one whose request has been arriving for longest (a second at least). Only if there is none, the newcomer gets 503; of those at most 16 linger, further ones are closed at once.

Tests: server.too_many_connections_are_refused_with_503 held an idle connection and wanted the new one refused, which is the fault; the one it holds now has a request in progress, and the demand is the same. New: an idle one is closed for a new one.

--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -18,6 +18,8 @@
 using tcp = asio::ip::tcp;
 
 constexpr base::duration accept_retry_delay = std::chrono::milliseconds(100);
+/// Connections beyond the limit that are being refused; further ones are closed without an answer.
+constexpr std::size_t max_refusals = 16;
 constexpr std::string_view log_component = "http.server";
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
@@ -39,6 +41,8 @@
     runtime::task<void> run_session(std::shared_ptr<state> self,
                                     std::shared_ptr<session> current_session, bool over_limit);
     void accept_pending();
+    /// Closes the most dispensable connection, if any. @return whether one was closed.
+    bool make_room();
     runtime::task<void> drain(std::shared_ptr<state> self);
     void close();
 
@@ -80,15 +84,45 @@
 }
 
 void server::state::start_session(tcp::socket socket) {
+    const bool full = sessions.size() >= shared->limits.connections;
+    const bool over_limit = full && !make_room();
+    if (over_limit && sessions.size() >= shared->limits.connections + max_refusals) {
+        return;  // The socket is closed by its destructor.
+    }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    const bool over_limit = sessions.size() >= shared->limits.connections;
     auto link = std::make_shared<connection>(std::move(socket));
     auto current_session = std::make_shared<session>(std::move(link), shared);
     sessions.insert(current_session.get());
     scheduler.spawn(log_component, run_session(shared_from_this(), current_session, over_limit));
 }
 
+bool server::state::make_room() {
+    const base::monotonic_time now = scheduler.now();
+    session* victim = nullptr;
+    auto lowest = session::dispensability::needed;
+    for (session* one : sessions) {
+        const auto rank = one->dispensability_at(now);
+        const bool first = rank < lowest || (victim != nullptr && rank == lowest &&
+                                             one->in_phase_since() < victim->in_phase_since());
+        if (first && (rank == session::dispensability::stalled || !one->has_input())) {
+            victim = one;
+            lowest = rank;
+        }
+    }
+    if (victim == nullptr) {
+        return false;
+    }
+    runtime::log(
+        runtime::log_level::warning, log_component, "connection closed to make room for a new one",
+        {{"connections", std::to_string(sessions.size())},
+         {"waited_ms", std::to_string(base::to_milliseconds(now - victim->in_phase_since()))}});
+    ++dispensed;
+    sessions.erase(victim);
+    victim->close();
+    return true;
+}
+
 runtime::task<void> server::state::run_session([[maybe_unused]] std::shared_ptr<state> self,
                                                std::shared_ptr<session> current_session,
                                                bool over_limit) {
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -157,8 +157,10 @@
 
 /// Limits of requests from other routers. Callers' own limits have been applied by the router that
 /// sends them.
-inline http::server_limits forwarding_limits() {
+/// @param connections of other routers at most.
+inline http::server_limits forwarding_limits(std::size_t connections) {
     http::server_limits limits;
+    limits.connections = connections;
     limits.header_bytes = std::size_t{256} * 1024;
     limits.body_bytes = std::size_t{64} * 1024 * 1024;
     return limits;
--- a/test/http/server_memory_test.cpp
+++ b/test/http/server_memory_test.cpp
@@ -184,6 +184,18 @@
     }
 }
 
+runtime::task<void> connect_and_send(fixture& at, std::size_t idle, std::string& answer) {
+    std::vector<std::unique_ptr<test::raw_socket>> clients;
+    for (std::size_t count = 0; count < idle; ++count) {
+        clients.push_back(std::make_unique<test::raw_socket>(at.loop.context));
+        clients.back()->connect(at.address);
+        co_await clients.back()->write(head_of(0));
+        co_await clients.back()->read_until("\r\n\r\n");
+    }
+    std::string text = head_of(0);
+    answer = co_await at.send(std::move(text));
+}
+
 }  // namespace
 
 Test(server_memory, a_request_of_the_largest_size_is_served_beside_stalled_ones) {
@@ -202,6 +214,17 @@
     cr_assert_eq(at.handled, 0U);
 }
 
+Test(server_memory, an_idle_connection_is_closed_for_a_new_one) {
+    http::server_limits limits = server_limits();
+    limits.connections = 3;
+    limits.idle = 10s;
+    fixture at(limits);
+    std::string answer;
+    cr_assert(at.loop.run([&] { return connect_and_send(at, 3, answer); }));
+    cr_assert(answer.starts_with("HTTP/1.1 200 "), "%s", answer.c_str());
+    cr_assert_eq(at.server.dispensed_connections(), 1U);
+}
+
 /// A random crowd; each client behaves in one of the ways.
 Test(server_memory, the_budget_gets_everything_back_whatever_way_requests_end) {
     const bool held = rc::check([] {
--- a/test/http/server_test.cpp
+++ b/test/http/server_test.cpp
@@ -251,8 +251,8 @@
     const auto body = [&]() -> runtime::task<void> {
         test::raw_socket held(one.loop.context);
         held.connect(one.address);
-        co_await held.write(get_text);
-        co_await held.read_until("/a");
+        co_await held.write("GET /gated HTTP/1.1\r\nHost: x\r\n\r\n");
+        co_await one.loop.until([&] { return one.server.active_requests() == 1; });
         test::raw_socket over(one.loop.context);
         over.connect(one.address);
         answer = co_await over.read_to_close();
