Answers count as memory, and give way when their clients don't read them

What callers saw: 100 clients that did not read answers of 1 MiB took 80 MB.

Cause: an answer that is not a stream is received whole before it is sent, doubling its buffer as it grows and copied once more for the writer; nothing added these up.

Its buffer has the announced size from the start, and is moved to the writer.

--- a/src/ferryroad/http/session_writer.cpp
+++ b/src/ferryroad/http/session_writer.cpp
@@ -1,6 +1,7 @@
 #include "ferryroad/http/session_writer.hpp"
 
 #include "ferryroad/runtime/boot_clock.hpp"
+#include "ferryroad/runtime/log.hpp"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -10,6 +11,15 @@
 
 namespace ferryroad::http {
 
+namespace {
+
+/// Parts of a response up to this size are not counted as memory: there is at most one for each
+/// connection.
+constexpr std::size_t uncounted_bytes = std::size_t{16} * 1024;
+constexpr std::string_view log_component = "http.server";
+
+}  // namespace
+
 session_writer::session_writer(std::shared_ptr<connection> link,
                                std::shared_ptr<server_shared> shared, request_properties properties)
     : link_(std::move(link)), shared_(std::move(shared)), request_properties_(properties) {}
@@ -18,8 +28,21 @@
                                                                         std::string body,
                                                                         stage next) {
     stage_ = stage::broken;
+    if (body.size() > uncounted_bytes && shared_->memory && !memory_) {
+        memory_.emplace(
+            shared_->memory, shared_->clock, [this] { give_way(); },
+            runtime::account_terms{1.0, false});
+        link_->on_written([this](std::size_t bytes) { memory_->record_progress(bytes); });
+    }
+    if (memory_ && !memory_->grow_to(body.size())) {
+        log_closed("no memory left for it");
+        link_->close();
+    }
     const boost::system::error_code failure =
-        co_await link_->write(std::move(head), std::move(body), shared_->limits.write);
+        co_await link_->write(std::move(head), body, shared_->limits.write);
+    if (memory_) {
+        memory_->release();
+    }
     link_->throw_if_cancelled(failure);
     if (failure) {
         const error_code code =
@@ -31,6 +54,24 @@
     co_return runtime::result<void, error>();
 }
 
+session_writer::~session_writer() {
+    link_->on_written({});
+}
+
+void session_writer::give_way() {
+    log_closed("its client has not read it");
+    link_->close();
+}
+
+void session_writer::log_closed(std::string_view reason) const {
+    const runtime::memory_counters& used = shared_->memory->counters();
+    runtime::log(runtime::log_level::warning, log_component,
+                 "connection closed before the response was written",
+                 {{"reason", std::string(reason)},
+                  {"used_bytes", std::to_string(used.used_bytes)},
+                  {"limit_bytes", std::to_string(shared_->memory->limits().total_bytes)}});
+}
+
 bool session_writer::allows_keep_alive() const {
     return request_properties_.keep_alive && !shared_->draining && !shared_->leaving;
 }
--- a/src/ferryroad/http/session_writer.hpp
+++ b/src/ferryroad/http/session_writer.hpp
@@ -19,6 +19,9 @@
 
     session_writer(std::shared_ptr<connection> link, std::shared_ptr<server_shared> shared,
                    request_properties properties);
+    ~session_writer() override;
+    session_writer(const session_writer&) = delete;
+    session_writer& operator=(const session_writer&) = delete;
 
     runtime::task<runtime::result<void, error>> send(response answer) override;
     runtime::task<runtime::result<void, error>> begin_stream(unsigned status,
@@ -43,12 +46,16 @@
     /// @return `connection_lost` if the stage is `broken`. @throws std::logic_error otherwise.
     runtime::result<void, error> misuse(const char* message);
     bool allows_keep_alive() const;
+    /// Closes the connection, as its client doesn't read. Called by the memory budget.
+    void give_way();
+    void log_closed(std::string_view reason) const;
 
     std::shared_ptr<connection> link_;
     std::shared_ptr<server_shared> shared_;
     request_properties request_properties_;
     stage stage_ = stage::none;
     bool kept_alive_ = false;
+    std::optional<runtime::memory_account> memory_;  ///< Of the part being written.
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -30,6 +30,8 @@
 #include "ferryroad/relay/upstream.hpp"
 #include "ferryroad/relay/waiting_requests.hpp"
 #include "ferryroad/runtime/log.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
+#include "ferryroad/runtime/process_limits.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -83,6 +85,8 @@
     stream_origins* origins = nullptr;
     /// Grants slots of engines that limit their rejections; may be null.
     engine_slots* slots = nullptr;
+    /// Limits the memory of answers that are received whole before they are sent; may be null.
+    std::shared_ptr<runtime::memory_budget> memory;
 };
 
 /// How a request ended, for logs and metrics.
@@ -139,6 +143,9 @@
           m_last_id(m_plan.call->last_event_id),
           m_begun_at(m_plan.begun_at) {
         m_outcome.begun_at = m_begun_at;
+        if (dependencies.memory) {
+            m_body_memory.emplace(dependencies.memory, dependencies.scheduler, nullptr);
+        }
     }
 
     /// Runs the request until its final response has been sent. Exceptions are logged and end it
@@ -507,7 +514,10 @@
         if (!m_answer->is_event_stream) {
             m_timing.answered(m_dependencies.scheduler.now());
         }
-        m_body.clear();
+        clear_body();
+        // A string that grows takes up to three times its size while it is copied.
+        const auto length = http::content_length(m_answer->headers);
+        m_body.reserve(std::min(length.value_or(0), m_tunables.max_answer_bytes));
         m_splitter = core::stream::event_splitter();
         feed(execution::exchange_started{m_exchange});
     }
@@ -844,6 +854,8 @@
             m_body += *bytes;
             if (m_body.size() > m_tunables.max_answer_bytes) {
                 fail_exchange(execution::failure_kind::broken, "answer exceeds the size limit");
+            } else if (m_body_memory && !m_body_memory->grow_to(runtime::memory_of(m_body))) {
+                give_up_answer();
             }
             return;
         }
@@ -869,6 +881,30 @@
         feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
     }
 
+    /// Gives up an answer for which no memory is left. Its engine is not at fault.
+    void give_up_answer() {
+        const runtime::memory_budget& budget = m_body_memory->budget();
+        runtime::log(runtime::log_level::warning, component, "no memory left for an answer",
+                     {{"request_id", m_plan.call->id.value},
+                      {"engine", m_selected.target.name.value},
+                      {"received_bytes", std::to_string(m_body.size())},
+                      {"used_bytes", std::to_string(budget.counters().used_bytes)},
+                      {"limit_bytes", std::to_string(budget.limits().total_bytes)}});
+        clear_body();
+        m_evidence.answered(m_answer->status, m_dependencies.scheduler.now());
+        report_success();
+        end_exchange();
+        feed(execution::exchange_failed{m_exchange, execution::failure_kind::engine_failure,
+                                        execution::failure_proof::unknown, std::nullopt});
+    }
+
+    void clear_body() {
+        std::string().swap(m_body);  // Assigning an empty string would keep the buffer.
+        if (m_body_memory) {
+            m_body_memory->release();
+        }
+    }
+
     runtime::task<void> handle_stream_part(const std::optional<std::string>& bytes) {
         if (!bytes) {
             if (m_splitter.in_event()) {
@@ -986,14 +1022,26 @@
             co_await m_writer.end_stream();
             co_return;
         }
-        co_await send(*m_last_answer);
+        if (!m_last_answer) {
+            m_writer.abort();  // Interrupted while the answer was being sent.
+            co_return;
+        }
+        co_await send_last_answer();
     }
 
-    /// @param answer must outlive the returned coroutine.
-    runtime::task<void> send(const http::response& answer) {
+    /// Moves the answer, which may be large, to the writer.
+    runtime::task<void> send_last_answer() {
+        http::response answer = std::move(*m_last_answer);
+        m_last_answer.reset();
+        co_await send(std::move(answer));
+    }
+
+    runtime::task<void> send(http::response answer) {
         m_outcome.status = answer.status;
-        http::response sent = answer;
-        co_await m_writer.send(std::move(sent));
+        if (m_body_memory) {
+            m_body_memory->release();  // The writer counts the answer from now on.
+        }
+        co_await m_writer.send(std::move(answer));
     }
 
     /// Makes a refusal that is due to a quarantine say so, and when the request may be retried.
@@ -1059,11 +1107,12 @@
             co_return;
         }
         if (m_last_answer) {
-            co_await send(*m_last_answer);  // The engine's own error response is more specific.
+            // The engine's own error response is more specific.
+            co_await send_last_answer();
             co_return;
         }
-        const http::response answer = to_response(refusal);
-        co_await send(answer);
+        http::response answer = to_response(refusal);
+        co_await send(std::move(answer));
     }
 
     relay_dependencies<Upstream> m_dependencies;
@@ -1093,6 +1142,7 @@
     std::optional<opened_answer> m_answer;
     core::stream::event_splitter m_splitter;
     std::string m_body;  ///< Body of a non-streaming answer received so far.
+    std::optional<runtime::memory_account> m_body_memory;  ///< Of `m_body` and `m_last_answer`.
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
