The stand-alone router's requests and peer calls have a memory budget

Read, not seen: its listeners had the same cause as those of the router on the platform.

Change: memory_megabytes (0: the machine's memory); an eighth for requests, of which this router makes copies, a sixteenth for answers that are being written, an eighth for calls of other routers; callers' connections are at most a third of the descriptors.

--- a/src/ferryroad/daemon/daemon.cpp
+++ b/src/ferryroad/daemon/daemon.cpp
@@ -12,14 +12,18 @@
 #include "ferryroad/runtime/asio_scheduler.hpp"
 #include "ferryroad/runtime/event_loop.hpp"
 #include "ferryroad/runtime/log.hpp"
+#include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/metrics.hpp"
+#include "ferryroad/runtime/process_limits.hpp"
 #include "ferryroad/runtime/signal_delivery.hpp"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <memory>
 #include <random>
 
 namespace ferryroad::daemon {
@@ -43,10 +47,40 @@
     return name == "error" ? runtime::log_level::error : runtime::log_level::info;
 }
 
+runtime::process_limits process_limits_of(const daemon_settings& settings) {
+    constexpr double bytes_per_megabyte = 1e6;
+    return runtime::effective_limits(
+        {static_cast<std::size_t>(settings.memory_megabytes * bytes_per_megabyte), 0});
+}
+
 http::server_limits server_limits_of(const daemon_settings& settings) {
+    // Each request in progress may take a connection to an engine as well.
+    constexpr std::size_t connection_divisor = 3;
+    const std::size_t descriptors = process_limits_of(settings).file_descriptors;
     http::server_limits limits;
     limits.body_bytes = settings.body_bytes;
-    limits.connections = settings.connections;
+    limits.connections =
+        std::min<std::size_t>(settings.connections, descriptors / connection_divisor);
+    return limits;
+}
+
+/// @return the budget of requests, of which the router makes copies, and answers.
+std::shared_ptr<runtime::memory_budget> message_memory_of(const daemon_settings& settings) {
+    constexpr double share = 3.0 / 16;
+    runtime::memory_limits limits;
+    limits.total_bytes = static_cast<std::size_t>(
+        static_cast<double>(process_limits_of(settings).memory_bytes) * share);
+    return std::make_shared<runtime::memory_budget>(limits);
+}
+
+peer::transport_limits peer_limits_of(const daemon_settings& settings) {
+    constexpr std::size_t divisor = 8;
+    runtime::memory_limits memory;
+    memory.total_bytes =
+        std::max(process_limits_of(settings).memory_bytes / divisor, peer::max_call_bytes);
+    memory.small_share = 0;
+    peer::transport_limits limits;
+    limits.memory = std::make_shared<runtime::memory_budget>(memory);
     return limits;
 }
 
@@ -66,7 +100,7 @@
           table(connections, {settings.platform}),
           objects(connections, {settings.platform}),
           machines(connections, {settings.platform}),
-          transport(scheduler, peer::transport_limits{}),
+          transport(scheduler, peer_limits_of(settings)),
           peer_address(transport.listen(settings.peer_listen)),
           node(identity_of(settings, peer_address, scheduler), {settings.seeds, settings.policy},
                {scheduler, engines, table, objects, machines, transport}),
@@ -78,6 +112,7 @@
           operators(
               {node.configuration(), node.control(), node.status(), node.selector(), scheduler}) {
         node.observe_requests(executions);
+        callers.set_memory_budget(message_memory_of(settings));
         callers.set_refusal_hook(
             [this](http::response& answer) { front.complete_refusal(answer); });
     }
@@ -139,6 +174,7 @@
 }  // namespace
 
 int run_daemon(const daemon_settings& settings) {
+    runtime::configure_allocator();
     runtime::start_logging("ferryroad", level_of(settings.log_level));
     try {
         process running(settings);
--- a/src/ferryroad/daemon/daemon_settings.cpp
+++ b/src/ferryroad/daemon/daemon_settings.cpp
@@ -26,7 +26,14 @@
                       target.policy, {names.begin(), names.end()});
     schema.add("body_bytes", "Longest request body taken, in bytes.", target.body_bytes,
                range{1024, 256.0 * 1024 * 1024});
-    schema.add("connections", "Callers' connections at most.", target.connections, range{1, 65536});
+    schema.add("connections",
+               "Callers' connections at most; never more than a third of the process's file "
+               "descriptors.",
+               target.connections, range{1, 65536});
+    schema.add("memory_megabytes",
+               "Memory limit of the process in megabytes; 0: the machine's memory. An eighth of it "
+               "is for requests, a sixteenth for answers, an eighth for calls of other routers.",
+               target.memory_megabytes, range{0, 1e9});
     schema.add("stop_grace_ms", "On a planned stop, how long requests at work may go on.",
                target.stop_grace);
     schema.add_choice("log_level", "Lowest level logged.", target.log_level,
--- a/src/ferryroad/daemon/daemon_settings.hpp
+++ b/src/ferryroad/daemon/daemon_settings.hpp
@@ -26,6 +26,7 @@
     std::string policy = "cost";
     std::uint32_t body_bytes = 8U * 1024U * 1024U;
     std::uint32_t connections = 4096;
+    double memory_megabytes = 0;  ///< Memory limit of the process in MB; 0: the machine's.
     base::duration stop_grace = std::chrono::seconds(120);
     std::string log_level = "info";
 };
