An answer with a status that is none is invalid at once

Cause: a status below 200 was taken for an interim answer, after which the final one was waited for; none above 599 was refused. 101 was taken for an interim answer, too.

Change: in the one decoder of all answers, a status below 100 or above 599, and 101, make the answer invalid: 502 at once, or another engine for a request that may be repeated.

Tests: odd_answer, 53 answers with an invalid status line, head line or trailer line by each of the four ways to send a request (relayed requests, the store's and engines' calls, the stand-alone router's calls and streams). A folded line is allowed.

--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -122,6 +122,14 @@
     return false;
 }
 
+/// @return whether the status is defined, and possible without a change of protocol.
+bool is_expected_status(unsigned status) {
+    constexpr unsigned first_status = 100;
+    constexpr unsigned switching_protocols = 101;
+    constexpr unsigned last_status = 599;
+    return status >= first_status && status <= last_status && status != switching_protocols;
+}
+
 bool has_body_by_method(std::string_view method) {
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -213,7 +221,7 @@
         parser_->native.body_limit(boost::none);
     }
     parser_->native.skip(answers_head_);
-    joined_heads_ = false;
+    invalid_head_ = false;
     state_ = decode_state::need_more;
 }
 
@@ -224,8 +232,8 @@
         const bool had_head = parser_->native.is_header_done();
         consumed +=
             feed_parser(parser_->native, bytes.substr(consumed), limit_.header_bytes, state_);
-        if (!had_head && parser_->native.is_header_done() && contains_status_line()) {
-            joined_heads_ = true;
+        if (!had_head && parser_->native.is_header_done() && !is_head_valid()) {
+            invalid_head_ = true;
             state_ = decode_state::malformed;
         }
         const bool is_interim = state_ == decode_state::complete && status() < 200;
@@ -236,6 +244,10 @@
     }
 }
 
+bool response_decoder::is_head_valid() const {
+    return is_expected_status(status()) && !contains_status_line();
+}
+
 bool response_decoder::contains_status_line() const {
     const auto& head = parser_->native.get();
     return has_status_line(to_view(head.reason())) ||
@@ -252,7 +264,7 @@
 }
 
 bool response_decoder::headers_complete() const {
-    return parser_->native.is_header_done() && status() >= 200 && !joined_heads_;
+    return parser_->native.is_header_done() && status() >= 200 && !invalid_head_;
 }
 
 unsigned response_decoder::status() const {
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -64,7 +64,8 @@
     response_decoder& operator=(const response_decoder&) = delete;
 
     /// A head that contains a second status line is `malformed`: a response that stopped inside its
-    /// head was followed by another one.
+    /// head was followed by another one. So is one with a status below 100 or above 599, and one
+    /// with 101, as no request asks for another protocol.
     /// @param bytes all bytes received and not consumed yet. @return the number of bytes consumed.
     std::size_t feed(std::string_view bytes);
     decode_state state() const;
@@ -90,13 +91,15 @@
   private:
     struct parser;
 
+    /// @return whether the complete head can be that of a response.
+    bool is_head_valid() const;
     /// @return whether the complete head contains the status line of another response.
     bool contains_status_line() const;
 
     limits limit_;
     bool answers_head_;
     bool started_ = false;
-    bool joined_heads_ = false;  ///< The head contains that of another response.
+    bool invalid_head_ = false;
     std::unique_ptr<parser> parser_;
     decode_state state_ = decode_state::need_more;
 };
--- /dev/null
+++ b/test/http/odd_answer_test.cpp
@@ -0,0 +1,158 @@
+/// Answers of servers in trouble: a status that is none, heads and trailers with invalid lines, and
+/// a connection that is reset while the request is still being written. No client takes one for an
+/// answer, and none waits for what can't follow.
+#include "test/http/loopback.hpp"
+
+#include <optional>
+
+using namespace ferryroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr base::duration long_limit = 3s;
+
+/// @return an answer that is valid but for its status line.
+std::string with_status(std::string_view status) {
+    return "HTTP/1.1 " + std::string(status) + "\r\nId: id1\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+/// @return an answer that is valid but for one line of its head.
+std::string with_line(std::string_view line) {
+    return "HTTP/1.1 200 OK\r\nId: id1\r\n" + std::string(line) +
+           "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+/// @return an answer that is valid but for one line of its trailer.
+std::string with_trailer(std::string_view line) {
+    return "HTTP/1.1 200 OK\r\nId: id1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" +
+           std::string(line) + "\r\n\r\n";
+}
+
+const std::vector<std::string>& invalid_lines() {
+    using namespace std::string_literals;
+    static const std::vector<std::string> lines = {
+        "A b: c",   "A\tb: c", "A\x01b: c", "A\x7f: c", "A\x80: c",          "A\0b: c"s, " A: c"s,
+        ": c",      "A : c",   "A\t: c",    "A",        "A(b): c",           "A: b\0c"s, "A: b\rc",
+        "\"A\": c", "A/b: c",  "A: \x01",   "A: b\x7f", "Content-Length : 9"};
+    return lines;
+}
+
+const std::vector<std::string>& invalid_answers() {
+    static const std::vector<std::string> answers = [] {
+        std::vector<std::string> all;
+        for (const char* status :
+             {"000 OK", "001 OK", "099 OK", "101 Switching Protocols", "600 OK", "999 OK",
+              "1000 OK", "20 OK", "+20 OK", "-20 OK", "2x0 OK", " 200 OK", "OK", "200\x01OK"}) {
+            all.push_back(with_status(status));
+        }
+        all.push_back("HTTP/1.1 100 Continue\r\n\r\n" + with_status("000 OK"));
+        for (const std::string& line : invalid_lines()) {
+            if (line != " A: c") {  // Continues the line before, which is allowed.
+                all.push_back(with_line(line));
+            }
+            all.push_back(with_trailer(line));
+        }
+        all.push_back(with_line("Content-Length: 5"));
+        return all;
+    }();
+    return answers;
+}
+
+/// Every way to send a request. @return why it failed, or nothing if an answer was received whole.
+using sender = runtime::task<std::optional<http::error>> (*)(http::client&, const base::endpoint&);
+
+runtime::task<std::optional<http::error>> relay_request(http::client& client,
+                                                        const base::endpoint& address,
+                                                        http::request message) {
+    http::relay_options options;
+    options.limit = long_limit;
+    options.echoed_header = http::header{"Id", "id1"};
+    auto stream = co_await client.relay(address, std::move(message), std::move(options));
+    if (!stream) {
+        co_return stream.error();
+    }
+    for (;;) {
+        auto bytes = co_await (*stream)->next(long_limit);
+        if (!bytes) {
+            co_return bytes.error();
+        }
+        if (!*bytes) {
+            co_return std::nullopt;
+        }
+    }
+}
+
+runtime::task<std::optional<http::error>> relay(http::client& client,
+                                                const base::endpoint& address) {
+    http::request message;
+    co_return co_await relay_request(client, address, std::move(message));
+}
+
+runtime::task<std::optional<http::error>> send(http::client& client,
+                                               const base::endpoint& address) {
+    http::request message;
+    const auto answer =
+        co_await client.send(address, std::move(message), long_limit, http::resend::forbidden);
+    co_return answer ? std::nullopt : std::optional(answer.error());
+}
+
+runtime::task<std::optional<http::error>> fetch(http::client& client,
+                                                const base::endpoint& address) {
+    http::request message;
+    http::fetch_options options{long_limit, long_limit, long_limit};
+    const auto answer = co_await client.fetch(address, std::move(message), std::move(options),
+                                              http::resend::forbidden);
+    co_return answer ? std::nullopt : std::optional(answer.error());
+}
+
+runtime::task<std::optional<http::error>> open(http::client& client,
+                                               const base::endpoint& address) {
+    http::request message;
+    const auto stream =
+        co_await client.open(address, std::move(message), long_limit, http::resend::forbidden);
+    if (!stream) {
+        co_return stream.error();
+    }
+    const auto rest = co_await (*stream)->read_rest(long_limit);
+    co_return rest ? std::nullopt : std::optional(rest.error());
+}
+
+runtime::task<void> check_answer(test::loopback& loop, const std::string& answer, sender by,
+                                 const char* name) {
+    test::scripted_server server(loop, {{{answer}, false}});
+    http::client client(loop.scheduler, http::client_limits{});
+    const auto fault = co_await by(client, server.address());
+    const std::string line = answer.substr(0, answer.find("Content-Length"));
+    cr_expect(fault.has_value(), "%s took for an answer: %s", name, line.c_str());
+    cr_expect(!fault || fault->code == http::error_code::malformed, "%s: %s: %s", name,
+              fault->message.c_str(), line.c_str());
+}
+
+runtime::task<void> check_all(test::loopback& loop, sender by, const char* name) {
+    for (const std::string& answer : invalid_answers()) {
+        co_await check_answer(loop, answer, by, name);
+    }
+}
+
+}  // namespace
+
+Test(odd_answer, is_none_to_relay) {
+    test::loopback loop;
+    cr_assert(loop.run([&] { return check_all(loop, relay, "relay"); }));
+}
+
+Test(odd_answer, is_none_to_send) {
+    test::loopback loop;
+    cr_assert(loop.run([&] { return check_all(loop, send, "send"); }));
+}
+
+Test(odd_answer, is_none_to_fetch) {
+    test::loopback loop;
+    cr_assert(loop.run([&] { return check_all(loop, fetch, "fetch"); }));
+}
+
+Test(odd_answer, is_none_to_open) {
+    test::loopback loop;
+    cr_assert(loop.run([&] { return check_all(loop, open, "open"); }));
+}
