An answer whose connection was reset while the request was being written is not whole

What callers saw (MIXED, the users' report): an engine answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written; the client got that part as a complete answer.

Cause: the system reports the error of a connection once. The write in progress takes it; the read behind it then ends as if the peer had closed, which is the regular end of an answer without a length.

Change: a connection remembers that a write has failed, other than by being cancelled; the end of such an answer is then a lost connection. The same code reads answers at a router that passes requests on for others. Every other reader refuses answers without a length (client_answer), and peers' frames have one.

--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -223,7 +223,8 @@
     }
     link_->set_timeout(time_left(deadline));
     const boost::system::error_code failure = co_await link_->read_more();
-    if (failure == boost::asio::error::eof && relayed_ && decoder_.is_unbounded()) {
+    const bool ends_regularly = failure == boost::asio::error::eof && !link_->has_write_failed();
+    if (ends_regularly && relayed_ && decoder_.is_unbounded()) {
         decoder_.finish();
         finish();
         co_return result<void>();
--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -96,6 +96,7 @@
             asio::buffer(head) + head_offset, asio::buffer(body.data(), body.size()) + body_offset};
         const auto [failure, count] = co_await socket_.async_write_some(rest, as_result);
         if (failure) {
+            write_failed_ = write_failed_ || failure != asio::error::operation_aborted;
             co_return failure;
         }
         written += count;
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -48,6 +48,11 @@
     using write_observer = std::function<void(std::size_t)>;
     void on_written(write_observer observer) { on_written_ = std::move(observer); }
 
+    /// @return whether a write has failed, other than by being cancelled. The failure may have been
+    /// that of the connection, which the system reports once: a read then ends as if the peer had
+    /// closed regularly.
+    bool has_write_failed() const { return write_failed_; }
+
     /// Closes the connection after `delay`, unless a new timeout is set or it is cleared before.
     void set_timeout(base::duration delay);
     void clear_timeout();
@@ -82,6 +87,7 @@
     write_observer on_written_;
     std::uint64_t timeout_generation_ = 0;
     bool expired_ = false;
+    bool write_failed_ = false;
 };
 
 }  // namespace ferryroad::http
--- a/test/http/odd_answer_test.cpp
+++ b/test/http/odd_answer_test.cpp
@@ -3,7 +3,9 @@
 /// answer, and none waits for what can't follow.
 #include "test/http/loopback.hpp"
 
+#include <array>
 #include <optional>
+#include <thread>
 
 using namespace ferryroad;
 using namespace std::chrono_literals;
@@ -135,6 +137,45 @@
     }
 }
 
+/// A server in a thread of its own, so that it answers and resets the connection at any moment of
+/// the client's writes: as soon as it has read some of the request, at once after the answer.
+class resetting_server {
+  public:
+    explicit resetting_server(std::string answer)
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+          m_thread([this, text = std::move(answer)] { serve(text); }) {}
+    ~resetting_server() { m_thread.join(); }
+    resetting_server(const resetting_server&) = delete;
+    resetting_server& operator=(const resetting_server&) = delete;
+    base::endpoint address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
+
+  private:
+    void serve(const std::string& answer) {
+        boost::asio::ip::tcp::socket socket = m_acceptor.accept();
+        std::array<char, 65536> block{};
+        socket.read_some(boost::asio::buffer(block));
+        boost::asio::write(socket, boost::asio::buffer(answer));
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+/// Uploads to a server that answers and resets the connection meanwhile.
+/// @param taken_for_whole whether the client took the answer, which has no length, for a whole one.
+runtime::task<void> upload(test::loopback& loop, bool& taken_for_whole) {
+    const resetting_server server("HTTP/1.1 200 OK\r\nId: id1\r\n\r\npart");
+    http::client client(loop.scheduler, http::client_limits{});
+    http::request message;
+    message.method = "POST";
+    message.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
+    const auto fault = co_await relay_request(client, server.address(), std::move(message));
+    taken_for_whole = !fault;
+}
+
 }  // namespace
 
 Test(odd_answer, is_none_to_relay) {
@@ -156,3 +197,15 @@
     test::loopback loop;
     cr_assert(loop.run([&] { return check_all(loop, open, "open"); }));
 }
+
+Test(odd_answer, one_that_is_reset_while_the_request_is_written_is_not_whole) {
+    constexpr int rounds = 30;
+    int taken = 0;
+    for (int round = 0; round < rounds; ++round) {
+        test::loopback loop;
+        bool taken_for_whole = false;
+        cr_assert(loop.run([&] { return upload(loop, taken_for_whole); }));
+        taken += taken_for_whole ? 1 : 0;
+    }
+    cr_assert_eq(taken, 0, "%d of %d", taken, rounds);
+}
