--- a/src/ferryroad/relay/resource_plan.cpp
+++ b/src/ferryroad/relay/resource_plan.cpp
@@ -13,7 +13,7 @@
 /// Twice as many descriptors as callers have connections are left for engines, routers and files.
 constexpr std::size_t caller_connection_divisor = 3;
 constexpr std::size_t forwarding_connection_divisor = 16;
-constexpr std::size_t peer_connection_divisor = 8;
+constexpr std::size_t peer_connection_divisor = 4;
 constexpr std::size_t readiness_connections = 16;
 constexpr std::size_t metrics_connections = 8;
 constexpr std::size_t min_connections = 8;
