--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -41,7 +41,7 @@
     runtime::task<void> run_session(std::shared_ptr<state> self,
                                     std::shared_ptr<session> current_session, bool over_limit);
     void accept_pending();
-    /// Closes the most dispensable connection, if any. @return whether one was closed.
+    /// Closes the connection that is evicted first, if any. @return whether one was closed.
     bool make_room();
     runtime::task<void> drain(std::shared_ptr<state> self);
     void close();
@@ -51,7 +51,7 @@
     runtime::boot_timer all_sessions_closed;  ///< Cancelled when the last session ends.
     std::shared_ptr<server_shared> shared;
     std::unordered_set<session*> sessions;
-    std::uint64_t dispensed = 0;
+    std::uint64_t evicted = 0;
 };
 
 base::endpoint server::state::listen(const base::endpoint& address) {
@@ -100,12 +100,12 @@
 bool server::state::make_room() {
     const base::monotonic_time now = scheduler.now();
     session* victim = nullptr;
-    auto lowest = session::dispensability::needed;
+    auto lowest = session::eviction_class::none;
     for (session* one : sessions) {
-        const auto rank = one->dispensability_at(now);
+        const auto rank = one->eviction_class_at(now);
         const bool first = rank < lowest || (victim != nullptr && rank == lowest &&
                                              one->in_phase_since() < victim->in_phase_since());
-        if (first && (rank == session::dispensability::stalled || !one->has_input())) {
+        if (first && (rank == session::eviction_class::stalled || !one->has_input())) {
             victim = one;
             lowest = rank;
         }
@@ -117,7 +117,7 @@
         runtime::log_level::warning, log_component, "connection closed to make room for a new one",
         {{"connections", std::to_string(sessions.size())},
          {"waited_ms", std::to_string(base::to_milliseconds(now - victim->in_phase_since()))}});
-    ++dispensed;
+    ++evicted;
     sessions.erase(victim);
     victim->close();
     return true;
@@ -203,8 +203,8 @@
     state_->shared->memory = std::move(budget);
 }
 
-std::uint64_t server::dispensed_connections() const {
-    return state_->dispensed;
+std::uint64_t server::evicted_connections() const {
+    return state_->evicted;
 }
 
 std::size_t server::active_requests() const {
--- a/src/ferryroad/http/server.hpp
+++ b/src/ferryroad/http/server.hpp
@@ -98,7 +98,7 @@
     /// @return the number of requests being handled.
     std::size_t active_requests() const;
     /// @return the number of connections closed so far to make room for others.
-    std::uint64_t dispensed_connections() const;
+    std::uint64_t evicted_connections() const;
 
   private:
     struct state;
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -18,7 +18,7 @@
 /// Time for the first request of a connection that was accepted just before a graceful shutdown.
 constexpr base::duration first_request_drain_timeout = std::chrono::seconds(1);
 /// A connection that has waited for its client for a shorter time isn't closed to make room.
-constexpr base::duration min_wait_to_dispense = std::chrono::seconds(1);
+constexpr base::duration min_wait_to_evict = std::chrono::seconds(1);
 constexpr std::string_view continue_answer = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view log_component = "http.server";
 
@@ -44,15 +44,15 @@
     in_phase_since_ = shared_->clock.now();
 }
 
-session::dispensability session::dispensability_at(base::monotonic_time now) const {
-    const bool for_long = now - in_phase_since_ >= min_wait_to_dispense;
+session::eviction_class session::eviction_class_at(base::monotonic_time now) const {
+    const bool for_long = now - in_phase_since_ >= min_wait_to_evict;
     if (phase_ == phase::idle) {
-        return dispensability::idle;
+        return eviction_class::idle;
     }
     if (phase_ == phase::handling || !for_long) {
-        return dispensability::needed;
+        return eviction_class::none;
     }
-    return phase_ == phase::fresh ? dispensability::silent : dispensability::stalled;
+    return phase_ == phase::fresh ? eviction_class::silent : eviction_class::stalled;
 }
 
 void session::drain() {
@@ -78,7 +78,7 @@
     decoder_.emplace(shared_->limits.header_bytes, shared_->limits.body_bytes);
     if (shared_->memory) {
         memory_.emplace(
-            shared_->memory, shared_->clock, [this] { give_way(); },
+            shared_->memory, shared_->clock, [this] { evict_request(); },
             runtime::account_terms{request_memory_share, true});
     }
 }
@@ -88,10 +88,9 @@
     return !memory_ || memory_->grow_to(decoder_->buffered_bytes() + link_->received().size());
 }
 
-void session::give_way() {
-    gave_way_ = true;
-    decoder_.reset();
-    link_->consume(link_->received().size());
+void session::evict_request() {
+    evicted_ = true;
+    free_request();
     link_->interrupt();
 }
 
@@ -141,14 +140,14 @@
             co_await link_->write(std::move(text), std::string_view(), base::duration::zero());
         }
         boost::system::error_code failure;
-        if (!gave_way_) {
+        if (!evicted_) {
             failure = co_await link_->read_more();
         }
-        const bool refuses = gave_way_ && link_->is_open();
+        const bool refuses = evicted_ && link_->is_open();
         if (refuses) {
             co_await refuse_for_memory();
         }
-        if (failure || gave_way_) {
+        if (failure || evicted_) {
             co_return false;
         }
     }
@@ -186,7 +185,16 @@
     co_await write_refusal(503, "too_many_connections", "too many connections");
 }
 
+void session::free_request() {
+    decoder_.reset();
+    link_->consume(link_->received().size());
+    if (memory_) {
+        memory_->release();
+    }
+}
+
 runtime::task<void> session::refuse_input(decode_state state) {
+    free_request();
     if (state == decode_state::headers_too_large) {
         co_await write_refusal(431, "request_headers_too_large",
                                "the request's headers are over the limit of " +
@@ -205,13 +213,11 @@
     const runtime::memory_counters& used = memory_->budget().counters();
     runtime::log(runtime::log_level::warning, log_component,
                  "request refused before it was complete: no memory left for it",
-                 {{"reason", gave_way_ ? "gave way to other requests" : "no request gives way"},
+                 {{"reason", evicted_ ? "evicted for other messages" : "no message can be evicted"},
                   {"received_bytes", std::to_string(received)},
                   {"used_bytes", std::to_string(used.used_bytes)},
                   {"limit_bytes", std::to_string(memory_->budget().limits().total_bytes)}});
-    decoder_.reset();
-    link_->consume(link_->received().size());
-    memory_->release();
+    free_request();
     co_await write_refusal(503, "memory_exhausted",
                            "no memory is left for the request's body; it was not read");
 }
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -43,13 +43,13 @@
     void close() { link_->close(); }
 
     /// How readily a connection is closed to make room for another; the first ones first.
-    enum class dispensability {
+    enum class eviction_class {
         silent,   ///< Nothing has been received for a while since it was opened.
         idle,     ///< Between requests.
         stalled,  ///< A request has been arriving for a while.
-        needed    ///< It isn't closed.
+        none      ///< It isn't closed.
     };
-    dispensability dispensability_at(base::monotonic_time now) const;
+    eviction_class eviction_class_at(base::monotonic_time now) const;
     /// @return whether the client has sent something that was not read yet.
     bool has_input() const { return link_->has_input(); }
     /// @return since when the connection has been in its phase.
@@ -73,11 +73,13 @@
     bool decode_received();
     /// Frees the memory of the request being received, which is then refused. Called by the memory
     /// budget.
-    void give_way();
+    void evict_request();
     /// @return whether bytes arrived before the timeout and before the peer closed.
     runtime::task<bool> wait_for_input();
     /// @return whether the connection may be used for another request.
     runtime::task<bool> handle_request();
+    /// Frees the memory of the request being received.
+    void free_request();
     runtime::task<void> refuse_input(decode_state state);
     /// Refuses the request being received for lack of memory.
     runtime::task<void> refuse_for_memory();
@@ -93,7 +95,7 @@
     base::monotonic_time in_phase_since_;
     std::optional<request_decoder> decoder_;         ///< Of the request being received.
     std::optional<runtime::memory_account> memory_;  ///< Of the current request.
-    bool gave_way_ = false;
+    bool evicted_ = false;
 };
 
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/session_writer.cpp
+++ b/src/ferryroad/http/session_writer.cpp
@@ -30,7 +30,7 @@
     stage_ = stage::broken;
     if (body.size() > uncounted_bytes && shared_->memory && !memory_) {
         memory_.emplace(
-            shared_->memory, shared_->clock, [this] { give_way(); },
+            shared_->memory, shared_->clock, [this] { evict_response(); },
             runtime::account_terms{1.0, false});
         link_->on_written([this](std::size_t bytes) { memory_->record_progress(bytes); });
     }
@@ -58,7 +58,7 @@
     link_->on_written({});
 }
 
-void session_writer::give_way() {
+void session_writer::evict_response() {
     log_closed("its client has not read it");
     link_->close();
 }
--- a/src/ferryroad/http/session_writer.hpp
+++ b/src/ferryroad/http/session_writer.hpp
@@ -47,7 +47,7 @@
     runtime::result<void, error> misuse(const char* message);
     bool allows_keep_alive() const;
     /// Closes the connection, as its client doesn't read. Called by the memory budget.
-    void give_way();
+    void evict_response();
     void log_closed(std::string_view reason) const;
 
     std::shared_ptr<connection> link_;
--- a/src/ferryroad/relay/relay_metrics.cpp
+++ b/src/ferryroad/relay/relay_metrics.cpp
@@ -117,12 +117,12 @@
         static_cast<double>(now.memory.peak_bytes));
     set("ferryroad_relay_message_memory_limit_bytes", "Its limit.",
         static_cast<double>(now.memory_limit_bytes));
-    set("ferryroad_relay_messages_evicted", "Messages that gave way as the memory was used up.",
+    set("ferryroad_relay_messages_evicted", "Messages that lost their memory to others.",
         static_cast<double>(now.memory.evicted));
     set("ferryroad_relay_message_memory_refusals", "Messages for which no memory was left.",
         static_cast<double>(now.memory.refused));
-    set("ferryroad_relay_connections_dispensed", "Connections closed to make room for others.",
-        static_cast<double>(now.dispensed_connections));
+    set("ferryroad_relay_connections_evicted", "Connections closed to make room for others.",
+        static_cast<double>(now.evicted_connections));
 }
 
 void relay_metrics::set_quarantine_gauges(const relay_gauges& now) {
--- a/src/ferryroad/relay/relay_metrics.hpp
+++ b/src/ferryroad/relay/relay_metrics.hpp
@@ -51,12 +51,12 @@
     std::size_t active_requests = 0;
     runtime::memory_counters memory;  ///< Of requests and answers.
     std::size_t memory_limit_bytes = 0;
-    std::uint64_t dispensed_connections = 0;  ///< Closed to make room for others.
-    std::size_t remembered_parts = 0;         ///< Prompt parts whose holders are known.
-    std::size_t followed_holders = 0;         ///< Engines and stores whose cache state is tracked.
-    std::size_t live_peers = 0;               ///< Routers heard from recently.
-    std::uint64_t notices_sent = 0;           ///< Datagrams sent to other routers.
-    std::uint64_t notices_malformed = 0;      ///< Datagrams received that could not be decoded.
+    std::uint64_t evicted_connections = 0;  ///< Closed to make room for others.
+    std::size_t remembered_parts = 0;       ///< Prompt parts whose holders are known.
+    std::size_t followed_holders = 0;       ///< Engines and stores whose cache state is tracked.
+    std::size_t live_peers = 0;             ///< Routers heard from recently.
+    std::uint64_t notices_sent = 0;         ///< Datagrams sent to other routers.
+    std::uint64_t notices_malformed = 0;    ///< Datagrams received that could not be decoded.
     bool holds_rollout_lease = false;
     std::uint64_t orders_sent = 0;
     bool reads_owner = false;  ///< Reads the store's tables on behalf of other routers.
--- a/src/ferryroad/runtime/memory_budget.cpp
+++ b/src/ferryroad/runtime/memory_budget.cpp
@@ -55,7 +55,7 @@
         }
         const bool newer = newest == nullptr || one->m_number > newest->m_number;
         const bool large = one->m_bytes > m_limits.small_bytes;
-        if (large && newer && one->m_terms.yields_in_progress) {
+        if (large && newer && one->m_terms.evictable_in_progress) {
             newest = one;
         }
     }
--- a/src/ferryroad/runtime/memory_budget.hpp
+++ b/src/ferryroad/runtime/memory_budget.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Bounds the memory that messages take in a process, and decides which of them gives way.
+/// Bounds the memory that messages take in a process, and decides which of them are evicted.
 #pragma once
 
 #include "ferryroad/base/time.hpp"
@@ -32,18 +32,18 @@
 struct memory_counters {
     std::size_t used_bytes = 0;
     std::size_t peak_bytes = 0;
-    std::uint64_t evicted = 0;  ///< Accounts that gave way to others.
+    std::uint64_t evicted = 0;  ///< Accounts that lost their memory to others.
     std::uint64_t refused = 0;  ///< Requests for memory that were refused.
 
     friend bool operator==(const memory_counters&, const memory_counters&) = default;
 };
 
-/// What an account may use, and when it gives way to others.
+/// What an account may use, and when it may be evicted.
 struct account_terms {
     /// Share of the budget that must suffice for all accounts together when this one grows.
     double share = 1.0;
-    /// Whether it gives way also while it makes progress.
-    bool yields_in_progress = true;
+    /// Whether it may be evicted also while it makes progress.
+    bool evictable_in_progress = true;
 
     friend bool operator==(const account_terms&, const account_terms&) = default;
 };
@@ -51,8 +51,8 @@
 class memory_account;
 
 /// The memory of all accounts of a process. If it is exhausted, the account that stagnates with the
-/// most memory gives way; if none stagnates, the large one that was opened last, so that those that
-/// are nearly complete are completed. Use it from one thread.
+/// most memory is evicted; if none stagnates, the large one that was opened last, so that those
+/// that are nearly complete are completed. Use it from one thread.
 class memory_budget {
   public:
     explicit memory_budget(memory_limits limits) : m_limits(limits) {}
@@ -70,7 +70,7 @@
     bool reserve(memory_account& account, std::size_t bytes, base::monotonic_time now);
     void release(memory_account& account);
     /// @param small whether the account, which needs memory, stays small with it.
-    /// @return the account that gives way, or null if none may.
+    /// @return the account to evict, which may be that one, or null if there is none.
     memory_account* victim_for(memory_account& account, bool small, base::monotonic_time now) const;
     void evict(memory_account& account);
 
@@ -87,7 +87,7 @@
   public:
     /// @param clock must outlive the account.
     /// @param evict frees the memory, without waiting, and must not destroy the account, whose
-    /// bytes have been returned by then. Empty: the account never gives way.
+    /// bytes have been returned by then. Empty: the account is never evicted.
     memory_account(std::shared_ptr<memory_budget> budget, const base::clock& clock,
                    std::function<void()> evict, account_terms terms = {});
     ~memory_account();
@@ -100,7 +100,7 @@
     [[nodiscard]] bool grow_to(std::size_t bytes);
     /// Records progress other than growth.
     void record_progress(std::size_t bytes);
-    /// From now on the account does not give way to others.
+    /// From now on the account is not evicted.
     void keep();
     /// Returns all bytes to the budget.
     void release();
--- a/test/http/server_memory_test.cpp
+++ b/test/http/server_memory_test.cpp
@@ -206,7 +206,7 @@
     cr_assert_leq(at.memory->counters().peak_bytes, small_limits().total_bytes);
 }
 
-Test(server_memory, requests_that_give_way_are_refused_and_not_handled) {
+Test(server_memory, evicted_requests_are_refused_and_not_handled) {
     fixture at;
     std::size_t refused = 0;
     cr_assert(at.loop.run([&] { return read_refusals(at, refused); }));
@@ -222,7 +222,7 @@
     std::string answer;
     cr_assert(at.loop.run([&] { return connect_and_send(at, 3, answer); }));
     cr_assert(answer.starts_with("HTTP/1.1 200 "), "%s", answer.c_str());
-    cr_assert_eq(at.server.dispensed_connections(), 1U);
+    cr_assert_eq(at.server.evicted_connections(), 1U);
 }
 
 /// A random crowd; each client behaves in one of the ways.
--- a/test/peer/asio_transport_test.cpp
+++ b/test/peer/asio_transport_test.cpp
@@ -244,7 +244,7 @@
     wait_closed(transports, first);
 }
 
-Test(asio_transport, a_call_that_stalls_gives_way_to_others) {
+Test(asio_transport, a_call_that_stalls_is_evicted_for_others) {
     peer::transport_limits limits;
     constexpr std::size_t frame_bytes = 96;
     limits.memory = std::make_shared<runtime::memory_budget>(
--- a/test/runtime/memory_budget_test.cpp
+++ b/test/runtime/memory_budget_test.cpp
@@ -1,4 +1,4 @@
-/// The memory budget: which account gives way, and that the account book balances whatever happens.
+/// The memory budget: which account is evicted, and that the accounts add up whatever happens.
 #include "ferryroad/runtime/memory_budget.hpp"
 
 #include <criterion/criterion.h>
@@ -24,7 +24,7 @@
     return {100, 0.25, 10, 4, 1s};
 }
 
-/// A message whose owner frees it when it gives way.
+/// A message whose owner frees it when it is evicted.
 struct message {
     message(const std::shared_ptr<memory_budget>& budget, const base::clock& clock)
         : account(budget, clock, [this] { ++evictions; }) {}
@@ -46,7 +46,7 @@
 
 }  // namespace
 
-Test(memory_budget, the_account_that_stagnates_with_the_most_memory_gives_way) {
+Test(memory_budget, the_account_that_stagnates_with_the_most_memory_is_evicted) {
     fixture at;
     const auto small = at.open(5);
     const auto large = at.open(60);
@@ -77,7 +77,7 @@
     cr_assert_eq(growing->evictions, 0);
 }
 
-Test(memory_budget, of_large_accounts_that_grow_the_one_opened_last_gives_way) {
+Test(memory_budget, of_large_accounts_that_grow_the_one_opened_last_is_evicted) {
     fixture at;
     const auto first = at.open(35);
     const auto second = at.open(35);
@@ -100,7 +100,7 @@
     cr_assert(at.granted);
 }
 
-Test(memory_budget, none_gives_way_for_what_would_not_fit_all_the_same) {
+Test(memory_budget, none_is_evicted_for_what_would_not_fit_all_the_same) {
     fixture at;
     const auto kept = at.open(50);
     kept->account.keep();
@@ -120,7 +120,7 @@
     cr_assert(answer.grow_to(38));
 }
 
-Test(memory_budget, an_answer_gives_way_only_if_it_stagnates) {
+Test(memory_budget, an_answer_is_evicted_only_if_it_stagnates) {
     fixture at;
     int evictions = 0;
     memory_account answer(
@@ -146,7 +146,7 @@
 }
 
 /// Whatever is opened, grown, kept, evicted, refused or dropped: the sum of the accounts is what
-/// the budget counts, never more than its total, kept accounts don't give way, and at the end it is
+/// the budget counts, never more than its total, kept accounts aren't evicted, and at the end it is
 /// 0.
 Test(memory_budget, the_accounts_always_add_up) {
     const bool held = rc::check([] {
