A server forgets the sessions that the event loop destroys

What callers saw: nothing yet; an operator saw a router end with signal 11 after it had logged that it was stopped.

Cause: a server keeps plain pointers to its sessions, which their coroutines take out as they end. The event loop destroys coroutines that are still suspended at the end of a planned stop (connections to the readiness, metrics or forwarding listener, or beyond the grace), and the server then closes sessions that no longer exist.

Change: a session is registered for the lifetime of its coroutine's frame.

Test: server_end, crashed in 5 of 5 runs before, none of 3 after.

--- a/src/ferryroad/http/server.cpp
+++ b/src/ferryroad/http/server.cpp
@@ -23,6 +23,23 @@
 constexpr std::string_view log_component = "http.server";
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
+/// Keeps a session in a set for the lifetime of this object: the event loop may destroy the
+/// coroutine that runs the session before it has ended.
+class session_registration {
+  public:
+    session_registration(std::unordered_set<session*>& set, session* registered)
+        : set_(set), session_(registered) {
+        set_.insert(session_);
+    }
+    ~session_registration() { set_.erase(session_); }
+    session_registration(const session_registration&) = delete;
+    session_registration& operator=(const session_registration&) = delete;
+
+  private:
+    std::unordered_set<session*>& set_;
+    session* session_;
+};
+
 }  // namespace
 
 struct server::state : std::enable_shared_from_this<server::state> {
@@ -39,7 +56,9 @@
     runtime::task<void> accept_connections(std::shared_ptr<state> self);
     void start_session(tcp::socket socket);
     runtime::task<void> run_session(std::shared_ptr<state> self,
-                                    std::shared_ptr<session> current_session, bool over_limit);
+                                    std::shared_ptr<session> current_session,
+                                    std::unique_ptr<session_registration> registered,
+                                    bool over_limit);
     void accept_pending();
     /// Closes the connection that is evicted first, if any. @return whether one was closed.
     bool make_room();
@@ -93,8 +112,9 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto link = std::make_shared<connection>(std::move(socket));
     auto current_session = std::make_shared<session>(std::move(link), shared);
-    sessions.insert(current_session.get());
-    scheduler.spawn(log_component, run_session(shared_from_this(), current_session, over_limit));
+    auto registered = std::make_unique<session_registration>(sessions, current_session.get());
+    scheduler.spawn(log_component, run_session(shared_from_this(), std::move(current_session),
+                                               std::move(registered), over_limit));
 }
 
 bool server::state::make_room() {
@@ -125,13 +145,14 @@
 
 runtime::task<void> server::state::run_session([[maybe_unused]] std::shared_ptr<state> self,
                                                std::shared_ptr<session> current_session,
+                                               std::unique_ptr<session_registration> registered,
                                                bool over_limit) {
     if (over_limit) {
         co_await current_session->refuse();
     } else {
         co_await current_session->run();
     }
-    sessions.erase(current_session.get());
+    registered.reset();
     if (sessions.empty()) {
         all_sessions_closed.cancel();
     }
