A request that is given up is reset, so that it can't arrive late

Cause: a request that was given up had its connection closed, and the kernel goes on sending what is on it, for seconds after the link is back.

Change: from the first byte on until its answer is whole, a client's connection is reset when it is closed, by the timeout as well: the kernel drops what has not arrived. Connections whose answer was read are closed as before.

Not covered: a router that is killed while an order is on its way; the kernel delivers that.

Test: client_relay.a_request_that_is_given_up_is_reset failed before (an ordered end, by send and by relay), holds now.

--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -104,6 +104,8 @@
 runtime::task<result<void>> exchange::start(std::string head, std::string_view body,
                                             base::monotonic_time deadline) {
     link_->set_timeout(time_left(deadline));
+    // A request that is given up must not reach the server once the network delivers it.
+    link_->reset_when_closed(true);
     if (relayed_) {
         const auto answered = co_await write_and_read_head(std::move(head), body);
         if (!answered) {
@@ -314,6 +316,7 @@
     if (!is_complete() || !link_) {
         return;
     }
+    link_->reset_when_closed(false);
     if (decoder_.keep_alive() && reusable_) {
         pool_->put_back(address_, std::move(link_), announced_idle_timeout());
     } else {
--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -157,6 +157,9 @@
 
 void connection::close() {
     clear_timeout();
+    if (resets_when_closed_ && socket_.is_open()) {
+        set_reset_on_close(true);
+    }
     boost::system::error_code ignored;
     socket_.close(ignored);
 }
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -74,6 +74,9 @@
     void close();
     /// Closes with a reset (RST), so that the peer can't mistake it for a regular end.
     void reset();
+    /// Sets whether `close` and the timeout reset the connection, so that nothing is delivered any
+    /// more of what was written and has not arrived.
+    void reset_when_closed(bool resets) { resets_when_closed_ = resets; }
     /// Sets whether each way of closing the connection is a reset, also by the end of the process.
     void set_reset_on_close(bool resets);
 
@@ -88,6 +91,7 @@
     std::uint64_t timeout_generation_ = 0;
     bool expired_ = false;
     bool write_failed_ = false;
+    bool resets_when_closed_ = false;
 };
 
 }  // namespace ferryroad::http
--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -79,6 +79,26 @@
     cr_assert(bytes.has_value() && *bytes == "no");
 }
 
+/// Sends a request to a server that never answers, and gives it up.
+/// @param relayed whether as a relayed request that is cancelled, or as one that times out.
+runtime::task<void> give_up(ferryroad::test::loopback& loop, bool relayed, bool& was_reset) {
+    boost::asio::ip::tcp::acceptor acceptor(loop.context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    http::client client(loop.scheduler, http::client_limits{});
+    const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    http::request message = post("order");
+    if (relayed) {
+        http::relay_options options;
+        options.limit = 50ms;
+        co_await client.relay(address, std::move(message), std::move(options));
+    } else {
+        co_await client.send(address, std::move(message), 50ms, http::resend::forbidden);
+    }
+    ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
+    co_await socket.read_to_close();
+    was_reset = socket.was_reset();
+}
+
 /// Two exchanges in a row. Checks how many connections the server accepted.
 runtime::task<void> send_two(ferryroad::test::loopback& loop, const char* header,
                              std::size_t connections) {
@@ -253,3 +273,12 @@
         cr_assert(loop.run([&] { return send_two(loop, each.header, each.connections); }));
     }
 }
+
+Test(client_relay, a_request_that_is_given_up_is_reset) {
+    for (const bool relayed : {false, true}) {
+        ferryroad::test::loopback loop;
+        bool was_reset = false;
+        cr_assert(loop.run([&] { return give_up(loop, relayed, was_reset); }));
+        cr_expect(was_reset, "relayed %d", static_cast<int>(relayed));
+    }
+}
