A body whose transfer coding is not chunked has no known end: 400, or an invalid answer

Cause: the parser reports such a request as complete after its head; the bytes of its body were the next request on the connection.

Change: a message with any transfer coding but one chunked, or with one in HTTP/1.0, is malformed: 400 and the end of the connection, or an invalid answer.

--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -102,6 +103,18 @@
     return {text.data(), text.size()};
 }
 
+/// @return whether the end of the body can be known: a transfer coding other than chunked, which
+/// Beast does not report, hides it, and would be left on the body.
+template <typename Message>
+bool has_known_framing(const Message& message) {
+    const auto codings = message.equal_range(beast_http::field::transfer_encoding);
+    return std::all_of(codings.first, codings.second, [&](const auto& field) {
+        return message.version() >= http_1_1_version &&
+               boost::algorithm::iequals(to_view(field.value()), "chunked") &&
+               std::next(codings.first) == codings.second;
+    });
+}
+
 /// @return whether the text contains the protocol version and the status of a response.
 bool has_status_line(std::string_view text) {
     constexpr std::string_view protocol = "HTTP/1.";
@@ -154,6 +167,9 @@
     const std::size_t consumed = feed_parser(parser_->native, bytes, header_bytes_, state_);
     if (!had_head) {
         head_bytes_ += consumed;
+        if (headers_complete() && !has_known_framing(parser_->native.get())) {
+            state_ = decode_state::malformed;
+        }
     }
     return consumed;
 }
@@ -245,7 +261,8 @@
 }
 
 bool response_decoder::is_head_valid() const {
-    return is_expected_status(status()) && !contains_status_line();
+    return is_expected_status(status()) && !contains_status_line() &&
+           has_known_framing(parser_->native.get());
 }
 
 bool response_decoder::contains_status_line() const {
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -24,6 +24,7 @@
     request_decoder(const request_decoder&) = delete;
     request_decoder& operator=(const request_decoder&) = delete;
 
+    /// A request with a transfer coding other than chunked is `malformed`.
     /// @param bytes all bytes received and not consumed yet. @return the number of bytes consumed.
     std::size_t feed(std::string_view bytes);
     decode_state state() const;
@@ -65,7 +66,8 @@
 
     /// A head that contains a second status line is `malformed`: a response that stopped inside its
     /// head was followed by another one. So is one with a status below 100 or above 599, and one
-    /// with 101, as no request asks for another protocol.
+    /// with 101, as no request asks for another protocol, and one with a transfer coding other than
+    /// chunked.
     /// @param bytes all bytes received and not consumed yet. @return the number of bytes consumed.
     std::size_t feed(std::string_view bytes);
     decode_state state() const;
--- a/test/http/malformed_request_test.cpp
+++ b/test/http/malformed_request_test.cpp
@@ -12,6 +12,11 @@
 constexpr std::size_t header_limit = 1024;
 constexpr std::size_t body_limit = 64;
 
+/// @return a request whose body is the text of another one.
+std::string smuggling(const std::string& framing) {
+    return "POST / HTTP/1.1\r\nHost: a\r\n" + framing + "\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
 struct row {
     const char* name;
     std::string bytes;
@@ -38,6 +43,21 @@
         {"length and chunks",
          "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
          "HTTP/1.1 400", "malformed_request"},
+        {"coding: gzip", smuggling("Transfer-Encoding: gzip\r\n"), "HTTP/1.1 400",
+         "malformed_request"},
+        {"coding: identity", smuggling("Transfer-Encoding: identity\r\n"), "HTTP/1.1 400",
+         "malformed_request"},
+        {"coding: xchunked", smuggling("Transfer-Encoding: xchunked\r\n"), "HTTP/1.1 400",
+         "malformed_request"},
+        {"coding behind chunks: chunked, identity",
+         smuggling("Transfer-Encoding: chunked, identity\r\n"), "HTTP/1.1 400",
+         "malformed_request"},
+        {"coding before chunks: gzip, chunked", smuggling("Transfer-Encoding: gzip, chunked\r\n"),
+         "HTTP/1.1 400", "malformed_request"},
+        {"chunks twice: chunked, chunked", smuggling("Transfer-Encoding: chunked, chunked\r\n"),
+         "HTTP/1.1 400", "malformed_request"},
+        {"two codings", smuggling("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"),
+         "HTTP/1.1 400", "malformed_request"},
         {"bad chunk size", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
          "HTTP/1.1 400", "malformed_request"},
         {"headers too large", "GET / HTTP/1.1\r\nA: " + long_value + "\r\n\r\n", "HTTP/1.1 431",
--- a/test/http/odd_answer_test.cpp
+++ b/test/http/odd_answer_test.cpp
@@ -56,6 +56,11 @@
             all.push_back(with_trailer(line));
         }
         all.push_back(with_line("Content-Length: 5"));
+        for (const char* coding : {"gzip", "identity", "xchunked", "chunked, identity",
+                                   "gzip, chunked", "chunked, chunked"}) {
+            all.push_back("HTTP/1.1 200 OK\r\nId: id1\r\nTransfer-Encoding: " +
+                          std::string(coding) + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+        }
         return all;
     }();
     return answers;
