A key counts on public routes, where none is needed

Cause: the tenant was looked up only on routes that need a key.

Change: the key of a request is looked up on every route; on public ones a missing or unknown key is no reason to refuse. A known key that the store can't confirm is refused there, too, for a while: without it the tenant's isolation would be a guess.

--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -217,15 +217,14 @@
             return refusal_of(can_refuse ? refusal_cause::no_route
                                          : refusal_cause::policy_not_fresh);
         }
-        if (plan.policy->needs_key(*plan.matched_route)) {
-            plan.tenant = call->api_key ? plan.policy->find_tenant(*call->api_key) : nullptr;
-            if (plan.tenant == nullptr) {
-                return refusal_of(can_refuse ? refusal_cause::unknown_key
-                                             : refusal_cause::policy_not_fresh);
-            }
-            if (!m_dependencies.policies.keys_valid(now)) {
-                return refusal_of(refusal_cause::policy_not_fresh);
-            }
+        // A key counts on public routes, too, where none is needed: its tenant may be isolated.
+        plan.tenant = call->api_key ? plan.policy->find_tenant(*call->api_key) : nullptr;
+        if (plan.tenant == nullptr && plan.policy->needs_key(*plan.matched_route)) {
+            return refusal_of(can_refuse ? refusal_cause::unknown_key
+                                         : refusal_cause::policy_not_fresh);
+        }
+        if (plan.tenant != nullptr && !m_dependencies.policies.keys_valid(now)) {
+            return refusal_of(refusal_cause::policy_not_fresh);
         }
         plan.pool = m_rotations[plan.matched_route->name].next(plan.matched_route->pools);
         const base::duration allowed = std::min(
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -383,6 +383,44 @@
     }
 }
 
+struct public_row {
+    const char* name;
+    std::optional<std::string> key;
+    base::duration age;  ///< Time since the policy was confirmed.
+    unsigned status;
+    const char* tenant;  ///< That the engine is told; null: none.
+};
+const public_row public_rows[] = {
+    {"key of a tenant", "key", 0ms, 200, "t"},
+    {"key of nobody", "other", 0ms, 200, nullptr},
+    {"no key", std::nullopt, 0ms, 200, nullptr},
+    {"key of a tenant, not confirmed", "key", 3500ms, 503, nullptr},
+    {"no key, nothing confirmed", std::nullopt, 3500ms, 200, nullptr},
+};
+
+Test(relay_service, a_key_counts_on_public_routes_and_none_is_needed) {
+    for (const public_row& row : public_rows) {
+        relay_fixture fixture;
+        fixture.answer(whole(200, "ok"));
+        auto declared = relay_fixture::declared();
+        for (core::traffic::route& one : declared.routes) {
+            one.is_public = true;
+        }
+        fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
+        fixture.policies.offer(std::move(declared));
+        fixture.policies.confirm(fixture.loop.scheduler.now() - row.age);
+        relay_call call = fixture.call("/safe/");
+        call.api_key = row.key;
+        fixture.serve(std::move(call));
+        cr_assert_eq(fixture.writer.status, row.status, "%s: %u", row.name, fixture.writer.status);
+        const auto& sent = fixture.upstream.dispatches;
+        cr_assert_eq(sent.size(), row.status == 200 ? 1U : 0U, "%s", row.name);
+        const std::string told = sent.empty() || !sent[0].tenant ? "" : sent[0].tenant->value;
+        cr_assert(told == (row.tenant == nullptr ? "" : row.tenant), "%s: %s", row.name,
+                  told.c_str());
+    }
+}
+
 Test(relay_service, without_a_policy_it_answers_503) {
     relay_fixture fixture;
     fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
