--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -1033,15 +1033,17 @@
     runtime::task<void> send_last_answer() {
         http::response answer = std::move(*m_last_answer);
         m_last_answer.reset();
-        co_await send(std::move(answer));
+        co_await send(answer);
     }
 
-    runtime::task<void> send(http::response answer) {
+    /// @param answer is moved from, and must outlive the returned coroutine.
+    runtime::task<void> send(http::response& answer) {
         m_outcome.status = answer.status;
         if (m_body_memory) {
             m_body_memory->release();  // The writer counts the answer from now on.
         }
-        co_await m_writer.send(std::move(answer));
+        http::response sent = std::exchange(answer, {});
+        co_await m_writer.send(std::move(sent));
     }
 
     /// Makes a refusal that is due to a quarantine say so, and when the request may be retried.
@@ -1112,7 +1114,7 @@
             co_return;
         }
         http::response answer = to_response(refusal);
-        co_await send(std::move(answer));
+        co_await send(answer);
     }
 
     relay_dependencies<Upstream> m_dependencies;
