The body of an answer is a part of its own; limits are chosen by the product

Change: relay/answer_body collects a body and charges it; relay/resource_plan and tunables hold the limits, platform/ only hands over what the machine has. The log line says how much was received. No other behaviour changes.

--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -85,7 +85,8 @@
 
 bool session::decode_received() {
     link_->consume(decoder_->feed(link_->received()));
-    return !memory_ || memory_->grow_to(decoder_->buffered_bytes() + link_->received().size());
+    received_bytes_ = decoder_->buffered_bytes() + link_->received().size();
+    return !memory_ || memory_->grow_to(received_bytes_);
 }
 
 void session::evict_request() {
@@ -209,12 +210,11 @@
 }
 
 runtime::task<void> session::refuse_for_memory() {
-    const std::size_t received = memory_->bytes();
     const runtime::memory_counters& used = memory_->budget().counters();
     runtime::log(runtime::log_level::warning, log_component,
                  "request refused before it was complete: no memory left for it",
                  {{"reason", evicted_ ? "evicted for other messages" : "no message can be evicted"},
-                  {"received_bytes", std::to_string(received)},
+                  {"received_bytes", std::to_string(received_bytes_)},
                   {"used_bytes", std::to_string(used.used_bytes)},
                   {"limit_bytes", std::to_string(memory_->budget().limits().total_bytes)}});
     free_request();
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -95,6 +95,7 @@
     base::monotonic_time in_phase_since_;
     std::optional<request_decoder> decoder_;         ///< Of the request being received.
     std::optional<runtime::memory_account> memory_;  ///< Of the current request.
+    std::size_t received_bytes_ = 0;                 ///< Memory of the request being received.
     bool evicted_ = false;
 };
 
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -11,6 +11,7 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 #include "ferryroad/http/server.hpp"
 #include "ferryroad/quotas/quota_service.hpp"
+#include "ferryroad/relay/answer_body.hpp"
 #include "ferryroad/relay/canary_traffic.hpp"
 #include "ferryroad/relay/dispatch_log.hpp"
 #include "ferryroad/relay/dispatch_preconditions.hpp"
@@ -31,7 +32,6 @@
 #include "ferryroad/relay/waiting_requests.hpp"
 #include "ferryroad/runtime/log.hpp"
 #include "ferryroad/runtime/memory_budget.hpp"
-#include "ferryroad/runtime/process_limits.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -140,12 +140,10 @@
           m_preconditions({dependencies.scheduler, dependencies.selection, dependencies.policies,
                            dependencies.quarantine, waiting},
                           m_plan, m_timing),
+          m_body(dependencies.memory, dependencies.scheduler, tunables.max_answer_bytes),
           m_last_id(m_plan.call->last_event_id),
           m_begun_at(m_plan.begun_at) {
         m_outcome.begun_at = m_begun_at;
-        if (dependencies.memory) {
-            m_body_memory.emplace(dependencies.memory, dependencies.scheduler, nullptr);
-        }
     }
 
     /// Runs the request until its final response has been sent. Exceptions are logged and end it
@@ -514,10 +512,7 @@
         if (!m_answer->is_event_stream) {
             m_timing.answered(m_dependencies.scheduler.now());
         }
-        clear_body();
-        // A string that grows takes up to three times its size while it is copied.
-        const auto length = http::content_length(m_answer->headers);
-        m_body.reserve(std::min(length.value_or(0), m_tunables.max_answer_bytes));
+        m_body.begin(m_answer->headers);
         m_splitter = core::stream::event_splitter();
         feed(execution::exchange_started{m_exchange});
     }
@@ -851,10 +846,10 @@
 
     void handle_body_part(const std::optional<std::string>& bytes) {
         if (bytes) {
-            m_body += *bytes;
-            if (m_body.size() > m_tunables.max_answer_bytes) {
+            const append_result added = m_body.append(*bytes);
+            if (added == append_result::too_large) {
                 fail_exchange(execution::failure_kind::broken, "answer exceeds the size limit");
-            } else if (m_body_memory && !m_body_memory->grow_to(runtime::memory_of(m_body))) {
+            } else if (added == append_result::no_memory) {
                 give_up_answer();
             }
             return;
@@ -868,7 +863,7 @@
             log_unusable_answer(m_plan, m_selected, status,
                                 continues_stream ? "stream_not_continued" : "unproven_promise");
         } else {
-            m_last_answer = http::response{status, m_answer->headers, std::move(m_body)};
+            m_last_answer = http::response{status, m_answer->headers, m_body.take()};
         }
         m_evidence.answered(status, m_dependencies.scheduler.now());
         report_success();
@@ -883,14 +878,14 @@
 
     /// Gives up an answer for which no memory is left. Its engine is not at fault.
     void give_up_answer() {
-        const runtime::memory_budget& budget = m_body_memory->budget();
+        const runtime::memory_budget& budget = *m_body.budget();
         runtime::log(runtime::log_level::warning, component, "no memory left for an answer",
                      {{"request_id", m_plan.call->id.value},
                       {"engine", m_selected.target.name.value},
                       {"received_bytes", std::to_string(m_body.size())},
                       {"used_bytes", std::to_string(budget.counters().used_bytes)},
                       {"limit_bytes", std::to_string(budget.limits().total_bytes)}});
-        clear_body();
+        m_body.clear();
         m_evidence.answered(m_answer->status, m_dependencies.scheduler.now());
         report_success();
         end_exchange();
@@ -898,13 +893,6 @@
                                         execution::failure_proof::unknown, std::nullopt});
     }
 
-    void clear_body() {
-        std::string().swap(m_body);  // Assigning an empty string would keep the buffer.
-        if (m_body_memory) {
-            m_body_memory->release();
-        }
-    }
-
     runtime::task<void> handle_stream_part(const std::optional<std::string>& bytes) {
         if (!bytes) {
             if (m_splitter.in_event()) {
@@ -1039,9 +1027,7 @@
     /// @param answer is moved from, and must outlive the returned coroutine.
     runtime::task<void> send(http::response& answer) {
         m_outcome.status = answer.status;
-        if (m_body_memory) {
-            m_body_memory->release();  // The writer counts the answer from now on.
-        }
+        m_body.release();  // The writer counts the answer from now on.
         http::response sent = std::exchange(answer, {});
         co_await m_writer.send(std::move(sent));
     }
@@ -1143,8 +1129,7 @@
     std::optional<std::uint64_t> m_engine_start;  ///< Start of the exchange's engine process.
     std::optional<opened_answer> m_answer;
     core::stream::event_splitter m_splitter;
-    std::string m_body;  ///< Body of a non-streaming answer received so far.
-    std::optional<runtime::memory_account> m_body_memory;  ///< Of `m_body` and `m_last_answer`.
+    answer_body m_body;  ///< Of a non-streaming answer; charged for `m_last_answer`, too.
     std::optional<http::response> m_last_answer;  ///< The last complete answer of an engine.
     std::string m_outbox;                         ///< Events not forwarded yet.
     std::optional<std::uint64_t> m_last_id;
--- a/src/ferryroad/relay/resource_plan.cpp
+++ b/src/ferryroad/relay/resource_plan.cpp
@@ -1,8 +1,10 @@
 #include "ferryroad/relay/resource_plan.hpp"
 
+#include "ferryroad/http/server.hpp"
 #include "ferryroad/peer/transport.hpp"
 
 #include <algorithm>
+#include <memory>
 
 namespace ferryroad::relay {
 
@@ -46,4 +48,16 @@
     return plan;
 }
 
+std::size_t largest_request(const resource_plan& plan) {
+    const double share = http::request_memory_share * (1 - plan.messages.small_share);
+    return static_cast<std::size_t>(static_cast<double>(plan.messages.total_bytes) * share);
+}
+
+peer::transport_limits peer_limits_for(const resource_plan& plan) {
+    peer::transport_limits limits;
+    limits.incoming_connections = plan.peer_connections;
+    limits.memory = std::make_shared<runtime::memory_budget>(plan.peer_calls);
+    return limits;
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/resource_plan.hpp
+++ b/src/ferryroad/relay/resource_plan.hpp
@@ -2,6 +2,7 @@
 /// How a router divides the memory and the file descriptors of its process.
 #pragma once
 
+#include "ferryroad/peer/asio_transport.hpp"
 #include "ferryroad/runtime/memory_budget.hpp"
 #include "ferryroad/runtime/process_limits.hpp"
 
@@ -29,4 +30,9 @@
 /// Thread-safe.
 resource_plan plan_resources(const runtime::process_limits& limits);
 
+/// @return the size of the largest request for which there is ever memory, in bytes. Thread-safe.
+std::size_t largest_request(const resource_plan& plan);
+/// @return the limits of the transport between routers. Thread-safe.
+peer::transport_limits peer_limits_for(const resource_plan& plan);
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -166,4 +166,13 @@
     return limits;
 }
 
+/// Limits of the listeners for readiness and metrics, whose requests need no body.
+/// @param connections at most.
+inline http::server_limits monitoring_limits(std::size_t connections) {
+    http::server_limits limits;
+    limits.body_bytes = std::size_t{4} * 1024;
+    limits.connections = connections;
+    return limits;
+}
+
 }  // namespace ferryroad::relay
