--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -22,6 +22,8 @@
 #include "ferryroad/relay/exchange_timing.hpp"
 #include "ferryroad/relay/policy_source.hpp"
 #include "ferryroad/relay/refusal.hpp"
+#include "ferryroad/relay/relay_dependencies.hpp"
+#include "ferryroad/relay/relay_outcome.hpp"
 #include "ferryroad/relay/relay_plan.hpp"
 #include "ferryroad/relay/request_quarantine.hpp"
 #include "ferryroad/relay/selection.hpp"
@@ -50,76 +52,6 @@
 
 namespace execution = core::execution;
 
-/// Called for each dispatch with the engine, the shared parts of the prompt, and the number of
-/// tokens that the engine is expected to prefill.
-using dispatch_listener = std::function<void(
-    const base::engine_name&, const std::vector<core::prefix::scoped_part>&, std::uint64_t)>;
-
-/// Counts a request against its tenant's rate limit over all routers.
-using quota_counter = std::function<runtime::task<quotas::quota_decision>(
-    const base::tenant_name&, const quotas::rate_limit&, double amount)>;
-
-/// The components that requests are served with. All must outlive the requests.
-template <upstream Upstream>
-struct relay_dependencies {
-    runtime::scheduler& scheduler;
-    Upstream& engines;
-    engine_registry& registry;
-    engine_selection& selection;
-    const policy_source& policies;
-    /// Called for each dispatch; may be empty.
-    dispatch_listener dispatched;
-    /// Called for each request of a tenant with a quota; if empty, quotas are not enforced.
-    quota_counter count_quota;
-    /// Selects requests for software versions on trial and receives their outcomes; may be null.
-    canary_traffic* releases = nullptr;
-    /// Quarantines requests that crash engines and receives how exchanges end; may be null.
-    request_quarantine* quarantine = nullptr;
-    /// Counts exchanged bytes by network distance; may be null.
-    traffic_meter* meter = nullptr;
-    /// Records the request limits that engines state; may be null.
-    engine_limits* limits = nullptr;
-    /// This router's own paths to engines; may be null.
-    const core::reachability::engine_paths* paths = nullptr;
-    /// Knows at which software version resumed streams began; may be null.
-    stream_origins* origins = nullptr;
-    /// Grants slots of engines that limit their rejections; may be null.
-    engine_slots* slots = nullptr;
-    /// Limits the memory of answers that are received whole before they are sent; may be null.
-    std::shared_ptr<runtime::memory_budget> memory;
-};
-
-/// How a request ended, for logs and metrics.
-struct relay_outcome {
-    std::optional<relay_refusal> refusal;  ///< Nothing if an engine's answer was forwarded.
-    unsigned status = 0;                   ///< HTTP status sent to the caller.
-    std::uint32_t dispatches = 0;
-    std::uint32_t withdrawals = 0;        ///< Dispatches cancelled while they waited at an engine.
-    std::uint32_t state_withdrawals = 0;  ///< Those of them that were to fetch outdated state.
-    /// Answers to other requests that engines sent before those to this one.
-    std::uint32_t answers_skipped = 0;
-    bool quarantined_waiting = false;  ///< The last withdrawal was due to a quarantine.
-    std::uint64_t events = 0;          ///< Forwarded to the caller.
-    /// Software version that the stream began at; nothing if it has no event.
-    std::optional<coordination::release::software_version> begun_at;
-    std::uint32_t continued = 0;  ///< Exchanges that continued a stream after an event.
-    bool mixed_software = false;  ///< Events came from engines of several software versions.
-    std::optional<base::duration> first_event;  ///< Time from the request's arrival.
-    base::duration longest_gap{};               ///< Between two events.
-    std::string engine;                         ///< The last one the request was dispatched to.
-    /// The router that passed the last answered exchange on, if any.
-    std::optional<base::router_name> via;
-    double predicted_ms = 0;               ///< Cost estimated when it was selected.
-    std::optional<std::uint64_t> weights;  ///< Weights version it reported.
-    /// Time from sending to the first event in the last exchange that began; for requests with a
-    /// declared prompt only.
-    std::optional<base::duration> begun_after;
-    base::duration begin_bound{};  ///< Expected upper bound of `begun_after`.
-    /// How long newer weights had been announced when an exchange received its first event; the
-    /// maximum over all exchanges, nothing if all began on the newest weights.
-    std::optional<base::duration> begun_outdated;
-};
-
 /// Runs one request from the selection of an engine to the final response. Used from the event
 /// loop's thread.
 template <upstream Upstream>
