A stream whose state may be of other weights is continued elsewhere

Cause: a cache scope is a promise about weights that is given at the dispatch and can't be taken back, and a source of state was checked until the request began. An engine reads a prompt again after each preemption, with the source, the store and the scope of the dispatch. An engine that had loaded newer weights went on with a stream (`keep`), read its prompt again and stored the part in the older scope; an engine with the older weights read a preempted stream again and fetched it there.

Nothing moves while no retry is left. `withdrawn` tells the events received and what was fetched and stored.

--- a/src/ferryroad/relay/dispatch_log.cpp
+++ b/src/ferryroad/relay/dispatch_log.cpp
@@ -126,13 +126,17 @@
 }
 
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
-                    dispatch_precondition lost, base::duration waited, base::monotonic_time now) {
+                    dispatch_precondition lost, const withdrawn_exchange& exchange,
+                    base::monotonic_time now) {
     runtime::log(runtime::log_level::warning, component, "withdrawn",
                  {{"request_id", plan.call->id.value},
                   {"digest", core::quarantine::to_string(plan.identity)},
                   {"engine", selected.target.name.value},
                   {"lost", std::string(to_string(lost))},
-                  {"waited_ms", std::to_string(base::to_milliseconds(waited))},
+                  {"waited_ms", std::to_string(base::to_milliseconds(exchange.since_sent))},
+                  {"events", std::to_string(exchange.events)},
+                  {"fetch_from", text_of(selected.fetch_state_from)},
+                  {"save_to", text_of(selected.save_state_to)},
                   {"tokens_before", std::to_string(selected.work.tokens_before)},
                   {"weights", text_of(selected.expected_version)},
                   {"weights_outdated_ms", outdated_ms(selected.outdated_since, now)}});
--- a/src/ferryroad/relay/dispatch_log.hpp
+++ b/src/ferryroad/relay/dispatch_log.hpp
@@ -52,10 +52,17 @@
 void log_unusable_answer(const relay_plan& plan, const selected_engine& selected, unsigned status,
                          std::string_view reason);
 
-/// Logs that a request was withdrawn from its engine because it must no longer begin there.
-/// @param lost the precondition that no longer holds. @param waited time since it was sent there.
+/// What an exchange had come to when it was withdrawn.
+struct withdrawn_exchange {
+    base::duration since_sent{};
+    std::uint64_t events = 0;  ///< Received in this exchange.
+};
+
+/// Logs that a request was withdrawn from its engine because it must no longer begin or run there.
+/// @param lost the precondition that no longer holds.
 void log_withdrawal(const relay_plan& plan, const selected_engine& selected,
-                    dispatch_precondition lost, base::duration waited, base::monotonic_time now);
+                    dispatch_precondition lost, const withdrawn_exchange& exchange,
+                    base::monotonic_time now);
 
 /// Logs the prompt's shared parts at level debug; read by `scripts/explain-reads`.
 void log_prompt(const relay_plan& plan, const selected_engine& selected,
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -5,6 +5,14 @@
 
 namespace ferryroad::relay {
 
+namespace {
+
+/// A stream without events for this time counts as preempted by its engine. Engines pause streams
+/// for shorter times while they read the prompts of other requests.
+constexpr base::duration preemption_pause = std::chrono::milliseconds(300);
+
+}  // namespace
+
 selection_query query_of(const relay_plan& plan, std::vector<base::engine_name> excluded) {
     return {*plan.call,  *plan.policy,        plan.pool,
             plan.tenant, std::move(excluded), plan.matched_route->target_gap};
@@ -108,4 +116,33 @@
     }
 }
 
+bool dispatch_preconditions::watches_running_state(const selected_engine& chosen) const {
+    return chosen.may_be_withdrawn && m_plan.call->prompt &&
+           (chosen.fetch_state_from || chosen.save_state_to);
+}
+
+bool dispatch_preconditions::has_outdated_running_state(const selected_engine& chosen,
+                                                        base::monotonic_time last_event_at,
+                                                        base::monotonic_time now) const {
+    const engine_selection& selection = m_sources.selection;
+    if (selection.would_save_outdated_state(chosen, *m_plan.call, now)) {
+        return true;
+    }
+    return now - last_event_at >= preemption_pause &&
+           selection.would_fetch_outdated_state_again(chosen, *m_plan.call, now);
+}
+
+runtime::task<dispatch_precondition> dispatch_preconditions::until_running_state_lost(
+    const selected_engine& chosen, base::monotonic_time last_event_at,
+    const std::function<bool()>& may_continue) const {
+    for (;;) {
+        const base::monotonic_time now = m_sources.scheduler.now();
+        if (has_outdated_running_state(chosen, last_event_at, now) && may_continue()) {
+            co_return dispatch_precondition::state_current;
+        }
+        const auto check_at = m_sources.selection.next_state_check(chosen, *m_plan.call, now);
+        co_await m_sources.waiting.sleep(m_plan.identity, check_at);
+    }
+}
+
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/dispatch_preconditions.hpp
+++ b/src/ferryroad/relay/dispatch_preconditions.hpp
@@ -13,6 +13,7 @@
 #include "ferryroad/relay/waiting_requests.hpp"
 #include "ferryroad/runtime/scheduler.hpp"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -36,10 +37,11 @@
 /// thread; the plan and the timing must outlive it.
 ///
 /// While the request waits at an engine, only its quarantine, the age of the engine's weights and
-/// the state that it is to fetch are monitored. The other preconditions need no check after
-/// sending: the key is only required to be valid when the request is sent, an engine that is
-/// shutting down or whose software is being replaced completes the requests it accepted before, a
-/// process that terminates closes its connections, and the deadline has a timer of its own.
+/// the state that it is to fetch are monitored; while its stream runs there, the state that it
+/// stores or may fetch again. The other preconditions need no check after sending: the key is only
+/// required to be valid when the request is sent, an engine that is shutting down or whose software
+/// is being replaced completes the requests it accepted before, a process that terminates closes
+/// its connections, and the deadline has a timer of its own.
 class dispatch_preconditions {
   public:
     dispatch_preconditions(precondition_sources sources, const relay_plan& plan,
@@ -72,9 +74,28 @@
     /// @return the precondition that was lost.
     runtime::task<dispatch_precondition> until_lost(const selected_engine& chosen) const;
 
+    /// @return whether the request's stream, which has begun at the engine, may have to be
+    /// continued at another one because of the state that it stores or fetches.
+    bool watches_running_state(const selected_engine& chosen) const;
+    /// Completes when a stream that has begun must be continued at another engine because of its
+    /// state; otherwise runs until cancelled.
+    /// @param chosen the engine that runs the stream; must outlive the coroutine.
+    /// @param last_event_at when the stream's last event was received.
+    /// @param may_continue whether the stream can be continued elsewhere now; must outlive the
+    /// coroutine.
+    /// @return the precondition that was lost.
+    runtime::task<dispatch_precondition> until_running_state_lost(
+        const selected_engine& chosen, base::monotonic_time last_event_at,
+        const std::function<bool()>& may_continue) const;
+
   private:
     /// @return whether the request is withdrawn when the state that it is to fetch is outdated.
     static bool watches_state(const selected_engine& chosen);
+    /// @return whether a running stream may store state of other weights under its scope, or seems
+    /// to have been preempted and may fetch such state when it is read again.
+    bool has_outdated_running_state(const selected_engine& chosen,
+                                    base::monotonic_time last_event_at,
+                                    base::monotonic_time now) const;
 
     precondition_sources m_sources;
     const relay_plan& m_plan;
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -588,13 +588,14 @@
         return engine.version_of(model) < m_dependencies.policies.versions_of(model).newest();
     }
 
-    /// Ends an exchange whose request has not begun and must no longer begin. Unless the engine
-    /// refused the request itself, the connection is closed so that the engine drops it. Neither is
-    /// recorded as a failure of the engine.
+    /// Ends an exchange whose request has not begun and must no longer begin, or whose stream must
+    /// be continued at another engine. Unless the engine refused the request itself, the connection
+    /// is closed so that the engine drops it. None of these is recorded as a failure of the engine.
     void withdraw(dispatch_precondition lost, execution::failure_proof proof) {
         const base::monotonic_time now = m_dependencies.scheduler.now();
         m_lost_connection = false;
-        log_withdrawal(m_plan, m_selected, lost, m_timing.since_sent(now), now);
+        log_withdrawal(m_plan, m_selected, lost, {m_timing.since_sent(now), m_exchange_events},
+                       now);
         ++m_outcome.withdrawals;
         if (lost == dispatch_precondition::no_quarantine) {
             m_outcome.quarantined_waiting = true;
@@ -603,6 +604,10 @@
                 {m_plan.identity, m_exchange_began, m_plan.deadline, m_plan.parts});
         } else {
             m_outcome.state_withdrawals += lost == dispatch_precondition::state_current ? 1 : 0;
+        }
+        if (m_exchange_events > 0) {
+            m_evidence.discard();
+        } else if (lost != dispatch_precondition::no_quarantine) {
             m_timing.withdrawn(now);
         }
         end_exchange();
@@ -770,10 +775,28 @@
     runtime::task<std::variant<read_bytes, dispatch_precondition>> read_while_preconditions_hold() {
         using boost::asio::experimental::awaitable_operators::operator||;
         auto next = m_answer->body->next(wait_limit());
-        if (!m_preconditions.can_be_lost(m_selected)) {
+        if (m_preconditions.can_be_lost(m_selected)) {
+            co_return co_await (std::move(next) || m_preconditions.until_lost(m_selected));
+        }
+        if (!is_running_stream() || !m_preconditions.watches_running_state(m_selected)) {
             co_return co_await std::move(next);
         }
-        co_return co_await (std::move(next) || m_preconditions.until_lost(m_selected));
+        const std::function<bool()> may_continue = [this] { return may_continue_elsewhere(); };
+        co_return co_await (std::move(next) || m_preconditions.until_running_state_lost(
+                                                   m_selected, m_last_event_at, may_continue));
+    }
+
+    /// @return whether the current exchange's engine has begun to stream events.
+    bool is_running_stream() const { return m_answer->is_event_stream && m_exchange_events > 0; }
+
+    /// @return whether another engine may continue the stream if its exchange is ended now.
+    bool may_continue_elsewhere() {
+        const base::monotonic_time now = m_dependencies.scheduler.now();
+        if (m_last_event_unnumbered || now >= m_plan.deadline || !m_budget.try_retry(now)) {
+            return false;
+        }
+        m_budget.give_back();  // It is taken when the exchange has ended.
+        return true;
     }
 
     void handle_body_part(const std::optional<std::string>& bytes) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -199,8 +199,16 @@
     /// it would fetch there may have been computed with other weights.
     bool would_fetch_outdated_state(const selected_engine& chosen, const relay_call& call,
                                     base::monotonic_time now) const;
-    /// @return when to check `would_fetch_outdated_state` next without further notice; nullopt if
-    /// the naming of newer weights is awaited.
+    /// @return whether a request that runs at the selected engine may store state there of other
+    /// weights than those of its cache scope: the engine has loaded them or is about to.
+    bool would_save_outdated_state(const selected_engine& chosen, const relay_call& call,
+                                   base::monotonic_time now) const;
+    /// @return whether a request that runs at the selected engine, and reads its prompt again after
+    /// a preemption, may fetch state of other weights than those that the engine has.
+    bool would_fetch_outdated_state_again(const selected_engine& chosen, const relay_call& call,
+                                          base::monotonic_time now) const;
+    /// @return when to check the state that the request fetches or stores next without further
+    /// notice; nullopt if the naming of newer weights is awaited.
     std::optional<base::monotonic_time> next_state_check(const selected_engine& chosen,
                                                          const relay_call& call,
                                                          base::monotonic_time now) const;
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -64,10 +64,25 @@
                               chosen.expected_version.value_or(0), now);
 }
 
+bool engine_selection::would_save_outdated_state(const selected_engine& chosen,
+                                                 const relay_call& call,
+                                                 base::monotonic_time now) const {
+    return chosen.save_state_to && !has_scope_weights(chosen.target.name, call.prompt->model,
+                                                      chosen.expected_version.value_or(0), now);
+}
+
+bool engine_selection::would_fetch_outdated_state_again(const selected_engine& chosen,
+                                                        const relay_call& call,
+                                                        base::monotonic_time now) const {
+    return would_fetch_outdated_state(chosen, call, now) &&
+           has_scope_weights(chosen.target.name, call.prompt->model,
+                             chosen.expected_version.value_or(0), now);
+}
+
 std::optional<base::monotonic_time> engine_selection::next_state_check(
     const selected_engine& chosen, const relay_call& call, base::monotonic_time now) const {
     const bool is_being_replaced =
-        chosen.fetch_state_from &&
+        (chosen.fetch_state_from || chosen.save_state_to) &&
         !m_policies.is_newest(call.prompt->model, chosen.expected_version.value_or(0));
     return is_being_replaced ? std::optional(now + source_check_period) : std::nullopt;
 }
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -54,7 +54,8 @@
     no_backoff,      ///< The engine has not asked for a time without requests.
     within_limit,    ///< The request is permitted under the engine's request limit.
     engine_serves,   ///< The engine's weights and software may serve the request.
-    state_current,   ///< The state that the request fetches was computed with its weights.
+    state_current,   ///< The state that the request fetches or stores is of its cache scope's
+                     ///< weights.
     time_left        ///< The caller's deadline has not passed.
 };
 
