Each model of an engine is brought to its newest weights

Cause: the progress of a rollout, the versions sent and the report that was asked for were kept by engine, where they belong to a model at an engine. The view kept of an engine was that of its first model, so that work on the second ended in the step in which it began. The routers' logs had the naming of the second model and no order for it.

Progress names its model; views and sent versions are found by engine and model; reports are asked for the model that is replaced. An engine carries out one order at a time, so its models follow each other: the one outdated for longer first, unless the last attempt at it was given up. An announced load concerns its own model only.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -64,15 +64,16 @@
                                            const std::vector<engine_view>& engines) const {
     const std::uint64_t newest = wanted(model);
     const auto lacks = [&](const engine_view& one) {
-        const auto found = m_ordered.find(one.name);
+        const auto found = m_ordered.find({one.name, one.model});
         const bool sent = found != m_ordered.end() && found->second >= newest;
         return one.model == model && one.version < newest && !sent;
     };
     return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), lacks));
 }
 
-weights_rollout::engines_by_name weights_rollout::by_name(const std::vector<engine_view>& engines) {
-    engines_by_name found;
+weights_rollout::views_by_engine weights_rollout::by_engine(
+    const std::vector<engine_view>& engines) {
+    views_by_engine found;
     found.reserve(engines.size());
     for (const engine_view& one : engines) {
         found.emplace(one.name.value, &one);
@@ -80,16 +81,40 @@
     return found;
 }
 
-void weights_rollout::remove_finished(const engines_by_name& engines, base::monotonic_time now) {
+const engine_view* weights_rollout::find_view(const views_by_engine& engines,
+                                              const base::engine_name& engine,
+                                              const std::string& model) {
+    const auto [first, last] = engines.equal_range(engine.value);
+    const auto found =
+        std::find_if(first, last, [&](const auto& entry) { return entry.second->model == model; });
+    return found == last ? nullptr : found->second;
+}
+
+const weights_rollout::progress* weights_rollout::progress_of(const engine_view& one) const {
+    const auto found = m_engines.find(one.name);
+    return found != m_engines.end() && found->second.model == one.model ? &found->second : nullptr;
+}
+
+void weights_rollout::remove_finished(const views_by_engine& engines, base::monotonic_time now) {
     std::erase_if(m_engines, [&](const auto& entry) {
-        const auto seen = engines.find(entry.first.value);
-        if (seen == engines.end()) {
+        const progress& state = entry.second;
+        const engine_view* seen = find_view(engines, entry.first, state.model);
+        if (seen == nullptr) {
             return true;
         }
-        const bool done = seen->second->version >= wanted(seen->second->model);
-        const bool silent = now - entry.second.since > m_tunables.unresponsive_after;
-        return !entry.second.call_under_way && (done || silent);
+        const bool done = seen->version >= wanted(state.model);
+        const bool silent = now - state.since > m_tunables.unresponsive_after;
+        const bool ends = done || silent || gives_way(state, *seen, engines, now);
+        if (state.call_under_way || !ends) {
+            return false;
+        }
+        if (!done) {
+            m_abandoned[entry.first] = state.model;
+        }
+        return true;
     });
+    std::erase_if(m_abandoned,
+                  [&](const auto& entry) { return !engines.contains(entry.first.value); });
 }
 
 base::duration weights_rollout::model_counts::longest_outdated() const {
@@ -118,12 +143,10 @@
     for (const engine_view& one : engines) {
         model_counts& counted = fleet[one.model];
         ++counted.total;
-        const auto found = m_engines.find(one.name);
-        if (found != m_engines.end()) {
-            const progress& state = found->second;
-            counted.loading += state.unanswered ? 0 : 1;
-            counted.unanswered += state.unanswered ? 1 : 0;
-            counted.repeating += state.unanswered && state.stage == phase::ordering ? 1 : 0;
+        if (const progress* state = progress_of(one)) {
+            counted.loading += state->unanswered ? 0 : 1;
+            counted.unanswered += state->unanswered ? 1 : 0;
+            counted.repeating += state->unanswered && state->stage == phase::ordering ? 1 : 0;
         } else if (one.version < wanted(one.model)) {
             counted.add_waiting(one);
         }
@@ -173,24 +196,53 @@
                      [&](const engine_view* a, const engine_view* b) { return rank(a) < rank(b); });
 }
 
-weights_rollout::engine_list weights_rollout::waiting(
-    const std::vector<engine_view>& engines) const {
+bool weights_rollout::gives_way(const progress& state, const engine_view& seen,
+                                const views_by_engine& views, base::monotonic_time now) const {
+    const bool loads = state.stage == phase::loading || state.unanswered;
+    if (loads || now - state.begun <= m_tunables.unresponsive_after) {
+        return false;
+    }
+    const auto [first, last] = views.equal_range(seen.name.value);
+    return std::any_of(first, last, [&](const auto& entry) {
+        const engine_view& other = *entry.second;
+        return other.model != seen.model && other.version < wanted(other.model);
+    });
+}
+
+bool weights_rollout::yields(const engine_view& one, const views_by_engine& views) const {
+    const auto abandoned = m_abandoned.find(one.name);
+    const auto was_abandoned = [&](const engine_view& view) {
+        return abandoned != m_abandoned.end() && abandoned->second == view.model;
+    };
+    const auto [first, last] = views.equal_range(one.name.value);
+    return std::any_of(first, last, [&](const auto& entry) {
+        const engine_view& other = *entry.second;
+        const bool competes = other.model != one.model && other.version < wanted(other.model);
+        const bool is_older = other.outdated_for > one.outdated_for && !was_abandoned(other);
+        return competes && (was_abandoned(one) || is_older);
+    });
+}
+
+weights_rollout::engine_list weights_rollout::waiting(const std::vector<engine_view>& engines,
+                                                      const views_by_engine& views) const {
     engine_list outdated;
     for (const engine_view& one : engines) {
-        if (one.version < wanted(one.model) && !m_engines.contains(one.name)) {
+        if (one.version < wanted(one.model) && !m_engines.contains(one.name) &&
+            !yields(one, views)) {
             outdated.push_back(&one);
         }
     }
     return outdated;
 }
 
-void weights_rollout::start_engines(const std::vector<engine_view>& engines, fleet_counts& fleet,
+void weights_rollout::start_engines(const std::vector<engine_view>& engines,
+                                    const views_by_engine& views, fleet_counts& fleet,
                                     base::monotonic_time now) {
-    engine_list outdated = waiting(engines);
+    engine_list outdated = waiting(engines, views);
     sort_by_urgency(outdated, fleet);
     std::map<base::zone_name, std::size_t> under_way;
     for (const engine_view& one : engines) {
-        under_way[one.zone] += m_engines.contains(one.name) ? 1 : 0;
+        under_way[one.zone] += progress_of(one) != nullptr ? 1 : 0;
     }
     std::map<std::uint64_t, zone_queues> by_version;
     for (std::size_t position = 0; position < outdated.size(); ++position) {
@@ -199,7 +251,8 @@
     for (auto& [version, queues] : by_version) {
         while (const engine_view* one = queues.take(under_way)) {
             model_counts& model = fleet.at(one->model);
-            if (has_room(*one, model)) {
+            // Another model of the engine may have been started before.
+            if (!m_engines.contains(one->name) && has_room(*one, model)) {
                 ++under_way[one->zone];
                 begin(*one, model, now);
             }
@@ -209,10 +262,13 @@
 
 void weights_rollout::begin(const engine_view& one, model_counts& model, base::monotonic_time now) {
     progress begun;
+    begun.model = one.model;
     begun.version = wanted(one.model);
+    begun.begun = now;
     begun.since = now;
     begun.next_call = now;
     m_engines.emplace(one.name, begun);
+    m_abandoned.erase(one.name);
     model.begin(one);
 }
 
@@ -221,24 +277,24 @@
     if (!has_work(engines)) {
         m_ordered.clear();
     }
-    const engines_by_name named = by_name(engines);
-    remove_finished(named, now);
+    const views_by_engine views = by_engine(engines);
+    remove_finished(views, now);
     fleet_counts fleet = count_engines(engines);
-    start_engines(engines, fleet, now);
+    start_engines(engines, views, fleet, now);
     rollout_steps steps;
-    repeat_orders(named, fleet, now, steps);
+    repeat_orders(views, fleet, now, steps);
     for (auto& [name, state] : m_engines) {
-        call(*named.at(name.value), state, now, steps);
+        call(*find_view(views, name, state.model), state, now, steps);
     }
     return steps;
 }
 
-void weights_rollout::repeat_orders(const engines_by_name& engines, fleet_counts& fleet,
+void weights_rollout::repeat_orders(const views_by_engine& engines, fleet_counts& fleet,
                                     base::monotonic_time now, rollout_steps& steps) {
     std::vector<std::pair<base::monotonic_time, const engine_view*>> lost;
     for (const auto& [name, state] : m_engines) {
         if (state.unanswered && state.stage == phase::ready && !state.call_under_way) {
-            lost.emplace_back(state.last_order, engines.at(name.value));
+            lost.emplace_back(state.last_order, find_view(engines, name, state.model));
         }
     }
     std::stable_sort(lost.begin(), lost.end(),
@@ -258,7 +314,7 @@
     state.stage = phase::ordering;
     state.version = wanted(seen.model);
     state.last_order = now;
-    m_ordered[seen.name] = state.version;
+    m_ordered[{seen.name, seen.model}] = state.version;
     steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken});
 }
 
@@ -281,7 +337,7 @@
         steps.upcoming.push_back({seen.name, seen.model, wanted(seen.model)});
     }
     state.call_under_way = true;
-    steps.reports.push_back({seen.name});
+    steps.reports.push_back({seen.name, seen.model});
 }
 
 void weights_rollout::reported(const base::engine_name& engine, const engine_report& report,
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -15,11 +15,13 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace ferryroad::coordination::rollout {
 
-/// State of one engine process as last observed.
+/// State of one model at one engine process as last observed. An engine that has several models has
+/// a view for each of them.
 struct engine_view {
     base::engine_name name;
     std::string model;
@@ -35,16 +37,17 @@
 
 /// Status report of an engine.
 struct engine_report {
-    std::uint64_t version = 0;
+    std::uint64_t version = 0;  ///< Weights of the model that was asked for.
     std::uint64_t orders_taken = 0;
     bool busy = false;  ///< Whether an order is being carried out.
 
     friend bool operator==(const engine_report&, const engine_report&) = default;
 };
 
-/// Ask the engine for its report; answered by `reported` or `report_lost`.
+/// Ask the engine for its report on a model; answered by `reported` or `report_lost`.
 struct ask_report {
     base::engine_name engine;
+    std::string model;
 
     friend bool operator==(const ask_report&, const ask_report&) = default;
 };
@@ -102,7 +105,8 @@
     base::duration unresponsive_after = std::chrono::seconds(6);
 };
 
-/// State machine of the rollout of all models. Not thread-safe.
+/// State machine of the rollout of all models. An engine carries out one order at a time, so its
+/// models are brought to their newest versions one after the other. Not thread-safe.
 class weights_rollout {
   public:
     explicit weights_rollout(rollout_tunables tunables = {})
@@ -114,7 +118,7 @@
     std::uint64_t wanted(const std::string& model) const;
     /// @return the recent time from an order to the engine's report that it is done.
     base::duration load_time() const { return m_pace.load_time(); }
-    /// @return whether the engine is being brought to another version.
+    /// @return whether the engine is being brought to another version of any of its models.
     bool under_way(const base::engine_name& engine) const { return m_engines.contains(engine); }
 
     /// @return whether an engine has older weights than the newest, or an order is in progress.
@@ -141,6 +145,7 @@
     void reset() {
         m_engines.clear();
         m_ordered.clear();
+        m_abandoned.clear();
     }
 
   private:
@@ -158,9 +163,11 @@
         bool unanswered = false;
         /// It is loading and was not listed in `rollout_steps::upcoming` yet.
         bool unannounced = false;
+        std::string model;          ///< Model that is being replaced.
         std::uint64_t version = 0;  ///< Version that it is brought to.
         std::uint64_t orders_taken = 0;
-        base::monotonic_time since{};
+        base::monotonic_time begun{};  ///< When the replacement was begun.
+        base::monotonic_time since{};  ///< When the engine last made progress.
         base::monotonic_time next_call{};
         base::monotonic_time last_order{};
     };
@@ -183,19 +190,34 @@
     };
     /// Counts by model name.
     using fleet_counts = std::map<std::string, model_counts>;
-    using engines_by_name = std::unordered_map<std::string_view, const engine_view*>;
+    using views_by_engine = std::unordered_multimap<std::string_view, const engine_view*>;
+    /// A model at an engine.
+    using engine_model = std::pair<base::engine_name, std::string>;
     using engine_list = std::vector<const engine_view*>;
 
-    static engines_by_name by_name(const std::vector<engine_view>& engines);
-    void remove_finished(const engines_by_name& engines, base::monotonic_time now);
-    /// @return the outdated engines that aren't started.
-    engine_list waiting(const std::vector<engine_view>& engines) const;
+    static views_by_engine by_engine(const std::vector<engine_view>& engines);
+    /// @return the view of one model at an engine; null if there is none.
+    static const engine_view* find_view(const views_by_engine& engines,
+                                        const base::engine_name& engine, const std::string& model);
+    /// @return the progress of the model at the engine; null if it isn't being replaced there.
+    const progress* progress_of(const engine_view& one) const;
+    void remove_finished(const views_by_engine& engines, base::monotonic_time now);
+    /// @return the outdated models of engines at which no model is being replaced.
+    engine_list waiting(const std::vector<engine_view>& engines,
+                        const views_by_engine& views) const;
+    /// @return whether the replacement has taken long without a load that is known to be under way,
+    /// and another model of the engine is outdated.
+    bool gives_way(const progress& state, const engine_view& seen, const views_by_engine& views,
+                   base::monotonic_time now) const;
+    /// @return whether another model of the engine comes first: one that has been outdated for
+    /// longer, or any if the last attempt at this one was given up.
+    bool yields(const engine_view& one, const views_by_engine& views) const;
     void sort_by_urgency(engine_list& outdated, const fleet_counts& fleet) const;
-    void start_engines(const std::vector<engine_view>& engines, fleet_counts& fleet,
-                       base::monotonic_time now);
+    void start_engines(const std::vector<engine_view>& engines, const views_by_engine& views,
+                       fleet_counts& fleet, base::monotonic_time now);
     void begin(const engine_view& one, model_counts& model, base::monotonic_time now);
     /// Sends another order to engines whose last order got no answer.
-    void repeat_orders(const engines_by_name& engines, fleet_counts& fleet,
+    void repeat_orders(const views_by_engine& engines, fleet_counts& fleet,
                        base::monotonic_time now, rollout_steps& steps);
     void order(const engine_view& seen, progress& state, base::monotonic_time now,
                rollout_steps& steps);
@@ -216,7 +238,9 @@
     rollout_pace m_pace;
     std::map<std::string, std::uint64_t> m_wanted;
     std::map<base::engine_name, progress> m_engines;
-    std::map<base::engine_name, std::uint64_t> m_ordered;  ///< Newest version sent to each engine.
+    std::map<engine_model, std::uint64_t> m_ordered;  ///< Newest version that was ordered.
+    /// The model that was last given up at an engine, which did not report it loaded in time.
+    std::map<base::engine_name, std::string> m_abandoned;
 };
 
 }  // namespace ferryroad::coordination::rollout
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -239,7 +239,9 @@
         if (version > newest) {
             newest = version;
             engine->refuses_until = {};  // It refused work because it was loading.
-            engine->loading_until = {};
+            if (engine->loading_model == model) {
+                engine->loading_until = {};
+            }
             if (m_on_newer_weights) {
                 m_on_newer_weights(name, model, version);
             }
@@ -251,7 +253,10 @@
                                      std::uint64_t version, base::monotonic_time until) {
     known_engine* engine = find(name);
     if (engine != nullptr && engine->version_of(model) < version) {
-        engine->loading_until = std::max(engine->loading_until, until);
+        // An engine loads one model at a time.
+        engine->loading_until =
+            engine->loading_model == model ? std::max(engine->loading_until, until) : until;
+        engine->loading_model = model;
     }
     if (m_on_weights_announced) {
         m_on_weights_announced(model, version);
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -81,6 +81,7 @@
     base::monotonic_time refuses_until{};      ///< The engine said it takes no work until then.
     base::monotonic_time listed_at{};          ///< When the process was first listed.
     base::monotonic_time loading_until{};      ///< Announced to load new weights until then.
+    std::string loading_model;                 ///< Model of these weights.
     base::monotonic_time warm_at{};            ///< End of the warm-up time.
     engine_statements stated;
     engine_limit limit;
@@ -96,6 +97,11 @@
     bool is_leaving() const { return listed.leaving || stated.leaving; }
     /// @return whether it wants no requests of this router at present.
     bool is_backing_off(base::monotonic_time now) const { return now < stated.backoff_until; }
+    /// @return whether it is announced to load new weights of the model now. Requests for its other
+    /// models are not affected.
+    bool is_loading(const std::string& model, base::monotonic_time now) const {
+        return now < loading_until && loading_model == model;
+    }
     /// @return the newest version of the model's weights seen; 0 if none.
     std::uint64_t version_of(const std::string& model) const;
 };
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -112,7 +112,7 @@
             announce_loading(upcoming, now);
         }
         for (const auto& wanted : steps.reports) {
-            m_ports.scheduler.spawn(component, request_report(wanted.engine));
+            m_ports.scheduler.spawn(component, request_report(wanted));
         }
         for (const auto& wanted : steps.orders) {
             const std::size_t without = m_rollout.without_order(wanted.model, engines);
@@ -168,15 +168,10 @@
         return engine_target{name, engine->listed.address};
     }
 
-    std::string model_of(const base::engine_name& name) const {
-        const known_engine* engine = m_ports.registry.find(name);
-        const bool known = engine != nullptr && !engine->versions.empty();
-        return known ? engine->versions.begin()->first : std::string();
-    }
-
-    runtime::task<void> request_report(base::engine_name name) {
+    runtime::task<void> request_report(coordination::rollout::ask_report wanted) {
+        const base::engine_name& name = wanted.engine;
+        const std::string& model = wanted.model;
         const auto target = target_of(name);
-        const std::string model = model_of(name);
         std::optional<coordination::rollout::engine_report> report;
         if (target) {
             engine_target engine = *target;
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -256,14 +256,16 @@
 }
 
 placement::engine_candidate engine_selection::candidate_of(const eligible_engine& one,
+                                                           const selection_query& query,
                                                            base::monotonic_time now) const {
     const known_engine& engine = *one.engine;
     placement::engine_candidate candidate;
     candidate.name = engine.listed.name;
     candidate.away = m_settings.zones.between(m_settings.zone, engine.listed.zone);
     candidate.path_ms = base::to_seconds(m_paths.excess_round_trip(engine.listed.zone, now)) * 1000;
-    const bool refuses =
-        now < std::max(engine.refuses_until, engine.loading_until) || one.others.refuses;
+    const bool is_loading = query.call.prompt ? engine.is_loading(query.call.prompt->model, now)
+                                              : now < engine.loading_until;
+    const bool refuses = now < engine.refuses_until || is_loading || one.others.refuses;
     candidate.suspended = engine.health.suspended(now) || refuses;
     candidate.connected = !m_is_connected || m_is_connected(engine.listed.address);
     candidate.running = engine.running + one.others.running;
@@ -438,7 +440,7 @@
     placed.all_holders_known = !m_knows_holders || m_knows_holders();
     const known_engine* home = nullptr;
     for (const eligible_engine& one : engines) {
-        placed.candidates.push_back(candidate_of(one, now));
+        placed.candidates.push_back(candidate_of(one, query, now));
     }
     placed.transfer_kb = static_cast<double>(query.call.message.body.size()) / 1000;
     if (query.call.prompt) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -339,6 +339,7 @@
                                                 const core::placement::expected_work& work,
                                                 base::monotonic_time now) const;
     core::placement::engine_candidate candidate_of(const eligible_engine& one,
+                                                   const selection_query& query,
                                                    base::monotonic_time now) const;
     /// Sets where the engine fetches the prompt's state from and saves it to.
     /// @param cross_region whether state may be fetched from another region.
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -53,7 +53,7 @@
     if (engine == nullptr) {
         return m_policies.is_newest(model, version);
     }
-    return engine->version_of(model) == version && now >= engine->loading_until;
+    return engine->version_of(model) == version && !engine->is_loading(model, now);
 }
 
 bool engine_selection::would_fetch_outdated_state(const selected_engine& chosen,
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -10,6 +10,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -283,3 +285,132 @@
     });
     cr_assert(held);
 }
+
+namespace {
+
+/// An engine that has several models and carries out one order at a time.
+struct engine_with_models {
+    std::map<std::string, std::uint64_t> versions;
+    std::set<std::string> ignored;  ///< Orders for these models are accepted and have no effect.
+    std::uint64_t orders_taken = 0;
+    std::optional<send_order> loading;
+    base::monotonic_time loaded_at{};
+
+    order_answer take(const send_order& order, base::monotonic_time now) {
+        if (loading || order.expected_orders != orders_taken) {
+            return order_answer::refused;
+        }
+        ++orders_taken;
+        if (!ignored.contains(order.model)) {
+            loading = order;
+            loaded_at = now + 700ms;
+        }
+        return order_answer::accepted;
+    }
+    void settle(base::monotonic_time now) {
+        if (loading && now >= loaded_at) {
+            versions[loading->model] = loading->version;
+            loading.reset();
+        }
+    }
+};
+
+struct fleet_with_models {
+    explicit fleet_with_models(std::size_t size) {
+        for (std::size_t index = 0; index < size; ++index) {
+            engines[base::engine_name("e" + std::to_string(index))].versions = {{"a", 1}, {"b", 7}};
+        }
+    }
+
+    void want(const std::string& named, std::uint64_t version) {
+        rollout.want(named, version);
+        named_at[named] = now;
+    }
+
+    /// Runs the rollout for a time, and checks that engines get no orders while they carry one out.
+    void run_for(base::duration time) {
+        for (const base::monotonic_time end = now + time; now < end; now += 50ms) {
+            std::vector<engine_view> views;
+            for (auto& [name, engine] : engines) {
+                engine.settle(now);
+                for (const auto& [known, version] : engine.versions) {
+                    const bool outdated = version < rollout.wanted(known);
+                    views.push_back({name, known, version, 0,
+                                     outdated ? now - named_at[known] : base::duration{}});
+                }
+            }
+            const auto steps = rollout.next(views, now);
+            for (const auto& wanted : steps.reports) {
+                const engine_with_models& engine = engines[wanted.engine];
+                rollout.reported(wanted.engine,
+                                 {engine.versions.at(wanted.model), engine.orders_taken,
+                                  engine.loading.has_value()},
+                                 now);
+            }
+            for (const auto& wanted : steps.orders) {
+                rollout.ordered(wanted.engine, engines[wanted.engine].take(wanted, now), now);
+            }
+        }
+    }
+
+    std::size_t count(const std::string& of, std::uint64_t version) const {
+        return static_cast<std::size_t>(std::count_if(
+            engines.begin(), engines.end(),
+            [&](const auto& entry) { return entry.second.versions.at(of) == version; }));
+    }
+
+    base::monotonic_time now = start;
+    std::map<base::engine_name, engine_with_models> engines;
+    std::map<std::string, base::monotonic_time> named_at;
+    weights_rollout rollout;
+};
+
+}  // namespace
+
+// Guards against engines of which only the first model was ever brought to newer weights.
+Test(weights_rollout, every_model_of_an_engine_is_brought_to_its_newest_weights) {
+    fleet_with_models fleet(4);
+    fleet.want("a", 2);
+    fleet.run_for(8s);
+    fleet.want("b", 8);
+    fleet.run_for(8s);
+    cr_assert_eq(fleet.count("a", 2), 4);
+    cr_assert_eq(fleet.count("b", 8), 4);
+}
+
+Test(weights_rollout, models_that_are_named_at_once_are_loaded_one_after_the_other) {
+    fleet_with_models fleet(4);
+    fleet.want("a", 2);
+    fleet.want("b", 8);
+    fleet.run_for(12s);
+    cr_assert_eq(fleet.count("a", 2), 4);
+    cr_assert_eq(fleet.count("b", 8), 4);
+    for (const auto& [name, engine] : fleet.engines) {
+        cr_assert_eq(engine.orders_taken, 2, "one order for each model");
+    }
+}
+
+// A model that is named again and again must not keep the engine from loading another one.
+Test(weights_rollout, a_model_that_is_named_often_does_not_delay_another_one) {
+    fleet_with_models fleet(2);
+    fleet.want("b", 8);
+    for (std::uint64_t version = 2; version < 12; ++version) {
+        fleet.want("a", version);
+        fleet.run_for(500ms);
+    }
+    cr_assert_eq(fleet.count("b", 8), 2);
+}
+
+// A model that never reports its new weights must not keep the engine from loading another one.
+Test(weights_rollout, a_model_that_is_never_loaded_does_not_keep_another_one_from_loading) {
+    fleet_with_models fleet(2);
+    for (auto& [name, engine] : fleet.engines) {
+        engine.ignored = {"a"};
+    }
+    fleet.want("a", 2);
+    fleet.run_for(100ms);
+    fleet.want("b", 8);
+    fleet.run_for(20s);
+    cr_assert_eq(fleet.count("a", 1), 2);
+    cr_assert_eq(fleet.count("b", 8), 2);
+}
--- a/test/relay/engine_registry_test.cpp
+++ b/test/relay/engine_registry_test.cpp
@@ -341,3 +341,21 @@
     registry.put(process_started_at(2), start + 2s);
     cr_assert_not(registry.find(leaver)->is_backing_off(start + 2s));
 }
+
+// Guards against an engine that was left out for all of its models while it loaded one of them.
+Test(engine_registry, an_announced_load_concerns_one_model) {
+    engine_registry registry;
+    listed_engine one;
+    one.name.value = "e1";
+    one.versions = {{"a", 1}, {"b", 7}};
+    registry.put(one);
+    const base::monotonic_time now{100s};
+    registry.expect_weights(one.name, "b", 8, now + 1s);
+    const known_engine& engine = *registry.find(one.name);
+    cr_assert(engine.is_loading("b", now));
+    cr_assert_not(engine.is_loading("a", now));
+    registry.record_version(one.name, "a", 2);
+    cr_assert(engine.is_loading("b", now), "the other model's weights prove nothing");
+    registry.record_version(one.name, "b", 8);
+    cr_assert_not(engine.is_loading("b", now));
+}
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -134,18 +134,25 @@
         co_return std::move(answer);
     }
     runtime::task<std::optional<coordination::rollout::engine_report>> report(engine_target target,
-                                                                              std::string,
+                                                                              std::string model,
                                                                               base::duration) {
         co_await m_scheduler.sleep_for(std::chrono::milliseconds(1));
         const auto found = reports.find(target.name.value);
-        co_return found == reports.end() ? std::nullopt : std::optional(found->second);
+        if (found == reports.end()) {
+            co_return std::nullopt;
+        }
+        coordination::rollout::engine_report report = found->second;
+        const auto version = model_versions.find({target.name.value, model});
+        report.version = version == model_versions.end() ? report.version : version->second;
+        co_return report;
     }
     runtime::task<coordination::rollout::order_answer> order(engine_target target,
                                                              weights_order wanted, base::duration) {
         orders.push_back(wanted);
         co_await m_scheduler.sleep_for(std::chrono::milliseconds(1));
         auto& report = reports[target.name.value];
-        report.version = wanted.version;
+        const auto version = model_versions.find({target.name.value, wanted.model});
+        (version == model_versions.end() ? report.version : version->second) = wanted.version;
         ++report.orders_taken;
         co_return coordination::rollout::order_answer::accepted;
     }
@@ -155,6 +162,8 @@
     std::vector<dispatch> dispatches;
     std::vector<last_look> looks;  ///< Of each dispatch, once its connection was open.
     std::map<std::string, coordination::rollout::engine_report> reports;
+    /// Versions by engine and model, of engines that have several; others have that of `reports`.
+    std::map<std::pair<std::string, std::string>, std::uint64_t> model_versions;
     std::vector<weights_order> orders;
     std::vector<base::duration> limits;  ///< Time limit of each dispatch.
     std::shared_ptr<int> open_bodies = std::make_shared<int>(0);
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -127,3 +127,26 @@
     at.run_for(20ms);
     cr_assert_eq(loaded(), 3, "each load must be announced once");
 }
+
+// Guards against engines of which only the first model was ever ordered to load newer weights.
+Test(rollout_service, every_model_of_an_engine_is_ordered_and_reported) {
+    fixture at;
+    for (const char* name : {"e1", "e2", "e3"}) {
+        listed_engine one = at.registry.find(base::engine_name(name))->listed;
+        one.versions["n"] = 7;
+        at.registry.put(one);
+        at.upstream.model_versions[{name, "m"}] = 1;
+        at.upstream.model_versions[{name, "n"}] = 7;
+    }
+    at.lease.current = base::fencing_token(1);
+    at.service.start();
+    at.run_until([&] { return at.upstream.orders.size() == 3 && !at.lease.acting; });
+    at.policies.add_named_version("n", 8);
+    at.run_until([&] { return at.upstream.orders.size() == 6 && !at.lease.acting; });
+    for (const char* name : {"e1", "e2", "e3"}) {
+        const known_engine* engine = at.registry.find(base::engine_name(name));
+        cr_assert_eq(engine->version_of("m"), 2);
+        cr_assert_eq(engine->version_of("n"), 8);
+        cr_assert_eq((at.upstream.model_versions[{name, "n"}]), 8);
+    }
+}
