An engine loads newer weights only once it runs no writer that can't be moved

Routers tell each other in their loads how many such requests they have at each engine. The holder of the rollout's lease does not announce a load there, nor order it, while there are any, for 2.5 s after the weights became outdated; stores are not used under weights that are being replaced, so no new ones come. After that time the engine is told to let its requests end first (`wait`). Loads of the latter kind don't count in the pace.

Old routers neither send nor read it.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -196,6 +196,10 @@
                      [&](const engine_view* a, const engine_view* b) { return rank(a) < rank(b); });
 }
 
+bool weights_rollout::waits_for_writers(const engine_view& one) const {
+    return one.pinned_writers > 0 && one.outdated_for < m_tunables.longest_writer_wait;
+}
+
 bool weights_rollout::gives_way(const progress& state, const engine_view& seen,
                                 const views_by_engine& views, base::monotonic_time now) const {
     const bool loads = state.stage == phase::loading || state.unanswered;
@@ -228,7 +232,7 @@
     engine_list outdated;
     for (const engine_view& one : engines) {
         if (one.version < wanted(one.model) && !m_engines.contains(one.name) &&
-            !yields(one, views)) {
+            !yields(one, views) && !waits_for_writers(one)) {
             outdated.push_back(&one);
         }
     }
@@ -315,7 +319,9 @@
     state.version = wanted(seen.model);
     state.last_order = now;
     m_ordered[{seen.name, seen.model}] = state.version;
-    steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken});
+    state.drains_first = seen.pinned_writers > 0;
+    steps.orders.push_back(
+        {seen.name, seen.model, state.version, state.orders_taken, state.drains_first});
 }
 
 void weights_rollout::call(const engine_view& seen, progress& state, base::monotonic_time now,
@@ -328,7 +334,9 @@
         return;
     }
     if (state.stage == phase::ready && !state.unanswered) {
-        order(seen, state, now, steps);
+        if (!waits_for_writers(seen)) {
+            order(seen, state, now, steps);
+        }
         return;
     }
     // Not announced for an engine with an unanswered order: it serves until the order is carried
@@ -349,7 +357,7 @@
     progress& state = found->second;
     state.call_under_way = false;
     if (report.version >= state.version) {
-        if (state.stage == phase::loading) {
+        if (state.stage == phase::loading && !state.drains_first) {
             m_pace.loaded(now - state.since);
         }
         m_engines.erase(found);
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -31,6 +31,8 @@
     base::zone_name zone;
     /// Prompt tokens of the observing router's requests that wait there.
     std::uint64_t unread_tokens = 0;
+    /// Requests of all routers that store prompt state there and can't be sent to another engine.
+    std::uint32_t pinned_writers = 0;
 
     friend bool operator==(const engine_view&, const engine_view&) = default;
 };
@@ -58,6 +60,7 @@
     std::uint64_t version = 0;
     /// Number of orders that the engine must have taken; it refuses the order otherwise.
     std::uint64_t expected_orders = 0;
+    bool drains_first = false;  ///< Requests that run there must end before it loads.
 
     friend bool operator==(const send_order&, const send_order&) = default;
 };
@@ -92,6 +95,11 @@
     pace_tunables pace;
     /// Each engine is sent an order within this time after its weights became outdated.
     base::duration order_within = std::chrono::milliseconds(6000);
+    /// An engine is not ordered for this long, after its weights became outdated, while it runs
+    /// requests that store prompt state and can't be sent elsewhere: they would continue under the
+    /// new weights, and what they store would no longer match the name that it is stored under.
+    /// After that time, the engine lets its requests end before it loads.
+    base::duration longest_writer_wait = std::chrono::milliseconds(2500);
     /// Time from an accepted order to the first poll of its completion.
     base::duration first_poll_delay = std::chrono::milliseconds(600);
     /// Time between further polls.
@@ -163,6 +171,7 @@
         bool unanswered = false;
         /// It is loading and was not listed in `rollout_steps::upcoming` yet.
         bool unannounced = false;
+        bool drains_first = false;  ///< Of the last order.
         std::string model;          ///< Model that is being replaced.
         std::uint64_t version = 0;  ///< Version that it is brought to.
         std::uint64_t orders_taken = 0;
@@ -205,6 +214,8 @@
     /// @return the outdated models of engines at which no model is being replaced.
     engine_list waiting(const std::vector<engine_view>& engines,
                         const views_by_engine& views) const;
+    /// @return whether the engine is not ordered yet because of the requests that it runs.
+    bool waits_for_writers(const engine_view& one) const;
     /// @return whether the replacement has taken long without a load that is known to be under way,
     /// and another model of the engine is outdated.
     bool gives_way(const progress& state, const engine_view& seen, const views_by_engine& views,
--- a/src/ferryroad/core/placement/engine_load_view.cpp
+++ b/src/ferryroad/core/placement/engine_load_view.cpp
@@ -21,6 +21,7 @@
             total.running += one.running;
             total.prefill_tokens += one.prefill_tokens;
             total.refuses = total.refuses || age < one.refuses_for;
+            total.pinned_writers += one.pinned_writers;
         }
     }
     return all;
--- a/src/ferryroad/core/placement/engine_load_view.hpp
+++ b/src/ferryroad/core/placement/engine_load_view.hpp
@@ -18,6 +18,8 @@
     std::uint32_t running = 0;
     std::uint64_t prefill_tokens = 0;  ///< Prompt tokens of requests without a first event yet.
     base::duration refuses_for{};      ///< Remaining time for which the engine refuses requests.
+    /// Requests that store prompt state and can't be sent to another engine.
+    std::uint32_t pinned_writers = 0;
 
     friend bool operator==(const router_load&, const router_load&) = default;
 };
@@ -27,6 +29,7 @@
     std::uint32_t running = 0;
     std::uint64_t prefill_tokens = 0;
     bool refuses = false;
+    std::uint32_t pinned_writers = 0;  ///< See `router_load`.
 
     friend bool operator==(const peer_load&, const peer_load&) = default;
 };
--- a/src/ferryroad/peer/traffic_notice_codec.cpp
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -61,7 +61,8 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(load.refuses_for).count();
     return wire::CreateEngineLoad(
         builder, engine, load.running, saturate(load.prefill_tokens),
-        saturate(static_cast<std::uint64_t>(std::max<std::int64_t>(0, refuses))));
+        saturate(static_cast<std::uint64_t>(std::max<std::int64_t>(0, refuses))),
+        load.pinned_writers);
 }
 
 offset<wire::EngineWeights> write_weights(buffer_builder& builder, const observed_weights& seen) {
@@ -102,7 +103,7 @@
 
 router_load read_load(field_reader& reader, const wire::EngineLoad& load) {
     return {reader.name<base::engine_name>(load.engine()), load.running(), load.prefill_tokens(),
-            std::chrono::milliseconds(load.refuses_milliseconds())};
+            std::chrono::milliseconds(load.refuses_milliseconds()), load.pinned_writers()};
 }
 
 observed_weights read_weights(field_reader& reader, const wire::EngineWeights& seen) {
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -264,16 +264,18 @@
 }
 
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
-                         std::uint64_t prefill_tokens, bool repeatable)
+                         std::uint64_t prefill_tokens, bool repeatable, bool pinned_writer)
     : m_registry(registry),
       m_name(std::move(name)),
       m_prefill_tokens(prefill_tokens),
-      m_repeatable(repeatable) {
+      m_repeatable(repeatable),
+      m_pinned_writer(pinned_writer) {
     if (known_engine* listed = m_registry.find(m_name)) {
         m_process = listed->process;
         ++listed->running;
         m_registry.mark_active(m_name);
         listed->unrepeatable += m_repeatable ? 0 : 1;
+        listed->pinned_writers += m_pinned_writer ? 1 : 0;
         listed->pending_prefill_tokens += m_prefill_tokens;
     }
 }
@@ -284,6 +286,8 @@
     if (listed != nullptr && listed->running > 0) {
         --listed->running;
         listed->unrepeatable -= std::min<std::uint32_t>(m_repeatable ? 0 : 1, listed->unrepeatable);
+        listed->pinned_writers -=
+            std::min<std::uint32_t>(m_pinned_writer ? 1 : 0, listed->pinned_writers);
     }
 }
 
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -77,6 +77,8 @@
     std::map<std::string, std::uint64_t> versions;
     std::uint32_t running = 0;       ///< This router's requests at the engine.
     std::uint32_t unrepeatable = 0;  ///< Those of `running` that are lost if the engine fails.
+    /// Those of `running` that store prompt state and can't be sent to another engine.
+    std::uint32_t pinned_writers = 0;
     std::uint64_t pending_prefill_tokens = 0;  ///< Prompt tokens of requests without a first event.
     base::monotonic_time refuses_until{};      ///< The engine said it takes no work until then.
     base::monotonic_time listed_at{};          ///< When the process was first listed.
@@ -235,8 +237,9 @@
 class engine_load {
   public:
     /// @param repeatable whether the request can be retried elsewhere if the engine fails.
+    /// @param pinned_writer whether it stores prompt state and can't be sent to another engine.
     engine_load(engine_registry& registry, base::engine_name name, std::uint64_t prefill_tokens,
-                bool repeatable = true);
+                bool repeatable = true, bool pinned_writer = false);
     ~engine_load();
     engine_load(const engine_load&) = delete;
     engine_load& operator=(const engine_load&) = delete;
@@ -252,6 +255,7 @@
     std::uint64_t m_process = 0;
     std::uint64_t m_prefill_tokens;
     bool m_repeatable;
+    bool m_pinned_writer;
 };
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "ferryroad/runtime/log.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace ferryroad::relay {
@@ -203,15 +204,15 @@
     std::vector<core::placement::router_load> loads;
     for (const known_engine* engine : m_ports.registry.active(now)) {
         const base::duration refuses = std::max(engine->refuses_until - now, base::duration{});
-        loads.push_back(
-            {engine->listed.name, engine->running, engine->pending_prefill_tokens, refuses});
+        loads.push_back({engine->listed.name, engine->running, engine->pending_prefill_tokens,
+                         refuses, engine->pinned_writers});
     }
     if (loads.size() > m_settings.max_loads) {
         std::partial_sort(loads.begin(),
                           loads.begin() + static_cast<std::ptrdiff_t>(m_settings.max_loads),
                           loads.end(), [](const auto& a, const auto& b) {
-                              return std::pair(a.prefill_tokens, a.running) >
-                                     std::pair(b.prefill_tokens, b.running);
+                              return std::tuple(a.pinned_writers, a.prefill_tokens, a.running) >
+                                     std::tuple(b.pinned_writers, b.prefill_tokens, b.running);
                           });
         loads.resize(m_settings.max_loads);
     }
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -402,7 +402,8 @@
         m_outcome.engine = m_selected.target.name.value;
         m_outcome.predicted_ms = m_selected.cost_ms;
         m_load.emplace(m_dependencies.registry, m_selected.target.name, m_selected.prefill_tokens,
-                       is_repeatable(*m_plan.matched_route));
+                       is_repeatable(*m_plan.matched_route),
+                       m_selected.save_state_to && !m_selected.may_be_withdrawn);
         const known_engine* engine = m_dependencies.registry.find(m_selected.target.name);
         m_engine_start = engine == nullptr ? std::nullopt : engine->listed.process_start_ms;
         m_evidence.begin(m_plan, engine, expected_prefill(), now);
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "ferryroad/coordination/rollout/weights_rollout.hpp"
+#include "ferryroad/core/placement/engine_load_view.hpp"
 #include "ferryroad/relay/engine_registry.hpp"
 #include "ferryroad/relay/peer_exchange.hpp"
 #include "ferryroad/relay/policy_source.hpp"
@@ -69,6 +70,8 @@
     Lease& lease;
     /// Called with what other routers must know without delay. May be empty.
     std::function<void(const rollout_announcement&)> announce;
+    /// Returns the load of all other routers' requests by engine. May be empty.
+    std::function<std::map<base::engine_name, core::placement::peer_load>()> other_loads;
 };
 
 /// Not thread-safe: to be used from the event loop's thread. Must live until the loop has ended.
@@ -98,8 +101,12 @@
                 m_rollout.reset();
                 continue;
             }
-            const auto engines = views();
-            m_ports.lease.set_intent(m_rollout.has_work(engines));
+            auto engines = views();
+            const bool has_work = m_rollout.has_work(engines);
+            m_ports.lease.set_intent(has_work);
+            if (has_work) {
+                add_other_writers(engines);
+            }
             step(engines);
             send_announcements();
         }
@@ -154,12 +161,24 @@
                 const auto since = m_ports.policies.outdated_since(model, version);
                 engines.push_back({name, model, version, engine.running,
                                    since ? now - *since : base::duration{}, engine.listed.zone,
-                                   engine.pending_prefill_tokens});
+                                   engine.pending_prefill_tokens, engine.pinned_writers});
             }
         }
         return engines;
     }
 
+    /// Adds the requests of other routers that store prompt state.
+    void add_other_writers(std::vector<coordination::rollout::engine_view>& engines) const {
+        if (!m_ports.other_loads) {
+            return;
+        }
+        const auto loads = m_ports.other_loads();
+        for (coordination::rollout::engine_view& one : engines) {
+            const auto found = loads.find(one.name);
+            one.pinned_writers += found == loads.end() ? 0 : found->second.pinned_writers;
+        }
+    }
+
     std::optional<engine_target> target_of(const base::engine_name& name) const {
         const known_engine* engine = m_ports.registry.find(name);
         if (engine == nullptr) {
@@ -205,8 +224,10 @@
         ++m_orders_sent;
         m_ports.lease.begin_action();
         engine_target engine = *target;
-        weights_order sent{wanted.model,       wanted.version,    wanted.expected_orders,
-                           m_settings.running, m_settings.holder, *token};
+        const auto running =
+            wanted.drains_first ? running_requests_policy::drain_first : m_settings.running;
+        weights_order sent{wanted.model, wanted.version,    wanted.expected_orders,
+                           running,      m_settings.holder, *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_timeout);
         m_ports.lease.end_action();
@@ -215,6 +236,7 @@
                       {"model", wanted.model},
                       {"version", std::to_string(wanted.version)},
                       {"expected_orders", std::to_string(wanted.expected_orders)},
+                      {"drains_first", wanted.drains_first ? "true" : "false"},
                       {"token", std::to_string(token->value)},
                       {"answer", std::to_string(static_cast<int>(answer))},
                       {"after_naming_at_most_ms", ms_since_naming(wanted.model, wanted.version)},
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -414,3 +414,62 @@
     cr_assert_eq(fleet.count("a", 1), 2);
     cr_assert_eq(fleet.count("b", 8), 2);
 }
+
+namespace {
+
+/// Runs the rollout of one engine whose report is answered at once. @return its order, if any.
+std::optional<send_order> order_of(weights_rollout& rollout, const engine_view& seen,
+                                   base::monotonic_time now) {
+    std::optional<send_order> sent;
+    for (int step = 0; step < 3; ++step) {
+        const auto steps = rollout.next({seen}, now);
+        for (const auto& wanted : steps.reports) {
+            rollout.reported(wanted.engine, {seen.version, 0, false}, now);
+        }
+        if (!steps.orders.empty()) {
+            sent = steps.orders.front();
+        }
+    }
+    return sent;
+}
+
+}  // namespace
+
+// Guards against an engine that loads newer weights while it runs a request that goes on to store
+// state under the name of the older ones.
+Test(weights_rollout, an_engine_is_not_ordered_while_it_runs_writers_that_cannot_be_moved) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    seen.pinned_writers = 1;
+    cr_assert_not(order_of(rollout, seen, start).has_value());
+    cr_assert_not(rollout.under_way(seen.name), "its load is not announced either");
+    seen.pinned_writers = 0;
+    const auto sent = order_of(rollout, seen, start + 50ms);
+    cr_assert(sent.has_value());
+    cr_assert_not(sent->drains_first);
+}
+
+Test(weights_rollout, a_writer_that_is_reported_late_delays_the_order) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    const auto asked = rollout.next({seen}, start);
+    cr_assert_eq(asked.reports.size(), 1);
+    rollout.reported(seen.name, {1, 0, false}, start);
+    seen.pinned_writers = 1;
+    cr_assert(rollout.next({seen}, start + 50ms).orders.empty());
+    seen.pinned_writers = 0;
+    cr_assert_eq(rollout.next({seen}, start + 100ms).orders.size(), 1);
+}
+
+Test(weights_rollout, an_engine_whose_writers_run_for_long_lets_its_requests_end_first) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    seen.pinned_writers = 1;
+    seen.outdated_for = rollout_tunables{}.longest_writer_wait;
+    const auto sent = order_of(rollout, seen, start);
+    cr_assert(sent.has_value());
+    cr_assert(sent->drains_first);
+}
--- a/test/peer/traffic_notice_test.cpp
+++ b/test/peer/traffic_notice_test.cpp
@@ -18,7 +18,8 @@
     notice.sender.value = "r1";
     notice.zone.value = "z1";
     notice.loads_complete = true;
-    notice.loads = {{base::engine_name("e1"), 3, 9190, 250ms}, {base::engine_name("e2"), 1, 0, {}}};
+    notice.loads = {{base::engine_name("e1"), 3, 9190, 250ms, 2},
+                    {base::engine_name("e2"), 1, 0, {}}};
     notice.weights = {{base::engine_name("e1"), "m", 4}};
     notice.expected = {{base::engine_name("e2"), {{part_key(7), 2520}, {part_key(8), 3780}}}};
     notice.changes = {{base::engine_name("store/10.0.0.1:1"), 77, 118, 120, {{part_key(9), 0}}}};
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -3,7 +3,9 @@
 
 #include "test/relay/fake_upstream.hpp"
 
+#include <algorithm>
 #include <functional>
+#include <map>
 
 using namespace ferryroad;
 using namespace ferryroad::relay;
@@ -34,8 +36,10 @@
          [this](const rollout_announcement& announcement) {
              orders_at_announcement.push_back(upstream.orders.size());
              announcements.push_back(announcement);
-         }},
+         },
+         [this] { return other_loads; }},
         settings()};
+    std::map<base::engine_name, core::placement::peer_load> other_loads;
     std::vector<rollout_announcement> announcements;
     std::vector<std::size_t> orders_at_announcement;
 
@@ -55,6 +59,7 @@
         all.step_interval = 2ms;
         all.rollout.first_poll_delay = 2ms;
         all.rollout.look_period = 2ms;
+        all.rollout.longest_writer_wait = 40ms;
         return all;
     }
     /// Runs until the condition holds, so that the test does not depend on the machine's speed.
@@ -150,3 +155,19 @@
         cr_assert_eq((at.upstream.model_versions[{name, "n"}]), 8);
     }
 }
+
+Test(rollout_service, requests_of_other_routers_that_store_state_end_before_their_engine_loads) {
+    fixture at;
+    at.lease.current = base::fencing_token(1);
+    at.service.start();
+    at.run_until([&] { return at.upstream.orders.size() == 3 && !at.lease.acting; });
+    at.other_loads[base::engine_name("e2")].pinned_writers = 1;
+    at.policies.confirm(at.loop.scheduler.now());
+    at.policies.add_named_version("m", 3);
+    at.run_until([&] { return at.upstream.orders.size() == 6 && !at.lease.acting; });
+    const auto drains = [](const weights_order& order) {
+        return order.running == running_requests_policy::drain_first;
+    };
+    cr_assert_eq(std::count_if(at.upstream.orders.begin(), at.upstream.orders.end(), drains), 1);
+    cr_assert(drains(at.upstream.orders.back()), "the engine that runs it is ordered last");
+}
--- a/test/relay/running_state_test.cpp
+++ b/test/relay/running_state_test.cpp
@@ -157,6 +157,34 @@
     cr_assert(router.is_whole());
 }
 
+// An engine must not load newer weights while it runs a request that stores state and can't be
+// moved, so the holder of the rollout's lease is told of it.
+Test(running_state, a_request_that_stores_state_and_cannot_be_moved_is_counted) {
+    streaming_router router;
+    router.begin_stream("/stream/");
+    cr_assert(router.saved[0]);
+    const base::engine_name engine(router.first_engine());
+    cr_assert_eq(router.registry.find(engine)->pinned_writers, 1);
+    router.replace_weights();
+    router.announce_load(engine.value);
+    router.run_for(5s);
+    cr_assert_eq(router.upstream.asked.size(), 1);
+    cr_assert(router.is_whole());
+    cr_assert_eq(router.registry.find(engine)->pinned_writers, 0);
+}
+
+Test(running_state, a_request_that_stores_nothing_or_can_be_moved_is_not_counted) {
+    for (const bool stored : {true, false}) {
+        streaming_router router;
+        if (stored) {
+            router.report_stored();
+        }
+        router.begin_stream(stored ? "/stream/" : "/resumable/");
+        const base::engine_name engine(router.first_engine());
+        cr_assert_eq(router.registry.find(engine)->pinned_writers, 0);
+    }
+}
+
 // A stream must not be cut for its state if no retry is left to continue it.
 Test(running_state, a_stream_stays_while_the_retry_budget_is_used_up) {
     streaming_router router;
