Answers without end are given up, and an event that has not ended counts as memory

Reported by other operators, and possible here: a faulty engine that sent bytes without end took the memory of the router's machine, and with it the requests of its other callers.

Cause: the part of an event that has not ended was bounded by the limit of whole answers, 16 MiB a stream, and in no account; the router's own calls took 64 MiB each; interim answers were read until the deadline.

An event has a limit of 1 MiB and is charged to the memory budget beyond 32 KiB; reports and orders are answered within 256 KiB, state events within 4 MiB; more than 100 interim answers are none; a whole answer that announces more than the limit is given up at once.

--- a/src/ferryroad/core/stream/event_splitter.hpp
+++ b/src/ferryroad/core/stream/event_splitter.hpp
@@ -30,6 +30,8 @@
     bool in_event() const { return !m_pending.empty(); }
     /// @return the number of buffered bytes, so that the caller can limit the size of an event.
     std::size_t buffered_bytes() const { return m_pending.size(); }
+    /// @return the memory, in bytes, that the buffer takes.
+    std::size_t allocated_bytes() const { return m_pending.capacity(); }
 
   private:
     std::string m_pending;
--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -107,7 +107,7 @@
     std::function<bool(header_list&)> last_look;
 };
 
-/// Timeouts of `client::fetch`, and a callback for large responses.
+/// Timeouts and size limit of `client::fetch`, and a callback for large responses.
 struct fetch_options {
     base::duration first{};    ///< Time until the response headers have arrived.
     base::duration pause{};    ///< Longest pause between two parts of the body.
@@ -116,6 +116,8 @@
     /// arrived.
     std::size_t large_body_bytes = 0;
     std::function<void()> on_large_body;
+    /// Longest body taken; nothing: the client's limit.
+    std::optional<std::size_t> body_bytes = std::nullopt;
 };
 
 /// Use it from the event loop's thread only; it must outlive its streams. Cancelling a coroutine in
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -347,7 +347,7 @@
                                              exchange_parameters parameters,
                                              fetch_options options) {
     const base::monotonic_time deadline = pool->scheduler().now() + options.longest;
-    const std::size_t body_bytes = pool->limits().body_bytes;
+    const std::size_t body_bytes = options.body_bytes.value_or(pool->limits().body_bytes);
     auto started = co_await start_exchange(pool, std::move(parameters), body_bytes);
     if (!started) {
         co_return started.error();
--- a/src/ferryroad/http/codec.cpp
+++ b/src/ferryroad/http/codec.cpp
@@ -143,6 +143,9 @@
     return status >= first_status && status <= last_status && status != switching_protocols;
 }
 
+/// A server that sends more interim responses than this before a final one is faulty.
+constexpr std::uint32_t max_interim_responses = 100;
+
 bool has_body_by_method(std::string_view method) {
     return method == "POST" || method == "PUT" || method == "PATCH";
 }
@@ -228,6 +231,11 @@
 response_decoder::~response_decoder() = default;
 
 void response_decoder::restart() {
+    interim_responses_ = 0;
+    start_parser();
+}
+
+void response_decoder::start_parser() {
     parser_ = std::make_unique<parser>();
     parser_->native.eager(true);
     parser_->native.header_limit(static_cast<std::uint32_t>(limit_.header_bytes));
@@ -256,7 +264,11 @@
         if (!is_interim) {
             return consumed;
         }
-        restart();
+        if (++interim_responses_ > max_interim_responses) {
+            state_ = decode_state::malformed;
+            return consumed;
+        }
+        start_parser();
     }
 }
 
--- a/src/ferryroad/http/codec.hpp
+++ b/src/ferryroad/http/codec.hpp
@@ -6,6 +6,7 @@
 #include "ferryroad/http/message.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -50,7 +51,7 @@
     decode_state state_ = decode_state::need_more;
 };
 
-/// Decodes one final response; interim responses (1xx) are skipped.
+/// Decodes one final response; interim responses (1xx) are skipped, up to a limit.
 class response_decoder {
   public:
     struct limits {
@@ -93,6 +94,7 @@
   private:
     struct parser;
 
+    void start_parser();
     /// @return whether the complete head can be that of a response.
     bool is_head_valid() const;
     /// @return whether the complete head contains the status line of another response.
@@ -102,6 +104,7 @@
     bool answers_head_;
     bool started_ = false;
     bool invalid_head_ = false;
+    std::uint32_t interim_responses_ = 0;  ///< Since the last final response.
     std::unique_ptr<parser> parser_;
     decode_state state_ = decode_state::need_more;
 };
--- a/src/ferryroad/relay/answer_body.cpp
+++ b/src/ferryroad/relay/answer_body.cpp
@@ -26,8 +26,11 @@
     if (m_bytes.size() > m_max_bytes) {
         return append_result::too_large;
     }
-    const bool granted = !m_memory || m_memory->grow_to(runtime::memory_of(m_bytes));
-    return granted ? append_result::appended : append_result::no_memory;
+    return charge(runtime::memory_of(m_bytes)) ? append_result::appended : append_result::no_memory;
+}
+
+bool answer_body::charge(std::size_t bytes) {
+    return !m_memory || m_memory->grow_to(bytes);
 }
 
 std::string answer_body::take() {
--- a/src/ferryroad/relay/answer_body.hpp
+++ b/src/ferryroad/relay/answer_body.hpp
@@ -33,6 +33,10 @@
     void begin(const http::header_list& head);
     /// @return whether the body may go on. If not, call `clear`.
     append_result append(std::string_view bytes);
+    /// Charges for a part of the answer that is kept elsewhere, until `release`.
+    /// @param bytes of memory that the part takes in all.
+    /// @return false if the memory budget refuses them.
+    [[nodiscard]] bool charge(std::size_t bytes);
     /// @return the body, which stays charged until `release`.
     std::string take();
     /// Charges nothing any more for a body that was taken.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -448,6 +448,13 @@
         m_body.begin(m_answer->headers);
         m_splitter = core::stream::event_splitter();
         feed(execution::exchange_started{m_exchange});
+        const bool is_too_large =
+            http::content_length(m_answer->headers).value_or(0) > m_tunables.max_answer_bytes;
+        const bool has_whole_body =
+            !m_answer->is_event_stream && m_plan.call->message.method != "HEAD";
+        if (has_whole_body && is_too_large) {
+            fail_exchange(execution::failure_kind::broken, "answer exceeds the size limit");
+        }
     }
 
     using open_result = runtime::result<opened_answer, dispatch_failure>;
@@ -735,7 +742,11 @@
     void end_exchange() {
         m_admission.ended();
         m_answer.reset();
-        m_next_event_begun = m_next_event_begun || m_splitter.in_event();
+        if (m_splitter.in_event()) {
+            m_next_event_begun = true;
+            m_splitter = {};
+            m_body.release();
+        }
         const bool was_sent = m_load.has_value();
         m_load.reset();
         if (was_sent && m_dependencies.slots != nullptr) {
@@ -835,12 +846,13 @@
     /// Gives up an answer for which no memory is left. Its engine is not at fault.
     void give_up_answer() {
         const runtime::memory_budget& budget = *m_body.budget();
-        runtime::log(runtime::log_level::warning, component, "no memory left for an answer",
-                     {{"request_id", m_plan.call->id.value},
-                      {"engine", m_selected.target.name.value},
-                      {"received_bytes", std::to_string(m_body.size())},
-                      {"used_bytes", std::to_string(budget.counters().used_bytes)},
-                      {"limit_bytes", std::to_string(budget.limits().total_bytes)}});
+        runtime::log(
+            runtime::log_level::warning, component, "no memory left for an answer",
+            {{"request_id", m_plan.call->id.value},
+             {"engine", m_selected.target.name.value},
+             {"received_bytes", std::to_string(m_body.size() + m_splitter.buffered_bytes())},
+             {"used_bytes", std::to_string(budget.counters().used_bytes)},
+             {"limit_bytes", std::to_string(budget.limits().total_bytes)}});
         m_body.clear();
         m_evidence.answered(m_answer->status, m_dependencies.scheduler.now());
         report_success();
@@ -871,7 +883,7 @@
             feed(execution::exchange_ended{m_exchange, m_machine.emitted_tokens()});
             co_return;
         }
-        bool valid = m_splitter.buffered_bytes() < m_tunables.max_answer_bytes;
+        bool valid = true;
         for (core::stream::complete_event& event : m_splitter.feed(*bytes)) {
             valid = valid && is_in_order(event);
             if (!valid) {
@@ -882,6 +894,11 @@
         co_await flush();
         if (!valid) {
             fail_exchange(execution::failure_kind::broken, "stream events out of order");
+        } else if (m_splitter.buffered_bytes() > m_tunables.max_event_bytes) {
+            fail_exchange(execution::failure_kind::broken, "stream event exceeds the size limit");
+        } else if (m_splitter.buffered_bytes() > m_tunables.uncharged_event_bytes &&
+                   !m_body.charge(m_splitter.allocated_bytes())) {
+            give_up_answer();
         }
     }
 
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -70,8 +70,12 @@
     /// Slots that are asked for per selection. Routers that see the same loads ask the same
     /// engines; those that are refused spread out until they select again.
     std::uint32_t slot_attempts_per_selection = 4;
-    /// Maximum size of a non-streaming answer, and of one stream event, in bytes.
+    /// Maximum size of a non-streaming answer, in bytes.
     std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+    /// Maximum size of a stream event, in bytes.
+    std::size_t max_event_bytes = std::size_t{1024} * 1024;
+    /// Incomplete stream events up to this size, in bytes, are not charged to the memory budget.
+    std::size_t uncharged_event_bytes = std::size_t{32} * 1024;
     /// Callers that are refused as all engines back off are told to retry within this time after
     /// the first backoff ends.
     base::duration backoff_retry_spread = std::chrono::milliseconds(500);
--- a/src/ferryroad/relay/tunables.hpp
+++ b/src/ferryroad/relay/tunables.hpp
@@ -144,9 +144,14 @@
 inline http::client_limits engine_call_connections() {
     http::client_limits limits = engine_connections();
     limits.idle_connections_per_address = 1;
+    limits.body_bytes = std::size_t{256} * 1024;
     return limits;
 }
 
+/// Longest list of state events taken from an engine or state store, in bytes. A longer one can't
+/// be read, and its holder counts as holding nothing.
+inline constexpr std::size_t state_events_bytes = std::size_t{4} * 1024 * 1024;
+
 /// Limits of connections to routers that pass requests on. Bounds the time lost on a router that
 /// has ended.
 inline http::client_limits forwarding_connections() {
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -35,12 +35,15 @@
     return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
-/// Plays the steps of a scripted body, and counts the bodies that are open.
+/// Plays the steps of a scripted body, and counts the bodies that are open and the bytes read.
 class scripted_body final : public http::byte_stream {
   public:
     scripted_body(runtime::scheduler& scheduler, std::vector<body_step> steps,
-                  std::shared_ptr<int> open)
-        : m_scheduler(scheduler), m_steps(steps.begin(), steps.end()), m_open(std::move(open)) {
+                  std::shared_ptr<int> open, std::shared_ptr<std::size_t> bytes_read)
+        : m_scheduler(scheduler),
+          m_steps(steps.begin(), steps.end()),
+          m_open(std::move(open)),
+          m_bytes_read(std::move(bytes_read)) {
         ++*m_open;
     }
     ~scripted_body() override { --*m_open; }
@@ -62,6 +65,7 @@
         if (step.what == body_step::kind::end) {
             co_return std::optional<std::string>();
         }
+        *m_bytes_read += step.bytes.size();
         co_return std::optional<std::string>(std::move(step.bytes));
     }
 
@@ -69,6 +73,7 @@
     runtime::scheduler& m_scheduler;
     std::deque<body_step> m_steps;
     std::shared_ptr<int> m_open;
+    std::shared_ptr<std::size_t> m_bytes_read;
     http::header_list m_headers;
 };
 
@@ -129,8 +134,8 @@
         answer.headers.add("X-Response-Signature", next.signature);
         answer.is_event_stream = next.stream;
         answer.status_promises_not_run = next.status_promises_not_run;
-        answer.body =
-            std::make_unique<scripted_body>(m_scheduler, std::move(next.body), open_bodies);
+        answer.body = std::make_unique<scripted_body>(m_scheduler, std::move(next.body),
+                                                      open_bodies, body_bytes_read);
         co_return std::move(answer);
     }
     runtime::task<std::optional<coordination::rollout::engine_report>> report(engine_target target,
@@ -167,6 +172,8 @@
     std::vector<weights_order> orders;
     std::vector<base::duration> limits;  ///< Time limit of each dispatch.
     std::shared_ptr<int> open_bodies = std::make_shared<int>(0);
+    /// Read from all bodies.
+    std::shared_ptr<std::size_t> body_bytes_read = std::make_shared<std::size_t>(0);
 
   private:
     runtime::scheduler& m_scheduler;
