A planned stop ends requests with a response, and takes none that it may have to cut

Reported by other operators, and possible here: requests in progress as the grace of a planned stop ended lost their connection without an answer, among them some that must not be repeated. Real processes, a grace of 4 s, engines that take 7 s: both requests in progress at the signal were cut, and all four sent 0.3 to 1.2 s after it.

Cause: the end of the grace stopped the event loop, whatever was in progress; until new requests were refused, they were taken whatever time they might need.

From the signal on, a request that must not be repeated and may take until then is refused at once as not run, so that its caller goes to another router; others get the time that is left.

--- a/src/ferryroad/relay/planned_stop.cpp
+++ b/src/ferryroad/relay/planned_stop.cpp
@@ -7,13 +7,16 @@
 namespace ferryroad::relay {
 
 runtime::task<void> planned_stop(runtime::scheduler& scheduler, http::server& callers,
-                                 stop_settings settings, std::function<void()> refuse_new) {
+                                 stop_settings settings, stop_actions actions) {
     const base::monotonic_time last = scheduler.now() + settings.grace - settings.margin;
+    actions.begin(last);
     callers.disable_keep_alive();
     const base::duration notice = std::min(settings.notice, settings.grace / 3);
     co_await scheduler.sleep_for(notice);
-    refuse_new();
+    actions.refuse_new();
     co_await drain_until(scheduler, callers, last);
+    actions.end_requests();
+    co_await drain_until(scheduler, callers, last + settings.last_responses);
 }
 
 runtime::task<void> drain_until(runtime::scheduler& scheduler, http::server& server,
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -61,7 +61,8 @@
         : m_dependencies(dependencies),
           m_settings(settings),
           m_on_outcome(std::move(on_outcome)),
-          m_waiting(dependencies.scheduler) {
+          m_waiting(dependencies.scheduler),
+          m_deadlines(dependencies.scheduler) {
         if (m_dependencies.quarantine != nullptr) {
             m_dependencies.quarantine->on_quarantined(
                 [this](const auto& request) { m_waiting.wake(request); });
@@ -77,8 +78,15 @@
         return answer(std::make_shared<const relay_call>(std::move(call)), writer);
     }
 
+    /// This router is shutting down. From now on, refuses requests that must not be repeated and
+    /// may take until after `end`; shortens the time of others.
+    /// @param end when requests in progress will be ended.
+    void begin_stop(base::monotonic_time end) { m_stop_end = end; }
     /// Refuses all new requests from now on, as this router is shutting down.
     void refuse_new() { m_leaving = true; }
+    /// Ends the requests in progress as if their deadlines had passed: each gets a response, but
+    /// for streams that have begun, which are cut.
+    void end_requests() { m_deadlines.wake_all(); }
     /// Checks the requests that wait at engines again. To be called when newer weights were named
     /// or an engine was announced to load them.
     void check_waiting() { m_waiting.wake_all(); }
@@ -230,6 +238,13 @@
         const base::duration allowed = std::min(
             call->time_left.value_or(plan.matched_route->timeout), plan.matched_route->timeout);
         plan.deadline = call->arrived + allowed;
+        if (m_stop_end && plan.deadline > *m_stop_end) {
+            if (!is_repeatable(*plan.matched_route)) {
+                return relay_refusal{refusal_cause::leaving,
+                                     core::execution::execution_report::not_run, base::duration{}};
+            }
+            plan.deadline = *m_stop_end;
+        }
         const bool own_priority = plan.tenant != nullptr && plan.tenant->priority;
         plan.priority = own_priority ? *plan.tenant->priority : plan.matched_route->priority;
         plan.identity = identity_of(plan);
@@ -273,8 +288,9 @@
         const base::monotonic_time deadline = plan.deadline;
         relay_driver<Upstream> driver(m_dependencies, plan, budget_of(plan.pool),
                                       m_shedders[plan.pool], m_waiting, writer, m_settings.driver);
-        const auto first = co_await (
-            driver.run() || m_dependencies.scheduler.sleep_until(deadline) || writer.wait_closed());
+        auto ended_by_deadline = m_deadlines.sleep(plan.identity, std::optional(deadline));
+        const auto first =
+            co_await (driver.run() || std::move(ended_by_deadline) || writer.wait_closed());
         core::execution::event ended = core::execution::caller_gone{};
         if (first.index() == 1) {
             ended = core::execution::deadline_passed{};
@@ -402,12 +418,15 @@
     relay_dependencies<Upstream> m_dependencies;
     relay_settings m_settings;
     outcome_listener m_on_outcome;
-    waiting_requests m_waiting;
+    waiting_requests m_waiting;    ///< Requests that wait at engines.
+    waiting_requests m_deadlines;  ///< Requests in progress, until their deadlines.
     std::map<base::route_name, core::traffic::weighted_rotation> m_rotations;
     std::map<base::pool_name, core::admission::retry_window> m_budgets;
     std::map<base::pool_name, core::admission::load_shedder> m_shedders;
     std::size_t m_active = 0;
     bool m_leaving = false;
+    /// When requests in progress will be ended, as this router is shutting down.
+    std::optional<base::monotonic_time> m_stop_end;
 };
 
 }  // namespace ferryroad::relay
--- a/test/relay/planned_stop_test.cpp
+++ b/test/relay/planned_stop_test.cpp
@@ -20,6 +20,9 @@
     ferryroad::test::loopback loop;
     bool refusing = false;
     bool gate_open = false;
+    bool ends_requests = false;  ///< Requests are answered when they are ended.
+    bool ended_early = false;
+    base::monotonic_time ends_at{};
     http::server server{
         loop.scheduler, {}, [this](http::request message, http::response_writer& writer) {
             return handle(std::move(message), writer);
@@ -41,8 +44,15 @@
         settings.grace = grace;
         settings.notice = 60ms;
         settings.margin = 10ms;
-        std::function<void()> refuse_new = [this] { refusing = true; };
-        co_await planned_stop(loop.scheduler, server, settings, std::move(refuse_new));
+        settings.last_responses = 5ms;
+        stop_actions actions;
+        actions.begin = [this](base::monotonic_time end) { ends_at = end; };
+        actions.refuse_new = [this] { refusing = true; };
+        actions.end_requests = [this] {
+            ended_early = loop.scheduler.now() < ends_at;
+            gate_open = gate_open || ends_requests;
+        };
+        co_await planned_stop(loop.scheduler, server, settings, std::move(actions));
         stopped_after = loop.scheduler.now() - began;
     }
     runtime::task<std::string> ask(std::string text) {
@@ -78,6 +88,18 @@
     co_await fixture.loop.until([&fixture] { return fixture.stopped_after.has_value(); });
 }
 
+/// @param received what the caller of a request gets that is in progress as the grace ends.
+runtime::task<void> ask_until_grace_ends(planned_stop_fixture& fixture, std::string& received) {
+    ferryroad::test::raw_socket socket(fixture.loop.context);
+    socket.connect(fixture.address);
+    co_await socket.write("GET /gated HTTP/1.1\r\nHost: x\r\n\r\n");
+    co_await fixture.loop.until([&fixture] { return fixture.server.active_requests() == 1; });
+    fixture.ends_requests = true;
+    fixture.loop.scheduler.spawn("stop", fixture.stop(300ms));
+    received = co_await socket.read_to_close();
+    co_await fixture.loop.until([&fixture] { return fixture.stopped_after.has_value(); });
+}
+
 runtime::task<void> stop_during_endless_request(planned_stop_fixture& fixture) {
     ferryroad::test::raw_socket socket(fixture.loop.context);
     socket.connect(fixture.address);
@@ -100,6 +122,16 @@
     cr_assert(fixture.loop.run([&] { return stop_during_request(fixture); }));
 }
 
+// Guards against requests that were cut without a response when the grace was over.
+Test(planned_stop, requests_in_progress_are_ended_with_a_response_before_the_grace_is_over) {
+    planned_stop_fixture fixture;
+    std::string received;
+    cr_assert(fixture.loop.run([&] { return ask_until_grace_ends(fixture, received); }));
+    cr_assert(received.starts_with("HTTP/1.1"), "%s", received.c_str());
+    cr_assert_not(fixture.ended_early);
+    cr_assert(*fixture.stopped_after < 2s);
+}
+
 Test(planned_stop, ends_within_the_grace) {
     planned_stop_fixture fixture;
     cr_assert(fixture.loop.run([&] { return stop_during_endless_request(fixture); }));
