Tenants share other prompt state once a tenant has been isolated

Cause: the scope of what open tenants share was the same whatever tenants were isolated. It now depends on the set of isolated tenants, not on their order or on other tenants; a policy without any has the scope that it had. State made before such a change is not used any more, so parts are read once more then.

traffic_policy.the_name_of_shared_state_changes_with_the_isolated_tenants and selection.cache_scope_of_open_tenants_changes_when_a_tenant_is_isolated guard against it; the first needs the new call, the second failed before by its nature ("shared/1" for both policies; not run on the old code).

--- a/src/ferryroad/core/traffic/traffic_policy.cpp
+++ b/src/ferryroad/core/traffic/traffic_policy.cpp
@@ -1,6 +1,11 @@
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 
+#include "ferryroad/base/hash.hpp"
+
 #include <algorithm>
+#include <cstdint>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace ferryroad::core::traffic {
@@ -12,6 +17,28 @@
     return static_cast<double>(declared_tokens.value_or(quota.default_tokens));
 }
 
+namespace {
+
+/// @return a name that depends on which tenants are isolated, and not on their order.
+std::string shared_state_name_for(const std::vector<tenant>& tenants) {
+    std::set<std::string> isolated;
+    for (const tenant& one : tenants) {
+        if (one.isolated) {
+            isolated.insert(one.name.value);
+        }
+    }
+    if (isolated.empty()) {
+        return "shared";
+    }
+    std::uint64_t digest = 0;
+    for (const std::string& name : isolated) {
+        digest = base::hash_pair(digest, base::hash_bytes(name));
+    }
+    return "shared-" + std::to_string(digest);
+}
+
+}  // namespace
+
 traffic_policy::traffic_policy(declaration declared) : m_declared(std::move(declared)) {
     for (std::size_t index = 0; index < m_declared.routes.size(); ++index) {
         m_routes_of_host[m_declared.routes[index].host].push_back(index);
@@ -28,6 +55,7 @@
             m_tenant_of_key.emplace(key, index);
         }
     }
+    m_shared_state_name = shared_state_name_for(m_declared.tenants);
 }
 
 const route* traffic_policy::find_route(std::string_view host, std::string_view path) const {
--- a/src/ferryroad/core/traffic/traffic_policy.hpp
+++ b/src/ferryroad/core/traffic/traffic_policy.hpp
@@ -144,6 +144,10 @@
     const pool* find_pool(const base::pool_name& name) const;
     /// @return whether requests on the route must carry a key.
     bool needs_key(const route& on) const;
+    /// @return the name of the cached prompt state that all tenants but the isolated ones share. It
+    /// differs between policies whose isolated tenants differ: what a tenant made before it was
+    /// isolated is no longer shared.
+    const std::string& shared_state_name() const { return m_shared_state_name; }
 
     friend bool operator==(const traffic_policy& left, const traffic_policy& right) {
         return left.m_declared == right.m_declared;
@@ -153,6 +157,7 @@
     declaration m_declared;
     std::unordered_map<std::string, std::vector<std::size_t>> m_routes_of_host;
     std::unordered_map<std::string, std::size_t> m_tenant_of_key;
+    std::string m_shared_state_name;
 };
 
 /// Distributes a route's requests over its pools by smooth weighted round robin, which follows the
--- a/src/ferryroad/relay/selection.cpp
+++ b/src/ferryroad/relay/selection.cpp
@@ -40,9 +40,10 @@
 
 }  // namespace
 
-std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version) {
+std::string cache_scope_of(const core::traffic::traffic_policy& policy,
+                           const core::traffic::tenant* tenant, std::uint64_t version) {
     const bool isolated = tenant != nullptr && tenant->isolated;
-    return (isolated ? "t-" + tenant->name.value : std::string("shared")) + "/" +
+    return (isolated ? "t-" + tenant->name.value : policy.shared_state_name()) + "/" +
            std::to_string(version);
 }
 
@@ -142,7 +143,7 @@
 engine_selection::scoped_prompt engine_selection::make_scoped_prompt(
     const selection_query& query, std::uint64_t version, base::monotonic_time now) const {
     scoped_prompt prompt;
-    prompt.scope = cache_scope_of(query.tenant, version);
+    prompt.scope = cache_scope_of(query.policy, query.tenant, version);
     prompt.parts = core::prefix::scoped_parts_of(*query.call.prompt, prompt.scope);
     prompt.holdings = m_warm.holdings(prompt.parts, now);
     std::erase_if(prompt.holdings, [&](const placement::holding& one) {
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -388,7 +388,8 @@
 base::engine_name holder_name_of(const core::traffic::state_store& store);
 
 /// @return the scope in which prompt state may be shared: a version of the weights and, for an
-/// isolated tenant, that tenant.
-std::string cache_scope_of(const core::traffic::tenant* tenant, std::uint64_t version);
+/// isolated tenant, that tenant; for others, what the policy's other tenants share.
+std::string cache_scope_of(const core::traffic::traffic_policy& policy,
+                           const core::traffic::tenant* tenant, std::uint64_t version);
 
 }  // namespace ferryroad::relay
--- a/test/core/traffic/traffic_policy_test.cpp
+++ b/test/core/traffic/traffic_policy_test.cpp
@@ -84,6 +84,27 @@
     cr_assert_not(traffic_policy(sample()) == traffic_policy(changed));
 }
 
+// Guards against: a tenant was isolated by a change of the policy, and others went on using the
+// prompt state that its requests had made before.
+Test(traffic_policy, the_name_of_shared_state_changes_with_the_isolated_tenants) {
+    const auto name_of = [](std::vector<tenant> tenants) {
+        declaration declared = sample();
+        declared.tenants = std::move(tenants);
+        return traffic_policy(std::move(declared)).shared_state_name();
+    };
+    const tenant open{base::tenant_name("open")};
+    tenant first{base::tenant_name("first")};
+    tenant second{base::tenant_name("second")};
+    first.isolated = second.isolated = true;
+    cr_assert(name_of({}) == "shared");
+    cr_assert(name_of({open}) == "shared");
+    cr_assert(name_of({open, first}) != "shared");
+    cr_assert(name_of({open, first}) == name_of({first}), "other tenants may come and go");
+    cr_assert(name_of({first, second}) == name_of({second, first}));
+    cr_assert(name_of({first}) != name_of({second}));
+    cr_assert(name_of({first}) != name_of({first, second}));
+}
+
 Test(weighted_rotation, keeps_to_the_weights_over_any_run) {
     const std::vector<pool_share> pools = {
         {base::pool_name("a"), 90}, {base::pool_name("b"), 10}, {base::pool_name("c"), 0}};
--- a/test/relay/selection_test.cpp
+++ b/test/relay/selection_test.cpp
@@ -105,6 +105,18 @@
     cr_assert_eq(at.select()->expected_version, 1U);
 }
 
+Test(selection, cache_scope_of_open_tenants_changes_when_a_tenant_is_isolated) {
+    fixture at;
+    core::traffic::declaration changed = at.policies.current()->declared();
+    ++changed.version;
+    changed.tenants = {at.open_tenant, at.isolated_tenant};
+    at.policies.offer(std::move(changed));
+    const std::string scope = *at.select(&at.open_tenant)->cache_scope;
+    cr_assert(scope != "shared/1");
+    cr_assert(scope.ends_with("/1"));
+    cr_assert(*at.select(&at.isolated_tenant)->cache_scope == "t-i/1");
+}
+
 Test(selection, avoids_and_finally_excludes_outdated_engines) {
     fixture at;
     at.call.prompt->parts = {{"a", 100}, {"own", 500}};
