A version of the weights that was recorded as named stays named

Cause: the routers' own record of namings was read for its times only, and a recorded version newer than the row was ignored. The record itself was written without a condition, so that a late write could put an older record back, too.

A recorded version counts as named, as it was acknowledged. The record is written under the condition of the version that was last read or written; a router whose write conflicts takes in what the other has recorded.

--- a/src/ferryroad/relay/naming_record_sync.cpp
+++ b/src/ferryroad/relay/naming_record_sync.cpp
@@ -81,10 +81,22 @@
     if (!rows) {
         co_return false;
     }
-    const auto record =
-        rows->empty() ? std::nullopt : rollout::decode_naming_record(rows->front().value);
+    if (!rows->empty()) {
+        take_record(rows->front());
+    }
+    co_return true;
+}
+
+void naming_record_sync::take_record(const platform::row& row) {
+    m_row_version = row.version;
+    if (row.version == platform::row_version()) {
+        return;  // The row is absent.
+    }
+    const auto record = rollout::decode_naming_record(row.value);
     if (!record) {
-        co_return true;  // No record has been written yet, or it is unreadable.
+        runtime::log(runtime::log_level::warning, component, "naming record is unreadable",
+                     {{"row_version", std::to_string(row.version.value)}});
+        return;
     }
     std::map<std::string, std::uint64_t> recorded;
     for (const auto& [model, versions] : record->models) {
@@ -96,8 +108,8 @@
     }
     m_policies.raise_unrecorded_namings(recorded, m_clock.to_local_earliest(record->confirmed_at));
     runtime::log(runtime::log_level::info, component, "naming record read",
-                 {{"models", std::to_string(record->models.size())}});
-    co_return true;
+                 {{"models", std::to_string(record->models.size())},
+                  {"row_version", std::to_string(row.version.value)}});
 }
 
 rollout::naming_record naming_record_sync::current_record() const {
@@ -114,6 +126,8 @@
 
 runtime::task<void> naming_record_sync::write_record() {
     platform::transaction change;
+    // Without a condition, an older record whose write got no answer could replace this one later.
+    change.conditions.push_back({record_key, m_row_version});
     change.writes.push_back({record_key, rollout::encode(current_record())});
     std::vector<platform::transaction> changes;
     changes.push_back(std::move(change));
@@ -122,6 +136,13 @@
         runtime::log(runtime::log_level::debug, component,
                      "writing the naming record failed; retrying in the next period",
                      {{"error", outcome.error().message}});
+        co_return;
+    }
+    const platform::transaction_outcome& written = outcome->front();
+    if (written.committed) {
+        m_row_version = written.version;
+    } else if (written.conflicting) {
+        take_record(*written.conflicting);
     }
 }
 
--- a/src/ferryroad/relay/naming_record_sync.hpp
+++ b/src/ferryroad/relay/naming_record_sync.hpp
@@ -74,6 +74,8 @@
     /// @return whether reading is done: the record was read or there is none.
     runtime::task<bool> read_record();
     runtime::task<void> write_record();
+    /// Adds what a row of the record says to the policies.
+    void take_record(const platform::row& row);
     coordination::rollout::naming_record current_record() const;
 
     runtime::scheduler& m_scheduler;
@@ -82,6 +84,7 @@
     std::function<bool()> m_leads;
     naming_record_sync_settings m_settings;
     owner_clock m_clock;
+    platform::row_version m_row_version;  ///< Of the record as last read or written.
     bool m_stopped = false;
 };
 
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -68,8 +68,9 @@
     const auto place = std::find_if(m_named.begin(), m_named.end(), [&](const named_version& one) {
         return one.version >= named.version;
     });
-    const bool wanted = place != m_named.end() && place->version != named.version;
-    if (wanted && m_named.size() < max_versions) {
+    if (place == m_named.end()) {
+        add(named);
+    } else if (place->version != named.version && m_named.size() < max_versions) {
         m_named.insert(place, named);
     }
 }
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -40,8 +40,8 @@
     /// Raises `accepted_after` to at least `moment` for each version in (`older_than`, `up_to`].
     void raise_accepted_after(std::uint64_t older_than, std::uint64_t up_to,
                               base::monotonic_time moment);
-    /// Inserts a version older than the newest that this process had not received. Ignored if it is
-    /// newer than all others, known already, or the history is full.
+    /// Inserts a version that this process had not received. Ignored if it is known already, or
+    /// older than the newest and the history is full.
     void insert(named_version named);
     const std::vector<named_version>& named() const { return m_named; }
 
--- a/test/relay/naming_record_sync_test.cpp
+++ b/test/relay/naming_record_sync_test.cpp
@@ -4,6 +4,9 @@
 #include "test/http/loopback.hpp"
 
 #include <map>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace ferryroad;
 using namespace ferryroad::relay;
@@ -44,6 +47,57 @@
     bool down = false;
 };
 
+/// A table that checks conditions. Writes may get no answer and be carried out later.
+class late_table final : public platform::table {
+  public:
+    runtime::task<platform::result<std::vector<platform::transaction_outcome>>> transact(
+        std::vector<platform::transaction> transactions) override {
+        if (loses_answers) {
+            late.insert(late.end(), transactions.begin(), transactions.end());
+            co_return platform::error{platform::error_code::unavailable, "no answer", std::nullopt};
+        }
+        std::vector<platform::transaction_outcome> outcomes;
+        for (const platform::transaction& one : transactions) {
+            outcomes.push_back(apply(one));
+        }
+        co_return outcomes;
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> read(
+        std::vector<platform::row_key>) override {
+        co_return stored ? std::vector<platform::row>{*stored} : std::vector<platform::row>{};
+    }
+    runtime::task<platform::result<std::vector<platform::row>>> scan(std::string, platform::row_key,
+                                                                     std::uint32_t) override {
+        co_return std::vector<platform::row>{};
+    }
+    void carry_out_late_writes() {
+        for (const platform::transaction& one : late) {
+            apply(one);
+        }
+        late.clear();
+    }
+
+    std::optional<platform::row> stored;
+    std::vector<platform::transaction> late;
+    bool loses_answers = false;
+
+  private:
+    platform::transaction_outcome apply(const platform::transaction& change) {
+        const platform::row_version current = stored ? stored->version : platform::row_version();
+        for (const platform::row_condition& condition : change.conditions) {
+            if (condition.version != current) {
+                return {false, {}, stored.value_or(platform::row{condition.key, {}, {}})};
+            }
+        }
+        for (const platform::row_write& write : change.writes) {
+            stored = platform::row{write.key, *write.value, platform::row_version(++m_last)};
+        }
+        return {true, platform::row_version(m_last), std::nullopt};
+    }
+
+    std::uint64_t m_last = 0;
+};
+
 struct router {
     router(ferryroad::test::loopback& loop, platform::table& table, bool leads)
         : journal(loop.scheduler, table, policies, [leads] { return leads; }, {5ms, 2ms}) {}
@@ -116,3 +170,47 @@
     cr_assert(*one.policies.outdated_since("m", 1) < started);
     cr_assert(table.rows.empty());
 }
+
+// Guards against: a write of an older record, which had got no answer, was carried out after a
+// newer one, and routers that started then did not know the newest version.
+Test(naming_record_sync, a_late_write_does_not_replace_a_newer_record) {
+    ferryroad::test::loopback loop;
+    late_table table;
+    router one(loop, table, true);
+    const base::monotonic_time now = loop.scheduler.now();
+    one.journal.clock().observe(now, now, 70s);
+    one.policies.confirm(now);
+    one.policies.add_named_version("m", 2);
+    table.loses_answers = true;
+    one.journal.start();
+    run_for(loop, 30ms);
+    cr_assert_not(table.late.empty());
+    table.loses_answers = false;
+    one.policies.add_named_version("m", 3);
+    run_for(loop, 30ms);
+    table.carry_out_late_writes();
+
+    router second(loop, table, false);
+    second.policies.add_named_version("m", 2);  // The owner's row has fallen back.
+    second.journal.clock().observe(loop.scheduler.now(), loop.scheduler.now(), 71s);
+    second.journal.start();
+    run_for(loop, 30ms);
+    cr_assert_eq(second.policies.versions_of("m").newest(), 3);
+}
+
+Test(naming_record_sync, the_next_leader_continues_the_record) {
+    ferryroad::test::loopback loop;
+    late_table table;
+    router first(loop, table, true);
+    router second(loop, table, true);
+    for (router* one : {&first, &second}) {
+        one->journal.clock().observe(loop.scheduler.now(), loop.scheduler.now(), 70s);
+        one->policies.confirm(loop.scheduler.now());
+        one->policies.add_named_version("m", 2);
+        one->journal.start();
+    }
+    run_for(loop, 30ms);
+    second.policies.add_named_version("m", 3);
+    run_for(loop, 30ms);
+    cr_assert_eq(first.policies.versions_of("m").newest(), 3, "it has read the other's record");
+}
