A stream is moved for its state only where it can be continued

Traced in the routers' logs: `withdrawn lost=state_current`, half a millisecond later `ended cause=engine_failed` after one dispatch. Each stream's key had been removed since it began, so that it could not be sent again; the move asked for the budget and the deadline, not for the key.

A stream now moves only if it may be sent again, and another engine can take it.

Failed before: running_state.a_stream_whose_key_was_removed_stays and a_stream_stays_if_no_other_engine_can_take_it.

--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -804,13 +804,23 @@
     /// @return whether another engine may continue the stream if its exchange is ended now.
     bool may_continue_elsewhere() {
         const base::monotonic_time now = m_dependencies.scheduler.now();
-        if (m_last_event_unnumbered || now >= m_plan.deadline || !m_budget.try_retry(now)) {
+        const bool may_continue =
+            may_be_sent() && !m_last_event_unnumbered && now < m_plan.deadline;
+        if (!may_continue || !has_other_engine(now) || !m_budget.try_retry(now)) {
             return false;
         }
         m_budget.give_back();  // It is taken when the exchange has ended.
         return true;
     }
 
+    /// @return whether an engine other than the current one may get the request now.
+    bool has_other_engine(base::monotonic_time now) {
+        selection_query query = query_of(m_plan, {m_selected.target.name});
+        query.software = m_begun_at;
+        query.was_sent_before = true;
+        return m_dependencies.selection.select(query, now).has_value();
+    }
+
     void handle_body_part(const std::optional<std::string>& bytes) {
         if (bytes) {
             const append_result added = m_body.append(*bytes);
--- a/test/relay/running_state_test.cpp
+++ b/test/relay/running_state_test.cpp
@@ -185,6 +185,33 @@
     }
 }
 
+// Guards against a stream that was moved although it could not be continued, and so was cut: its
+// key had been removed since it began, or no other engine could take it.
+Test(running_state, a_stream_whose_key_was_removed_stays) {
+    streaming_router router;
+    router.begin_stream("/resumable/");
+    core::traffic::declaration declared = router.policies.current()->declared();
+    ++declared.version;
+    declared.tenants = {{base::tenant_name("t"), {"another key"}, std::nullopt, false}};
+    router.policies.offer(std::move(declared));
+    router.replace_weights();
+    router.announce_load(router.first_engine());
+    router.run_for(5s);
+    cr_assert_eq(router.upstream.asked.size(), 1);
+    cr_assert(router.is_whole());
+}
+
+Test(running_state, a_stream_stays_if_no_other_engine_can_take_it) {
+    streaming_router router;
+    router.begin_stream("/resumable/");
+    router.registry.remove(base::engine_name(router.other_engine()));
+    router.replace_weights();
+    router.announce_load(router.first_engine());
+    router.run_for(5s);
+    cr_assert_eq(router.upstream.asked.size(), 1);
+    cr_assert(router.is_whole());
+}
+
 // A stream must not be cut for its state if no retry is left to continue it.
 Test(running_state, a_stream_stays_while_the_retry_budget_is_used_up) {
     streaming_router router;
