A stream that is given up is closed regularly, so that its engine stops

Cause: since whatever is given up is reset, so that a request can't arrive late; some servers notice a reset only when they write, which a preempted stream doesn't.

Failed before: client_relay.a_stream_that_is_given_up_is_closed_regularly.

--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -122,6 +122,11 @@
             co_return answered;
         }
     }
+    if (!is_request_cut_) {
+        // The request has arrived, so that its connection can be closed regularly: some servers
+        // notice a reset only when they write, and work on until then.
+        link_->reset_when_closed(false);
+    }
     if (failure_) {
         co_return result<void>();  // Reported by the reads of the body.
     }
@@ -141,12 +146,14 @@
         co_await (link_->write(std::move(head), body, base::duration::zero()) || read_head());
     if (first.index() == 1) {
         reusable_ = false;  // The rest of the request is never sent.
+        is_request_cut_ = true;
         co_return std::get<1>(first);
     }
     const boost::system::error_code failure = std::get<0>(first);
     link_->throw_if_cancelled(failure);
     if (failure) {
         reusable_ = false;  // An early response may have arrived before the connection was lost.
+        is_request_cut_ = true;
     }
     if (failure_) {
         co_return *failure_;
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -106,6 +106,7 @@
     bool relayed_ = false;
     /// Whether the connection may be reused, apart from what the response says about keep-alive.
     bool reusable_ = true;
+    bool is_request_cut_ = false;  ///< Part of the request was not written.
     bool reused_ = false;
     std::uint32_t skipped_ = 0;  ///< Responses to other requests that were discarded.
 };
--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -81,6 +81,35 @@
 
 /// Sends a request to a server that never answers, and gives it up.
 /// @param relayed whether as a relayed request that is cancelled, or as one that times out.
+/// Gives up a stream after its first part. @param was_reset whether the server saw a reset.
+runtime::task<void> give_up_stream(ferryroad::test::loopback& loop, bool& was_reset) {
+    boost::asio::ip::tcp::acceptor acceptor(loop.context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    std::optional<http::client> client(std::in_place, loop.scheduler, http::client_limits{});
+    std::unique_ptr<http::byte_stream> stream;
+    loop.scheduler.spawn("caller",
+                         [](http::client& by, base::endpoint to,
+                            std::unique_ptr<http::byte_stream>& opened) -> runtime::task<void> {
+                             http::request message;
+                             http::relay_options options;
+                             options.limit = 5s;
+                             auto answer =
+                                 co_await by.relay(to, std::move(message), std::move(options));
+                             cr_assert(static_cast<bool>(answer));
+                             opened = std::move(*answer);
+                             co_await opened->next(5s);
+                         }(*client, address, stream));
+    ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
+    co_await socket.read_until("\r\n\r\n");
+    co_await socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+    co_await loop.until([&stream] { return stream != nullptr; });
+    co_await loop.scheduler.sleep_for(20ms);
+    stream.reset();
+    co_await socket.read_to_close();
+    was_reset = socket.was_reset();
+}
+
 runtime::task<void> give_up(ferryroad::test::loopback& loop, bool relayed, bool& was_reset) {
     boost::asio::ip::tcp::acceptor acceptor(loop.context,
                                             {boost::asio::ip::make_address("127.0.0.1"), 0});
@@ -274,6 +303,15 @@
     }
 }
 
+// Guards against servers that go on with a stream that was given up: some notice a reset only when
+// they write, and a preempted stream doesn't.
+Test(client_relay, a_stream_that_is_given_up_is_closed_regularly) {
+    ferryroad::test::loopback loop;
+    bool was_reset = true;
+    cr_assert(loop.run([&] { return give_up_stream(loop, was_reset); }));
+    cr_assert_not(was_reset);
+}
+
 Test(client_relay, a_request_that_is_given_up_is_reset) {
     for (const bool relayed : {false, true}) {
         ferryroad::test::loopback loop;
