Names of the rollout's rules for several models; one copy of the test's senders

Read as a newcomer would: an engine's model waits for another one or blocks it, with one search for both. The four ways to send a request are shared by the tests of odd and of endless answers. No change of behaviour; the tests of both pass.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -104,7 +104,7 @@
         }
         const bool done = seen->version >= wanted(state.model);
         const bool silent = now - state.since > m_tunables.unresponsive_after;
-        const bool ends = done || silent || gives_way(state, *seen, engines, now);
+        const bool ends = done || silent || blocks_other_model(state, *seen, engines, now);
         if (state.call_under_way || !ends) {
             return false;
         }
@@ -200,30 +200,34 @@
     return one.pinned_writers > 0 && one.outdated_for < m_tunables.longest_writer_wait;
 }
 
-bool weights_rollout::gives_way(const progress& state, const engine_view& seen,
-                                const views_by_engine& views, base::monotonic_time now) const {
-    const bool loads = state.stage == phase::loading || state.unanswered;
-    if (loads || now - state.begun <= m_tunables.unresponsive_after) {
-        return false;
-    }
-    const auto [first, last] = views.equal_range(seen.name.value);
+template <typename Predicate>
+bool weights_rollout::any_other_outdated(const engine_view& one, const views_by_engine& views,
+                                         Predicate matches) const {
+    const auto [first, last] = views.equal_range(one.name.value);
     return std::any_of(first, last, [&](const auto& entry) {
         const engine_view& other = *entry.second;
-        return other.model != seen.model && other.version < wanted(other.model);
+        return other.model != one.model && other.version < wanted(other.model) && matches(other);
     });
 }
 
-bool weights_rollout::yields(const engine_view& one, const views_by_engine& views) const {
+bool weights_rollout::blocks_other_model(const progress& state, const engine_view& seen,
+                                         const views_by_engine& views,
+                                         base::monotonic_time now) const {
+    const bool loads = state.stage == phase::loading || state.unanswered;
+    const bool overdue = now - state.begun > m_tunables.unresponsive_after;
+    return !loads && overdue &&
+           any_other_outdated(seen, views, [](const engine_view&) { return true; });
+}
+
+bool weights_rollout::waits_for_other_model(const engine_view& one,
+                                            const views_by_engine& views) const {
     const auto abandoned = m_abandoned.find(one.name);
     const auto was_abandoned = [&](const engine_view& view) {
         return abandoned != m_abandoned.end() && abandoned->second == view.model;
     };
-    const auto [first, last] = views.equal_range(one.name.value);
-    return std::any_of(first, last, [&](const auto& entry) {
-        const engine_view& other = *entry.second;
-        const bool competes = other.model != one.model && other.version < wanted(other.model);
+    return any_other_outdated(one, views, [&](const engine_view& other) {
         const bool is_older = other.outdated_for > one.outdated_for && !was_abandoned(other);
-        return competes && (was_abandoned(one) || is_older);
+        return was_abandoned(one) || is_older;
     });
 }
 
@@ -232,7 +236,7 @@
     engine_list outdated;
     for (const engine_view& one : engines) {
         if (one.version < wanted(one.model) && !m_engines.contains(one.name) &&
-            !yields(one, views) && !waits_for_writers(one)) {
+            !waits_for_other_model(one, views) && !waits_for_writers(one)) {
             outdated.push_back(&one);
         }
     }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -216,13 +216,17 @@
                         const views_by_engine& views) const;
     /// @return whether the engine is not ordered yet because of the requests that it runs.
     bool waits_for_writers(const engine_view& one) const;
+    /// @return whether another model of the engine is outdated and matches.
+    template <typename Predicate>
+    bool any_other_outdated(const engine_view& one, const views_by_engine& views,
+                            Predicate matches) const;
     /// @return whether the replacement has taken long without a load that is known to be under way,
     /// and another model of the engine is outdated.
-    bool gives_way(const progress& state, const engine_view& seen, const views_by_engine& views,
-                   base::monotonic_time now) const;
+    bool blocks_other_model(const progress& state, const engine_view& seen,
+                            const views_by_engine& views, base::monotonic_time now) const;
     /// @return whether another model of the engine comes first: one that has been outdated for
     /// longer, or any if the last attempt at this one was given up.
-    bool yields(const engine_view& one, const views_by_engine& views) const;
+    bool waits_for_other_model(const engine_view& one, const views_by_engine& views) const;
     void sort_by_urgency(engine_list& outdated, const fleet_counts& fleet) const;
     void start_engines(const std::vector<engine_view>& engines, const views_by_engine& views,
                        fleet_counts& fleet, base::monotonic_time now);
--- a/test/http/endless_answer_test.cpp
+++ b/test/http/endless_answer_test.cpp
@@ -1,7 +1,7 @@
 /// Servers that send bytes without end, in a head or in its place, in the framing of a body, or in
 /// interim responses. Guards against a client that keeps them, or reads them until its deadline: it
 /// gives the answer up as soon as it can't be one.
-#include "test/http/loopback.hpp"
+#include "test/http/senders.hpp"
 
 #include <optional>
 #include <string>
@@ -47,64 +47,11 @@
     return text;
 }
 
-/// Every way to send a request. @return why it failed, or nothing if an answer was received whole.
-using sender = runtime::task<std::optional<http::error>> (*)(http::client&, const base::endpoint&);
-
-runtime::task<std::optional<http::error>> relay(http::client& client,
-                                                const base::endpoint& address) {
-    http::request message;
-    http::relay_options options;
-    options.limit = long_limit;
-    options.echoed_header = http::header{"Id", "id1"};
-    auto stream = co_await client.relay(address, std::move(message), std::move(options));
-    if (!stream) {
-        co_return stream.error();
-    }
-    for (;;) {
-        auto bytes = co_await (*stream)->next(long_limit);
-        if (!bytes) {
-            co_return bytes.error();
-        }
-        if (!*bytes) {
-            co_return std::nullopt;
-        }
-    }
-}
-
-runtime::task<std::optional<http::error>> send(http::client& client,
-                                               const base::endpoint& address) {
-    http::request message;
-    const auto answer =
-        co_await client.send(address, std::move(message), long_limit, http::resend::forbidden);
-    co_return answer ? std::nullopt : std::optional(answer.error());
-}
-
-runtime::task<std::optional<http::error>> fetch(http::client& client,
-                                                const base::endpoint& address) {
-    http::request message;
-    http::fetch_options options{long_limit, long_limit, long_limit};
-    const auto answer = co_await client.fetch(address, std::move(message), std::move(options),
-                                              http::resend::forbidden);
-    co_return answer ? std::nullopt : std::optional(answer.error());
-}
-
-runtime::task<std::optional<http::error>> open(http::client& client,
-                                               const base::endpoint& address) {
-    http::request message;
-    const auto stream =
-        co_await client.open(address, std::move(message), long_limit, http::resend::forbidden);
-    if (!stream) {
-        co_return stream.error();
-    }
-    const auto rest = co_await (*stream)->read_rest(long_limit);
-    co_return rest ? std::nullopt : std::optional(rest.error());
-}
-
-runtime::task<void> check_all(test::loopback& loop, sender by) {
+runtime::task<void> check_all(test::loopback& loop, test::sender by) {
     for (const endless_answer& answer : endless_answers()) {
         test::scripted_server server(loop, {{{text_of(answer)}, false}});
         http::client client(loop.scheduler, http::client_limits{});
-        const auto fault = co_await by(client, server.address());
+        const auto fault = co_await by(client, server.address(), long_limit);
         const bool given_up = fault && (fault->code == http::error_code::malformed ||
                                         fault->code == http::error_code::too_large);
         cr_expect(given_up, "%s: %s", answer.name,
@@ -130,22 +77,22 @@
 
 Test(endless_answer, is_given_up_by_relay) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, relay); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::relay); }));
 }
 
 Test(endless_answer, is_given_up_by_send) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, send); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::send); }));
 }
 
 Test(endless_answer, is_given_up_by_fetch) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, fetch); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::fetch); }));
 }
 
 Test(endless_answer, is_given_up_by_open) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, open); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::open); }));
 }
 
 Test(endless_answer, a_call_has_a_size_limit_of_its_own) {
--- a/test/http/odd_answer_test.cpp
+++ b/test/http/odd_answer_test.cpp
@@ -1,7 +1,7 @@
 /// Answers of servers in trouble: a status that is none, heads and trailers with invalid lines, and
 /// a connection that is reset while the request is still being written. No client takes one for an
 /// answer, and none waits for what can't follow.
-#include "test/http/loopback.hpp"
+#include "test/http/senders.hpp"
 
 #include <array>
 #include <optional>
@@ -66,77 +66,18 @@
     return answers;
 }
 
-/// Every way to send a request. @return why it failed, or nothing if an answer was received whole.
-using sender = runtime::task<std::optional<http::error>> (*)(http::client&, const base::endpoint&);
-
-runtime::task<std::optional<http::error>> relay_request(http::client& client,
-                                                        const base::endpoint& address,
-                                                        http::request message) {
-    http::relay_options options;
-    options.limit = long_limit;
-    options.echoed_header = http::header{"Id", "id1"};
-    auto stream = co_await client.relay(address, std::move(message), std::move(options));
-    if (!stream) {
-        co_return stream.error();
-    }
-    for (;;) {
-        auto bytes = co_await (*stream)->next(long_limit);
-        if (!bytes) {
-            co_return bytes.error();
-        }
-        if (!*bytes) {
-            co_return std::nullopt;
-        }
-    }
-}
-
-runtime::task<std::optional<http::error>> relay(http::client& client,
-                                                const base::endpoint& address) {
-    http::request message;
-    co_return co_await relay_request(client, address, std::move(message));
-}
-
-runtime::task<std::optional<http::error>> send(http::client& client,
-                                               const base::endpoint& address) {
-    http::request message;
-    const auto answer =
-        co_await client.send(address, std::move(message), long_limit, http::resend::forbidden);
-    co_return answer ? std::nullopt : std::optional(answer.error());
-}
-
-runtime::task<std::optional<http::error>> fetch(http::client& client,
-                                                const base::endpoint& address) {
-    http::request message;
-    http::fetch_options options{long_limit, long_limit, long_limit};
-    const auto answer = co_await client.fetch(address, std::move(message), std::move(options),
-                                              http::resend::forbidden);
-    co_return answer ? std::nullopt : std::optional(answer.error());
-}
-
-runtime::task<std::optional<http::error>> open(http::client& client,
-                                               const base::endpoint& address) {
-    http::request message;
-    const auto stream =
-        co_await client.open(address, std::move(message), long_limit, http::resend::forbidden);
-    if (!stream) {
-        co_return stream.error();
-    }
-    const auto rest = co_await (*stream)->read_rest(long_limit);
-    co_return rest ? std::nullopt : std::optional(rest.error());
-}
-
-runtime::task<void> check_answer(test::loopback& loop, const std::string& answer, sender by,
+runtime::task<void> check_answer(test::loopback& loop, const std::string& answer, test::sender by,
                                  const char* name) {
     test::scripted_server server(loop, {{{answer}, false}});
     http::client client(loop.scheduler, http::client_limits{});
-    const auto fault = co_await by(client, server.address());
+    const auto fault = co_await by(client, server.address(), long_limit);
     const std::string line = answer.substr(0, answer.find("Content-Length"));
     cr_expect(fault.has_value(), "%s took for an answer: %s", name, line.c_str());
     cr_expect(!fault || fault->code == http::error_code::malformed, "%s: %s: %s", name,
               fault->message.c_str(), line.c_str());
 }
 
-runtime::task<void> check_all(test::loopback& loop, sender by, const char* name) {
+runtime::task<void> check_all(test::loopback& loop, test::sender by, const char* name) {
     for (const std::string& answer : invalid_answers()) {
         co_await check_answer(loop, answer, by, name);
     }
@@ -177,7 +118,8 @@
     http::request message;
     message.method = "POST";
     message.body = std::string(std::size_t{4} * 1024 * 1024, 'x');
-    const auto fault = co_await relay_request(client, server.address(), std::move(message));
+    const auto fault =
+        co_await test::relay_request(client, server.address(), std::move(message), long_limit);
     taken_for_whole = !fault;
 }
 
@@ -185,22 +127,22 @@
 
 Test(odd_answer, is_none_to_relay) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, relay, "relay"); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::relay, "relay"); }));
 }
 
 Test(odd_answer, is_none_to_send) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, send, "send"); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::send, "send"); }));
 }
 
 Test(odd_answer, is_none_to_fetch) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, fetch, "fetch"); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::fetch, "fetch"); }));
 }
 
 Test(odd_answer, is_none_to_open) {
     test::loopback loop;
-    cr_assert(loop.run([&] { return check_all(loop, open, "open"); }));
+    cr_assert(loop.run([&] { return check_all(loop, test::open, "open"); }));
 }
 
 Test(odd_answer, one_that_is_reset_while_the_request_is_written_is_not_whole) {
