No engine drains once the time to order it is over

Past `order_within` an engine loads at once, as before.

weights_rollout.no_engine_drains_once_the_time_to_order_is_over fails without it.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -323,7 +323,7 @@
     state.version = wanted(seen.model);
     state.last_order = now;
     m_ordered[{seen.name, seen.model}] = state.version;
-    state.drains_first = seen.pinned_writers > 0;
+    state.drains_first = seen.pinned_writers > 0 && seen.outdated_for < m_tunables.order_within;
     steps.orders.push_back(
         {seen.name, seen.model, state.version, state.orders_taken, state.drains_first});
 }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -98,7 +98,8 @@
     /// An engine is not ordered for this long, after its weights became outdated, while it runs
     /// requests that store prompt state and can't be sent elsewhere: they would continue under the
     /// new weights, and what they store would no longer match the name that it is stored under.
-    /// After that time, the engine lets its requests end before it loads.
+    /// After that time, the engine lets its requests end before it loads, unless `order_within` is
+    /// over.
     base::duration longest_writer_wait = std::chrono::milliseconds(2500);
     /// Time from an accepted order to the first poll of its completion.
     base::duration first_poll_delay = std::chrono::milliseconds(600);
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -473,3 +473,15 @@
     cr_assert(sent.has_value());
     cr_assert(sent->drains_first);
 }
+
+// Guards against a rollout that was behind schedule and waited for engines to drain as well.
+Test(weights_rollout, no_engine_drains_once_the_time_to_order_is_over) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    seen.pinned_writers = 1;
+    seen.outdated_for = rollout_tunables{}.order_within;
+    const auto sent = order_of(rollout, seen, start);
+    cr_assert(sent.has_value());
+    cr_assert_not(sent->drains_first);
+}
