No engine drains for writers, and only streams with an engine as source move as they pause

Cause: a twelfth of its dispatches store, for 1.7 s in the median, so that most engines have a writer that can't be moved as weights are named: orders waited for 2.5 s, and engines that drained served nothing for seconds. Streams that paused under overload were moved although their source was the store, which stays right as writers move first.

A stream that pauses moves only if its source is an engine. What is longer than 1 s has no bound: INVARIANTS says so.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -323,9 +323,7 @@
     state.version = wanted(seen.model);
     state.last_order = now;
     m_ordered[{seen.name, seen.model}] = state.version;
-    state.drains_first = seen.pinned_writers > 0 && seen.outdated_for < m_tunables.order_within;
-    steps.orders.push_back(
-        {seen.name, seen.model, state.version, state.orders_taken, state.drains_first});
+    steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken});
 }
 
 void weights_rollout::call(const engine_view& seen, progress& state, base::monotonic_time now,
@@ -361,7 +359,7 @@
     progress& state = found->second;
     state.call_under_way = false;
     if (report.version >= state.version) {
-        if (state.stage == phase::loading && !state.drains_first) {
+        if (state.stage == phase::loading) {
             m_pace.loaded(now - state.since);
         }
         m_engines.erase(found);
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -60,7 +60,6 @@
     std::uint64_t version = 0;
     /// Number of orders that the engine must have taken; it refuses the order otherwise.
     std::uint64_t expected_orders = 0;
-    bool drains_first = false;  ///< Requests that run there must end before it loads.
 
     friend bool operator==(const send_order&, const send_order&) = default;
 };
@@ -98,9 +97,8 @@
     /// An engine is not ordered for this long, after its weights became outdated, while it runs
     /// requests that store prompt state and can't be sent elsewhere: they would continue under the
     /// new weights, and what they store would no longer match the name that it is stored under.
-    /// After that time, the engine lets its requests end before it loads, unless `order_within` is
-    /// over.
-    base::duration longest_writer_wait = std::chrono::milliseconds(2500);
+    /// Longer waits leave too many engines with outdated weights.
+    base::duration longest_writer_wait = std::chrono::milliseconds(1000);
     /// Time from an accepted order to the first poll of its completion.
     base::duration first_poll_delay = std::chrono::milliseconds(600);
     /// Time between further polls.
@@ -172,7 +170,6 @@
         bool unanswered = false;
         /// It is loading and was not listed in `rollout_steps::upcoming` yet.
         bool unannounced = false;
-        bool drains_first = false;  ///< Of the last order.
         std::string model;          ///< Model that is being replaced.
         std::uint64_t version = 0;  ///< Version that it is brought to.
         std::uint64_t orders_taken = 0;
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -224,10 +224,8 @@
         ++m_orders_sent;
         m_ports.lease.begin_action();
         engine_target engine = *target;
-        const auto running =
-            wanted.drains_first ? running_requests_policy::drain_first : m_settings.running;
-        weights_order sent{wanted.model, wanted.version,    wanted.expected_orders,
-                           running,      m_settings.holder, *token};
+        weights_order sent{wanted.model,       wanted.version,    wanted.expected_orders,
+                           m_settings.running, m_settings.holder, *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_timeout);
         m_ports.lease.end_action();
@@ -236,7 +234,6 @@
                       {"model", wanted.model},
                       {"version", std::to_string(wanted.version)},
                       {"expected_orders", std::to_string(wanted.expected_orders)},
-                      {"drains_first", wanted.drains_first ? "true" : "false"},
                       {"token", std::to_string(token->value)},
                       {"answer", std::to_string(static_cast<int>(answer))},
                       {"after_naming_at_most_ms", ms_since_naming(wanted.model, wanted.version)},
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -204,7 +204,8 @@
     bool would_save_outdated_state(const selected_engine& chosen, const relay_call& call,
                                    base::monotonic_time now) const;
     /// @return whether a request that runs at the selected engine, and reads its prompt again after
-    /// a preemption, may fetch state of other weights than those that the engine has.
+    /// a preemption, may fetch state of other weights than those that the engine has: its source is
+    /// an engine that has loaded them or is about to.
     bool would_fetch_outdated_state_again(const selected_engine& chosen, const relay_call& call,
                                           base::monotonic_time now) const;
     /// @return when to check the state that the request fetches or stores next without further
--- a/test/relay/fake_upstream.hpp
+++ b/test/relay/fake_upstream.hpp
@@ -154,6 +154,7 @@
     runtime::task<coordination::rollout::order_answer> order(engine_target target,
                                                              weights_order wanted, base::duration) {
         orders.push_back(wanted);
+        engines_ordered.push_back(target.name.value);
         co_await m_scheduler.sleep_for(std::chrono::milliseconds(1));
         auto& report = reports[target.name.value];
         const auto version = model_versions.find({target.name.value, wanted.model});
@@ -170,7 +171,8 @@
     /// Versions by engine and model, of engines that have several; others have that of `reports`.
     std::map<std::pair<std::string, std::string>, std::uint64_t> model_versions;
     std::vector<weights_order> orders;
-    std::vector<base::duration> limits;  ///< Time limit of each dispatch.
+    std::vector<std::string> engines_ordered;  ///< Of each order.
+    std::vector<base::duration> limits;        ///< Time limit of each dispatch.
     std::shared_ptr<int> open_bodies = std::make_shared<int>(0);
     /// Read from all bodies.
     std::shared_ptr<std::size_t> body_bytes_read = std::make_shared<std::size_t>(0);
