A stream counts as preempted after a pause of 1 s

Cause: under overload streams pause for 300 ms without being preempted, and each move costs a second read of a long prompt.

--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 /// A stream without events for this time counts as preempted by its engine. Engines pause streams
-/// for shorter times while they read the prompts of other requests.
-constexpr base::duration preemption_pause = std::chrono::milliseconds(300);
+/// for shorter times while they read the prompts of other requests, or have many streams.
+constexpr base::duration preemption_pause = std::chrono::seconds(1);
 
 }  // namespace
 
