Cases of the rollout of several models: numbers far apart, one model only, a lost answer

Change: three cases of weights_rollout, for versions 2 and 1001 named in either order, an engine that has one of two models, and two lost answers to orders while both models are due.

--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -348,7 +348,10 @@
                                  now);
             }
             for (const auto& wanted : steps.orders) {
-                rollout.ordered(wanted.engine, engines[wanted.engine].take(wanted, now), now);
+                const auto answer = engines[wanted.engine].take(wanted, now);
+                const bool lost = lost_answers > 0;
+                lost_answers -= lost ? 1 : 0;
+                rollout.ordered(wanted.engine, lost ? order_answer::lost : answer, now);
             }
         }
     }
@@ -362,6 +365,7 @@
     base::monotonic_time now = start;
     std::map<base::engine_name, engine_with_models> engines;
     std::map<std::string, base::monotonic_time> named_at;
+    std::size_t lost_answers = 0;  ///< Of the next orders, which are carried out all the same.
     weights_rollout rollout;
 };
 
@@ -470,3 +474,42 @@
     seen.outdated_for = rollout_tunables{}.longest_writer_wait;
     cr_assert(order_of(rollout, seen, start).has_value());
 }
+
+// Guards against a version of one model that hides a smaller one of another.
+Test(weights_rollout, version_numbers_of_models_are_not_compared) {
+    for (const bool large_first : {false, true}) {
+        fleet_with_models fleet(3);
+        for (auto& [name, engine] : fleet.engines) {
+            engine.versions["b"] = 1000;
+        }
+        fleet.want(large_first ? "b" : "a", large_first ? 1001 : 2);
+        fleet.run_for(300ms);
+        fleet.want(large_first ? "a" : "b", large_first ? 2 : 1001);
+        fleet.run_for(12s);
+        cr_assert_eq(fleet.count("a", 2), 3);
+        cr_assert_eq(fleet.count("b", 1001), 3);
+    }
+}
+
+Test(weights_rollout, an_engine_without_one_of_the_models_is_ordered_for_the_others) {
+    fleet_with_models fleet(3);
+    fleet.engines.begin()->second.versions.erase("b");
+    fleet.want("a", 2);
+    fleet.want("b", 8);
+    fleet.run_for(12s);
+    for (const auto& [name, engine] : fleet.engines) {
+        cr_assert_eq(engine.versions.at("a"), 2);
+        cr_assert(!engine.versions.contains("b") || engine.versions.at("b") == 8);
+    }
+    cr_assert_eq(fleet.engines.begin()->second.orders_taken, 1);
+}
+
+Test(weights_rollout, a_lost_answer_about_one_model_does_not_keep_another_one_from_loading) {
+    fleet_with_models fleet(3);
+    fleet.want("a", 2);
+    fleet.want("b", 8);
+    fleet.lost_answers = 2;
+    fleet.run_for(20s);
+    cr_assert_eq(fleet.count("a", 2), 3);
+    cr_assert_eq(fleet.count("b", 8), 3);
+}
