Credentials that can't be placed are not taken for none

What callers saw: on a public route, a request that presented a key which its router did not know ran without a tenant, in the prompt state that the tenants share: a key given to an isolated tenant by a change that a cut-off router had not heard of, a key that was removed, a key of nobody. The same held for a known key written `token KEY` or `Token KEY`, and for an empty key, two keys in one line and two lines of Authorization.

Cause: the plan's tenant is null both for a request without credentials and for one whose credentials are unknown or not understood, and public routes serve the former. The decoder drops what it does not understand, and the check before a (repeated) dispatch passed all requests without a tenant.

Whoever presents credentials is a tenant's caller or is refused, on public routes as on others: 401, or 503 while the policy is not confirmed, as the key may be a tenant's by now. A policy without tenants ignores keys only while it is confirmed, and a request without a tenant is checked again before each dispatch.

--- a/src/ferryroad/caller/caller_headers.cpp
+++ b/src/ferryroad/caller/caller_headers.cpp
@@ -1,12 +1,13 @@
 #include "ferryroad/caller/caller_headers.hpp"
 
 #include "ferryroad/caller/errors.hpp"
+#include "ferryroad/http/credentials.hpp"
 
 #include <boost/leaf/error.hpp>
 
 #include <algorithm>
-#include <cctype>
 #include <string_view>
+#include <utility>
 
 namespace ferryroad::caller {
 
@@ -14,17 +15,7 @@
 
 namespace {
 
-constexpr std::string_view bearer_scheme = "bearer ";
-
-bool is_bearer(std::string_view value) {
-    if (value.size() <= bearer_scheme.size()) {
-        return false;
-    }
-    return std::equal(bearer_scheme.begin(), bearer_scheme.end(), value.begin(),
-                      [](unsigned char expected, unsigned char given) {
-                          return expected == std::tolower(given);
-                      });
-}
+constexpr std::string_view bearer_scheme = "Bearer";
 
 bool is_visible(std::string_view text) {
     return std::all_of(text.begin(), text.end(),
@@ -36,12 +27,12 @@
 leaf::result<caller_headers> read_caller_headers(const http::header_list& headers,
                                                  const tunables& limits) {
     caller_headers read;
-    const auto authorization = headers.find("Authorization");
-    if (!authorization || !is_bearer(*authorization)) {
+    http::credentials credentials = http::read_credentials(headers, bearer_scheme);
+    if (!credentials.key) {
         return leaf::new_error(
             error{error_code::missing_key, "Expected the header Authorization: Bearer KEY."});
     }
-    read.bearer_key = authorization->substr(bearer_scheme.size());
+    read.bearer_key = std::move(*credentials.key);
     const auto key = headers.find("Idempotency-Key");
     if (key) {
         if (key->empty() || key->size() > limits.idempotency_key_bytes || !is_visible(*key)) {
--- a/src/ferryroad/relay/dispatch_preconditions.cpp
+++ b/src/ferryroad/relay/dispatch_preconditions.cpp
@@ -19,10 +19,11 @@
 }
 
 bool dispatch_preconditions::key_is_valid() const {
+    const auto current = m_sources.policies.current();
     if (m_plan.tenant == nullptr) {
-        return true;
+        // A key that meant nothing when the request arrived may have become a tenant's.
+        return !m_plan.call->api_key || current->declared().tenants.empty();
     }
-    const auto current = m_sources.policies.current();
     const auto* tenant = current->find_tenant(*m_plan.call->api_key);
     return m_sources.policies.keys_valid(m_sources.scheduler.now()) && tenant != nullptr &&
            tenant->name == m_plan.tenant->name;
--- a/src/ferryroad/relay/relay_plan.cpp
+++ b/src/ferryroad/relay/relay_plan.cpp
@@ -11,6 +11,12 @@
     return stream ? route.resumable : route.kind == core::traffic::request_kind::safe;
 }
 
+bool needs_known_tenant(const relay_call& call, const core::traffic::traffic_policy& policy,
+                        const core::traffic::route& route) {
+    const bool presents_credentials = call.api_key || call.has_invalid_credentials;
+    return policy.needs_key(route) || (presents_credentials && !policy.declared().tenants.empty());
+}
+
 core::quarantine::request_identity identity_of(const relay_plan& plan) {
     const http::request& message = plan.call->message;
     core::quarantine::request_content content;
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -99,7 +99,7 @@
     std::shared_ptr<const core::traffic::traffic_policy>
         policy;                                           ///< Owns `matched_route` and `tenant`.
     const core::traffic::route* matched_route = nullptr;  ///< The matching route.
-    const core::traffic::tenant* tenant = nullptr;        ///< Null on public routes.
+    const core::traffic::tenant* tenant = nullptr;        ///< Null if the caller needs no key.
     base::pool_name pool;
     base::monotonic_time deadline{};
     std::uint32_t priority = 0;  ///< 0 is the most urgent.
@@ -115,6 +115,10 @@
 /// @return whether the route's requests may run more than once. Thread-safe, as are all functions
 /// here except `record_dispatch_failure`.
 bool is_repeatable(const core::traffic::route& route);
+/// @return whether the request may be served only as one of a tenant: the route needs a key, or the
+/// caller presents credentials. Without any tenant in the policy credentials mean nothing.
+bool needs_known_tenant(const relay_call& call, const core::traffic::traffic_policy& policy,
+                        const core::traffic::route& route);
 /// @return the identity that repeats of the request share. The plan's call and tenant must be set.
 core::quarantine::request_identity identity_of(const relay_plan& plan);
 /// @return the execution rules of the plan's route and deadline.
--- a/src/ferryroad/relay/relay_service.hpp
+++ b/src/ferryroad/relay/relay_service.hpp
@@ -227,7 +227,10 @@
         }
         // A key counts on public routes, too, where none is needed: its tenant may be isolated.
         plan.tenant = call->api_key ? plan.policy->find_tenant(*call->api_key) : nullptr;
-        if (plan.tenant == nullptr && plan.policy->needs_key(*plan.matched_route)) {
+        const bool may_be_tenants_by_now = !can_refuse && call->api_key;
+        if (plan.tenant == nullptr &&
+            (may_be_tenants_by_now ||
+             needs_known_tenant(*call, *plan.policy, *plan.matched_route))) {
             return refusal_of(can_refuse ? refusal_cause::unknown_key
                                          : refusal_cause::policy_not_fresh);
         }
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -28,6 +28,8 @@
     std::string host;
     std::optional<base::duration> time_left;  ///< How long the caller waits, from `arrived`.
     std::optional<std::string> api_key;
+    /// The caller presented credentials that are not exactly one API key.
+    bool has_invalid_credentials = false;
     std::optional<core::prefix::declared_prompt> prompt;
     std::optional<std::uint64_t> declared_tokens;  ///< Prompt and expected answer, if declared.
     std::optional<std::uint64_t> last_event_id;    ///< The caller resumes a stream after this.
--- a/test/relay/relay_service_test.cpp
+++ b/test/relay/relay_service_test.cpp
@@ -353,6 +353,14 @@
     cr_assert(other.upstream.dispatches[0].time_left <= 300ms);
 }
 
+core::traffic::declaration public_routes() {
+    auto declared = relay_fixture::declared();
+    for (core::traffic::route& one : declared.routes) {
+        one.is_public = true;
+    }
+    return declared;
+}
+
 struct unresolved_row {
     const char* name;
     const char* path;
@@ -386,31 +394,33 @@
 struct public_row {
     const char* name;
     std::optional<std::string> key;
+    bool invalid_credentials;
     base::duration age;  ///< Time since the policy was confirmed.
     unsigned status;
     const char* tenant;  ///< That the engine is told; null: none.
 };
 const public_row public_rows[] = {
-    {"key of a tenant", "key", 0ms, 200, "t"},
-    {"key of nobody", "other", 0ms, 200, nullptr},
-    {"no key", std::nullopt, 0ms, 200, nullptr},
-    {"key of a tenant, not confirmed", "key", 3500ms, 503, nullptr},
-    {"no key, nothing confirmed", std::nullopt, 3500ms, 200, nullptr},
+    {"key of a tenant", "key", false, 0ms, 200, "t"},
+    {"key of nobody", "other", false, 0ms, 401, nullptr},
+    {"empty key", "", false, 0ms, 401, nullptr},
+    {"invalid credentials", std::nullopt, true, 0ms, 401, nullptr},
+    {"no key", std::nullopt, false, 0ms, 200, nullptr},
+    {"key of a tenant, not confirmed", "key", false, 3500ms, 503, nullptr},
+    {"key of nobody, perhaps", "other", false, 2500ms, 503, nullptr},
+    {"no key, nothing confirmed", std::nullopt, false, 3500ms, 200, nullptr},
 };
 
-Test(relay_service, a_key_counts_on_public_routes_and_none_is_needed) {
+// Guards against a request that presents credentials being run as one without any.
+Test(relay_service, credentials_count_on_public_routes_and_none_are_needed) {
     for (const public_row& row : public_rows) {
         relay_fixture fixture;
         fixture.answer(whole(200, "ok"));
-        auto declared = relay_fixture::declared();
-        for (core::traffic::route& one : declared.routes) {
-            one.is_public = true;
-        }
         fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
-        fixture.policies.offer(std::move(declared));
+        fixture.policies.offer(public_routes());
         fixture.policies.confirm(fixture.loop.scheduler.now() - row.age);
         relay_call call = fixture.call("/safe/");
         call.api_key = row.key;
+        call.has_invalid_credentials = row.invalid_credentials;
         fixture.serve(std::move(call));
         cr_assert_eq(fixture.writer.status, row.status, "%s: %u", row.name, fixture.writer.status);
         const auto& sent = fixture.upstream.dispatches;
@@ -421,6 +431,63 @@
     }
 }
 
+struct keyless_row {
+    const char* name;
+    std::optional<std::string> key;
+    bool invalid_credentials;
+    base::duration age;  ///< Time since the policy was confirmed.
+    unsigned status;
+};
+const keyless_row keyless_rows[] = {
+    {"no key", std::nullopt, false, 2500ms, 200},
+    {"a key", "key", false, 0ms, 200},
+    {"invalid credentials", std::nullopt, true, 0ms, 200},
+    {"a key, perhaps of a tenant by now", "key", false, 2500ms, 503},
+};
+
+// Guards against a tenant's request being run as nobody's before this router knows any tenant.
+Test(relay_service, a_policy_without_tenants_ignores_keys_only_while_it_is_confirmed) {
+    for (const keyless_row& row : keyless_rows) {
+        relay_fixture fixture;
+        fixture.answer(whole(200, "ok"));
+        auto declared = relay_fixture::declared();
+        declared.tenants.clear();
+        fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
+        fixture.policies.offer(std::move(declared));
+        fixture.policies.confirm(fixture.loop.scheduler.now() - row.age);
+        relay_call call = fixture.call("/safe/");
+        call.api_key = row.key;
+        call.has_invalid_credentials = row.invalid_credentials;
+        fixture.serve(std::move(call));
+        cr_assert_eq(fixture.writer.status, row.status, "%s: %u", row.name, fixture.writer.status);
+    }
+}
+
+runtime::task<void> declare_tenants_once_dispatched(relay_fixture& fixture) {
+    co_await fixture.loop.scheduler.sleep_for(10ms);
+    auto declared = public_routes();
+    ++declared.version;
+    fixture.policies.offer(std::move(declared));
+}
+
+// Guards against a retry that runs as nobody's although the key has become a tenant's meanwhile.
+Test(relay_service, a_key_that_becomes_a_tenants_before_a_retry_is_not_ignored) {
+    relay_fixture fixture;
+    auto declared = public_routes();
+    declared.tenants.clear();
+    fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
+    fixture.policies.offer(std::move(declared));
+    fixture.policies.confirm(fixture.loop.scheduler.now());
+    scripted_answer refused = fails(failure_kind::overloaded, failure_proof::not_run);
+    refused.delay = 20ms;
+    fixture.answer(std::move(refused));
+    fixture.answer(whole(200, "ok"));
+    fixture.loop.scheduler.spawn("declare", declare_tenants_once_dispatched(fixture));
+    fixture.serve(fixture.call("/unsafe/"));
+    cr_assert_eq(fixture.upstream.dispatches.size(), 1);
+    cr_assert_eq(fixture.writer.status, 503);
+}
+
 Test(relay_service, without_a_policy_it_answers_503) {
     relay_fixture fixture;
     fixture.policies = policy_source(policy_staleness_limits{3s, 2s});
