A stream that is given up is closed so that its engine notices, and tells when it has ended

Cause: closing a socket with unread bytes sends a reset, whatever its linger option says. The client stops reading as it gives a stream up, so beside load there are nearly always some, and servers that notice a reset only when they write go on with a preempted stream.

Change: a relayed response that has begun and is given up is closed by `close_gracefully`: the sending direction first, then what still arrives is discarded until the server closes, for up to 250 ms, and then it is reset. The session's own lingering close is the same function. `relay_options::on_ended` tells when the server has certainly ended a request; nothing uses it yet.

--- a/src/ferryroad/http/client.hpp
+++ b/src/ferryroad/http/client.hpp
@@ -105,6 +105,10 @@
     /// for sending may have ended. May change the headers. @return whether to send the request; if
     /// not, it fails with `withheld`.
     std::function<bool(header_list&)> last_look;
+    /// If set, called at most once, when the server is known to have ended the request: its
+    /// response is complete, or the server closed the connection. May be called after the stream
+    /// was destroyed, and isn't where a response was given up and the server keeps the connection.
+    std::function<void()> on_ended;
 };
 
 /// Timeouts and size limit of `client::fetch`, and a callback for large responses.
--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -17,6 +17,10 @@
 
 constexpr std::size_t answer_header_bytes = std::size_t{64} * 1024;
 
+/// How long the server of a response that was given up may take to close the connection. Then it is
+/// reset, so that a server that only notices failed writes stops, too.
+constexpr base::duration give_up_timeout = std::chrono::milliseconds(250);
+
 /// An exchange whose response headers have arrived.
 using started_exchange = result<std::unique_ptr<exchange>>;
 
@@ -77,7 +81,12 @@
     : pool_(std::move(pool)), address_(std::move(address)), decoder_(limits, answers_head) {}
 
 exchange::~exchange() {
-    if (link_) {
+    if (!link_) {
+        return;
+    }
+    if (relayed_ && response_begun_ && !is_request_cut_ && link_->is_open()) {
+        give_up();
+    } else {
         link_->close();
     }
 }
@@ -122,6 +131,7 @@
             co_return answered;
         }
     }
+    response_begun_ = true;
     if (!is_request_cut_) {
         // The request has arrived, so that its connection can be closed regularly: some servers
         // notice a reset only when they write, and work on until then.
@@ -190,9 +200,11 @@
     }
 }
 
-void exchange::enable_relay_mode(std::optional<header> echoed_header) {
+void exchange::enable_relay_mode(std::optional<header> echoed_header,
+                                 std::function<void()> on_ended) {
     relayed_ = true;
     echoed_ = std::move(echoed_header);
+    on_ended_ = std::move(on_ended);
 }
 
 bool exchange::answers_this_request() const {
@@ -233,6 +245,9 @@
     link_->set_timeout(time_left(deadline));
     const boost::system::error_code failure = co_await link_->read_more();
     const bool ends_regularly = failure == boost::asio::error::eof && !link_->has_write_failed();
+    if (ends_regularly) {
+        notify_ended();
+    }
     if (ends_regularly && relayed_ && decoder_.is_unbounded()) {
         decoder_.finish();
         finish();
@@ -323,6 +338,7 @@
     if (!is_complete() || !link_) {
         return;
     }
+    notify_ended();
     link_->reset_when_closed(false);
     if (decoder_.keep_alive() && reusable_) {
         pool_->put_back(address_, std::move(link_), announced_idle_timeout());
@@ -332,6 +348,24 @@
     link_ = nullptr;
 }
 
+void exchange::notify_ended() {
+    if (const auto on_ended = std::exchange(on_ended_, nullptr)) {
+        on_ended();
+    }
+}
+
+void exchange::give_up() {
+    const auto close = [](std::shared_ptr<connection> link,
+                          std::function<void()> on_ended) -> runtime::task<void> {
+        link->reset_when_closed(true);
+        const bool closed_by_peer = co_await link->close_gracefully(give_up_timeout);
+        if (closed_by_peer && on_ended) {
+            on_ended();
+        }
+    };
+    pool_->scheduler().spawn("http.client", close(std::move(link_), std::move(on_ended_)));
+}
+
 runtime::task<result<response>> send_request(std::shared_ptr<connection_pool> pool,
                                              exchange_parameters parameters) {
     const base::monotonic_time deadline = pool->scheduler().now() + parameters.limit;
@@ -399,7 +433,7 @@
     const response_decoder::limits limits{answer_header_bytes, std::nullopt};
     auto attempt = std::make_unique<exchange>(pool, parameters.address, limits,
                                               parameters.message.method == "HEAD");
-    attempt->enable_relay_mode(std::move(options.echoed_header));
+    attempt->enable_relay_mode(std::move(options.echoed_header), std::move(options.on_ended));
     const auto connected = co_await attempt->connect(options.fresh_connection, deadline);
     if (!connected) {
         co_return connected.error();
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -6,6 +6,9 @@
 #include "ferryroad/http/connection_pool.hpp"
 
 #include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
 
 namespace ferryroad::http {
 
@@ -33,7 +36,8 @@
     std::shared_ptr<connection_pool> pool, exchange_parameters parameters, relay_options options);
 
 /// One attempt on one connection. The destructor closes the connection unless the response was read
-/// completely.
+/// completely; that of a relayed response which has begun is closed gracefully, as some servers
+/// notice a reset only when they write.
 class exchange {
   public:
     /// @param answers_head whether the request method is HEAD, whose response has no body.
@@ -45,7 +49,8 @@
 
     /// Selects the behaviour of `client::relay`. Call it before `start`.
     /// @param echoed_header see `relay_options`.
-    void enable_relay_mode(std::optional<header> echoed_header);
+    /// @param on_ended see `relay_options`.
+    void enable_relay_mode(std::optional<header> echoed_header, std::function<void()> on_ended);
 
     /// Takes an idle connection from the pool, or opens one within the pool's connect timeout and
     /// before `deadline`.
@@ -96,6 +101,10 @@
     result<void> fail(error reason);
     /// Once the response is complete, returns the connection to the pool or closes it.
     void finish();
+    /// Calls `on_ended` unless it was called before.
+    void notify_ended();
+    /// Closes the connection of a response that has begun and is not wanted any more.
+    void give_up();
 
     std::shared_ptr<connection_pool> pool_;
     base::endpoint address_;
@@ -106,7 +115,9 @@
     bool relayed_ = false;
     /// Whether the connection may be reused, apart from what the response says about keep-alive.
     bool reusable_ = true;
-    bool is_request_cut_ = false;  ///< Part of the request was not written.
+    std::function<void()> on_ended_;  ///< Empty once it was called.
+    bool is_request_cut_ = false;     ///< Part of the request was not written.
+    bool response_begun_ = false;     ///< The response head has arrived.
     bool reused_ = false;
     std::uint32_t skipped_ = 0;  ///< Responses to other requests that were discarded.
 };
--- a/src/ferryroad/http/connection.cpp
+++ b/src/ferryroad/http/connection.cpp
@@ -155,6 +155,19 @@
     socket_.shutdown(socket_type::shutdown_send, ignored);
 }
 
+runtime::task<bool> connection::close_gracefully(base::duration limit) {
+    shutdown_send();
+    set_timeout(limit);
+    boost::system::error_code failure;
+    while (!failure) {
+        consume(received_.size());
+        failure = co_await read_more();
+    }
+    const bool closed_by_peer = !is_expired() && failure != asio::error::operation_aborted;
+    close();
+    co_return closed_by_peer;
+}
+
 void connection::close() {
     clear_timeout();
     if (resets_when_closed_ && socket_.is_open()) {
--- a/src/ferryroad/http/connection.hpp
+++ b/src/ferryroad/http/connection.hpp
@@ -69,8 +69,11 @@
     void throw_if_cancelled(const boost::system::error_code& failure) const;
 
     bool is_open() const { return socket_.is_open(); }
-    /// Closes the sending direction (FIN); reading goes on.
-    void shutdown_send();
+    /// Closes the sending direction (FIN), discards what still arrives until the peer closes the
+    /// connection or `limit` has passed, and closes it. A plain `close` is a reset for the peer if
+    /// bytes were not read or arrive later.
+    /// @return whether the peer closed the connection.
+    runtime::task<bool> close_gracefully(base::duration limit);
     void close();
     /// Closes with a reset (RST), so that the peer can't mistake it for a regular end.
     void reset();
@@ -81,6 +84,7 @@
     void set_reset_on_close(bool resets);
 
   private:
+    void shutdown_send();
     boost::system::error_code read_available();
     void make_non_blocking();
 
--- a/src/ferryroad/http/session.cpp
+++ b/src/ferryroad/http/session.cpp
@@ -241,21 +241,9 @@
     const boost::system::error_code failure = co_await link_->write(
         std::move(text), std::string_view(answer.body), shared_->limits.write);
     if (!failure) {
-        co_await linger();
+        co_await link_->close_gracefully(linger_timeout);
     }
     link_->close();
 }
 
-runtime::task<void> session::linger() {
-    link_->shutdown_send();
-    link_->set_timeout(linger_timeout);
-    for (;;) {
-        const boost::system::error_code failure = co_await link_->read_more();
-        if (failure) {
-            co_return;
-        }
-        link_->consume(link_->received().size());
-    }
-}
-
 }  // namespace ferryroad::http
--- a/src/ferryroad/http/session.hpp
+++ b/src/ferryroad/http/session.hpp
@@ -87,7 +87,6 @@
                                       std::string_view message);
     /// Discards input until the peer closes: closing with unread input would reset the connection
     /// and could destroy the response before the peer has read it.
-    runtime::task<void> linger();
 
     std::shared_ptr<connection> link_;
     std::shared_ptr<server_shared> shared_;
--- a/src/ferryroad/relay/engine_transport.cpp
+++ b/src/ferryroad/relay/engine_transport.cpp
@@ -177,6 +177,8 @@
 
 runtime::task<std::optional<engine_transport::carry_result>> engine_transport::relay_via(
     peer_address router, engine_target target, http::request message, http::relay_options options) {
+    // The end of the other router's answer does not prove that the engine has ended the request.
+    options.on_ended = nullptr;
     add_forward_parameters(
         message, {target.name, m_self, options.limit,
                   options.echoed_header ? options.echoed_header->name : std::string(), false,
--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -79,37 +79,57 @@
     cr_assert(bytes.has_value() && *bytes == "no");
 }
 
-/// Sends a request to a server that never answers, and gives it up.
-/// @param relayed whether as a relayed request that is cancelled, or as one that times out.
-/// Gives up a stream after its first part. @param was_reset whether the server saw a reset.
-runtime::task<void> give_up_stream(ferryroad::test::loopback& loop, bool& was_reset) {
+/// How a server sees the end of a stream that its client gave up.
+struct given_up_stream {
+    bool sends_more = false;     ///< The server sends more than the client reads.
+    bool notices_close = false;  ///< The server closes the connection once the client has.
+    bool was_reset = true;       ///< The server saw a reset before anything else.
+    int ended_calls = 0;         ///< Calls of `relay_options::on_ended`.
+};
+
+/// Gives up a stream after its first part.
+runtime::task<void> give_up_stream(ferryroad::test::loopback& loop, given_up_stream& end) {
     boost::asio::ip::tcp::acceptor acceptor(loop.context,
                                             {boost::asio::ip::make_address("127.0.0.1"), 0});
     const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
     std::optional<http::client> client(std::in_place, loop.scheduler, http::client_limits{});
     std::unique_ptr<http::byte_stream> stream;
-    loop.scheduler.spawn("caller",
-                         [](http::client& by, base::endpoint to,
-                            std::unique_ptr<http::byte_stream>& opened) -> runtime::task<void> {
-                             http::request message;
-                             http::relay_options options;
-                             options.limit = 5s;
-                             auto answer =
-                                 co_await by.relay(to, std::move(message), std::move(options));
-                             cr_assert(static_cast<bool>(answer));
-                             opened = std::move(*answer);
-                             co_await opened->next(5s);
-                         }(*client, address, stream));
+    bool part_read = false;
+    loop.scheduler.spawn(
+        "caller",
+        [](http::client& by, base::endpoint to, std::unique_ptr<http::byte_stream>& opened,
+           bool& was_read, int& ended_calls) -> runtime::task<void> {
+            http::request message;
+            http::relay_options options;
+            options.limit = 5s;
+            options.on_ended = [&ended_calls] { ++ended_calls; };
+            auto answer = co_await by.relay(to, std::move(message), std::move(options));
+            cr_assert(static_cast<bool>(answer));
+            opened = std::move(*answer);
+            co_await opened->next(5s);
+            was_read = true;
+        }(*client, address, stream, part_read, end.ended_calls));
     ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
     co_await socket.read_until("\r\n\r\n");
     co_await socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
-    co_await loop.until([&stream] { return stream != nullptr; });
-    co_await loop.scheduler.sleep_for(20ms);
+    co_await loop.until([&part_read] { return part_read; });
+    if (end.sends_more) {
+        co_await socket.write("4\r\nmore\r\n");
+        co_await loop.scheduler.sleep_for(20ms);
+    }
     stream.reset();
     co_await socket.read_to_close();
-    was_reset = socket.was_reset();
+    end.was_reset = socket.was_reset();
+    if (end.notices_close) {
+        socket.close();
+        co_await loop.until([&end] { return end.ended_calls > 0; });
+    } else {
+        co_await loop.scheduler.sleep_for(400ms);
+    }
 }
 
+/// Sends a request to a server that never answers, and gives it up.
+/// @param relayed whether as a relayed request that is cancelled, or as one that times out.
 runtime::task<void> give_up(ferryroad::test::loopback& loop, bool relayed, bool& was_reset) {
     boost::asio::ip::tcp::acceptor acceptor(loop.context,
                                             {boost::asio::ip::make_address("127.0.0.1"), 0});
@@ -305,11 +325,26 @@
 
 // Guards against servers that go on with a stream that was given up: some notice a reset only when
 // they write, and a preempted stream doesn't.
+// Also if the client has not read all that has arrived, which makes a plain close a reset.
 Test(client_relay, a_stream_that_is_given_up_is_closed_regularly) {
-    ferryroad::test::loopback loop;
-    bool was_reset = true;
-    cr_assert(loop.run([&] { return give_up_stream(loop, was_reset); }));
-    cr_assert_not(was_reset);
+    for (const bool sends_more : {false, true}) {
+        ferryroad::test::loopback loop;
+        given_up_stream end;
+        end.sends_more = sends_more;
+        cr_assert(loop.run([&] { return give_up_stream(loop, end); }));
+        cr_expect_not(end.was_reset, "sends more: %d", static_cast<int>(sends_more));
+    }
+}
+
+// Guards against a request that counts as ended although its server goes on with it.
+Test(client_relay, a_stream_that_is_given_up_has_ended_once_the_server_closes_it) {
+    for (const bool notices_close : {false, true}) {
+        ferryroad::test::loopback loop;
+        given_up_stream end;
+        end.notices_close = notices_close;
+        cr_assert(loop.run([&] { return give_up_stream(loop, end); }));
+        cr_expect_eq(end.ended_calls, notices_close ? 1 : 0);
+    }
 }
 
 Test(client_relay, a_request_that_is_given_up_is_reset) {
