A request that is given up before its answer tells when its engine has ended it

What callers saw: nothing yet.

Change: a relayed request that was written whole and whose caller asked for its end (`on_ended`) is closed like a response that has begun: FIN, then up to 250 ms for the server to close, then a reset. All others are reset at once as before (orders, requests whose writing was cut, requests without `on_ended`).

--- a/src/ferryroad/http/client_exchange.cpp
+++ b/src/ferryroad/http/client_exchange.cpp
@@ -84,7 +84,10 @@
     if (!link_) {
         return;
     }
-    if (relayed_ && response_begun_ && !is_request_cut_ && link_->is_open()) {
+    // A request that has not been answered may still be on its way, and is reset unless the caller
+    // waits for its end: servers tell that by closing the connection.
+    const bool has_arrived = response_begun_ || (is_written_ && on_ended_);
+    if (relayed_ && has_arrived && !is_request_cut_ && link_->is_open()) {
         give_up();
     } else {
         link_->close();
@@ -168,6 +171,7 @@
     if (failure_) {
         co_return *failure_;
     }
+    is_written_ = !failure;
     co_return co_await read_head();
 }
 
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -117,6 +117,7 @@
     bool reusable_ = true;
     std::function<void()> on_ended_;  ///< Empty once it was called.
     bool is_request_cut_ = false;     ///< Part of the request was not written.
+    bool is_written_ = false;         ///< All of a relayed request was written.
     bool response_begun_ = false;     ///< The response head has arrived.
     bool reused_ = false;
     std::uint32_t skipped_ = 0;  ///< Responses to other requests that were discarded.
--- a/test/http/client_relay_test.cpp
+++ b/test/http/client_relay_test.cpp
@@ -2,6 +2,8 @@
 /// connection is kept afterwards.
 #include "test/http/loopback.hpp"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 using namespace ferryroad;
 using namespace std::chrono_literals;
 
@@ -128,6 +130,33 @@
     }
 }
 
+/// Cancels a request that its server has read and not answered.
+runtime::task<void> cancel_unanswered(ferryroad::test::loopback& loop, given_up_stream& end) {
+    using boost::asio::experimental::awaitable_operators::operator||;
+    boost::asio::ip::tcp::acceptor acceptor(loop.context,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const base::endpoint address{"127.0.0.1", acceptor.local_endpoint().port()};
+    http::client client(loop.scheduler, http::client_limits{});
+    bool is_read = false;
+    loop.scheduler.spawn("caller",
+                         [](http::client& by, base::endpoint to, ferryroad::test::loopback& at,
+                            const bool& arrived, int& ended_calls) -> runtime::task<void> {
+                             http::request message;
+                             http::relay_options options;
+                             options.limit = 5s;
+                             options.on_ended = [&ended_calls] { ++ended_calls; };
+                             auto answer = by.relay(to, std::move(message), std::move(options));
+                             co_await (std::move(answer) || at.until([&] { return arrived; }));
+                         }(client, address, loop, is_read, end.ended_calls));
+    ferryroad::test::raw_socket socket(co_await acceptor.async_accept(boost::asio::use_awaitable));
+    co_await socket.read_until("\r\n\r\n");
+    is_read = true;
+    co_await socket.read_to_close();
+    end.was_reset = socket.was_reset();
+    socket.close();
+    co_await loop.until([&end] { return end.ended_calls > 0; });
+}
+
 /// Sends a request to a server that never answers, and gives it up.
 /// @param relayed whether as a relayed request that is cancelled, or as one that times out.
 runtime::task<void> give_up(ferryroad::test::loopback& loop, bool relayed, bool& was_reset) {
@@ -347,6 +376,16 @@
     }
 }
 
+// Guards against engines that are told to drain because a request that had not begun was given up
+// there: a reset says nothing of its end.
+Test(client_relay, a_request_that_is_given_up_unanswered_has_ended_once_the_server_closes_it) {
+    ferryroad::test::loopback loop;
+    given_up_stream end;
+    cr_assert(loop.run([&] { return cancel_unanswered(loop, end); }));
+    cr_expect_not(end.was_reset);
+    cr_expect_eq(end.ended_calls, 1);
+}
+
 Test(client_relay, a_request_that_is_given_up_is_reset) {
     for (const bool relayed : {false, true}) {
         ferryroad::test::loopback loop;
