Requests that can't be moved store no small state

What callers saw: nothing yet.

Change: a request that can't be sent to another engine stores only if at least 1,000 shared tokens are newly computed.

Evidence: state_stores.requests_that_cannot_be_moved_save_no_small_state fails without it.

--- a/src/ferryroad/core/placement/state_stores.cpp
+++ b/src/ferryroad/core/placement/state_stores.cpp
@@ -23,7 +23,8 @@
 
 bool is_worth_saving(const prompt_prefill& reading) {
     const std::uint64_t read = reading.shared - std::min(reading.held, reading.shared);
-    return read > 0 && reading.own <= read;
+    const std::uint64_t least = reading.pinned ? least_pinned_save_tokens : 1;
+    return read >= least && reading.own <= read;
 }
 
 }  // namespace ferryroad::core::placement
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -219,6 +219,7 @@
     reading.shared = declared.shared_tokens();
     reading.held = std::max({chosen.warm_tokens, chosen.fetchable_tokens, most});
     reading.own = declared.input_tokens - std::min(reading.shared, declared.input_tokens);
+    reading.pinned = !query.may_be_withdrawn;
     if (placement::is_worth_saving(reading)) {
         chosen.save_state_to = home->address;
     }
