An engine whose weights are relied on by a request that may still run drains before it loads

The part had been saved in the scope of version 1 by a stream that its router had moved 1.5 s before, which its old engine read again under version 2.

Cause: a scope is a promise about weights, and who stores in it was bounded by a belief: that an engine stops a run whose connection is closed. All orders said `keep`, whatever might still run there: streams given up that the engine did not notice, streams that no other engine could take or that had no retry left, requests that can't be moved and run for over 1 s more, and requests of routers that the holder had not heard of yet (the order follows the naming by some 90 ms, loads are sent every 50 ms or later).

Change: each request that stores state is recorded at its engine until its end is certain: a complete response, a refusal that proves it did not run, the server's close, or 0.5 s after the deadline that the engine was given. Routers report how long the last of them may run at each engine; that outlasts their reports, so that a router that crashes takes nothing back. They also report the newest weights that they know of, and from that naming on send no request that stores under older ones. The holder announces the load, waits at least 0.3 s and up to 1 s after the naming, and then orders an engine where one may still run, or where a live router has not reported since it knew of the weights, to end its requests first (`wait`). Such engines come last and take no place in the pace of the others. Notices that would be larger than a datagram, which is never sent, are divided, and lose their smallest loads.

Tests changed: traffic_notice.full_notices_fit_into_a_datagram leaves out the reported weights; peer_exchange.loads_that_fill_a_datagram_are_sent checks the whole notice instead, and the fake network drops what the transport does.

--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -144,7 +144,7 @@
         model_counts& counted = fleet[one.model];
         ++counted.total;
         if (const progress* state = progress_of(one)) {
-            counted.loading += state->unanswered ? 0 : 1;
+            counted.loading += state->unanswered || state->drains ? 0 : 1;
             counted.unanswered += state->unanswered ? 1 : 0;
             counted.repeating += state->unanswered && state->stage == phase::ordering ? 1 : 0;
         } else if (one.version < wanted(one.model)) {
@@ -183,14 +183,16 @@
         hurried[name] = m_pace.is_behind_schedule(
             model.total, model.waiting, m_tunables.order_within - model.longest_outdated());
     }
-    // The engines with the oldest weights come first, and among equals the least loaded, which is
-    // free the soonest. If time is short, the longest queue comes first instead: its requests would
-    // start too late, and the order diverts them to other engines at once.
+    // The engines with the oldest weights come first, then those that need not drain, and among
+    // equals the least loaded, which is free the soonest. If time is short, the longest queue comes
+    // first instead: its requests would start too late, and the order diverts them to other engines
+    // at once.
     const auto rank = [&](const engine_view* one) {
         const auto unread = static_cast<std::int64_t>(one->unread_tokens);
         const std::int64_t load = one->load;
-        return hurried.at(one->model) ? std::tuple(one->version, -unread, -load)
-                                      : std::tuple(one->version, std::int64_t{0}, load);
+        const bool drains = may_use_state(*one);
+        return hurried.at(one->model) ? std::tuple(one->version, false, -unread, -load)
+                                      : std::tuple(one->version, drains, std::int64_t{0}, load);
     };
     std::stable_sort(outdated.begin(), outdated.end(),
                      [&](const engine_view* a, const engine_view* b) { return rank(a) < rank(b); });
@@ -200,6 +202,17 @@
     return one.pinned_writers > 0 && one.outdated_for < m_tunables.longest_writer_wait;
 }
 
+bool weights_rollout::may_use_state(const engine_view& one) {
+    return one.state_used_for > base::duration{} || !one.reports_current;
+}
+
+bool weights_rollout::waits_for_state_uses(const engine_view& seen, const progress& state,
+                                           base::monotonic_time now) const {
+    const bool just_ready = now - state.ready_since.value_or(now) < m_tunables.shortest_writer_wait;
+    return may_use_state(seen) &&
+           (just_ready || seen.outdated_for < m_tunables.longest_writer_wait);
+}
+
 template <typename Predicate>
 bool weights_rollout::any_other_outdated(const engine_view& one, const views_by_engine& views,
                                          Predicate matches) const {
@@ -323,28 +336,38 @@
     state.version = wanted(seen.model);
     state.last_order = now;
     m_ordered[{seen.name, seen.model}] = state.version;
-    steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken});
+    state.drains = may_use_state(seen);
+    steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken,
+                            seen.state_used_for, seen.reports_current, state.drains});
+}
+
+void weights_rollout::announce(const engine_view& seen, progress& state, base::monotonic_time now,
+                               rollout_steps& steps) const {
+    state.unannounced = false;
+    state.announced_at = now;
+    steps.upcoming.push_back({seen.name, seen.model, wanted(seen.model)});
 }
 
 void weights_rollout::call(const engine_view& seen, progress& state, base::monotonic_time now,
                            rollout_steps& steps) {
     if (state.unannounced) {
-        state.unannounced = false;
-        steps.upcoming.push_back({seen.name, seen.model, state.version});
+        announce(seen, state, now, steps);
     }
     if (state.call_under_way || now < state.next_call) {
         return;
     }
     if (state.stage == phase::ready && !state.unanswered) {
-        if (!waits_for_writers(seen)) {
+        if (!waits_for_writers(seen) && !waits_for_state_uses(seen, state, now)) {
             order(seen, state, now, steps);
+        } else if (now - state.announced_at >= m_tunables.look_period) {
+            announce(seen, state, now, steps);
         }
         return;
     }
     // Not announced for an engine with an unanswered order: it serves until the order is carried
     // out.
     if (state.stage == phase::asking && !state.unanswered) {
-        steps.upcoming.push_back({seen.name, seen.model, wanted(seen.model)});
+        announce(seen, state, now, steps);
     }
     state.call_under_way = true;
     steps.reports.push_back({seen.name, seen.model});
@@ -359,7 +382,7 @@
     progress& state = found->second;
     state.call_under_way = false;
     if (report.version >= state.version) {
-        if (state.stage == phase::loading) {
+        if (state.stage == phase::loading && !state.drains) {
             m_pace.loaded(now - state.since);
         }
         m_engines.erase(found);
@@ -380,12 +403,17 @@
     const bool working = report.busy || state.stage == phase::loading;
     if (working) {
         state.next_call = now + m_tunables.look_period;
+        if (report.busy && state.drains) {
+            state.since = now;
+            state.unannounced = true;  // It takes no requests for longer than was announced.
+        }
         const bool lost_track =
             !report.busy && now - state.since > m_tunables.unresponsive_after / 2;
         state.stage = lost_track ? phase::ready : state.stage;
         return;
     }
     state.stage = phase::ready;
+    state.ready_since = state.ready_since.value_or(now);
 }
 
 void weights_rollout::watch_unanswered(progress& state, base::monotonic_time now) const {
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -33,6 +33,12 @@
     std::uint64_t unread_tokens = 0;
     /// Requests of all routers that store prompt state there and can't be sent to another engine.
     std::uint32_t pinned_writers = 0;
+    /// Time until all requests of all routers that rely on the engine's weights have ended at the
+    /// latest, zero if there are none. They store prompt state there, and count until they are
+    /// known to have ended, also if they were given up.
+    base::duration state_used_for{};
+    /// All other routers have reported their requests since they knew of the newest weights.
+    bool reports_current = true;
 
     friend bool operator==(const engine_view&, const engine_view&) = default;
 };
@@ -60,6 +66,11 @@
     std::uint64_t version = 0;
     /// Number of orders that the engine must have taken; it refuses the order otherwise.
     std::uint64_t expected_orders = 0;
+    base::duration state_used_for{};  ///< See `engine_view`.
+    bool reports_current = true;      ///< See `engine_view`.
+    /// The engine must end its requests before it loads: one that relies on its weights would go on
+    /// under the new ones, and store what no longer matches the name that it is stored under.
+    bool drain_first = false;
 
     friend bool operator==(const send_order&, const send_order&) = default;
 };
@@ -95,10 +106,12 @@
     /// Each engine is sent an order within this time after its weights became outdated.
     base::duration order_within = std::chrono::milliseconds(6000);
     /// An engine is not ordered for this long, after its weights became outdated, while it runs
-    /// requests that store prompt state and can't be sent elsewhere: they would continue under the
-    /// new weights, and what they store would no longer match the name that it is stored under.
-    /// Longer waits leave too many engines with outdated weights.
+    /// requests that rely on them. Then it is ordered to drain first. Longer waits leave too
+    /// many engines with outdated weights.
     base::duration longest_writer_wait = std::chrono::milliseconds(1000);
+    /// An engine that may be ordered waits at least this long for requests that rely on its
+    /// weights: those that can be sent elsewhere are given up as soon as the order is announced.
+    base::duration shortest_writer_wait = std::chrono::milliseconds(300);
     /// Time from an accepted order to the first poll of its completion.
     base::duration first_poll_delay = std::chrono::milliseconds(600);
     /// Time between further polls.
@@ -168,8 +181,9 @@
         /// An order got no answer and no report has shown its outcome yet; it may be carried out at
         /// any time.
         bool unanswered = false;
-        /// It is loading and was not listed in `rollout_steps::upcoming` yet.
+        /// It is to be listed in `rollout_steps::upcoming`.
         bool unannounced = false;
+        bool drains = false;        ///< It was ordered to end its requests before it loads.
         std::string model;          ///< Model that is being replaced.
         std::uint64_t version = 0;  ///< Version that it is brought to.
         std::uint64_t orders_taken = 0;
@@ -177,11 +191,15 @@
         base::monotonic_time since{};  ///< When the engine last made progress.
         base::monotonic_time next_call{};
         base::monotonic_time last_order{};
+        std::optional<base::monotonic_time> ready_since;  ///< When its first report arrived.
+        base::monotonic_time announced_at{};  ///< Last listed in `rollout_steps::upcoming`.
     };
     /// Counts of the engines of one model by their state in the rollout.
     struct model_counts {
         std::size_t total = 0;
-        std::size_t loading = 0;     ///< Ordered or about to be, without an unanswered order.
+        /// Ordered or about to be, without an unanswered order. Engines that drain first don't
+        /// count: they take seconds, and the others would wait for them.
+        std::size_t loading = 0;
         std::size_t unanswered = 0;  ///< With an unanswered order; may start to load at any time.
         std::size_t repeating = 0;   ///< Of these, engines to which an order was sent again.
         std::size_t waiting = 0;     ///< Outdated and not started.
@@ -212,8 +230,14 @@
     /// @return the outdated models of engines at which no model is being replaced.
     engine_list waiting(const std::vector<engine_view>& engines,
                         const views_by_engine& views) const;
-    /// @return whether the engine is not ordered yet because of the requests that it runs.
+    /// @return whether the engine is not started yet because of the requests that it runs.
     bool waits_for_writers(const engine_view& one) const;
+    /// @return whether requests that rely on the engine's weights may still run.
+    static bool may_use_state(const engine_view& one);
+    /// @return whether an engine that is ready is not ordered yet because of requests that rely on
+    /// its weights.
+    bool waits_for_state_uses(const engine_view& seen, const progress& state,
+                              base::monotonic_time now) const;
     /// @return whether another model of the engine is outdated and matches.
     template <typename Predicate>
     bool any_other_outdated(const engine_view& one, const views_by_engine& views,
@@ -234,6 +258,9 @@
                        base::monotonic_time now, rollout_steps& steps);
     void order(const engine_view& seen, progress& state, base::monotonic_time now,
                rollout_steps& steps);
+    /// Lists the engine in `rollout_steps::upcoming`.
+    void announce(const engine_view& seen, progress& state, base::monotonic_time now,
+                  rollout_steps& steps) const;
     void call(const engine_view& seen, progress& state, base::monotonic_time now,
               rollout_steps& steps);
     void watch_unanswered(progress& state, base::monotonic_time now) const;
--- a/src/ferryroad/peer/traffic_notice.hpp
+++ b/src/ferryroad/peer/traffic_notice.hpp
@@ -76,6 +76,8 @@
     /// sender's load.
     bool loads_complete = false;
     std::vector<core::placement::router_load> loads;
+    /// Weights that the sender knew of as it made `loads`.
+    std::vector<core::placement::known_weights> known;
     std::vector<observed_weights> weights;
     std::vector<expected_state> expected;
     std::vector<holder_changes> changes;
--- a/src/ferryroad/peer/traffic_notice_codec.cpp
+++ b/src/ferryroad/peer/traffic_notice_codec.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+using core::placement::known_weights;
 using core::placement::router_load;
 using core::prefix::scoped_part;
 
@@ -23,6 +24,12 @@
         std::min<std::uint64_t>(number, std::numeric_limits<std::uint32_t>::max()));
 }
 
+/// @return whole milliseconds, zero for negative times.
+std::uint32_t saturated_ms(base::duration time) {
+    return saturate(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, base::to_milliseconds(time))));
+}
+
 struct wire_parts {
     offset<flatbuffers::Vector<std::uint64_t>> keys;
     offset<flatbuffers::Vector<std::uint32_t>> tokens;
@@ -57,12 +64,14 @@
 
 offset<wire::EngineLoad> write_load(buffer_builder& builder, const router_load& load) {
     const auto engine = write_shared(builder, load.engine.value);
-    const auto refuses =
-        std::chrono::duration_cast<std::chrono::milliseconds>(load.refuses_for).count();
-    return wire::CreateEngineLoad(
-        builder, engine, load.running, saturate(load.prefill_tokens),
-        saturate(static_cast<std::uint64_t>(std::max<std::int64_t>(0, refuses))),
-        load.pinned_writers);
+    return wire::CreateEngineLoad(builder, engine, load.running, saturate(load.prefill_tokens),
+                                  saturated_ms(load.refuses_for), load.pinned_writers,
+                                  saturated_ms(load.state_used_for));
+}
+
+offset<wire::KnownWeights> write_known(buffer_builder& builder, const known_weights& known) {
+    const auto model = write_shared(builder, known.model);
+    return wire::CreateKnownWeights(builder, model, known.version);
 }
 
 offset<wire::EngineWeights> write_weights(buffer_builder& builder, const observed_weights& seen) {
@@ -102,8 +111,18 @@
 }
 
 router_load read_load(field_reader& reader, const wire::EngineLoad& load) {
-    return {reader.name<base::engine_name>(load.engine()), load.running(), load.prefill_tokens(),
-            std::chrono::milliseconds(load.refuses_milliseconds()), load.pinned_writers()};
+    return {reader.name<base::engine_name>(load.engine()),
+            load.running(),
+            load.prefill_tokens(),
+            std::chrono::milliseconds(load.refuses_milliseconds()),
+            load.pinned_writers(),
+            std::chrono::milliseconds(load.state_used_milliseconds())};
+}
+
+known_weights read_known(field_reader& reader, const wire::KnownWeights& known) {
+    known_weights weights{reader.text(known.model(), codec_limits::name_bytes), known.version()};
+    reader.require(!weights.model.empty(), "a model");
+    return weights;
 }
 
 observed_weights read_weights(field_reader& reader, const wire::EngineWeights& seen) {
@@ -163,12 +182,14 @@
         builder, notice.loading, [&](const auto& one) { return write_loading(builder, one); });
     const auto limits = write_list<wire::EngineLimit>(
         builder, notice.limits, [&](const auto& one) { return write_limit(builder, one); });
+    const auto known = write_list<wire::KnownWeights>(
+        builder, notice.known, [&](const auto& one) { return write_known(builder, one); });
     const auto sender = write_text(builder, notice.sender.value);
     const auto zone = write_text(builder, notice.zone.value);
     return finish(
         builder,
         wire::CreateTrafficNotice(builder, sender, zone, notice.loads_complete, loads, weights,
-                                  expected, changes, loading, limits, notice.paths_lost),
+                                  expected, changes, loading, limits, notice.paths_lost, known),
         notice_identifier);
 }
 
@@ -190,6 +211,8 @@
     notice.paths_lost = root->paths_lost();
     notice.loads = reader.list(root->loads(), max_entries,
                                [&](const auto& one) { return read_load(reader, one); });
+    notice.known = reader.list(root->known(), max_entries,
+                               [&](const auto& one) { return read_known(reader, one); });
     notice.weights = reader.list(root->weights(), max_entries,
                                  [&](const auto& one) { return read_weights(reader, one); });
     notice.expected = reader.list(root->expected(), max_entries,
--- a/src/ferryroad/relay/engine_registry.cpp
+++ b/src/ferryroad/relay/engine_registry.cpp
@@ -221,7 +221,8 @@
     for (auto place = m_active.begin(); place != m_active.end();) {
         const known_engine* engine = find(*place);
         const bool is_active =
-            engine != nullptr && (engine->running > 0 || now < engine->refuses_until);
+            engine != nullptr && (engine->running > 0 || now < engine->refuses_until ||
+                                  engine->state_used_for(now) > base::duration{});
         if (is_active) {
             found.push_back(engine);
             ++place;
@@ -263,6 +264,24 @@
     }
 }
 
+base::duration known_engine::state_used_for(base::monotonic_time now) const {
+    base::duration longest{};
+    for (const auto& one : state_uses) {
+        longest = one->ended ? longest : std::max(longest, one->ends_by - now);
+    }
+    return longest;
+}
+
+void engine_registry::add_state_use(const base::engine_name& name, std::shared_ptr<state_use> use,
+                                    base::monotonic_time now) {
+    if (known_engine* engine = find(name)) {
+        std::erase_if(engine->state_uses,
+                      [&](const auto& one) { return one->ended || one->ends_by <= now; });
+        engine->state_uses.push_back(std::move(use));
+        mark_active(name);
+    }
+}
+
 engine_load::engine_load(engine_registry& registry, base::engine_name name,
                          std::uint64_t prefill_tokens, bool repeatable, bool pinned_writer)
     : m_registry(registry),
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -67,6 +67,14 @@
     bool backoff = false;  ///< The engine wants no requests, or for longer than before.
 };
 
+/// A request that relies on an engine's weights: it stores prompt state there under a name that
+/// stands for them. Its run may outlast its exchange: not every engine stops as soon as a
+/// connection is closed.
+struct state_use {
+    base::monotonic_time ends_by{};  ///< The engine stops it by then at the latest.
+    bool ended = false;              ///< It is known to have ended, or not to have run.
+};
+
 /// A listed engine with what this router knows beyond the list. All of it refers to one process of
 /// the engine.
 struct known_engine {
@@ -79,6 +87,8 @@
     std::uint32_t unrepeatable = 0;  ///< Those of `running` that are lost if the engine fails.
     /// Those of `running` that store prompt state and can't be sent to another engine.
     std::uint32_t pinned_writers = 0;
+    /// This router's requests that rely on the weights, also those whose exchange has ended.
+    std::vector<std::shared_ptr<state_use>> state_uses;
     std::uint64_t pending_prefill_tokens = 0;  ///< Prompt tokens of requests without a first event.
     base::monotonic_time refuses_until{};      ///< The engine said it takes no work until then.
     base::monotonic_time listed_at{};          ///< When the process was first listed.
@@ -106,6 +116,9 @@
     }
     /// @return the newest version of the model's weights seen; 0 if none.
     std::uint64_t version_of(const std::string& model) const;
+    /// @return the time until all requests in `state_uses` have ended at the latest; zero if none
+    /// of them may still run.
+    base::duration state_used_for(base::monotonic_time now) const;
 };
 
 /// Entry of an `engine_pool`.
@@ -194,6 +207,12 @@
         m_on_weights_announced = std::move(handler);
     }
 
+    /// Records a request that is about to be sent. It belongs to the process that is listed now;
+    /// ignored for an engine that isn't listed.
+    /// @param use not null; its owner marks it as ended.
+    void add_state_use(const base::engine_name& name, std::shared_ptr<state_use> use,
+                       base::monotonic_time now);
+
   private:
     /// Maximum number of recently used engines, over all pools.
     static constexpr std::size_t max_recently_used = 64;
--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -16,6 +16,16 @@
     return tunables;
 }
 
+/// @return the time in whole seconds, so that loads whose time passes are not sent again and again.
+base::duration round_up(base::duration time) {
+    return std::chrono::ceil<std::chrono::seconds>(time);
+}
+
+/// @return whether the transport will send the notice.
+bool fits_into_datagram(const peer::traffic_notice& notice) {
+    return peer::encode(notice).size() <= peer::max_datagram_bytes;
+}
+
 }  // namespace
 
 peer_exchange::peer_exchange(peer_exchange_ports ports, const peer_address& self,
@@ -148,8 +158,9 @@
 void peer_exchange::send_pending() {
     const base::monotonic_time now = m_ports.scheduler.now();
     const bool load_changed = own_loads(now) != m_sent_loads;
+    const bool weights_changed = update_known_weights(now);
     const bool heartbeat_due = now - m_loads_sent_at >= m_settings.heartbeat_interval;
-    if (load_changed || heartbeat_due || !m_pending_expected.empty() ||
+    if (load_changed || weights_changed || heartbeat_due || !m_pending_expected.empty() ||
         !m_pending_weights.empty()) {
         send_load(now);
     }
@@ -205,23 +216,54 @@
     for (const known_engine* engine : m_ports.registry.active(now)) {
         const base::duration refuses = std::max(engine->refuses_until - now, base::duration{});
         loads.push_back({engine->listed.name, engine->running, engine->pending_prefill_tokens,
-                         refuses, engine->pinned_writers});
+                         refuses, engine->pinned_writers, round_up(engine->state_used_for(now))});
     }
+    std::stable_sort(loads.begin(), loads.end(), [](const auto& a, const auto& b) {
+        return std::tuple(a.state_used_for, a.prefill_tokens, a.running) >
+               std::tuple(b.state_used_for, b.prefill_tokens, b.running);
+    });
     if (loads.size() > m_settings.max_loads) {
-        std::partial_sort(loads.begin(),
-                          loads.begin() + static_cast<std::ptrdiff_t>(m_settings.max_loads),
-                          loads.end(), [](const auto& a, const auto& b) {
-                              return std::tuple(a.pinned_writers, a.prefill_tokens, a.running) >
-                                     std::tuple(b.pinned_writers, b.prefill_tokens, b.running);
-                          });
         loads.resize(m_settings.max_loads);
     }
     return loads;
 }
 
+bool peer_exchange::update_known_weights(base::monotonic_time now) {
+    bool changed = false;
+    if (m_newest_weights) {
+        for (const core::placement::known_weights& one : m_newest_weights()) {
+            newest_version& known = m_known_weights[one.model];
+            if (one.version > known.version) {
+                known = {one.version, now};
+                changed = true;
+            }
+        }
+    }
+    return changed;
+}
+
+std::vector<core::placement::known_weights> peer_exchange::next_known_weights(
+    base::monotonic_time now) {
+    std::vector<core::placement::known_weights> recent;
+    for (const auto& [model, known] : m_known_weights) {
+        if (now - known.known_since < m_settings.known_weights_repeated_for) {
+            recent.push_back({model, known.version});
+        }
+    }
+    if (recent.size() > m_settings.max_known_weights) {
+        const std::size_t first = m_known_weights_sent % recent.size();
+        std::rotate(recent.begin(), recent.begin() + static_cast<std::ptrdiff_t>(first),
+                    recent.end());
+        recent.resize(m_settings.max_known_weights);
+    }
+    m_known_weights_sent += recent.size();
+    return recent;
+}
+
 void peer_exchange::send_load(base::monotonic_time now) {
     peer::traffic_notice notice = new_notice();
     notice.loads_complete = true;
+    notice.known = next_known_weights(now);
     notice.loads = own_loads(now);
     m_sent_loads = notice.loads;
     m_loads_sent_at = now;
@@ -234,6 +276,15 @@
         }
         notice.expected.push_back(std::move(one));
     }
+    if (!fits_into_datagram(notice)) {
+        peer::traffic_notice rest = new_notice();
+        std::swap(rest.weights, notice.weights);
+        std::swap(rest.expected, notice.expected);
+        send(rest, now);
+    }
+    while (!notice.loads.empty() && !fits_into_datagram(notice)) {
+        notice.loads.pop_back();
+    }
     send(notice, now);
 }
 
@@ -281,7 +332,7 @@
         m_on_paths_announced(notice->sender, notice->paths_lost);
     }
     if (notice->loads_complete) {
-        m_ports.loads.state(notice->sender, notice->loads, now);
+        m_ports.loads.state(notice->sender, notice->loads, now, notice->known);
     }
     m_applying_notice = true;
     for (const peer::observed_weights& seen : notice->weights) {
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -14,7 +14,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -39,6 +41,10 @@
     std::uint64_t urgent_prefill_tokens = 1000;
     /// Most entries, loading and loaded weights together, in a notice of `announce`.
     std::size_t max_weights = 16;
+    /// A newer version of weights is repeated in notices for this long: each may be lost.
+    base::duration known_weights_repeated_for = std::chrono::seconds(30);
+    /// Most of these versions in a notice; they are sent in turns.
+    std::size_t max_known_weights = 4;
     /// Most engine limits in a notice, so that it fits into a datagram.
     std::size_t max_limits = 16;
     /// Most loads in a notice, so that it fits into a datagram; the largest loads are sent.
@@ -91,6 +97,12 @@
         m_on_paths_announced = std::move(callback);
     }
 
+    /// @param callback returns for each model the newest version of the weights that this router
+    /// knows of. Must be set before `start`, if at all.
+    void on_known_weights(std::function<std::vector<core::placement::known_weights>()> callback) {
+        m_newest_weights = std::move(callback);
+    }
+
     /// To be called once, before any traffic.
     void start();
     /// Sends no further notices.
@@ -134,6 +146,11 @@
     }
     /// @return the number of routers in this router's block, itself included. Their load is known.
     std::size_t block_size() const { return m_group.block_size(m_ports.scheduler.now()); }
+    /// @return whether all peers of the block that are live have reported their loads since they
+    /// knew of the version.
+    bool reports_are_current(const std::string& model, std::uint64_t version) const {
+        return m_ports.loads.is_current(m_group.live(m_ports.scheduler.now()), model, version);
+    }
     /// @return the number of peers that sent a notice recently.
     std::size_t live_peers() const { return m_group.live(m_ports.scheduler.now()).size(); }
     /// @return whether no peer was heard recently although there are peers.
@@ -144,6 +161,10 @@
   private:
     static constexpr std::string_view component = "relay.peers";
 
+    struct newest_version {
+        std::uint64_t version = 0;
+        base::monotonic_time known_since{};
+    };
     struct pending_limit {
         peer::stated_engine_limit limit;
         base::monotonic_time as_of{};
@@ -155,12 +176,17 @@
     void log_liveness_changes(base::monotonic_time now);
     void report_gone_peers(base::monotonic_time now);
     void send_load(base::monotonic_time now);
+    /// Updates `m_known_weights`. @return whether a version is new.
+    bool update_known_weights(base::monotonic_time now);
+    /// @return the versions for the next notice.
+    std::vector<core::placement::known_weights> next_known_weights(base::monotonic_time now);
     void send_changes(base::monotonic_time now);
     void send_limits(base::monotonic_time now);
     void send_paths(base::monotonic_time now);
     void send(const peer::traffic_notice& notice, base::monotonic_time now);
     void send_to(const std::vector<base::endpoint>& targets, const peer::traffic_notice& notice);
     peer::traffic_notice new_notice() const;
+    /// @return the largest loads, the largest first.
     std::vector<core::placement::router_load> own_loads(base::monotonic_time now) const;
 
     peer_exchange_ports m_ports;
@@ -173,6 +199,9 @@
     peer_exchange_settings m_settings;
     std::vector<core::placement::router_load> m_sent_loads;  ///< As last sent to peers.
     base::monotonic_time m_loads_sent_at{};
+    std::function<std::vector<core::placement::known_weights>()> m_newest_weights;
+    std::map<std::string, newest_version> m_known_weights;  ///< By model.
+    std::size_t m_known_weights_sent = 0;                   ///< Entries sent so far.
     std::vector<peer::observed_weights> m_pending_weights;
     std::vector<peer::expected_state> m_pending_expected;
     std::vector<peer::holder_changes> m_pending_changes;
--- a/src/ferryroad/relay/policy_source.cpp
+++ b/src/ferryroad/relay/policy_source.cpp
@@ -135,6 +135,24 @@
            (m_confirmed_at && *m_confirmed_at > observed->second.at);
 }
 
+std::vector<core::placement::known_weights> policy_source::newest_weights() const {
+    std::map<std::string, std::uint64_t> newest;
+    for (const auto& [model, history] : m_versions) {
+        newest[model] = history.newest();
+    }
+    for (const auto& [model, seen] : m_observed) {
+        if (!m_confirmed_at || *m_confirmed_at <= seen.at) {
+            newest[model] = std::max(newest[model], seen.version);
+        }
+    }
+    std::vector<core::placement::known_weights> all;
+    all.reserve(newest.size());
+    for (const auto& [model, version] : newest) {
+        all.push_back({model, version});
+    }
+    return all;
+}
+
 base::duration policy_source::age(base::monotonic_time now) const {
     return m_confirmed_at ? now - *m_confirmed_at : base::duration::max();
 }
--- a/src/ferryroad/relay/policy_source.hpp
+++ b/src/ferryroad/relay/policy_source.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "ferryroad/base/time.hpp"
+#include "ferryroad/core/placement/engine_load_view.hpp"
 #include "ferryroad/core/traffic/traffic_policy.hpp"
 
 #include <cstddef>
@@ -133,6 +134,9 @@
     /// it was never named.
     bool is_newest(const std::string& model, std::uint64_t version) const;
 
+    /// @return for each model the newest version that was named or, as far as known, observed.
+    std::vector<core::placement::known_weights> newest_weights() const;
+
     /// @return the time before which everything accepted by the owner is known; nullopt if the
     /// policy was never confirmed.
     std::optional<base::monotonic_time> confirmed_at() const { return m_confirmed_at; }
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -379,6 +379,9 @@
         sent.save_state_to = m_selected.save_state_to;
         sent.priority = m_plan.priority;
         sent.resume_after = m_last_id;
+        if (m_state_use) {
+            sent.on_ended = [use = m_state_use] { use->ended = true; };
+        }
         // If the last failure was a lost connection, all pooled connections may have broken with
         // it; a refusal by an engine does not suggest that. On a connection that carried this
         // request before, the id would not distinguish a surplus answer to that dispatch, also if
@@ -401,9 +404,11 @@
         }
         m_outcome.engine = m_selected.target.name.value;
         m_outcome.predicted_ms = m_selected.cost_ms;
+        store_only_newest_state();
         m_load.emplace(m_dependencies.registry, m_selected.target.name, m_selected.prefill_tokens,
                        is_repeatable(*m_plan.matched_route),
                        m_selected.save_state_to && !m_selected.may_be_withdrawn);
+        record_state_use(now);
         const known_engine* engine = m_dependencies.registry.find(m_selected.target.name);
         m_engine_start = engine == nullptr ? std::nullopt : engine->listed.process_start_ms;
         m_evidence.begin(m_plan, engine, expected_prefill(), now);
@@ -457,6 +462,27 @@
         }
     }
 
+    /// The engine may have been selected before newer weights were named. From the naming on no
+    /// request that is sent stores state under the older ones, so that the requests that do can be
+    /// counted.
+    void store_only_newest_state() {
+        if (m_selected.save_state_to &&
+            !m_dependencies.policies.is_newest(m_plan.call->prompt->model,
+                                               m_selected.expected_version.value_or(0))) {
+            m_selected.save_state_to.reset();
+        }
+    }
+
+    void record_state_use(base::monotonic_time now) {
+        m_state_use.reset();
+        if (m_selected.save_state_to) {
+            m_state_use = std::make_shared<state_use>();
+            m_state_use->ends_by =
+                now + m_timing.time_for_engine(now) + m_tunables.engine_stop_margin;
+            m_dependencies.registry.add_state_use(m_selected.target.name, m_state_use, now);
+        }
+    }
+
     using open_result = runtime::result<opened_answer, dispatch_failure>;
 
     runtime::task<open_result> open_while_preconditions_hold(engine_target target, dispatch sent) {
@@ -625,6 +651,9 @@
 
     void handle_failure(const dispatch_failure& failure) {
         const base::monotonic_time now = m_dependencies.scheduler.now();
+        if (m_state_use && failure.proof != execution::failure_proof::unknown) {
+            m_state_use->ended = true;
+        }
         if (failure.withdrawn) {
             withdraw(*failure.withdrawn, failure.proof);
             return;
@@ -1106,6 +1135,7 @@
     base::monotonic_time m_wait_for_room_until{};
     base::monotonic_time m_waits_for_slot_from{};  ///< Asks for slots wait from then on.
     std::optional<engine_load> m_load;
+    std::shared_ptr<state_use> m_state_use;  ///< Set if the exchange relies on weights.
     execution::exchange_number m_exchange;
     base::monotonic_time m_exchange_began{};
     std::uint64_t m_exchange_events = 0;
--- a/src/ferryroad/relay/relay_plan.hpp
+++ b/src/ferryroad/relay/relay_plan.hpp
@@ -89,6 +89,8 @@
     /// Least `Retry-After` of requests in quarantine. One of a prompt part may be over, and another
     /// request be finding out whether the part still crashes engines.
     base::duration least_quarantine_retry_after = std::chrono::seconds(1);
+    /// An engine that stops a request at its deadline has stopped it this long after that.
+    base::duration engine_stop_margin = std::chrono::milliseconds(500);
     /// `Retry-After` of refusals without a better estimate.
     base::duration retry_after = std::chrono::milliseconds(150);
 };
--- a/src/ferryroad/relay/rollout_service.hpp
+++ b/src/ferryroad/relay/rollout_service.hpp
@@ -38,9 +38,6 @@
 struct rollout_settings {
     coordination::rollout::rollout_tunables rollout;
     std::string holder;  ///< This router's name.
-    /// Waiting for the end of long streams would keep an engine idle for seconds before it loads.
-    /// The pause of a stream that continues across the load is shorter.
-    running_requests_policy running = running_requests_policy::pause_and_continue;
     base::duration step_interval = std::chrono::milliseconds(50);
     /// Timeout of a call to an engine.
     base::duration call_timeout = std::chrono::milliseconds(700);
@@ -72,6 +69,9 @@
     std::function<void(const rollout_announcement&)> announce;
     /// Returns the load of all other routers' requests by engine. May be empty.
     std::function<std::map<base::engine_name, core::placement::peer_load>()> other_loads;
+    /// Returns whether all routers that are heard have reported their loads since they knew of a
+    /// model's version. May be empty if there are no other routers.
+    std::function<bool(const std::string& model, std::uint64_t version)> reports_are_current;
 };
 
 /// Not thread-safe: to be used from the event loop's thread. Must live until the loop has ended.
@@ -161,7 +161,8 @@
                 const auto since = m_ports.policies.outdated_since(model, version);
                 engines.push_back({name, model, version, engine.running,
                                    since ? now - *since : base::duration{}, engine.listed.zone,
-                                   engine.pending_prefill_tokens, engine.pinned_writers});
+                                   engine.pending_prefill_tokens, engine.pinned_writers,
+                                   engine.state_used_for(now)});
             }
         }
         return engines;
@@ -175,7 +176,13 @@
         const auto loads = m_ports.other_loads();
         for (coordination::rollout::engine_view& one : engines) {
             const auto found = loads.find(one.name);
-            one.pinned_writers += found == loads.end() ? 0 : found->second.pinned_writers;
+            if (found != loads.end()) {
+                one.pinned_writers += found->second.pinned_writers;
+                one.state_used_for = std::max(one.state_used_for, found->second.state_used_for);
+            }
+            one.reports_current =
+                !m_ports.reports_are_current ||
+                m_ports.reports_are_current(one.model, m_rollout.wanted(one.model));
         }
     }
 
@@ -224,20 +231,26 @@
         ++m_orders_sent;
         m_ports.lease.begin_action();
         engine_target engine = *target;
-        weights_order sent{wanted.model,       wanted.version,    wanted.expected_orders,
-                           m_settings.running, m_settings.holder, *token};
+        const auto running = wanted.drain_first ? running_requests_policy::drain_first
+                                                : running_requests_policy::pause_and_continue;
+        weights_order sent{wanted.model, wanted.version,    wanted.expected_orders,
+                           running,      m_settings.holder, *token};
         const auto answer = co_await m_ports.engines.order(std::move(engine), std::move(sent),
                                                            m_settings.call_timeout);
         m_ports.lease.end_action();
-        runtime::log(runtime::log_level::info, component, "weights ordered",
-                     {{"engine", wanted.engine.value},
-                      {"model", wanted.model},
-                      {"version", std::to_string(wanted.version)},
-                      {"expected_orders", std::to_string(wanted.expected_orders)},
-                      {"token", std::to_string(token->value)},
-                      {"answer", std::to_string(static_cast<int>(answer))},
-                      {"after_naming_at_most_ms", ms_since_naming(wanted.model, wanted.version)},
-                      {"without_order", std::to_string(without_order)}});
+        runtime::log(
+            runtime::log_level::info, component, "weights ordered",
+            {{"engine", wanted.engine.value},
+             {"model", wanted.model},
+             {"version", std::to_string(wanted.version)},
+             {"expected_orders", std::to_string(wanted.expected_orders)},
+             {"token", std::to_string(token->value)},
+             {"answer", std::to_string(static_cast<int>(answer))},
+             {"state_used_for_ms", std::to_string(base::to_milliseconds(wanted.state_used_for))},
+             {"reports_current", wanted.reports_current ? "true" : "false"},
+             {"drain_first", wanted.drain_first ? "true" : "false"},
+             {"after_naming_at_most_ms", ms_since_naming(wanted.model, wanted.version)},
+             {"without_order", std::to_string(without_order)}});
         m_rollout.ordered(wanted.engine, answer, m_ports.scheduler.now());
     }
 
--- a/src/ferryroad/relay/types.hpp
+++ b/src/ferryroad/relay/types.hpp
@@ -88,6 +88,9 @@
     /// dispatch's preconditions again. Call it from the event loop's thread only, and not after
     /// `upstream::open` has returned.
     std::function<last_look()> check_before_send;
+    /// If set, called at most once, when the engine is known to have ended a request that it began;
+    /// see `http::relay_options::on_ended`. May be called after the answer was destroyed.
+    std::function<void()> on_ended;
 };
 
 /// What the head of an answer states about the rate of requests that its engine accepts.
--- a/test/coordination/rollout/weights_rollout_test.cpp
+++ b/test/coordination/rollout/weights_rollout_test.cpp
@@ -475,6 +475,118 @@
     cr_assert(order_of(rollout, seen, start).has_value());
 }
 
+// Guards against an engine that loads newer weights while a request that stores state may still run
+// there, also if its router gave it up.
+Test(weights_rollout, an_engine_with_storing_requests_waits_and_then_drains_first) {
+    const rollout_tunables tunables;
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    seen.state_used_for = 5s;
+    seen.outdated_for = tunables.longest_writer_wait;
+    cr_assert_not(order_of(rollout, seen, start).has_value());
+    bool announced_again = false;
+    base::monotonic_time now = start;
+    std::optional<send_order> sent;
+    while (!sent && now < start + 2s) {
+        now += 50ms;
+        const auto steps = rollout.next({seen}, now);
+        announced_again = announced_again || !steps.upcoming.empty();
+        sent = steps.orders.empty() ? std::nullopt : std::optional(steps.orders[0]);
+    }
+    cr_assert(sent && sent->drain_first);
+    cr_assert(announced_again, "it must get no new requests meanwhile");
+    cr_assert(now >= start + tunables.shortest_writer_wait);
+}
+
+Test(weights_rollout, an_engine_whose_storing_requests_end_does_not_drain) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view seen{base::engine_name("e0"), model, 1};
+    seen.state_used_for = 5s;
+    cr_assert_not(order_of(rollout, seen, start).has_value());
+    seen.state_used_for = {};
+    const auto steps = rollout.next({seen}, start + 50ms);
+    cr_assert_eq(steps.orders.size(), 1);
+    cr_assert_not(steps.orders[0].drain_first);
+}
+
+// Guards against an engine that loads newer weights while it runs a request that stores state,
+// which another router sent before it knew of the weights and has not reported yet.
+Test(weights_rollout, an_engine_drains_first_unless_all_routers_report_that_none_stores) {
+    for (const bool report_in_time : {true, false}) {
+        weights_rollout rollout;
+        rollout.want(model, 2);
+        engine_view seen{base::engine_name("e0"), model, 1};
+        seen.reports_current = false;
+        cr_assert_not(order_of(rollout, seen, start).has_value());
+        std::optional<send_order> sent;
+        for (base::monotonic_time now = start; !sent && now < start + 2s; now += 50ms) {
+            seen.outdated_for = now - start;
+            seen.reports_current = report_in_time && now > start + 100ms;
+            const auto steps = rollout.next({seen}, now);
+            sent = steps.orders.empty() ? std::nullopt : std::optional(steps.orders[0]);
+        }
+        cr_assert(sent.has_value());
+        cr_expect_neq(sent->drain_first, report_in_time);
+    }
+}
+
+Test(weights_rollout, engines_that_would_drain_are_ordered_last) {
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    engine_view storing{base::engine_name("e0"), model, 1};
+    storing.state_used_for = 5s;
+    engine_view busy{base::engine_name("e1"), model, 1};
+    busy.load = 30;
+    const std::vector<engine_view> engines{storing, busy};
+    const auto steps = rollout.next(engines, start);
+    cr_assert_eq(steps.reports.size(), 1);
+    cr_assert(steps.reports[0].engine == busy.name);
+}
+
+// Guards against a rollout that comes to a halt behind engines that run long requests.
+Test(weights_rollout, engines_that_drain_hold_back_no_other_engine) {
+    const rollout_tunables tunables;
+    weights_rollout rollout;
+    rollout.want(model, 2);
+    std::vector<engine_view> engines;
+    for (int number = 0; number < 12; ++number) {
+        engine_view one{base::engine_name("e" + std::to_string(number)), model, 1};
+        one.state_used_for = number < 6 ? 20s : 0s;
+        engines.push_back(std::move(one));
+    }
+    std::map<base::engine_name, base::monotonic_time> loads_until;
+    std::size_t drained = 0;
+    for (base::monotonic_time now = start; now < start + tunables.order_within; now += 50ms) {
+        for (engine_view& one : engines) {
+            one.outdated_for = now - start;
+        }
+        const auto steps = rollout.next(engines, now);
+        for (const ask_report& asked : steps.reports) {
+            const auto loading = loads_until.find(asked.engine);
+            const bool busy = loading != loads_until.end() && now < loading->second;
+            const bool done = loading != loads_until.end() && !busy;
+            const std::uint64_t orders = loading == loads_until.end() ? 0 : 1;
+            rollout.reported(asked.engine, {done ? 2U : 1U, orders, busy}, now);
+            for (engine_view& one : engines) {
+                one.version = done && one.name == asked.engine ? 2 : one.version;
+            }
+        }
+        for (const send_order& order : steps.orders) {
+            drained += order.drain_first ? 1 : 0;
+            loads_until[order.engine] = now + (order.drain_first ? 20s : 600ms);
+            rollout.ordered(order.engine, order_answer::accepted, now);
+        }
+    }
+    cr_assert_eq(drained, 6);
+    cr_assert_eq(loads_until.size(), 12);
+    cr_assert_eq(std::count_if(engines.begin(), engines.end(),
+                               [](const engine_view& one) { return one.version == 2; }),
+                 6);
+    cr_assert(rollout.load_time() < 2s, "the wait is not part of the time to load");
+}
+
 // Guards against a version of one model that hides a smaller one of another.
 Test(weights_rollout, version_numbers_of_models_are_not_compared) {
     for (const bool large_first : {false, true}) {
--- a/test/peer/traffic_notice_test.cpp
+++ b/test/peer/traffic_notice_test.cpp
@@ -18,8 +18,9 @@
     notice.sender.value = "r1";
     notice.zone.value = "z1";
     notice.loads_complete = true;
-    notice.loads = {{base::engine_name("e1"), 3, 9190, 250ms, 2},
+    notice.loads = {{base::engine_name("e1"), 3, 9190, 250ms, 2, 6s},
                     {base::engine_name("e2"), 1, 0, {}}};
+    notice.known = {{"m", 5}, {"n", 1}};
     notice.weights = {{base::engine_name("e1"), "m", 4}};
     notice.expected = {{base::engine_name("e2"), {{part_key(7), 2520}, {part_key(8), 3780}}}};
     notice.changes = {{base::engine_name("store/10.0.0.1:1"), 77, 118, 120, {{part_key(9), 0}}}};
@@ -56,6 +57,7 @@
     // Sent in separate notices, checked below.
     notice.loading.clear();
     notice.limits.clear();
+    notice.known.clear();  // See peer_exchange.loads_that_fill_a_datagram_are_sent.
     cr_assert_leq(encode(notice).size(), max_datagram_bytes);
     traffic_notice rollout;
     rollout.sender.value = "front-with-a-long-name-1";
--- a/test/relay/fake_network.hpp
+++ b/test/relay/fake_network.hpp
@@ -21,7 +21,7 @@
 
     void deliver(const base::endpoint& from, const base::endpoint& to,
                  const peer::message_bytes& bytes) {
-        if (handlers.contains(to)) {
+        if (bytes.size() <= peer::max_datagram_bytes && handlers.contains(to)) {
             handlers[to](from, bytes);
         }
     }
--- a/test/relay/peer_exchange_test.cpp
+++ b/test/relay/peer_exchange_test.cpp
@@ -95,6 +95,61 @@
     cr_assert(at.until([&] { return at.second.loads.totals(at.loop.scheduler.now()).empty(); }));
 }
 
+// Guards against notices that are larger than a datagram, which the transport does not send.
+Test(peer_exchange, loads_that_fill_a_datagram_are_sent) {
+    fixture at;
+    at.first.exchange.on_known_weights([] {
+        std::vector<core::placement::known_weights> many;
+        for (int model = 0; model < 6; ++model) {
+            many.push_back({"a-model-of-a-long-name-" + std::to_string(model), 1000});
+        }
+        return many;
+    });
+    const auto now = at.loop.scheduler.now();
+    std::vector<std::unique_ptr<engine_load>> loads;
+    for (int number = 0; number < 30; ++number) {
+        listed_engine one;
+        one.name.value = "i-0123456789-" + std::to_string(number);
+        at.first.registry.put(one);
+        loads.push_back(
+            std::make_unique<engine_load>(at.first.registry, one.name, 100, true, true));
+    }
+    const base::engine_name storing("i-0123456789-29");
+    at.first.registry.add_state_use(storing, std::make_shared<state_use>(state_use{now + 1h}), now);
+    std::vector<core::prefix::scoped_part> many_parts(
+        60, {core::prefix::part_key(7), std::uint64_t{100}});
+    at.first.exchange.dispatched(storing, many_parts, 9190);
+    cr_assert(at.second.loads.totals(now).at(storing).state_used_for > 59min);
+    cr_assert_gt(at.second.loads.totals(now).size(), 15);
+    cr_assert_gt(at.second.warm.tokens_held(many_parts, storing, now), 0);
+}
+
+// Guards against loads that count as current though their router has not heard of newer weights,
+// and against versions that are reported for the first models only.
+Test(peer_exchange, routers_report_which_weights_they_know_of) {
+    fixture at;
+    std::uint64_t newest = 1;
+    at.first.exchange.on_known_weights([&] {
+        std::vector<core::placement::known_weights> all;
+        for (int model = 0; model < 6; ++model) {
+            all.push_back({"m" + std::to_string(model), newest});
+        }
+        return all;
+    });
+    const auto all_current = [&](std::uint64_t version) {
+        for (int model = 0; model < 6; ++model) {
+            if (!at.second.exchange.reports_are_current("m" + std::to_string(model), version)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    cr_assert(at.until([&] { return at.second.exchange.live_peers() == 1 && all_current(1); }));
+    cr_assert_not(at.second.exchange.reports_are_current("m5", 2));
+    newest = 2;
+    cr_assert(at.until([&] { return all_current(2); }));
+}
+
 Test(peer_exchange, newer_weights_are_passed_on_once) {
     fixture at;
     at.first.registry.record_version(engine, "m", 2);
--- a/test/relay/queueing_upstream.hpp
+++ b/test/relay/queueing_upstream.hpp
@@ -58,13 +58,23 @@
 class timed_body final : public http::byte_stream {
   public:
     /// @param allowed time allowed to the engine. @param resume_after last event that the caller
-    /// has.
+    /// has. @param on_ended called when the caller is to know that the engine has ended the
+    /// request.
     timed_body(runtime::scheduler& scheduler, const queueing_engine& engine, base::duration allowed,
-               std::uint64_t resume_after = 0)
+               std::uint64_t resume_after = 0, std::function<void()> on_ended = {})
         : m_scheduler(scheduler),
           m_engine(engine),
           m_allowed(allowed),
-          m_next(engine.whole_answers ? last : resume_after + 1) {}
+          m_next(engine.whole_answers ? last : resume_after + 1),
+          m_on_ended(std::move(on_ended)) {}
+    timed_body(const timed_body&) = delete;
+    timed_body& operator=(const timed_body&) = delete;
+    ~timed_body() override {
+        const bool is_complete = m_next > last;
+        if (m_on_ended && (is_complete || m_engine.drops_closed)) {
+            m_on_ended();
+        }
+    }
     unsigned status() const override { return 200; }
     const http::header_list& headers() const override { return m_headers; }
     runtime::task<http::result<std::optional<std::string>>> next(base::duration limit) override {
@@ -95,6 +105,7 @@
     queueing_engine m_engine;
     base::duration m_allowed;
     std::uint64_t m_next;
+    std::function<void()> m_on_ended;
     http::header_list m_headers;
 };
 
@@ -151,7 +162,7 @@
         if (!place->begun) {
             co_return failure(failure_kind::overloaded, failure_proof::not_run);
         }
-        co_return answer_of(engine, sent.time_left - engine.wait, sent.resume_after.value_or(0));
+        co_return answer_of(engine, sent.time_left - engine.wait, sent);
     }
     runtime::task<std::optional<coordination::rollout::engine_report>> report(engine_target,
                                                                               std::string,
@@ -230,13 +241,14 @@
     }
 
     opened_answer answer_of(const queueing_engine& engine, base::duration allowed,
-                            std::uint64_t resume_after) {
+                            const dispatch& sent) {
         opened_answer answer;
         answer.status = 200;
         answer.headers.add("X-Response-Signature", "sig");
         answer.is_event_stream = !engine.whole_answers;
         answer.version = engine.version;
-        answer.body = std::make_unique<timed_body>(m_scheduler, engine, allowed, resume_after);
+        answer.body = std::make_unique<timed_body>(m_scheduler, engine, allowed,
+                                                   sent.resume_after.value_or(0), sent.on_ended);
         return answer;
     }
 
--- a/test/relay/rollout_service_test.cpp
+++ b/test/relay/rollout_service_test.cpp
@@ -60,6 +60,7 @@
         all.rollout.first_poll_delay = 2ms;
         all.rollout.look_period = 2ms;
         all.rollout.longest_writer_wait = 40ms;
+        all.rollout.shortest_writer_wait = 10ms;
         return all;
     }
     /// Runs until the condition holds, so that the test does not depend on the machine's speed.
@@ -168,3 +169,57 @@
     at.run_until([&] { return at.upstream.orders.size() == 6 && !at.lease.acting; });
     cr_assert_str_eq(at.upstream.engines_ordered.back().c_str(), "e1");
 }
+
+namespace {
+
+std::shared_ptr<state_use> use_until(base::monotonic_time end) {
+    return std::make_shared<state_use>(state_use{end});
+}
+
+/// @return what the first order told the engine to do with its requests.
+running_requests_policy told(const fixture& at, const std::string& engine) {
+    const auto& ordered = at.upstream.engines_ordered;
+    const auto found = std::find(ordered.begin(), ordered.end(), engine);
+    cr_assert(found != ordered.end());
+    return at.upstream.orders[static_cast<std::size_t>(found - ordered.begin())].running;
+}
+
+}  // namespace
+
+// Guards against state that a request stores under the name of older weights after its engine has
+// loaded newer ones, whatever became of the request's exchange.
+Test(rollout_service, an_engine_whose_storing_requests_may_still_run_drains_before_it_loads) {
+    for (const bool own : {true, false}) {
+        fixture at;
+        const base::engine_name storing("e2");
+        if (own) {
+            const base::monotonic_time now = at.loop.scheduler.now();
+            at.registry.add_state_use(storing, use_until(now + 1h), now);
+        } else {
+            at.other_loads[storing].state_used_for = 1h;
+        }
+        at.lease.current = base::fencing_token(1);
+        at.policies.confirm(at.loop.scheduler.now());
+        at.policies.add_named_version("m", 3);
+        at.service.start();
+        at.run_until([&] { return at.upstream.orders.size() == 3; });
+        cr_expect(told(at, "e2") == running_requests_policy::drain_first);
+        cr_expect(told(at, "e1") == running_requests_policy::pause_and_continue);
+        cr_expect(told(at, "e3") == running_requests_policy::pause_and_continue);
+    }
+}
+
+Test(rollout_service, an_engine_is_not_told_to_drain_for_storing_requests_that_have_ended) {
+    fixture at;
+    const base::monotonic_time now = at.loop.scheduler.now();
+    const auto ended = use_until(now + 1h);
+    ended->ended = true;
+    at.registry.add_state_use(base::engine_name("e1"), ended, now);
+    at.registry.add_state_use(base::engine_name("e2"), use_until(now), now);
+    at.lease.current = base::fencing_token(1);
+    at.service.start();
+    at.run_until([&] { return at.upstream.orders.size() == 3; });
+    for (const char* name : {"e1", "e2", "e3"}) {
+        cr_expect(told(at, name) == running_requests_policy::pause_and_continue, "%s", name);
+    }
+}
--- a/test/relay/running_state_test.cpp
+++ b/test/relay/running_state_test.cpp
@@ -192,6 +192,68 @@
     cr_assert_eq(router.registry.find(engine)->pinned_writers, 0);
 }
 
+// Guards against an engine that loads newer weights while a stream that was given up goes on there
+// and stores state: not every engine stops as a connection is closed.
+Test(running_state, a_moved_stream_that_stores_state_counts_until_its_engine_has_ended_it) {
+    for (const bool drops_closed : {true, false}) {
+        streaming_router router;
+        for (auto& [name, engine] : router.upstream.engines) {
+            engine.drops_closed = drops_closed;
+        }
+        router.begin_stream("/resumable/");
+        const base::engine_name engine(router.first_engine());
+        const auto stores = [&] {
+            const known_engine* known = router.registry.find(engine);
+            return known->state_used_for(router.scheduler.now()) > 0s;
+        };
+        cr_assert(stores());
+        router.replace_weights();
+        router.announce_load(engine.value);
+        router.run_for(150ms);
+        cr_assert_eq(router.upstream.asked.size(), 2, "the stream has moved");
+        cr_expect_neq(stores(), drops_closed);
+        cr_assert_eq(router.registry.active(router.scheduler.now()).size(), drops_closed ? 1 : 2);
+        const base::duration time_of_request = 10s;
+        router.run_for(time_of_request + 500ms);
+        cr_expect_not(stores(), "its engine has stopped it at the deadline");
+    }
+}
+
+Test(running_state, a_stream_that_no_other_engine_can_take_counts_until_its_end) {
+    streaming_router router;
+    router.begin_stream("/resumable/");
+    const base::engine_name engine(router.first_engine());
+    listed_engine leaving = router.registry.find(base::engine_name(router.other_engine()))->listed;
+    leaving.leaving = true;
+    router.registry.put(leaving, router.scheduler.now());
+    router.replace_weights();
+    router.announce_load(engine.value);
+    router.run_for(1s);
+    cr_assert_eq(router.upstream.asked.size(), 1);
+    cr_assert(router.registry.find(engine)->state_used_for(router.scheduler.now()) > 0s);
+    router.run_for(5s);
+    cr_assert(router.is_whole());
+    cr_assert(router.registry.find(engine)->state_used_for(router.scheduler.now()) == 0s);
+}
+
+Test(running_state, a_request_that_its_engine_refused_does_not_count) {
+    streaming_router router;
+    for (auto& [name, engine] : router.upstream.engines) {
+        engine.refuses_after = 20ms;
+    }
+    relay_call call = router.call_of("/stream/", own_tokens, 20);
+    call.prompt->parts.insert(call.prompt->parts.begin(), {"shared", shared_tokens});
+    router.policies.confirm(router.scheduler.now());
+    router.writers.push_back(std::make_unique<recorded_writer>(router.scheduler));
+    router.scheduler.spawn("call", router.service.handle(std::move(call), *router.writers.back()));
+    router.run_for(1s);
+    cr_assert_gt(router.saved.size(), 0);
+    cr_assert(router.saved[0]);
+    for (const auto& [name, engine] : router.registry.engines()) {
+        cr_assert(engine.state_used_for(router.scheduler.now()) == 0s);
+    }
+}
+
 Test(running_state, a_request_that_stores_nothing_or_can_be_moved_is_not_counted) {
     for (const bool stored : {true, false}) {
         streaming_router router;
