A request that can't be moved keeps the weights of the engine that it fetches state from

A request that can't be sent elsewhere keeps the source of its dispatch. An engine that is preempting reads its prompt again and fetches again, also from a source that has loaded newer weights meanwhile, gone on with its own requests and read their prompts again. That had no bound.

Change: such a request counts at its source like one that stores there, so that the source drains before it loads and holds nothing in the scope of its older weights afterwards. It fetches from an engine only if that saves 1,000 tokens; and if newer weights were named between its selection and its dispatch, it fetches and stores nothing.

The last condition has no case of its own.

--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -34,8 +34,8 @@
     /// Requests of all routers that store prompt state there and can't be sent to another engine.
     std::uint32_t pinned_writers = 0;
     /// Time until all requests of all routers that rely on the engine's weights have ended at the
-    /// latest, zero if there are none. They store prompt state there, and count until they are
-    /// known to have ended, also if they were given up.
+    /// latest, zero if there are none. They store prompt state there, or may fetch it from there,
+    /// and count until they are known to have ended, also if they were given up.
     base::duration state_used_for{};
     /// All other routers have reported their requests since they knew of the newest weights.
     bool reports_current = true;
--- a/src/ferryroad/core/placement/state_stores.cpp
+++ b/src/ferryroad/core/placement/state_stores.cpp
@@ -23,7 +23,7 @@
 
 bool is_worth_saving(const prompt_prefill& reading) {
     const std::uint64_t read = reading.shared - std::min(reading.held, reading.shared);
-    const std::uint64_t least = reading.pinned ? least_pinned_save_tokens : 1;
+    const std::uint64_t least = reading.pinned ? least_pinned_tokens : 1;
     return read >= least && reading.own <= read;
 }
 
--- a/src/ferryroad/core/placement/state_stores.hpp
+++ b/src/ferryroad/core/placement/state_stores.hpp
@@ -27,12 +27,13 @@
 };
 
 /// A request that can't be sent to another engine saves at least this many newly computed shared
-/// tokens, or nothing: holding up newer weights costs more than computing fewer tokens again.
-inline constexpr std::uint64_t least_pinned_save_tokens = 1000;
+/// tokens, or nothing, and fetches as many from another engine, or nothing: holding up newer
+/// weights costs more than computing fewer tokens again.
+inline constexpr std::uint64_t least_pinned_tokens = 1000;
 
 /// @return whether to save the state: if shared tokens are newly computed and the last part, which
 /// no other request uses, is not longer than these. Saving a longer one would take up the store's
-/// bandwidth and evict other state. Pinned requests: see `least_pinned_save_tokens`. Thread-safe.
+/// bandwidth and evict other state. Pinned requests: see `least_pinned_tokens`. Thread-safe.
 bool is_worth_saving(const prompt_prefill& reading);
 
 }  // namespace ferryroad::core::placement
--- a/src/ferryroad/relay/engine_registry.hpp
+++ b/src/ferryroad/relay/engine_registry.hpp
@@ -68,8 +68,8 @@
 };
 
 /// A request that relies on an engine's weights: it stores prompt state there under a name that
-/// stands for them. Its run may outlast its exchange: not every engine stops as soon as a
-/// connection is closed.
+/// stands for them, or it can't be moved and its own engine may fetch such state from there. Its
+/// run may outlast its exchange: not every engine stops as soon as a connection is closed.
 struct state_use {
     base::monotonic_time ends_by{};  ///< The engine stops it by then at the latest.
     bool ended = false;              ///< It is known to have ended, or not to have run.
--- a/src/ferryroad/relay/relay_driver.hpp
+++ b/src/ferryroad/relay/relay_driver.hpp
@@ -404,7 +404,7 @@
         }
         m_outcome.engine = m_selected.target.name.value;
         m_outcome.predicted_ms = m_selected.cost_ms;
-        store_only_newest_state();
+        rely_on_newest_weights_only();
         m_load.emplace(m_dependencies.registry, m_selected.target.name, m_selected.prefill_tokens,
                        is_repeatable(*m_plan.matched_route),
                        m_selected.save_state_to && !m_selected.may_be_withdrawn);
@@ -463,24 +463,39 @@
     }
 
     /// The engine may have been selected before newer weights were named. From the naming on no
-    /// request that is sent stores state under the older ones, so that the requests that do can be
+    /// request that is sent relies on older weights at an engine, so that those that do can be
     /// counted.
-    void store_only_newest_state() {
-        if (m_selected.save_state_to &&
-            !m_dependencies.policies.is_newest(m_plan.call->prompt->model,
-                                               m_selected.expected_version.value_or(0))) {
-            m_selected.save_state_to.reset();
+    void rely_on_newest_weights_only() {
+        const bool uses_state = m_selected.save_state_to || m_selected.fetch_state_from;
+        if (!uses_state ||
+            m_dependencies.policies.is_newest(m_plan.call->prompt->model,
+                                              m_selected.expected_version.value_or(0))) {
+            return;
+        }
+        m_selected.save_state_to.reset();
+        if (!m_selected.may_be_withdrawn) {
+            m_selected.fetch_state_from.reset();
         }
     }
 
+    /// Records the request at the engines whose weights must not change under it: its own one if it
+    /// stores state, and the one that it fetches from if it can't be moved. An engine reads the
+    /// prompt of a preempted request again, and fetches and stores state as before.
     void record_state_use(base::monotonic_time now) {
         m_state_use.reset();
+        const bool keeps_source = m_selected.fetch_state_from && !m_selected.may_be_withdrawn;
+        if (!m_selected.save_state_to && !keeps_source) {
+            return;
+        }
+        m_state_use = std::make_shared<state_use>();
+        m_state_use->ends_by = now + m_timing.time_for_engine(now) + m_tunables.engine_stop_margin;
         if (m_selected.save_state_to) {
-            m_state_use = std::make_shared<state_use>();
-            m_state_use->ends_by =
-                now + m_timing.time_for_engine(now) + m_tunables.engine_stop_margin;
             m_dependencies.registry.add_state_use(m_selected.target.name, m_state_use, now);
         }
+        if (keeps_source) {
+            m_dependencies.registry.add_state_use(m_selected.fetched_state_holder, m_state_use,
+                                                  now);
+        }
     }
 
     using open_result = runtime::result<opened_answer, dispatch_failure>;
--- a/src/ferryroad/relay/selection.hpp
+++ b/src/ferryroad/relay/selection.hpp
@@ -287,10 +287,11 @@
     bool has_scope_weights(const base::engine_name& holder, const std::string& model,
                            std::uint64_t version, base::monotonic_time now) const;
     static void set_state_source(const known_engine& source, selected_engine& chosen);
-    /// Removes the source of state from a selection if the request might begin only when the source
-    /// is outdated, and could not be withdrawn before.
-    static void limit_state_source(const selection_query& query, std::uint64_t input_tokens,
-                                   selected_engine& chosen);
+    /// Removes the source of state from the selection for a request that can't be withdrawn, if it
+    /// might begin only when the source is outdated, or if the source is an engine that would have
+    /// to keep its weights for a few tokens.
+    void limit_state_source(const selection_query& query, std::uint64_t input_tokens,
+                            selected_engine& chosen) const;
     void find_state_sources(const selection_query& query, scoped_prompt& prompt) const;
     bool same_region(const base::zone_name& one, const base::zone_name& other) const {
         return m_settings.zones.same_region(one, other);
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -138,11 +138,16 @@
 }
 
 void engine_selection::limit_state_source(const selection_query& query, std::uint64_t input_tokens,
-                                          selected_engine& chosen) {
+                                          selected_engine& chosen) const {
+    if (query.may_be_withdrawn) {
+        return;
+    }
     // After a failed attempt the expected wait is not relied on.
     const bool may_wait_long =
         query.was_sent_before || chosen.begin_bound > longest_unattended_wait;
-    if (query.may_be_withdrawn || !may_wait_long) {
+    const bool is_small = chosen.fetchable_tokens < placement::least_pinned_tokens &&
+                          m_registry.find(chosen.fetched_state_holder) != nullptr;
+    if (!may_wait_long && !is_small) {
         return;
     }
     chosen.fetch_state_from.reset();
--- a/test/core/placement/state_stores_test.cpp
+++ b/test/core/placement/state_stores_test.cpp
@@ -65,7 +65,7 @@
 
 // Guards against engines that are held up from loading newer weights for state of little use.
 Test(state_stores, requests_that_cannot_be_moved_save_no_small_state) {
-    const std::uint64_t least = least_pinned_save_tokens;
+    const std::uint64_t least = least_pinned_tokens;
     cr_assert(is_worth_saving({least, 0, 100, true}));
     cr_assert_not(is_worth_saving({least, 1, 100, true}), "the newly computed tokens count");
     cr_assert(is_worth_saving({least, 1, 100, false}));
--- a/test/relay/running_state_test.cpp
+++ b/test/relay/running_state_test.cpp
@@ -236,6 +236,28 @@
     cr_assert(router.registry.find(engine)->state_used_for(router.scheduler.now()) == 0s);
 }
 
+// Guards against a request that can't be moved and is read again with state of newer weights: the
+// engine that it fetches from had loaded them and gone on with its own requests.
+Test(running_state, a_request_that_cannot_be_moved_counts_at_the_engine_it_fetches_from) {
+    for (const bool can_be_moved : {false, true}) {
+        streaming_router router;
+        router.report_held("e2");
+        router.registry.find(base::engine_name("e2"))->refuses_until =
+            router.scheduler.now() + 200ms;
+        router.begin_stream(can_be_moved ? "/resumable/" : "/stream/");
+        cr_assert_eq(router.first_engine(), "e1");
+        cr_assert(router.fetched[0]);
+        const auto is_counted = [&] {
+            const known_engine* source = router.registry.find(base::engine_name("e2"));
+            return source->state_used_for(router.scheduler.now()) > 0s;
+        };
+        cr_expect_neq(is_counted(), can_be_moved);
+        router.run_for(5s);
+        cr_assert(router.is_whole());
+        cr_expect_not(is_counted());
+    }
+}
+
 Test(running_state, a_request_that_its_engine_refused_does_not_count) {
     streaming_router router;
     for (auto& [name, engine] : router.upstream.engines) {
