A router that is stopping reports what relies on engines' weights, and adds nothing to it

A router sends no notices once a planned stop has begun, and serves as usual for up to 2.7 s more. Requests that it sent then and that stored prompt state were known to nobody, so that their engines were ordered to go on with them under newer weights.

Change: the loads are reported a last time as the notices end, and a stopping router counts as one that would not learn of newer weights, so that its requests neither store state nor fetch it from elsewhere.

Evidence: peer_exchange.a_router_that_stops_reports_its_loads_for_the_last_time and weights_notices.a_router_that_is_stopping_is_not_informed fail with the two lines taken out, pass with them (14 of 14, 3 of 3).

--- a/src/ferryroad/relay/peer_exchange.cpp
+++ b/src/ferryroad/relay/peer_exchange.cpp
@@ -42,6 +42,13 @@
     m_ports.scheduler.spawn(component, run());
 }
 
+void peer_exchange::stop() {
+    if (m_running) {
+        send_load(m_ports.scheduler.now());
+    }
+    m_running = false;
+}
+
 runtime::task<void> peer_exchange::run() {
     while (m_running) {
         const auto routers = static_cast<base::duration::rep>(block_size());
--- a/src/ferryroad/relay/peer_exchange.hpp
+++ b/src/ferryroad/relay/peer_exchange.hpp
@@ -105,8 +105,9 @@
 
     /// To be called once, before any traffic.
     void start();
-    /// Sends no further notices.
-    void stop() { m_running = false; }
+    /// Sends the loads for the last time, and no further notices. Requests that rely on the weights
+    /// of engines must not be sent from then on.
+    void stop();
 
     /// Handles a datagram whose header identifies it as a notice; counts it where it is malformed.
     void handle_datagram(const base::endpoint& from, std::string_view bytes);
--- a/src/ferryroad/relay/weights_notices.cpp
+++ b/src/ferryroad/relay/weights_notices.cpp
@@ -35,7 +35,8 @@
 }
 
 bool weights_notices::is_informed() const {
-    return m_ports.policies.refusals_valid(m_ports.scheduler.now()) || !m_ports.is_isolated();
+    const bool is_copy_fresh = m_ports.policies.refusals_valid(m_ports.scheduler.now());
+    return !m_stopped && (is_copy_fresh || !m_ports.is_isolated());
 }
 
 }  // namespace ferryroad::relay
--- a/src/ferryroad/relay/weights_notices.hpp
+++ b/src/ferryroad/relay/weights_notices.hpp
@@ -36,9 +36,13 @@
     /// @return whether this router would learn without delay that newer weights are named or
     /// loaded: its copy of the namings is fresh, or it hears other routers, which announce loads.
     bool is_informed() const;
+    /// To be called on a planned stop, as this router no longer exchanges notices with others: it
+    /// counts as not informed from then on.
+    void stop() { m_stopped = true; }
 
   private:
     weights_notice_ports m_ports;
+    bool m_stopped = false;
 };
 
 }  // namespace ferryroad::relay
--- a/test/relay/peer_exchange_test.cpp
+++ b/test/relay/peer_exchange_test.cpp
@@ -124,6 +124,16 @@
     cr_assert_gt(at.second.warm.tokens_held(many_parts, storing, now), 0);
 }
 
+// Guards against an engine that loads newer weights while a request that stores state runs there,
+// which its router sent right before a planned stop.
+Test(peer_exchange, a_router_that_stops_reports_its_loads_for_the_last_time) {
+    fixture at;
+    const auto now = at.loop.scheduler.now();
+    at.first.registry.add_state_use(engine, std::make_shared<state_use>(state_use{now + 9s}), now);
+    at.first.exchange.stop();
+    cr_assert(at.second.loads.totals(now + 5s).at(engine).state_used_for > 3s);
+}
+
 // Guards against loads that count as current though their router has not heard of newer weights,
 // and against versions that are reported for the first models only.
 Test(peer_exchange, routers_report_which_weights_they_know_of) {
--- a/test/relay/weights_notices_test.cpp
+++ b/test/relay/weights_notices_test.cpp
@@ -52,3 +52,12 @@
     fixture.isolated = false;
     cr_assert(fixture.notices.is_informed());
 }
+
+// Guards against requests that store state unknown to the other routers: they hear nothing more of
+// a router that is stopping, which still serves.
+Test(weights_notices, a_router_that_is_stopping_is_not_informed) {
+    notices_fixture fixture;
+    fixture.policies.confirm(fixture.scheduler.now());
+    fixture.notices.stop();
+    cr_assert_not(fixture.notices.is_informed());
+}
