--- a/src/ferryroad/coordination/rollout/weights_rollout.cpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.cpp
@@ -190,7 +190,7 @@
     const auto rank = [&](const engine_view* one) {
         const auto unread = static_cast<std::int64_t>(one->unread_tokens);
         const std::int64_t load = one->load;
-        const bool drains = may_use_state(*one);
+        const bool drains = is_relied_on(*one);
         return hurried.at(one->model) ? std::tuple(one->version, false, -unread, -load)
                                       : std::tuple(one->version, drains, std::int64_t{0}, load);
     };
@@ -202,15 +202,14 @@
     return one.pinned_writers > 0 && one.outdated_for < m_tunables.longest_writer_wait;
 }
 
-bool weights_rollout::may_use_state(const engine_view& one) {
+bool weights_rollout::is_relied_on(const engine_view& one) {
     return one.state_used_for > base::duration{} || !one.reports_current;
 }
 
 bool weights_rollout::waits_for_state_uses(const engine_view& seen, const progress& state,
                                            base::monotonic_time now) const {
     const bool just_ready = now - state.ready_since.value_or(now) < m_tunables.shortest_writer_wait;
-    return may_use_state(seen) &&
-           (just_ready || seen.outdated_for < m_tunables.longest_writer_wait);
+    return is_relied_on(seen) && (just_ready || seen.outdated_for < m_tunables.longest_writer_wait);
 }
 
 template <typename Predicate>
@@ -336,7 +335,7 @@
     state.version = wanted(seen.model);
     state.last_order = now;
     m_ordered[{seen.name, seen.model}] = state.version;
-    state.drains = may_use_state(seen);
+    state.drains = is_relied_on(seen);
     steps.orders.push_back({seen.name, seen.model, state.version, state.orders_taken,
                             seen.state_used_for, seen.reports_current, state.drains});
 }
--- a/src/ferryroad/coordination/rollout/weights_rollout.hpp
+++ b/src/ferryroad/coordination/rollout/weights_rollout.hpp
@@ -233,7 +233,7 @@
     /// @return whether the engine is not started yet because of the requests that it runs.
     bool waits_for_writers(const engine_view& one) const;
     /// @return whether requests that rely on the engine's weights may still run.
-    static bool may_use_state(const engine_view& one);
+    static bool is_relied_on(const engine_view& one);
     /// @return whether an engine that is ready is not ordered yet because of requests that rely on
     /// its weights.
     bool waits_for_state_uses(const engine_view& seen, const progress& state,
--- a/src/ferryroad/http/client_exchange.hpp
+++ b/src/ferryroad/http/client_exchange.hpp
@@ -36,8 +36,9 @@
     std::shared_ptr<connection_pool> pool, exchange_parameters parameters, relay_options options);
 
 /// One attempt on one connection. The destructor closes the connection unless the response was read
-/// completely; that of a relayed response which has begun is closed gracefully, as some servers
-/// notice a reset only when they write.
+/// completely. A relayed response that has begun is closed gracefully, as some servers notice a
+/// reset only when they write; so is a relayed request that was written and whose end is waited
+/// for.
 class exchange {
   public:
     /// @param answers_head whether the request method is HEAD, whose response has no body.
@@ -103,7 +104,7 @@
     void finish();
     /// Calls `on_ended` unless it was called before.
     void notify_ended();
-    /// Closes the connection of a response that has begun and is not wanted any more.
+    /// Closes the connection gracefully, as the response is not wanted any more.
     void give_up();
 
     std::shared_ptr<connection_pool> pool_;
--- a/src/ferryroad/relay/selection_state.cpp
+++ b/src/ferryroad/relay/selection_state.cpp
@@ -74,7 +74,7 @@
 bool engine_selection::would_fetch_outdated_state_again(const selected_engine& chosen,
                                                         const relay_call& call,
                                                         base::monotonic_time now) const {
-    // A store counts as right: streams that store state move before their engines load.
+    // A store counts as right: no engine loads while requests that store state may still run there.
     const bool from_engine = m_registry.find(chosen.fetched_state_holder) != nullptr;
     return from_engine && would_fetch_outdated_state(chosen, call, now) &&
            has_scope_weights(chosen.target.name, call.prompt->model,
--- a/test/relay/running_state_test.cpp
+++ b/test/relay/running_state_test.cpp
@@ -155,7 +155,8 @@
     cr_assert(router.is_whole());
 }
 
-// What the store holds stays right, as streams that store state move before their engines load.
+// What the store holds stays right, as no engine loads while requests that store state may run
+// there.
 Test(running_state, a_preempted_stream_whose_source_is_a_store_stays) {
     streaming_router router;
     router.report_stored();
